--- /dev/null
+++ b/Libraries/LibSteering/upstreamslots.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <LibCore/units.h>
+#include <LibSteering/leaseguard.h>
+
+#include <atomic>
+#include <memory>
+#include <optional>
+
+namespace Trefoil {
+
+class UpstreamSlots;
+
+/// Holds one slot of an upstream until it is destroyed.
+/// Thread safety: one thread at a time.
+class SlotReservation
+{
+public:
+    SlotReservation(SlotReservation &&) noexcept = default;
+    SlotReservation &operator=(SlotReservation &&) = delete;
+    SlotReservation(const SlotReservation &) = delete;
+    SlotReservation &operator=(const SlotReservation &) = delete;
+    ~SlotReservation();
+
+private:
+    friend class UpstreamSlots;
+    explicit SlotReservation(std::shared_ptr<UpstreamSlots> slots);
+
+    std::shared_ptr<UpstreamSlots> m_slots;
+};
+
+/// The part of an upstream's slots that was granted to this host, and how much of it is in use.
+class UpstreamSlots : public std::enable_shared_from_this<UpstreamSlots>
+{
+public:
+    static std::shared_ptr<UpstreamSlots> create();
+
+    /// Takes a free slot; nothing when the lease has expired or the grant is used up.
+    /// Precondition: now was read after every wait of the request. Thread safety: safe from any thread; lock-free.
+    std::optional<SlotReservation> tryReserve(const LeaseGuard &lease, BootTime now);
+
+    /// Sets the granted slots. Work in flight above a lowered grant runs to its end.
+    /// Precondition: granted is not negative. Thread safety: safe from any thread.
+    void setGranted(SlotCount granted);
+
+    /// Precondition: none. Thread safety: safe from any thread.
+    SlotCount granted() const;
+
+    /// Precondition: none. Thread safety: safe from any thread.
+    SlotCount inFlight() const;
+
+private:
+    friend class SlotReservation;
+    UpstreamSlots() = default;
+
+    std::atomic<std::int32_t> m_granted {0};
+    std::atomic<std::int32_t> m_inFlight {0};
+};
+
+} // namespace Trefoil
