--- /dev/null
+++ b/Libraries/LibPeer/messages.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <LibCore/strongid.h>
+#include <LibCore/units.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Control messages between entry hosts. Every message travels as one CBOR map over websocket.
+namespace Trefoil {
+
+/// First message on a connection, in both directions. The secret proves that the sender is a host of the system.
+struct Hello
+{
+    HostId host;
+    Incarnation incarnation;
+    std::string secret;
+};
+
+/// Asks a guardian to confirm the sender's lease and carries the sender's digest.
+struct Heartbeat
+{
+    std::uint64_t sequence = 0;
+    Incarnation incarnation;
+    Epoch epoch;
+    ConfigurationVersion configuration;
+    SlotCount freeSlots;
+    bool leaving = false;
+};
+
+/// Answers a heartbeat. A refused confirmation means that the guardian voted for the reclaim of the sender.
+struct HeartbeatAck
+{
+    std::uint64_t sequence = 0;
+    Epoch epoch;
+    ConfigurationVersion configuration;
+    bool confirmed = false;
+};
+
+/// Offers a candidate configuration before it is committed.
+struct Prepare
+{
+    std::string operation;
+    ConfigurationVersion version;
+    /// Canonical JSON text of the configuration.
+    std::string document;
+};
+
+struct PrepareAck
+{
+    std::string operation;
+    ConfigurationVersion version;
+    bool accepted = false;
+    std::string reason;
+};
+
+/// Tells that a version is committed. Receivers named in forwardTo get it from the receiver of this message.
+struct Commit
+{
+    ConfigurationVersion version;
+    std::string digest;
+    std::vector<HostId> forwardTo;
+};
+
+/// Tells the sender of a Commit that the version is in force.
+struct CommitAck
+{
+    ConfigurationVersion version;
+};
+
+/// Asks for the newest committed configuration when it is newer than the given one.
+struct FetchConfiguration
+{
+    ConfigurationVersion newerThan;
+};
+
+struct ConfigurationCopy
+{
+    ConfigurationVersion version;
+    std::string digest;
+    std::string document;
+};
+
+/// Asks a guardian to vote for the reclaim of a silent host's grants.
+struct ReclaimVoteRequest
+{
+    HostId host;
+    Epoch epoch;
+    std::uint64_t ballot = 0;
+};
+
+struct ReclaimVote
+{
+    HostId host;
+    Epoch epoch;
+    std::uint64_t ballot = 0;
+    bool granted = false;
+};
+
+using PeerMessage = std::
+    variant<Hello, Heartbeat, HeartbeatAck, Prepare, PrepareAck, Commit, CommitAck, FetchConfiguration, ConfigurationCopy, ReclaimVoteRequest, ReclaimVote>;
+
+} // namespace Trefoil
