--- a/Libraries/LibTelemetry/log.cpp
+++ b/Libraries/LibTelemetry/log.cpp
@@ -1,5 +1,7 @@
 #include <LibTelemetry/log.h>
 
+#include <LibTelemetry/floodlimiter.h>
+
 #include <chrono>
 #include <cstdio>
 #include <fmt/chrono.h>
@@ -46,18 +48,20 @@
     return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(std::chrono::system_clock::to_time_t(now)), milliseconds);
 }
 
-} // namespace
+struct GuardedFlood
+{
+    std::mutex mutex;
+    FloodLimiter limiter;
+};
 
-void configureLog(LogLevel lowest, const HostId &host, const ZoneId &zone)
+GuardedFlood &guardedFlood()
 {
-    settings() = {lowest, host.value(), zone.value()};
+    static GuardedFlood instance;
+    return instance;
 }
 
-void writeLog(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+void writeLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
-    if (level < settings().lowest) {
-        return;
-    }
     nlohmann::ordered_json line = {{"time", timestamp()}, {"level", levelName(level)}, {"host", settings().host}, {"zone", settings().zone}, {"event", event}};
     for (const auto &field : fields) {
         std::visit([&line, &field](const auto &value) { line[std::string(field.name)] = value; }, field.value);
@@ -68,4 +72,40 @@
     fmt::print(stderr, "{}\n", line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
 }
 
+} // namespace
+
+void configureLog(LogLevel lowest, const HostId &host, const ZoneId &zone)
+{
+    settings() = {lowest, host.value(), zone.value()};
+}
+
+void writeLog(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (level < settings().lowest) {
+        return;
+    }
+    writeDueLogSummaries();
+    {
+        auto &flood = guardedFlood();
+        const std::lock_guard lock(flood.mutex);
+        if (!flood.limiter.admit(event, BootClock::now())) {
+            return;
+        }
+    }
+    writeLine(level, event, fields);
+}
+
+void writeDueLogSummaries()
+{
+    std::vector<FloodSummary> summaries;
+    {
+        auto &flood = guardedFlood();
+        const std::lock_guard lock(flood.mutex);
+        summaries = flood.limiter.takeSummaries(BootClock::now());
+    }
+    for (const auto &summary : summaries) {
+        writeLine(LogLevel::Warning, "log-lines-suppressed", {{"suppressedEvent", summary.event}, {"count", static_cast<std::int64_t>(summary.suppressed)}});
+    }
+}
+
 } // namespace Trefoil
--- a/Libraries/LibTelemetry/log.h
+++ b/Libraries/LibTelemetry/log.h
@@ -29,8 +29,13 @@
 /// Precondition: called before other threads log. Thread safety: not safe beside writeLog().
 void configureLog(LogLevel lowest, const HostId &host, const ZoneId &zone);
 
-/// Writes one line: time, level, host, availability zone, event name, then the fields.
+/// Writes one line: time, level, host, availability zone, event name, then the fields. Of one event 20 lines are
+/// written in a second; the rest is counted and reported by one line "log-lines-suppressed" after that second.
 /// Precondition: event is a constant name such as "lease-expired". Thread safety: safe from any thread.
 void writeLog(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
+/// Writes the summaries that are due. Every writeLog() does so too; a timer that calls this once a second also
+/// reports a flood that has ended. Precondition: none. Thread safety: safe from any thread.
+void writeDueLogSummaries();
+
 } // namespace Trefoil
