--- a/Libraries/LibSettings/hostsettings.h
+++ b/Libraries/LibSettings/hostsettings.h
@@ -42,7 +42,8 @@
     std::string text;
 };
 
-/// Reads and checks flags and environment variables. All findings are reported together; each names its flag.
+/// Reads and checks flags and environment variables. All findings are reported together; each names the flag, or the
+/// environment variable if the value came from there. A flag wins over its variable. On an error main() exits with 2.
 /// Precondition: argv holds argc strings. Thread safety: not safe beside changes of the environment.
 Result<std::variant<HostSettings, TextRequested>> parseHostSettings(int argc, const char *const *argv);
 
