LibPeer: Add the CBOR codec and websocket links between hosts

The control loops need typed messages between hosts that survive silent connections, wrong secrets and malformed input.

The codec describes the fields of each message once for both directions. It reads CBOR through a SAX handler that accepts one flat map only, so that deep nesting cannot exhaust the stack.

--- a/Libraries/LibPeer/peernetwork.h
+++ b/Libraries/LibPeer/peernetwork.h
@@ -30,8 +30,9 @@
     std::string secret;
 };
 
-/// Websocket links to the other hosts. Links are opened when a message is first sent to a peer and opened again when
-/// they fail or stay silent for 2 s while something is awaited. Delivery is not guaranteed.
+/// Websocket links to the other hosts. Links are opened when a message is first sent to a peer and opened again, after a
+/// delay with jitter, when they fail or stay silent for 2 s while something is awaited. Delivery is not guaranteed.
+/// Both sides prove that they hold the secret before any other message is read.
 class PeerNetwork
 {
 public:
@@ -44,10 +45,13 @@
     PeerNetwork(const PeerNetwork &) = delete;
     PeerNetwork &operator=(const PeerNetwork &) = delete;
 
-    /// Replaces the known peers; links to others are closed. Thread safety: control thread only.
+    /// Replaces the known peers; links to peers that are no longer named are closed. A host that was never named may
+    /// still open links and be answered over them, since a fresh host finds its peers before they find it.
+    /// Thread safety: control thread only.
     void setPeers(const std::vector<PeerEndpoint> &peers);
 
-    /// Sends a message when the peer is known; drops it when the peer's send queue is full.
+    /// Sends a message when the peer is known or has a link open; drops it when the peer's send queue is full or the
+    /// message waited 2 s for a link. The handler is never called from within send().
     /// Thread safety: control thread only.
     void send(const HostId &peer, const PeerMessage &message);
 
@@ -60,9 +64,10 @@
 
 private:
     class Implementation;
-    explicit PeerNetwork(std::unique_ptr<Implementation> implementation);
+    explicit PeerNetwork(std::shared_ptr<Implementation> implementation);
 
-    std::unique_ptr<Implementation> m_implementation;
+    /// Shared with the handlers that are still pending when the network is destroyed.
+    std::shared_ptr<Implementation> m_implementation;
 };
 
 } // namespace Trefoil
--- /dev/null
+++ b/Tests/LibPeer/testcodec.cpp
@@ -0,0 +1,114 @@
+#include <LibPeer/codec.h>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <nlohmann/json.hpp>
+#include <pcg_random.hpp>
+
+using nlohmann::json;
+using namespace Trefoil;
+
+namespace {
+
+const std::string s_digest = "0123456789abcdef0123456789abcdef";
+
+std::vector<PeerMessage> oneOfEach()
+{
+    return {Hello {HostId("gulf-a-1"), Incarnation(7), "secret"},
+        Heartbeat {9, Incarnation(7), Epoch(3), ConfigurationVersion(12), SlotCount(4), true},
+        HeartbeatAck {9, Epoch(3), ConfigurationVersion(12), true},
+        Prepare {"operation-1", ConfigurationVersion(13), R"({"version":13})"},
+        PrepareAck {"operation-1", ConfigurationVersion(13), false, "unsound"},
+        Commit {ConfigurationVersion(13), s_digest, {HostId("gulf-a-2"), HostId("gulf-a-3")}},
+        CommitAck {ConfigurationVersion(13)},
+        FetchConfiguration {ConfigurationVersion(12)},
+        ConfigurationCopy {ConfigurationVersion(13), s_digest, "{}"},
+        ReclaimVoteRequest {HostId("gulf-a-2"), Epoch(4), 1},
+        ReclaimVote {HostId("gulf-a-2"), Epoch(4), 1, true}};
+}
+
+std::string cbor(const json &value)
+{
+    std::string bytes;
+    json::to_cbor(value, bytes);
+    return bytes;
+}
+
+struct FaultCase
+{
+    char name[32];
+    char text[112];
+};
+
+} // namespace
+
+// Guards against a field that is written but not read back, or the other way round.
+Test(PeerCodec, roundTrip)
+{
+    const auto messages = oneOfEach();
+    cr_assert_eq(messages.size(), std::variant_size_v<PeerMessage>);
+    for (const auto &message : messages) {
+        const std::string encoded = encodePeerMessage(message);
+        const auto decoded = decodePeerMessage(encoded);
+        cr_assert(decoded.has_value(), "message type %zu", message.index());
+        cr_assert_eq(decoded.value().index(), message.index());
+        cr_assert_eq(encodePeerMessage(decoded.value()), encoded, "message type %zu lost a field", message.index());
+    }
+}
+
+// Guards against unsound fields that reach the control loops.
+ParameterizedTestParameters(PeerCodec, faults)
+{
+    static FaultCase cases[] = {
+        {"no map", R"([1, 2])"},
+        {"a bare number", "1"},
+        {"no type", R"({"version": 1})"},
+        {"type is a number", R"({"type": 6, "version": 1})"},
+        {"unknown type", R"({"type": "vote", "version": 1})"},
+        {"missing field", R"({"type": "commit-ack"})"},
+        {"negative number", R"({"type": "commit-ack", "version": -1})"},
+        {"text for a number", R"({"type": "commit-ack", "version": "1"})"},
+        {"fraction", R"({"type": "commit-ack", "version": 1.5})"},
+        {"null", R"({"type": "commit-ack", "version": null})"},
+        {"nested map", R"({"type": "commit-ack", "version": {"a": 1}})"},
+        {"nested list", R"({"type": "commit-ack", "version": [["a"]]})"},
+        {"short digest", R"({"type": "commit", "version": 1, "digest": "ab", "forwardTo": []})"},
+        {"unsound host name", R"({"type": "reclaim-vote-request", "host": "a b", "epoch": 1, "ballot": 1})"},
+        {"list of numbers", R"({"type": "commit", "version": 1, "digest": "0123456789abcdef0123456789abcdef", "forwardTo": [1]})"},
+        {"too many slots", R"({"type": "heartbeat", "freeSlots": 4294967296, "sequence": 1, "incarnation": 1})"},
+    };
+    return cr_make_param_array(FaultCase, cases, std::size(cases));
+}
+
+ParameterizedTest(FaultCase *testCase, PeerCodec, faults)
+{
+    const auto decoded = decodePeerMessage(cbor(json::parse(testCase->text)));
+    cr_assert(decoded.has_error(), "%s was accepted", testCase->name);
+    cr_assert_eq(decoded.error().code, ErrorCode::Protocol);
+}
+
+// Guards against input that exhausts the stack or memory, or throws: deep nesting, absurd lengths, a repeated member.
+Test(PeerCodec, hostileBytes)
+{
+    const std::string deep(1000000, '\x81');
+    const std::string hugeList("\xa1\x61\x61\x9b\x7f\xff\xff\xff\xff\xff\xff\xff", 12);
+    const std::string hugeText("\xa1\x61\x61\x7b\x7f\xff\xff\xff\xff\xff\xff\xff", 12);
+    const std::string repeated("\xa2\x61\x61\x01\x61\x61\x02", 7);
+    for (const auto &bytes : {std::string(), deep, hugeList, hugeText, repeated}) {
+        cr_assert(decodePeerMessage(bytes).has_error());
+    }
+}
+
+// Guards against a decoder that throws or reads out of bounds on damaged messages.
+Test(PeerCodec, damagedBytes)
+{
+    pcg32 random(20261204);
+    const auto messages = oneOfEach();
+    for (int round = 0; round < 20000; ++round) {
+        std::string bytes = encodePeerMessage(messages[random(static_cast<std::uint32_t>(messages.size()))]);
+        bytes[random(static_cast<std::uint32_t>(bytes.size()))] = static_cast<char>(random(256));
+        bytes.resize(bytes.size() - random(4));
+        const auto decoded = decodePeerMessage(bytes);
+        cr_assert(decoded.has_value() || decoded.error().code == ErrorCode::Protocol);
+    }
+}
