--- /dev/null
+++ b/Libraries/LibHttp/jsonclient.cpp
@@ -0,0 +1,148 @@
+#include <LibHttp/jsonclient.h>
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace Trefoil {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+tcp::endpoint endpointOf(const std::string &address)
+{
+    const auto colon = address.rfind(':');
+    boost::system::error_code error;
+    const auto number = asio::ip::make_address(address.substr(0, colon), error);
+    if (error || colon == std::string::npos) {
+        return {};
+    }
+    return {number, static_cast<std::uint16_t>(std::strtoul(address.c_str() + colon + 1, nullptr, 10))};
+}
+
+/// True when the server has closed the idle connection, or sent bytes that nobody asked for.
+bool isSpent(beast::tcp_stream &stream)
+{
+    boost::system::error_code error;
+    char byte = 0;
+    stream.socket().non_blocking(true, error);
+    stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error != asio::error::would_block;
+}
+
+http::request<http::string_body> httpRequest(const JsonRequest &request, const JsonClientSettings &settings)
+{
+    http::request<http::string_body> message(http::string_to_verb(request.method), request.target, 11);
+    message.set(http::field::host, settings.address);
+    if (!request.body.empty()) {
+        message.set(http::field::content_type, "application/json");
+    }
+    if (!request.ifNoneMatch.empty()) {
+        message.set(http::field::if_none_match, request.ifNoneMatch);
+    }
+    if (!settings.authorization.empty()) {
+        message.set(http::field::authorization, settings.authorization);
+    }
+    message.body() = request.body;
+    message.prepare_payload();
+    return message;
+}
+
+bool declaresLength(const http::response_parser<http::string_body> &parser)
+{
+    return parser.chunked() || parser.content_length().has_value() || parser.get().result() == http::status::not_modified
+        || parser.get().result() == http::status::no_content;
+}
+
+} // namespace
+
+nlohmann::json JsonResponse::json() const
+{
+    return nlohmann::json::parse(body, nullptr, false);
+}
+
+JsonClient::JsonClient(asio::io_context &context, JsonClientSettings settings)
+    : m_context(context)
+    , m_settings(std::move(settings))
+{
+}
+
+std::variant<beast::tcp_stream, RequestNotSent> JsonClient::connection(BootTime deadline, const asio::yield_context &yield)
+{
+    while (!m_idle.empty()) {
+        beast::tcp_stream stream = std::move(m_idle.back());
+        m_idle.pop_back();
+        if (!isSpent(stream)) {
+            return stream;
+        }
+    }
+    beast::tcp_stream stream(m_context);
+    boost::system::error_code error;
+    stream.socket().open(tcp::v4(), error);
+    if (!error && !m_settings.sourceAddress.empty()) {
+        stream.socket().bind({asio::ip::make_address(m_settings.sourceAddress, error), 0}, error);
+    }
+    if (error) {
+        return RequestNotSent {"cannot open a socket: " + error.message()};
+    }
+    stream.expires_after(std::max(deadline - BootClock::now(), BootClock::duration(0)));
+    stream.async_connect(endpointOf(m_settings.address), yield[error]);
+    if (error) {
+        return RequestNotSent {"cannot connect to " + m_settings.address + ": " + error.message()};
+    }
+    stream.socket().set_option(tcp::no_delay(true), error);
+    return stream;
+}
+
+void JsonClient::keep(beast::tcp_stream stream)
+{
+    if (m_idle.size() >= m_settings.maximumIdleConnections) {
+        return;
+    }
+    stream.expires_never();
+    m_idle.push_back(std::move(stream));
+}
+
+JsonResult JsonClient::request(const JsonRequest &request, BootTime deadline, const asio::yield_context &yield)
+{
+    if (deadline <= BootClock::now()) {
+        return RequestNotSent {"the deadline has passed"};
+    }
+    auto connected = connection(deadline, yield);
+    if (std::holds_alternative<RequestNotSent>(connected)) {
+        return std::get<RequestNotSent>(connected);
+    }
+    auto &stream = std::get<beast::tcp_stream>(connected);
+    const auto message = httpRequest(request, m_settings);
+    stream.expires_after(std::max(deadline - BootClock::now(), BootClock::duration(0)));
+    boost::system::error_code error;
+    m_bytesSent += http::async_write(stream, message, yield[error]);
+    if (error) {
+        return RequestAmbiguous {"cannot write the request: " + error.message()};
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(m_settings.maximumBodyBytes);
+    m_bytesReceived += http::async_read(stream, buffer, parser, yield[error]);
+    if (error) {
+        return RequestAmbiguous {"no complete response: " + error.message()};
+    }
+    if (!declaresLength(parser)) {
+        return RequestAmbiguous {"the response declares no length"};
+    }
+    const bool reusable = parser.keep_alive() && buffer.size() == 0;
+    auto response = parser.release();
+    if (reusable) {
+        keep(std::move(stream));
+    }
+    const auto tag = response[http::field::etag];
+    return JsonResponse {static_cast<int>(response.result_int()), std::move(response.body()), std::string(tag.data(), tag.size())};
+}
+
+} // namespace Trefoil
