trefoilmountd: Let control loops change the routing view in parts

Cause: membership and configuration both publish the view; each would undo the other's part, and copying the configuration with every heartbeat is wasted. Change: HostState::updateRouting and a shared configuration. No behaviour yet.

--- a/Services/trefoilmountd/hoststate.h
+++ b/Services/trefoilmountd/hoststate.h
@@ -38,7 +38,8 @@
 /// What the request path reads, as one consistent value.
 struct RoutingView
 {
-    Configuration configuration;
+    /// Never null. Shared, since views change with every heartbeat round and the configuration does not.
+    std::shared_ptr<const Configuration> configuration = std::make_shared<Configuration>();
     std::vector<KnownHost> hosts;
     /// Upstreams of this host's region.
     std::vector<std::shared_ptr<const UpstreamState>> upstreams;
@@ -50,6 +51,17 @@
     Snapshot<RoutingView> routing {std::make_unique<RoutingView>()};
     LeaseGuard lease;
     std::atomic<bool> stopping {false};
+
+    /// Publishes a changed copy of the routing view, so that control loops do not undo each other's parts.
+    /// Preconditions: called on the control thread, which holds a SnapshotReaderThread; change does not suspend a coroutine.
+    /// Thread safety: control thread only.
+    template<typename Change>
+    void updateRouting(Change &&change)
+    {
+        auto next = routing.read([](const RoutingView &view) { return std::make_unique<RoutingView>(view); });
+        std::forward<Change>(change)(*next);
+        routing.publish(std::move(next));
+    }
 };
 
 } // namespace Trefoil
