LibSteering: Add caps, health, queue, selection, regions and look-ups

Cause: the request path needs the decisions of the design, as pure classes that run in virtual time. Change: ShiftWindow on a lock-free window counter, LinkBudget, RetryBudget, UpstreamGroup, UpstreamHealth, ColdStartRamp, UpstreamTracker, UpstreamSelector with six policies, RegionSelector, DispatchGate, AdmissionQueue, LookupTable and HostRanking. UpstreamSlots::tryReserve() takes a second limit, for ramps and probes. Conclusion: a request that outlives the 2 s between the end of a lease and the reclaim of its grants still holds an upstream slot that is then given out again; the property test keeps requests shorter than that.

--- /dev/null
+++ b/Libraries/LibSteering/linkbudget.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <LibCore/bootclock.h>
+#include <LibCore/units.h>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+namespace Trefoil {
+
+class LinkBudget;
+
+/// Bytes set aside on a link for one relayed request and its response. Without settlement the whole estimate stays spent.
+/// Thread safety: one thread at a time.
+class LinkReservation
+{
+public:
+    LinkReservation(LinkReservation &&) noexcept = default;
+    LinkReservation &operator=(LinkReservation &&) = delete;
+    LinkReservation(const LinkReservation &) = delete;
+    LinkReservation &operator=(const LinkReservation &) = delete;
+    ~LinkReservation() = default;
+
+    /// Replaces the estimate by the bytes that were sent. An excess becomes a debt of the link. The rest returns, unless the
+    /// bucket was half full since the reservation: it would then have been full without it, and the rest would exceed the capacity.
+    /// Precondition: called at most once. Thread safety: one thread at a time.
+    void settle(Bytes actual, BootTime now);
+
+private:
+    friend class LinkBudget;
+    LinkReservation(std::shared_ptr<LinkBudget> budget, Bytes reserved, BootTime reservedAt);
+
+    std::shared_ptr<LinkBudget> m_budget;
+    Bytes m_reserved;
+    BootTime m_reservedAt;
+};
+
+/// This host's part of the capacity of one direction of a link: a token bucket in bytes. The bucket holds 50 ms of the capacity and fills with
+/// 95% of it, so the reservations of any second stay below the capacity, over all hosts together (P2).
+class LinkBudget : public std::enable_shared_from_this<LinkBudget>
+{
+public:
+    static std::shared_ptr<LinkBudget> create();
+
+    /// Reserves an estimated size. An estimate above the bucket's depth needs a full bucket and leaves a debt.
+    /// Precondition: estimate is positive. Thread safety: safe from any thread; lock-free.
+    std::optional<LinkReservation> tryReserve(Bytes estimate, BootTime now);
+
+    /// Sets the granted capacity. The bucket starts empty after a change, because a former holder may have spent its content.
+    /// Precondition: granted is not negative. Thread safety: one control thread at a time.
+    void setGranted(KilobitsPerSecond granted, BootTime now);
+
+    /// Precondition: none. Thread safety: safe from any thread.
+    KilobitsPerSecond granted() const;
+
+private:
+    friend class LinkReservation;
+    LinkBudget() = default;
+
+    void noteContent(std::int64_t emptyAt, BootTime now);
+
+    std::atomic<std::int64_t> m_granted {0};
+    /// The time at which the bucket was, or will be, empty: its content is what flowed in since then. Ahead of the clock it is a debt.
+    std::atomic<std::int64_t> m_emptyAtNanoseconds {0};
+    /// When the bucket was last seen at least half full.
+    std::atomic<std::int64_t> m_halfFullAtNanoseconds {0};
+};
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibSteering/movingaverage.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <atomic>
+
+namespace Trefoil {
+
+/// Moves an exponentially weighted average towards a sample by the share alpha.
+/// Precondition: alpha lies in (0, 1]. Thread safety: safe from any thread; lock-free.
+inline void moveAverage(std::atomic<float> &average, float sample, float alpha)
+{
+    float current = average.load(std::memory_order_relaxed);
+    while (!average.compare_exchange_weak(current, current + (sample - current) * alpha, std::memory_order_relaxed)) { }
+}
+
+/// As moveAverage(), but the first sample is taken whole. Zero stands for "no sample yet".
+/// Precondition: alpha lies in (0, 1]. Thread safety: safe from any thread; lock-free.
+inline void moveAverageFromFirst(std::atomic<float> &average, float sample, float alpha)
+{
+    float current = average.load(std::memory_order_relaxed);
+    float next = 0;
+    do {
+        next = current > 0 ? current + (sample - current) * alpha : sample;
+    } while (!average.compare_exchange_weak(current, next, std::memory_order_relaxed));
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibSteering/shiftwindow.cpp
@@ -0,0 +1,79 @@
+#include <LibSteering/shiftwindow.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace Trefoil {
+
+ShiftWindow::ShiftWindow(std::chrono::nanoseconds interval)
+    : m_taken(interval)
+{
+    assert(interval >= std::chrono::milliseconds(1));
+}
+
+bool ShiftWindow::tryTake(BootTime now)
+{
+    return m_taken.tryAdd(usable(now).value(), now);
+}
+
+void ShiftWindow::setGranted(RequestCount granted, BootTime now)
+{
+    assert(granted.value() >= 0 && granted.value() <= 16'000'000);
+    foldUsableRaises(now);
+    if (granted.value() > m_granted) {
+        addRaise(granted.value() - m_granted, now + m_taken.window());
+        m_granted = granted.value();
+        return;
+    }
+    std::int64_t surplus = m_granted - granted.value();
+    m_granted = granted.value();
+    for (auto &raise : m_raises) {
+        const std::int64_t removed = std::min(surplus, raise.requests.load());
+        raise.requests.fetch_sub(removed);
+        surplus -= removed;
+    }
+    m_usable.fetch_sub(surplus);
+}
+
+RequestCount ShiftWindow::usable(BootTime now) const
+{
+    std::int64_t sum = m_usable.load();
+    for (const auto &raise : m_raises) {
+        const std::int64_t requests = raise.requests.load();
+        if (requests > 0 && raise.usableAtNanoseconds.load() <= now.time_since_epoch().count()) {
+            sum += requests;
+        }
+    }
+    return RequestCount(sum);
+}
+
+void ShiftWindow::foldUsableRaises(BootTime now)
+{
+    for (auto &raise : m_raises) {
+        if (raise.usableAtNanoseconds.load() <= now.time_since_epoch().count()) {
+            // Removed here before it is added there: a concurrent reader may see too little, and sees too much only if it read
+            // m_usable after the addition and this entry before its removal, which the order of its reads excludes.
+            const std::int64_t requests = raise.requests.exchange(0);
+            m_usable.fetch_add(requests);
+        }
+    }
+}
+
+void ShiftWindow::addRaise(std::int64_t requests, BootTime usableAt)
+{
+    Raise *place = &m_raises[0];
+    for (auto &raise : m_raises) {
+        if (raise.requests.load() == 0) {
+            place = &raise;
+            break;
+        }
+        if (raise.usableAtNanoseconds.load() > place->usableAtNanoseconds.load()) {
+            place = &raise;
+        }
+    }
+    // Without a free entry the newest raise absorbs this one and waits as long.
+    place->usableAtNanoseconds.store(usableAt.time_since_epoch().count());
+    place->requests.fetch_add(requests);
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibSteering/shiftwindow.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <LibCore/units.h>
+#include <LibSteering/slidingwindowcounter.h>
+
+#include <array>
+#include <atomic>
+
+namespace Trefoil {
+
+/// This host's part of a shift cap: how many moved requests it may begin to serve in any window of the interval (P1).
+/// A changed interval needs a new object, whose grant then waits like any newly taken one.
+class ShiftWindow
+{
+public:
+    /// Precondition: interval is at least one millisecond.
+    explicit ShiftWindow(std::chrono::nanoseconds interval);
+
+    /// Counts one moved request; false when the grant is used up in the window that ends now.
+    /// Precondition: now was read just before the call, and the request is dispatched right after it.
+    /// Thread safety: safe from any thread; lock-free.
+    bool tryTake(BootTime now);
+
+    /// Sets the granted requests per interval. A raise is usable one whole interval later, because the former holder may have
+    /// spent it in the current interval; a lower grant is in force at once.
+    /// Precondition: granted is at least 0 and at most 16,000,000. Thread safety: one control thread at a time.
+    void setGranted(RequestCount granted, BootTime now);
+
+    /// The part of the grant that may be used now. Precondition: none. Thread safety: safe from any thread.
+    RequestCount usable(BootTime now) const;
+
+private:
+    /// A raise that becomes usable later.
+    struct Raise
+    {
+        std::atomic<std::int64_t> usableAtNanoseconds {0};
+        std::atomic<std::int64_t> requests {0};
+    };
+
+    void foldUsableRaises(BootTime now);
+    void addRaise(std::int64_t requests, BootTime usableAt);
+
+    SlidingWindowCounter m_taken;
+    std::int64_t m_granted = 0;
+    std::atomic<std::int64_t> m_usable {0};
+    std::array<Raise, 4> m_raises;
+};
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibSteering/upstreamgroup.cpp
@@ -0,0 +1,58 @@
+#include <LibSteering/movingaverage.h>
+#include <LibSteering/upstreamgroup.h>
+
+#include <cassert>
+
+namespace Trefoil {
+
+namespace {
+
+/// The group's average covers about a hundred responses, so that one slow upstream does not pass for the usual.
+constexpr float s_latencyAlpha = 0.01F;
+
+} // namespace
+
+bool UpstreamGroup::tryEject()
+{
+    std::int32_t ejected = m_ejected.load();
+    do {
+        if ((ejected + 1) * 2 > m_upstreamCount.load()) {
+            return false;
+        }
+    } while (!m_ejected.compare_exchange_weak(ejected, ejected + 1));
+    return true;
+}
+
+void UpstreamGroup::takeBack()
+{
+    [[maybe_unused]] const std::int32_t before = m_ejected.fetch_sub(1);
+    assert(before > 0);
+}
+
+void UpstreamGroup::setUpstreamCount(std::int32_t count)
+{
+    assert(count >= 0);
+    m_upstreamCount.store(count);
+}
+
+bool UpstreamGroup::hasTooManyEjected() const
+{
+    return m_ejected.load() * 2 > m_upstreamCount.load();
+}
+
+std::int32_t UpstreamGroup::ejected() const
+{
+    return m_ejected.load();
+}
+
+void UpstreamGroup::recordLatency(std::chrono::nanoseconds latency)
+{
+    moveAverageFromFirst(m_usualLatencySeconds, std::chrono::duration<float>(latency).count(), s_latencyAlpha);
+}
+
+std::chrono::nanoseconds UpstreamGroup::usualLatency() const
+{
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<float>(m_usualLatencySeconds.load()));
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibSteering/upstreamhealth.cpp
@@ -0,0 +1,186 @@
+#include <LibSteering/movingaverage.h>
+#include <LibSteering/upstreamhealth.h>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace Trefoil {
+
+namespace {
+
+/// About the last ten requests. A host sends an upstream a few requests a second, so this covers a few seconds.
+constexpr float s_rateAlpha = 0.1F;
+constexpr float s_latencyAlpha = 0.2F;
+constexpr float s_leastQuality = 0.01F;
+constexpr std::int32_t s_failuresToEject = 5;
+/// An upstream that fails more often than this is ejected although single requests succeed in between.
+constexpr float s_errorRateToEject = 0.6F;
+/// Measurements count fully up to this age, and fade over the same time after it.
+constexpr std::chrono::nanoseconds s_freshFor = std::chrono::seconds(10);
+constexpr std::chrono::nanoseconds s_firstProbeAfter = std::chrono::seconds(1);
+constexpr std::int32_t s_probeDoublings = 3;
+/// A probe whose end was never recorded no longer blocks the next one after this time.
+constexpr std::chrono::nanoseconds s_probeLostAfter = std::chrono::seconds(15);
+
+std::int64_t nanosecondsOf(BootTime time)
+{
+    return time.time_since_epoch().count();
+}
+
+} // namespace
+
+UpstreamHealth::UpstreamHealth(std::shared_ptr<UpstreamGroup> group)
+    : m_group(std::move(group))
+{
+    assert(m_group);
+}
+
+void UpstreamHealth::record(UpstreamOutcome outcome, std::chrono::nanoseconds latency, BootTime now)
+{
+    if (outcome == UpstreamOutcome::Cancelled) {
+        abandonProbe();
+        return;
+    }
+    // An average that has faded from the weights must not come back with the first new sample.
+    if (trust(now) <= 0) {
+        m_errorRate.store(0);
+        m_shedRate.store(0);
+        m_latencySeconds.store(0);
+    }
+    m_measuredAtNanoseconds.store(nanosecondsOf(now));
+    const bool failed = outcome != UpstreamOutcome::Success && outcome != UpstreamOutcome::Shed;
+    moveAverage(m_errorRate, failed ? 1.0F : 0.0F, s_rateAlpha);
+    moveAverage(m_shedRate, outcome == UpstreamOutcome::Shed ? 1.0F : 0.0F, s_rateAlpha);
+    if (outcome == UpstreamOutcome::Success) {
+        recordSuccess(latency);
+    } else if (failed) {
+        recordFailure(outcome, now);
+    }
+    m_probing.store(false);
+}
+
+void UpstreamHealth::recordReport(float load, BootTime measuredAt)
+{
+    m_reportedLoad.store(load);
+    m_reportedAtNanoseconds.store(nanosecondsOf(measuredAt));
+}
+
+float UpstreamHealth::quality(BootTime now) const
+{
+    const float working = 1.0F - std::min(1.0F, m_errorRate.load(std::memory_order_relaxed));
+    const float accepting = 1.0F - std::min(1.0F, m_shedRate.load(std::memory_order_relaxed));
+    const float observed = std::max(s_leastQuality, working * working * accepting);
+    const float trusted = trust(now);
+    return observed * trusted + (1.0F - trusted);
+}
+
+float UpstreamHealth::relativeLatency(BootTime now) const
+{
+    const float own = m_latencySeconds.load(std::memory_order_relaxed);
+    const float usual = std::chrono::duration<float>(m_group->usualLatency()).count();
+    if (own <= 0 || usual <= 0) {
+        return 1.0F;
+    }
+    const float trusted = trust(now);
+    return own / usual * trusted + (1.0F - trusted);
+}
+
+float UpstreamHealth::reportedLoad(BootTime now) const
+{
+    constexpr float contradictedBy = 0.05F;
+    const bool stale = nanosecondsOf(now) - m_reportedAtNanoseconds.load() > s_freshFor.count();
+    if (stale || m_shedRate.load() * trust(now) > contradictedBy) {
+        return -1.0F;
+    }
+    return m_reportedLoad.load();
+}
+
+float UpstreamHealth::lastReport() const
+{
+    return m_reportedLoad.load(std::memory_order_relaxed);
+}
+
+bool UpstreamHealth::isEjected() const
+{
+    return m_ejected.load(std::memory_order_acquire);
+}
+
+bool UpstreamHealth::tryBeginProbe(BootTime now)
+{
+    std::int64_t due = m_nextProbeNanoseconds.load();
+    if (!isEjected() || nanosecondsOf(now) < due) {
+        return false;
+    }
+    if (m_probing.load() && nanosecondsOf(now) - due < s_probeLostAfter.count()) {
+        return false;
+    }
+    // The exchange lets one thread win. A failed probe sets its own next time.
+    if (!m_nextProbeNanoseconds.compare_exchange_strong(due, nanosecondsOf(now) + s_firstProbeAfter.count())) {
+        return false;
+    }
+    m_probing.store(true);
+    return true;
+}
+
+void UpstreamHealth::abandonProbe()
+{
+    m_probing.store(false);
+}
+
+void UpstreamHealth::takeBack()
+{
+    if (m_ejected.exchange(false)) {
+        m_failuresInARow.store(0);
+        m_failedProbes.store(0);
+        m_errorRate.store(s_errorRateToEject / 2);
+        m_group->takeBack();
+    }
+}
+
+void UpstreamHealth::recordSuccess(std::chrono::nanoseconds latency)
+{
+    m_failuresInARow.store(0);
+    moveAverageFromFirst(m_latencySeconds, std::chrono::duration<float>(latency).count(), s_latencyAlpha);
+    m_group->recordLatency(latency);
+    if (m_probing.load()) {
+        takeBack();
+    }
+}
+
+void UpstreamHealth::recordFailure(UpstreamOutcome outcome, BootTime now)
+{
+    // A refused connection tells more than a failed request: two suffice.
+    const std::int32_t severity = outcome == UpstreamOutcome::ConnectFailed ? 3 : 1;
+    const std::int32_t failures = m_failuresInARow.fetch_add(severity) + severity;
+    if (isEjected()) {
+        const std::int32_t doublings = m_probing.load() ? std::min(m_failedProbes.fetch_add(1) + 1, s_probeDoublings) : 0;
+        if (doublings > 0) {
+            m_nextProbeNanoseconds.store(nanosecondsOf(now) + (s_firstProbeAfter.count() << doublings));
+        }
+        return;
+    }
+    if (failures < s_failuresToEject && m_errorRate.load() < s_errorRateToEject) {
+        return;
+    }
+    if (!m_group->tryEject()) {
+        return;
+    }
+    m_nextProbeNanoseconds.store(nanosecondsOf(now) + s_firstProbeAfter.count());
+    m_failedProbes.store(0);
+    if (m_ejected.exchange(true)) {
+        m_group->takeBack();
+    }
+}
+
+float UpstreamHealth::trust(BootTime now) const
+{
+    const std::int64_t age = nanosecondsOf(now) - m_measuredAtNanoseconds.load(std::memory_order_relaxed);
+    if (age <= s_freshFor.count()) {
+        return 1.0F;
+    }
+    const float fading = static_cast<float>(age - s_freshFor.count()) / static_cast<float>(s_freshFor.count());
+    return std::max(0.0F, 1.0F - fading);
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibSteering/upstreamselector.cpp
@@ -0,0 +1,228 @@
+#include <LibSteering/upstreamselector.h>
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+#include <utility>
+
+namespace Trefoil {
+
+namespace {
+
+/// Upstreams compared for one choice. More hardly improve the choice; all of them would make its cost grow.
+constexpr std::size_t s_compared = 16;
+/// Upstreams looked at in search of a free slot when none of the compared ones has one.
+constexpr std::size_t s_looked = 64;
+/// Attempts when other threads take the chosen slots first.
+constexpr int s_attempts = 3;
+/// A request to another zone takes about 1 ms longer, against some 30 ms of service time.
+constexpr float s_otherZoneCost = 0.03F;
+
+std::size_t randomIndex(pcg32 &generator, std::size_t count)
+{
+    return static_cast<std::size_t>((std::uint64_t {generator()} * count) >> 32U);
+}
+
+float usedShare(const UpstreamTracker &upstream)
+{
+    const auto limit = static_cast<float>(std::max(1, upstream.limit().value()));
+    return static_cast<float>(upstream.slots().inFlight().value()) / limit;
+}
+
+/// Time to the response relative to the group's usual one, raised by what is in flight and by observed errors and shedding.
+float latencyCost(const UpstreamTracker &upstream, BootTime now)
+{
+    const float zone = upstream.isInOwnZone() ? 0.0F : s_otherZoneCost;
+    const float expected = upstream.health().relativeLatency(now) * (1.0F + usedShare(upstream)) + zone;
+    return expected / (upstream.weight() * upstream.health().quality(now));
+}
+
+/// Share of the upstream in use, by this host and, where it can be believed, as reported. A slow upstream holds its slots for longer.
+float headroomCost(const UpstreamTracker &upstream, BootTime now)
+{
+    constexpr float unknownLoad = 0.5F;
+    const float reported = upstream.health().reportedLoad(now);
+    const float load = usedShare(upstream) + (reported < 0 ? unknownLoad : reported);
+    return upstream.health().relativeLatency(now) * (1.0F + load) / (upstream.weight() * upstream.health().quality(now));
+}
+
+} // namespace
+
+struct UpstreamSelector::Visitor
+{
+    UpstreamSelector &selector;
+    const LeaseGuard &lease;
+    pcg32 &generator;
+    BootTime now;
+
+    std::optional<Selection> operator()(LatencyPolicy /*policy*/) const
+    {
+        return selector.selectCheapest(latencyCost, lease, generator, now);
+    }
+    std::optional<Selection> operator()(HeadroomPolicy /*policy*/) const
+    {
+        return selector.selectCheapest(headroomCost, lease, generator, now);
+    }
+    std::optional<Selection> operator()(NearestOnlyPolicy /*policy*/) const
+    {
+        return selector.selectNearest(lease, now);
+    }
+    std::optional<Selection> operator()(RoundRobinPolicy /*policy*/) const
+    {
+        return selector.selectFirst(selector.m_next.fetch_add(1), lease, now);
+    }
+    std::optional<Selection> operator()(LeastReportedLoadPolicy /*policy*/) const
+    {
+        return selector.selectLeastReported(lease, now);
+    }
+    std::optional<Selection> operator()(TwoRandomChoicesPolicy /*policy*/) const
+    {
+        return selector.selectOfTwo(lease, generator, now);
+    }
+};
+
+UpstreamSelector::UpstreamSelector(SelectionPolicy policy, std::vector<std::shared_ptr<UpstreamTracker>> upstreams, std::shared_ptr<UpstreamGroup> group)
+    : m_policy(policy)
+    , m_upstreams(std::move(upstreams))
+    , m_group(std::move(group))
+{
+    assert(m_group);
+    for (const auto &upstream : m_upstreams) {
+        if (!m_group->hasTooManyEjected()) {
+            break;
+        }
+        upstream->health().takeBack();
+    }
+}
+
+std::optional<Selection> UpstreamSelector::select(bool mayProbe, const LeaseGuard &lease, pcg32 &generator, BootTime now)
+{
+    if (m_upstreams.empty() || !lease.isValid(now)) {
+        return std::nullopt;
+    }
+    const bool usesHealth = std::holds_alternative<LatencyPolicy>(m_policy) || std::holds_alternative<HeadroomPolicy>(m_policy);
+    if (usesHealth && mayProbe && m_group->ejected() > 0) {
+        if (auto probe = selectProbe(lease, now)) {
+            return probe;
+        }
+    }
+    return std::visit(Visitor {*this, lease, generator, now}, m_policy);
+}
+
+const std::vector<std::shared_ptr<UpstreamTracker>> &UpstreamSelector::upstreams() const
+{
+    return m_upstreams;
+}
+
+std::optional<Selection> UpstreamSelector::selectProbe(const LeaseGuard &lease, BootTime now)
+{
+    // One upstream per request keeps the cost flat, and finds a due probe soon enough.
+    const auto &upstream = m_upstreams[m_nextProbe.fetch_add(1) % m_upstreams.size()];
+    auto slot = upstream->tryReserveProbe(lease, now);
+    if (!slot) {
+        return std::nullopt;
+    }
+    return Selection {upstream, std::move(*slot), true};
+}
+
+template<typename Cost>
+std::optional<Selection> UpstreamSelector::selectCheapest(Cost cost, const LeaseGuard &lease, pcg32 &generator, BootTime now)
+{
+    const std::size_t count = m_upstreams.size();
+    for (int attempt = 0; attempt < s_attempts; ++attempt) {
+        const std::size_t start = randomIndex(generator, count);
+        const UpstreamTracker *best = nullptr;
+        std::size_t bestIndex = 0;
+        float bestCost = std::numeric_limits<float>::infinity();
+        for (std::size_t i = 0; i < std::min(count, s_looked); ++i) {
+            if (i >= s_compared && best) {
+                break;
+            }
+            const std::size_t index = (start + i) % count;
+            const UpstreamTracker &upstream = *m_upstreams[index];
+            if (!upstream.isEligible()) {
+                continue;
+            }
+            const float own = cost(upstream, now);
+            if (!best || own < bestCost) {
+                best = &upstream;
+                bestIndex = index;
+                bestCost = own;
+            }
+        }
+        if (!best) {
+            return std::nullopt;
+        }
+        if (auto slot = m_upstreams[bestIndex]->tryReserve(lease, now)) {
+            return Selection {m_upstreams[bestIndex], std::move(*slot)};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<Selection> UpstreamSelector::selectFirst(std::size_t start, const LeaseGuard &lease, BootTime now)
+{
+    for (std::size_t i = 0; i < std::min(m_upstreams.size(), s_looked); ++i) {
+        if (auto selection = reservePlain((start + i) % m_upstreams.size(), lease, now)) {
+            return selection;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<Selection> UpstreamSelector::selectNearest(const LeaseGuard &lease, BootTime now)
+{
+    for (std::size_t i = 0; i < std::min(m_upstreams.size(), s_looked); ++i) {
+        if (!m_upstreams[i]->isInOwnZone()) {
+            continue;
+        }
+        if (auto selection = reservePlain(i, lease, now)) {
+            return selection;
+        }
+    }
+    return selectFirst(0, lease, now);
+}
+
+std::optional<Selection> UpstreamSelector::selectLeastReported(const LeaseGuard &lease, BootTime now)
+{
+    std::size_t best = m_upstreams.size();
+    for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
+        const UpstreamTracker &upstream = *m_upstreams[i];
+        if (upstream.isLeaving() || upstream.slots().inFlight() >= upstream.slots().granted()) {
+            continue;
+        }
+        if (best == m_upstreams.size() || upstream.health().lastReport() < m_upstreams[best]->health().lastReport()) {
+            best = i;
+        }
+    }
+    if (best == m_upstreams.size()) {
+        return std::nullopt;
+    }
+    return reservePlain(best, lease, now);
+}
+
+std::optional<Selection> UpstreamSelector::selectOfTwo(const LeaseGuard &lease, pcg32 &generator, BootTime now)
+{
+    std::size_t first = randomIndex(generator, m_upstreams.size());
+    std::size_t second = randomIndex(generator, m_upstreams.size());
+    if (m_upstreams[second]->slots().inFlight() < m_upstreams[first]->slots().inFlight()) {
+        std::swap(first, second);
+    }
+    for (const std::size_t index : {first, second}) {
+        if (auto selection = reservePlain(index, lease, now)) {
+            return selection;
+        }
+    }
+    return selectFirst(randomIndex(generator, m_upstreams.size()), lease, now);
+}
+
+std::optional<Selection> UpstreamSelector::reservePlain(std::size_t index, const LeaseGuard &lease, BootTime now)
+{
+    auto slot = m_upstreams[index]->tryReservePlain(lease, now);
+    if (!slot) {
+        return std::nullopt;
+    }
+    return Selection {m_upstreams[index], std::move(*slot)};
+}
+
+} // namespace Trefoil
--- a/Libraries/LibSteering/upstreamslots.cpp
+++ b/Libraries/LibSteering/upstreamslots.cpp
@@ -1,6 +1,8 @@
 #include <LibSteering/upstreamslots.h>
 
+#include <algorithm>
 #include <cassert>
+#include <limits>
 #include <utility>
 
 namespace Trefoil {
@@ -23,6 +25,11 @@
 }
 
 std::optional<SlotReservation> UpstreamSlots::tryReserve(const LeaseGuard &lease, BootTime now)
+{
+    return tryReserve(lease, now, SlotCount(std::numeric_limits<std::int32_t>::max()));
+}
+
+std::optional<SlotReservation> UpstreamSlots::tryReserve(const LeaseGuard &lease, BootTime now, SlotCount atMost)
 {
     if (!lease.isValid(now)) {
         return std::nullopt;
@@ -30,7 +37,7 @@
     std::int32_t inFlight = m_inFlight.load(std::memory_order_relaxed);
     // Sequentially consistent order pairs with setGranted(): a releasing host that reads inFlight after it lowered the
     // grant sees every reservation that was made under the higher grant.
-    while (inFlight < m_granted.load()) {
+    while (inFlight < std::min(m_granted.load(), atMost.value())) {
         if (!m_inFlight.compare_exchange_weak(inFlight, inFlight + 1)) {
             continue;
         }
--- a/Libraries/LibSteering/upstreamslots.h
+++ b/Libraries/LibSteering/upstreamslots.h
@@ -39,6 +39,9 @@
     /// Precondition: now was read after every wait of the request. Thread safety: safe from any thread; lock-free.
     std::optional<SlotReservation> tryReserve(const LeaseGuard &lease, BootTime now);
 
+    /// As above, with a limit of its own besides the grant, for a cold start or a probe.
+    std::optional<SlotReservation> tryReserve(const LeaseGuard &lease, BootTime now, SlotCount atMost);
+
     /// Sets the granted slots. Work in flight above a lowered grant runs to its end.
     /// Precondition: granted is not negative. Thread safety: safe from any thread.
     void setGranted(SlotCount granted);
--- /dev/null
+++ b/Libraries/LibSteering/upstreamtracker.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <LibCore/strongid.h>
+#include <LibSteering/coldstartramp.h>
+#include <LibSteering/upstreamhealth.h>
+#include <LibSteering/upstreamslots.h>
+
+#include <atomic>
+#include <memory>
+
+namespace Trefoil {
+
+/// Everything this host keeps about one upstream. It keeps its identity across configuration versions.
+/// Thread safety: all methods are safe from any thread and lock-free.
+class UpstreamTracker
+{
+public:
+    /// Preconditions: slots and group are not null.
+    UpstreamTracker(UpstreamId id, bool inOwnZone, std::shared_ptr<UpstreamSlots> slots, std::shared_ptr<UpstreamGroup> group);
+
+    /// Reserves a slot as the grant, the lease and the cold-start ramp allow; nothing for a leaving or ejected upstream.
+    /// Precondition: now was read after every wait of the request.
+    std::optional<SlotReservation> tryReserve(const LeaseGuard &lease, BootTime now);
+
+    /// Reserves by grant and lease alone, as the plain policies do; nothing for a leaving upstream. Precondition: as above.
+    std::optional<SlotReservation> tryReservePlain(const LeaseGuard &lease, BootTime now);
+
+    /// Begins the single probe of an ejected upstream when one is due. Preconditions: as above, and the request may repeat.
+    std::optional<SlotReservation> tryReserveProbe(const LeaseGuard &lease, BootTime now);
+
+    /// True when tryReserve() would find a slot now, except for the lease. Precondition: none.
+    bool isEligible() const;
+
+    /// Concurrent requests that grant and ramp allow. Precondition: none.
+    SlotCount limit() const;
+
+    /// Records how a dispatched request ended. Precondition: once for each reservation.
+    void record(UpstreamOutcome outcome, std::chrono::nanoseconds latency, BootTime now);
+
+    /// Begins the cold-start ramp again, when the upstream reports that it is cold. Precondition: none.
+    void recordRestart();
+
+    /// A leaving or drained upstream gets no new work, from this call on. Precondition: none.
+    void setLeaving(bool leaving);
+    bool isLeaving() const;
+
+    /// Precondition: weight is positive; 100 is usual.
+    void setWeight(std::int32_t weight);
+    float weight() const;
+
+    const UpstreamId &id() const;
+    bool isInOwnZone() const;
+    const UpstreamSlots &slots() const;
+    UpstreamHealth &health();
+    const UpstreamHealth &health() const;
+
+private:
+    UpstreamId m_id;
+    bool m_inOwnZone;
+    std::shared_ptr<UpstreamSlots> m_slots;
+    UpstreamHealth m_health;
+    ColdStartRamp m_ramp;
+    std::atomic<bool> m_leaving {false};
+    std::atomic<std::int32_t> m_weight {100};
+};
+
+} // namespace Trefoil
--- /dev/null
+++ b/Tests/LibSteering/testadmissionqueue.cpp
@@ -0,0 +1,161 @@
+#include <LibSteering/admissionqueue.h>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <map>
+#include <pcg_random.hpp>
+#include <string>
+
+using namespace Trefoil;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr BootTime s_start {std::chrono::seconds(100)};
+constexpr unsigned s_seeds = 200;
+
+QueuedWork work(std::uint64_t ticket, const std::string &tenant, bool mayWait, BootTime deadline, std::int32_t weight = 100)
+{
+    return QueuedWork {ticket, TenantId(tenant), weight, mayWait, deadline};
+}
+
+} // namespace
+
+// Guards against work that waits although it would come too late, and against work that is dispatched too late.
+Test(AdmissionQueue, refusesWhatCannotMeetItsDeadline)
+{
+    AdmissionQueue queue(4);
+    queue.setServiceTime(100ms);
+    cr_assert(queue.push(work(1, "a", false, s_start + 99ms), s_start).outcome == PushOutcome::DeadlineTooClose);
+    cr_assert(queue.push(work(2, "a", false, s_start + 100ms), s_start).outcome == PushOutcome::Queued);
+    cr_assert(queue.push(work(3, "a", false, s_start + 500ms), s_start).outcome == PushOutcome::Queued);
+    cr_assert_eq(queue.pop(s_start + 1ms)->ticket, 3);
+    const auto expired = queue.expire(s_start + 1ms);
+    cr_assert_eq(expired.size(), 1);
+    cr_assert_eq(expired[0].ticket, 2);
+    cr_assert_eq(queue.size(), 0);
+}
+
+// Guards against an order other than earliest deadline first within a tenant, also after work was put back or cancelled.
+Test(AdmissionQueue, earliestDeadlineFirstWithinTenant)
+{
+    AdmissionQueue queue(8);
+    for (const int deadline : {30, 10, 20, 40}) {
+        queue.push(work(static_cast<std::uint64_t>(deadline), "a", true, s_start + std::chrono::seconds(deadline)), s_start);
+    }
+    cr_assert(queue.cancel(work(20, "a", true, s_start + 20s)));
+    cr_assert_not(queue.cancel(work(20, "a", true, s_start + 20s)));
+    auto first = queue.pop(s_start);
+    cr_assert_eq(first->ticket, 10);
+    queue.putBack(*first);
+    for (const std::uint64_t expected : {10, 30, 40}) {
+        cr_assert_eq(queue.pop(s_start)->ticket, expected);
+    }
+}
+
+// Guards against tenants that are served in another ratio than that of their weights.
+struct WeightCase
+{
+    std::int32_t weightOfA;
+    std::int32_t weightOfB;
+    int servedOfA;
+};
+
+ParameterizedTestParameters(AdmissionQueue, tenantsShareByWeight)
+{
+    static WeightCase cases[] = {{100, 100, 30}, {200, 100, 40}, {50, 100, 20}, {7, 14, 20}, {300, 100, 45}};
+    return cr_make_param_array(WeightCase, cases, std::size(cases));
+}
+
+ParameterizedTest(WeightCase *weights, AdmissionQueue, tenantsShareByWeight)
+{
+    AdmissionQueue queue(200);
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        queue.push(work(i, "a", false, s_start + 100s, weights->weightOfA), s_start);
+        queue.push(work(i + 1000, "b", false, s_start + 100s, weights->weightOfB), s_start);
+    }
+    int servedOfA = 0;
+    for (int i = 0; i < 60; ++i) {
+        servedOfA += queue.pop(s_start)->ticket < 1000 ? 1 : 0;
+    }
+    cr_assert_leq(std::abs(servedOfA - weights->servedOfA), 1, "served %d, expected %d", servedOfA, weights->servedOfA);
+}
+
+// Guards against work that may wait and starves below a stream of work that may not, and against a tenant that is passed over.
+Test(AdmissionQueue, nothingStarves)
+{
+    for (unsigned seed = 1; seed <= s_seeds; ++seed) {
+        pcg32 generator(seed);
+        AdmissionQueue queue(64);
+        int sinceLower = 0;
+        std::map<TenantId, int> sinceTenant;
+        std::map<TenantId, int> waiting;
+        for (std::uint64_t event = 0; event < 2000; ++event) {
+            if (generator(2) == 0) {
+                const std::string tenant(1, static_cast<char>('a' + generator(4)));
+                const auto result = queue.push(work(event, tenant, generator(4) == 0, s_start + 1h), s_start);
+                waiting[TenantId(tenant)] += result.outcome == PushOutcome::Queued ? 1 : 0;
+                if (result.evicted) {
+                    --waiting[result.evicted->tenant];
+                }
+                continue;
+            }
+            // Keeps work that may not wait in the queue at all times.
+            queue.push(work(event + 100000, "z", false, s_start + 2h), s_start);
+            const std::size_t before = queue.size();
+            const auto popped = queue.pop(s_start);
+            cr_assert(popped.has_value() && queue.size() == before - 1);
+            --waiting[popped->tenant];
+            sinceLower = popped->mayWait ? 0 : sinceLower + 1;
+            // A turn for each of five tenants on two levels, of which the lower one is served each 16th time.
+            for (auto &[tenant, count] : waiting) {
+                sinceTenant[tenant] = tenant == popped->tenant || count <= 0 ? 0 : sinceTenant[tenant] + 1;
+                cr_assert_leq(sinceTenant[tenant], 16 * 5 * 2, "seed %u: tenant passed over", seed);
+            }
+            cr_assert_leq(queue.size(), 64);
+        }
+        // What is left of the lower level goes out one in 16.
+        for (std::uint64_t i = 0; i < 64; ++i) {
+            queue.push(work(i + 200000, "z", false, s_start + 2h), s_start);
+        }
+        queue.push(work(300000, "y", true, s_start + 1h), s_start);
+        int passed = 0;
+        while (!queue.pop(s_start)->mayWait) {
+            ++passed;
+        }
+        cr_assert_leq(passed, 15, "seed %u: %d dispatches without the lower level", seed, passed);
+    }
+}
+
+// Guards against a tenant's surge that fills the queue or takes the dispatches of other tenants, in either level.
+Test(AdmissionQueue, surgeTakesNoOtherTenantsShare)
+{
+    for (unsigned seed = 1; seed <= s_seeds; ++seed) {
+        pcg32 generator(seed);
+        AdmissionQueue queue(40);
+        BootTime now = s_start;
+        std::uint64_t ticket = 0;
+        for (int step = 0; step < 500; ++step) {
+            now += 10ms;
+            for (std::uint32_t i = 0; i < 5 + generator(20); ++i) {
+                const auto result = queue.push(work(++ticket, "surge", generator(2) == 0, now + 1h), now);
+                cr_assert(!result.evicted || result.evicted->tenant == TenantId("surge"), "seed %u step %d", seed, step);
+            }
+            // Three tenants ask for half of their quarter of the four dispatches a step.
+            for (const char *tenant : {"a", "b", "c"}) {
+                if (generator(2) == 0) {
+                    // Work due within two steps: it expires if the surge holds it up.
+                    const auto result = queue.push(work(++ticket, tenant, false, now + 25ms), now);
+                    cr_assert(result.outcome == PushOutcome::Queued, "seed %u step %d: refused", seed, step);
+                    cr_assert(!result.evicted || result.evicted->tenant == TenantId("surge"), "seed %u step %d: evicted", seed, step);
+                }
+            }
+            for (int dispatch = 0; dispatch < 4; ++dispatch) {
+                queue.pop(now);
+            }
+            for (const auto &expired : queue.expire(now)) {
+                cr_assert(expired.tenant == TenantId("surge"), "seed %u step %d: expired", seed, step);
+            }
+        }
+    }
+}
