--- a/Libraries/LibSteering/regionselector.cpp
+++ b/Libraries/LibSteering/regionselector.cpp
@@ -77,6 +77,10 @@
         if (!region.open || free <= 0 || usedShare(SlotCount(free), region.slots) >= usedBelow) {
             continue;
         }
+        const bool waitIsShorter = question.expectedWait.count() > 0 && question.expectedWait < 2 * region.delay;
+        if (m_objective == Objective::Latency && m_own.open && waitIsShorter) {
+            continue;
+        }
         auto link = region.link->tryReserve(question.estimate, now);
         if (!link) {
             linkWasFull = true;
--- a/Libraries/LibSteering/regionselector.h
+++ b/Libraries/LibSteering/regionselector.h
@@ -44,6 +44,8 @@
     bool relayed = false;
     /// This host, or another one of its region, has a slot for the request now.
     bool ownSlotFree = false;
+    /// How long the request would wait for a slot of the own region; 0 when that is not known.
+    std::chrono::nanoseconds expectedWait {0};
     /// Request and response together.
     Bytes estimate {1};
 };
@@ -82,7 +84,8 @@
     RegionSelector(Objective objective, OwnRegion own, std::vector<RegionCandidate> others);
 
     /// The own region while it has a slot; with the objective Headroom, a clearly emptier region already before that. Otherwise the nearest
-    /// region (Latency) or the emptiest one (Headroom) that is open, has free slots and a link budget for the estimate.
+    /// region (Latency) or the emptiest one (Headroom) that is open, has free slots and a link budget for the estimate. With the objective
+    /// Latency a request stays when its wait is known to be shorter than the way to the other region and back.
     /// Precondition: the estimate is positive. Thread safety: safe from any thread; lock-free.
     RegionDecision decide(const RegionQuestion &question, BootTime now);
 
--- a/Tests/LibSteering/testregions.cpp
+++ b/Tests/LibSteering/testregions.cpp
@@ -23,6 +23,7 @@
     int nearFree;
     int farFree;
     int linkKilobits;
+    int expectedWait;
     bool ownOpen;
     bool ownSlotFree;
     bool relayed;
@@ -78,19 +79,21 @@
     constexpr auto latency = Objective::Latency;
     constexpr auto headroom = Objective::Headroom;
     static RegionCase cases[] = {
-        {"own slot free", latency, 1, 10, 10, 8000, true, true, false, "here"},
-        {"own region full", latency, 0, 10, 10, 8000, true, false, false, "near"},
-        {"nearest full", latency, 0, 0, 10, 8000, true, false, false, "far"},
-        {"all full", latency, 0, 0, 0, 8000, true, false, false, "full"},
-        {"link full", latency, 0, 10, 10, 0, true, false, false, "link"},
-        {"drained", latency, 10, 10, 10, 8000, false, true, false, "near"},
-        {"drained, nowhere to go", latency, 10, 0, 0, 8000, false, true, false, "closed"},
-        {"relayed once only", latency, 0, 10, 10, 8000, true, false, true, "here"},
-        {"relayed to a drained region", latency, 10, 10, 10, 8000, false, true, true, "closed"},
-        {"little used", headroom, 5, 10, 10, 8000, true, true, false, "here"},
-        {"much used, far is emptier", headroom, 1, 5, 8, 8000, true, true, false, "far"},
-        {"much used, others alike", headroom, 2, 3, 3, 8000, true, true, false, "here"},
-        {"much used, link full", headroom, 1, 10, 10, 0, true, true, false, "here"},
+        {"own slot free", latency, 1, 10, 10, 8000, 0, true, true, false, "here"},
+        {"own region full", latency, 0, 10, 10, 8000, 0, true, false, false, "near"},
+        {"nearest full", latency, 0, 0, 10, 8000, 0, true, false, false, "far"},
+        {"short wait", latency, 0, 10, 10, 8000, 15, true, false, false, "full"},
+        {"wait above the way", latency, 0, 10, 10, 8000, 25, true, false, false, "near"},
+        {"all full", latency, 0, 0, 0, 8000, 0, true, false, false, "full"},
+        {"link full", latency, 0, 10, 10, 0, 0, true, false, false, "link"},
+        {"drained", latency, 10, 10, 10, 8000, 0, false, true, false, "near"},
+        {"drained, nowhere to go", latency, 10, 0, 0, 8000, 0, false, true, false, "closed"},
+        {"relayed once only", latency, 0, 10, 10, 8000, 0, true, false, true, "here"},
+        {"relayed to a drained region", latency, 10, 10, 10, 8000, 0, false, true, true, "closed"},
+        {"little used", headroom, 5, 10, 10, 8000, 0, true, true, false, "here"},
+        {"much used, far is emptier", headroom, 1, 5, 8, 8000, 0, true, true, false, "far"},
+        {"much used, others alike", headroom, 2, 3, 3, 8000, 0, true, true, false, "here"},
+        {"much used, link full", headroom, 1, 10, 10, 0, 0, true, true, false, "here"},
     };
     return cr_make_param_array(RegionCase, cases, std::size(cases));
 }
@@ -105,7 +108,7 @@
     others.push_back({RegionId("near"), 10ms, true, SlotCount(param->nearFree), SlotCount(10), link});
     others.push_back({RegionId("lost"), 1ms, false, SlotCount(10), SlotCount(10), link});
     RegionSelector selector(param->objective, {RegionId("own"), param->ownOpen, SlotCount(param->ownFree), SlotCount(10)}, std::move(others));
-    const RegionQuestion question {RegionId("own"), param->relayed, param->ownSlotFree, Bytes(100)};
+    const RegionQuestion question {RegionId("own"), param->relayed, param->ownSlotFree, Milliseconds(param->expectedWait), Bytes(100)};
     const std::string decided = nameOf(selector.decide(question, s_start + 1s));
     cr_assert_eq(decided, std::string(param->expected), "%s: %s", param->name, decided.c_str());
 }
@@ -118,7 +121,7 @@
     RegionSelector selector(
         Objective::Latency, {RegionId("own"), true, SlotCount(0), SlotCount(10)}, {{RegionId("near"), 10ms, true, SlotCount(3), SlotCount(10), link}});
     for (int i = 0; i < 5; ++i) {
-        const auto decision = selector.decide({RegionId("own"), false, false, Bytes(10)}, s_start + 1s);
+        const auto decision = selector.decide({RegionId("own"), false, false, 0ms, Bytes(10)}, s_start + 1s);
         cr_assert_eq(nameOf(decision), std::string(i < 3 ? "near" : "full"));
     }
 }
