--- a/Libraries/LibConfiguration/configuration.h
+++ b/Libraries/LibConfiguration/configuration.h
@@ -23,6 +23,8 @@
 struct ZoneConfiguration
 {
     ZoneId id;
+    /// New work is kept away from the upstreams of a drained availability zone.
+    bool drained = false;
 };
 
 struct RegionConfiguration
--- a/Libraries/LibConfiguration/json.cpp
+++ b/Libraries/LibConfiguration/json.cpp
@@ -189,7 +189,7 @@
 {
     json zones = json::array();
     for (const auto &zone : region.zones) {
-        zones.push_back({{"id", zone.id.value()}});
+        zones.push_back({{"id", zone.id.value()}, {"drained", zone.drained}});
     }
     return {{"id", region.id.value()}, {"zones", std::move(zones)}, {"limitPercent", region.limitPercent}, {"drained", region.drained}};
 }
@@ -259,6 +259,7 @@
     reader.readList("zones", region.zones, [](ObjectReader &zoneReader) {
         ZoneConfiguration zone;
         zoneReader.readId("id", zone.id);
+        zoneReader.readBoolean("drained", zone.drained);
         return zone;
     });
     reader.readInteger("limitPercent", region.limitPercent);
