--- a/Tests/Scenarios/programs.h
+++ b/Tests/Scenarios/programs.h
@@ -13,9 +13,10 @@
     return {{{"trefoilmountd", build + "/Services/trefoilmountd/trefoilmountd"},
                 {"trefoilctl", build + "/Utilities/trefoilctl/trefoilctl"},
                 {"standin", build + "/Tests/StandIns/standin"},
+                {"standinplatform", build + "/Tests/StandIns/standinplatform"},
                 {"linkproxy", build + "/Tests/Scenarios/linkproxy"},
                 {"loadtool", build + "/Tests/Load/loadtool"}},
-        TREFOIL_SCENARIO_SOURCES "/prelude.lua",
+        {TREFOIL_SCENARIO_SOURCES "/prelude.lua", TREFOIL_SCENARIO_SOURCES "/deployment.lua"},
         folder};
 }
 
--- a/Tests/Scenarios/runner.cpp
+++ b/Tests/Scenarios/runner.cpp
@@ -85,6 +85,7 @@
     {"http", &Runner::http},
     {"sleep", &Runner::sleep},
     {"now", &Runner::now},
+    {"unixMilliseconds", &Runner::unixMilliseconds},
     {"freePort", &Runner::freePort},
     {"writeFile", &Runner::writeFile},
     {"readFile", &Runner::readFile},
@@ -156,7 +157,9 @@
     }
     lua_setglobal(state, "native");
     lua_sethook(state, stopWhenLate, LUA_MASKCOUNT, maximumInstructions);
-    for (const auto &path : {m_paths.prelude, scenarioPath}) {
+    std::vector<std::string> files = m_paths.preludes;
+    files.push_back(scenarioPath);
+    for (const auto &path : files) {
         lua_pushcfunction(state, addTraceback);
         if (luaL_loadfile(state, path.c_str()) != LUA_OK || lua_pcall(state, 0, 0, -2) != LUA_OK) {
             const char *message = lua_tostring(state, -1);
@@ -270,6 +273,12 @@
     return std::chrono::duration<double>(std::chrono::steady_clock::now() - m_start).count();
 }
 
+json Runner::unixMilliseconds(const json & /*arguments*/)
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 json Runner::freePort(const json &arguments)
 {
     const std::string ip = arguments.get<std::string>();
--- a/Tests/Scenarios/runner.h
+++ b/Tests/Scenarios/runner.h
@@ -16,8 +16,8 @@
 {
     /// Name to path, for example "trefoilmountd" or "standin".
     std::map<std::string, std::string> programs;
-    /// Lua file with the words of the scenario language.
-    std::string prelude;
+    /// Lua files with the words of the scenario language, in the order in which they are read.
+    std::vector<std::string> preludes;
     /// Folder for configuration files and logs; created, and emptied before the run.
     std::string folder;
 };
@@ -62,6 +62,7 @@
     nlohmann::json http(const nlohmann::json &arguments);
     nlohmann::json sleep(const nlohmann::json &arguments);
     nlohmann::json now(const nlohmann::json &arguments);
+    nlohmann::json unixMilliseconds(const nlohmann::json &arguments);
     nlohmann::json freePort(const nlohmann::json &arguments);
     nlohmann::json writeFile(const nlohmann::json &arguments);
     nlohmann::json readFile(const nlohmann::json &arguments);
