--- a/Tests/Load/loadrun.cpp
+++ b/Tests/Load/loadrun.cpp
@@ -137,7 +137,7 @@
 HttpRequest LoadRun::httpRequest(const Request &request, const std::string &host) const
 {
     const auto &stream = request.stream;
-    HttpRequest message(Http::verb::post, fmt::format("/v1/requests/{}/{}", stream.service, stream.path), 11);
+    HttpRequest message(Http::verb::post, fmt::format("/v1/requests/{}/{}/{}", stream.service, stream.path, request.nonce), 11);
     message.set(Http::field::host, host);
     message.set(Http::field::content_type, "application/json");
     message.set("Trefoil-Tenant", stream.tenant);
@@ -149,7 +149,7 @@
     if (!request.key.empty()) {
         message.set("Idempotency-Key", request.key);
     }
-    message.body() = fmt::format("{{\"nonce\":\"{}\",\"fill\":\"{}\"}}", request.nonce, std::string(stream.bodyBytes, 'x'));
+    message.body() = fmt::format("{{\"fill\":\"{}\"}}", std::string(stream.bodyBytes, 'x'));
     message.prepare_payload();
     return message;
 }
--- a/Tests/Load/loadrun.h
+++ b/Tests/Load/loadrun.h
@@ -31,7 +31,7 @@
     struct Request
     {
         const Stream &stream;
-        /// Drawn for each request and sent in its body; the upstream returns it.
+        /// Drawn for each request and sent as the last part of its path, which the upstream returns in its body.
         std::string nonce;
         std::string key;
         std::chrono::steady_clock::time_point start;
--- a/Tests/Load/testloadrun.cpp
+++ b/Tests/Load/testloadrun.cpp
@@ -101,7 +101,7 @@
     HttpResponse answer(const HttpRequest &request) const
     {
         HttpResponse response(Http::status::ok, 11);
-        response.body() = m_behaviour == Behaviour::EchoOther ? "browse-1-0123456789abcdef" : request.body();
+        response.body() = m_behaviour == Behaviour::EchoOther ? "browse-1-0123456789abcdef" : std::string(request.target());
         if (m_behaviour == Behaviour::NotRun || m_behaviour == Behaviour::Unknown) {
             response.set("Trefoil-Outcome", m_behaviour == Behaviour::NotRun ? "not-run" : "unknown");
         } else if (m_behaviour != Behaviour::NoOutcome) {
--- a/Tests/Scenarios/deployment.lua
+++ b/Tests/Scenarios/deployment.lua
@@ -54,7 +54,8 @@
         local number = 0
         for _, service in ipairs(options.services) do
             defaults(service, { upstreams = 2, slots = 4, connections = 360, objective = "latency", cap = "1000/1s", work_ms = 5 })
-            for _ = 1, service.upstreams do
+            local count = type(service.upstreams) == "table" and service.upstreams[r] or service.upstreams
+            for _ = 1, count do
                 number = number + 1
                 local name = string.format("%s-%s-%d", service.id, region, number)
                 local zone = region .. "-" .. string.char(96 + (number - 1) % options.zones + 1)
@@ -159,7 +160,8 @@
 
 function start_upstream(name)
     local upstream = deployed.upstreams[name]
-    start_process(name, "standin", { "upstream", "--address", upstream.address, "--slots", upstream.slots, "--work-ms", upstream.work_ms })
+    start_process(name, "standin", { "upstream", "--listen", upstream.address, "--name", name, "--slots", upstream.slots, "--connections", upstream.connections,
+        "--service-time-us", math.floor(upstream.work_ms * 1000) })
 end
 
 function start_upstreams()
@@ -180,6 +182,46 @@
     return call({ address = deployed.upstreams[name].address, target = "/control" }).json
 end
 
+-- Sum of a counter over all upstreams, or over those of a region or service.
+function upstream_sum(counter, region, service)
+    local sum = 0
+    for _, name in ipairs(deployed.upstream_names) do
+        local upstream = deployed.upstreams[name]
+        if is_running(name) and (region == nil or upstream.region == region) and (service == nil or upstream.service == service) then
+            sum = sum + upstream_counters(name)[counter]
+        end
+    end
+    return sum
+end
+
+-- Fails when a non-repeatable request ran twice, or one ran that was reported as not run. Keys are counted over all
+-- upstreams: each answered key ran, so any further one must have been reported as unknown or lost.
+function expect_at_most_once(result)
+    local distinct = 0
+    for name, counters in pairs(all_upstream_counters()) do
+        distinct = distinct + counters.distinctKeys
+        for key, times in pairs(counters.repeatedKeys) do
+            expect(false, "%s ran %d times at %s", key, times, name)
+        end
+    end
+    local ended = #result.keys.answered
+    local open = #result.keys.unknown + #result.keys.lost
+    expect(distinct >= ended, "%d keys ran, but %d were answered", distinct, ended)
+    expect(distinct <= ended + open, "%d keys ran: %d were answered, %d are unknown, so %d ran twice or were reported as not run", distinct, ended, open,
+        distinct - ended - open)
+end
+
+-- Fails when an upstream worked on more requests or had more connections at once than it has room for.
+function expect_no_overload()
+    for name, counters in pairs(all_upstream_counters()) do
+        local upstream = deployed.upstreams[name]
+        expect(counters.highestConcurrency <= upstream.slots, "%s worked on %d requests at once, it has %d slots", name, counters.highestConcurrency, upstream.slots)
+        expect(counters.shed == 0, "%s refused %d requests for lack of slots", name, counters.shed)
+        expect(counters.highestConnections <= upstream.connections, "%s had %d connections, %d are allowed", name, counters.highestConnections,
+            upstream.connections)
+    end
+end
+
 -- Counters of all upstreams that run, by name.
 function all_upstream_counters()
     local counters = {}
@@ -191,7 +233,7 @@
     return counters
 end
 
--- Starts a host; with "wait" it returns when the host answers its administration address.
+-- Starts a host and returns at once.
 function start_host(name)
     local host = deployed.hosts[name]
     local via = deployed.platform_via
