--- /dev/null
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -0,0 +1,459 @@
+#include <LibHttp/connectionpool.h>
+
+#include <LibHttp/endpoint.h>
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <netinet/in.h>
+#include <unordered_map>
+#include <vector>
+
+namespace Trefoil {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::uint32_t s_headerLimit = 16 * 1024;
+constexpr std::size_t s_bufferLimit = std::size_t {64} * 1024;
+
+struct PooledConnection
+{
+    PooledConnection(asio::io_context &context, std::optional<ConnectionPermit> permitForIt)
+        : stream(context)
+        , buffer(s_bufferLimit)
+        , permit(std::move(permitForIt))
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::optional<ConnectionPermit> permit;
+    BootTime openedAt = BootClock::now();
+    BootTime idleSince {};
+    bool reused = false;
+};
+
+using ConnectionPointer = std::unique_ptr<PooledConnection>;
+
+/// True while the other side has neither closed the idle connection nor sent bytes that belong to no request.
+bool isQuiet(PooledConnection &connection)
+{
+    char byte = 0;
+    const ssize_t count = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+/// Removes the cancellation hook at the end of a call.
+class HookScope
+{
+public:
+    HookScope(Cancellation *cancellation, beast::tcp_stream &stream)
+        : m_cancellation(cancellation)
+    {
+        if (m_cancellation) {
+            m_cancellation->setHook([&stream] { stream.close(); });
+        }
+    }
+
+    ~HookScope()
+    {
+        if (m_cancellation) {
+            m_cancellation->setHook({});
+        }
+    }
+
+    HookScope(const HookScope &) = delete;
+    HookScope &operator=(const HookScope &) = delete;
+
+private:
+    Cancellation *m_cancellation;
+};
+
+http::request<http::span_body<const char>> toMessage(const HttpRequest &request, const std::string &address)
+{
+    http::request<http::span_body<const char>> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    message.set(http::field::host, address);
+    for (const auto &field : request.headers.all()) {
+        message.insert(field.name, field.value);
+    }
+    message.body() = {request.body.data(), request.body.size()};
+    if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+        message.content_length(request.body.size());
+    }
+    return message;
+}
+
+HttpResponse toResponse(http::response<http::string_body> message)
+{
+    HttpResponse response;
+    response.status = static_cast<int>(message.result_int());
+    for (const auto &field : message) {
+        response.headers.add(std::string_view(field.name_string()), std::string_view(field.value()));
+    }
+    response.body = std::move(message.body());
+    return response;
+}
+
+bool declaresLength(const http::response_parser<http::string_body> &parser)
+{
+    const unsigned status = parser.get().result_int();
+    return parser.chunked() || parser.content_length().has_value() || status == 204 || status == 304;
+}
+
+/// One request on one connection.
+class Exchange
+{
+public:
+    Exchange(PooledConnection &connection, const CallOptions &options)
+        : m_connection(connection)
+        , m_options(options)
+    {
+    }
+
+    std::optional<CallFailure> write(const HttpRequest &request, const std::string &address, const asio::yield_context &yield)
+    {
+        const auto message = toMessage(request, address);
+        http::request_serializer<http::span_body<const char>> serializer(message);
+        beast::error_code error;
+        while (!serializer.is_done()) {
+            expireAtNextLimit();
+            const std::size_t count = http::async_write_some(m_connection.stream, serializer, yield[error]);
+            m_anyByteWritten = m_anyByteWritten || count > 0;
+            if (error) {
+                return failure(CallFailureKind::ConnectionLost, error);
+            }
+        }
+        return std::nullopt;
+    }
+
+    CallResult read(const asio::yield_context &yield)
+    {
+        while (true) {
+            http::response_parser<http::string_body> parser;
+            parser.header_limit(s_headerLimit);
+            parser.body_limit(m_options.responseLimit);
+            parser.eager(true);
+            if (auto failed = readMessage(parser, yield)) {
+                return *failed;
+            }
+            const bool isInterim = parser.get().result_int() < 200;
+            if (isInterim) {
+                continue;
+            }
+            m_reusable = parser.keep_alive() && m_connection.buffer.size() == 0;
+            return checkId(toResponse(parser.release()));
+        }
+    }
+
+    bool isReusable() const
+    {
+        return m_reusable;
+    }
+
+private:
+    std::optional<CallFailure> readMessage(http::response_parser<http::string_body> &parser, const asio::yield_context &yield)
+    {
+        beast::error_code error;
+        while (!parser.is_done()) {
+            expireAtNextLimit();
+            http::async_read_some(m_connection.stream, m_connection.buffer, parser, yield[error]);
+            // Checked before the error: without a declared length, the end of the connection looks like the end of the body.
+            if (parser.is_header_done() && parser.get().result_int() >= 200 && !declaresLength(parser)) {
+                return CallFailure {CallFailureKind::LengthUndeclared, true, "the response declares no length"};
+            }
+            if (error) {
+                return failure(parser.got_some() ? CallFailureKind::Truncated : CallFailureKind::ConnectionLost, error);
+            }
+        }
+        return std::nullopt;
+    }
+
+    CallResult checkId(HttpResponse response)
+    {
+        if (m_options.requestId.empty() || response.headers.value("Trefoil-Request-Id") == m_options.requestId) {
+            return response;
+        }
+        m_reusable = false;
+        return CallFailure {CallFailureKind::WrongRequestId, true, "the response carries the id of another request"};
+    }
+
+    /// The stream ends an operation at the earlier of the deadline and the progress timeout.
+    void expireAtNextLimit()
+    {
+        const auto left = m_options.deadline - BootClock::now();
+        m_connection.stream.expires_after(std::clamp<BootClock::duration>(left, BootClock::duration::zero(), m_options.progressTimeout));
+    }
+
+    CallFailure failure(CallFailureKind kindOfConnectionError, const beast::error_code &error) const
+    {
+        return {kind(kindOfConnectionError, error), m_anyByteWritten, error.message()};
+    }
+
+    CallFailureKind kind(CallFailureKind kindOfConnectionError, const beast::error_code &error) const
+    {
+        if (m_options.cancellation && m_options.cancellation->isRequested()) {
+            return CallFailureKind::Cancelled;
+        }
+        if (error == beast::error::timeout) {
+            return BootClock::now() >= m_options.deadline ? CallFailureKind::DeadlineExceeded : CallFailureKind::Stalled;
+        }
+        if (error == http::error::body_limit || error == http::error::header_limit || error == http::error::buffer_overflow) {
+            return CallFailureKind::TooLarge;
+        }
+        const bool isMalformed = error.category() == http::make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream
+            && error != http::error::partial_message;
+        return isMalformed ? CallFailureKind::Malformed : kindOfConnectionError;
+    }
+
+    PooledConnection &m_connection;
+    const CallOptions &m_options;
+    bool m_anyByteWritten = false;
+    bool m_reusable = false;
+};
+
+} // namespace
+
+std::string_view toText(CallFailureKind kind)
+{
+    switch (kind) {
+    case CallFailureKind::NoConnection:
+        return "connection-limit";
+    case CallFailureKind::ConnectFailed:
+        return "connect-failed";
+    case CallFailureKind::ConnectTimeout:
+        return "connect-timeout";
+    case CallFailureKind::DeadlineExceeded:
+        return "deadline-exceeded";
+    case CallFailureKind::Stalled:
+        return "stalled";
+    case CallFailureKind::ConnectionLost:
+        return "connection-lost";
+    case CallFailureKind::Truncated:
+        return "truncated-response";
+    case CallFailureKind::LengthUndeclared:
+        return "undeclared-length";
+    case CallFailureKind::WrongRequestId:
+        return "wrong-request-id";
+    case CallFailureKind::Malformed:
+        return "malformed-response";
+    case CallFailureKind::TooLarge:
+        return "response-too-large";
+    case CallFailureKind::Cancelled:
+        return "cancelled";
+    case CallFailureKind::WriteRefused:
+        return "lease-expired";
+    }
+    return "unknown";
+}
+
+class ConnectionPool::Implementation
+{
+public:
+    Implementation(asio::io_context &context, ConnectionPoolSettings settings)
+        : m_context(context)
+        , m_settings(std::move(settings))
+    {
+    }
+
+    CallResult call(const std::string &address,
+        const std::shared_ptr<ConnectionLimit> &limit,
+        const HttpRequest &request,
+        const CallOptions &options,
+        const asio::yield_context &yield)
+    {
+        auto obtained = connection(address, limit, options, yield);
+        if (const auto *failed = std::get_if<CallFailure>(&obtained)) {
+            return *failed;
+        }
+        ConnectionPointer current = std::move(std::get<ConnectionPointer>(obtained));
+        const HookScope hook(options.cancellation, current->stream);
+        if (options.cancellation && options.cancellation->isRequested()) {
+            return CallFailure {CallFailureKind::Cancelled, false, "cancelled before the request was sent"};
+        }
+        if (BootClock::now() >= options.deadline) {
+            giveBack(address, std::move(current));
+            return CallFailure {CallFailureKind::DeadlineExceeded, false, "the deadline passed before the request was sent"};
+        }
+        if (options.mayWrite && !options.mayWrite()) {
+            giveBack(address, std::move(current));
+            return CallFailure {CallFailureKind::WriteRefused, false, "the request may no longer be sent"};
+        }
+        Exchange exchange(*current, options);
+        if (auto failed = exchange.write(request, address, yield)) {
+            return afterFailure(address, *current, *failed);
+        }
+        CallResult result = exchange.read(yield);
+        if (const auto *failed = std::get_if<CallFailure>(&result)) {
+            return afterFailure(address, *current, *failed);
+        }
+        if (exchange.isReusable() && !(options.cancellation && options.cancellation->isRequested())) {
+            giveBack(address, std::move(current));
+        }
+        return result;
+    }
+
+    void closeExpired(BootTime now)
+    {
+        for (auto &[address, idle] : m_idle) {
+            const auto isExpired = [this, now](const ConnectionPointer &connection) { return now - connection->idleSince >= m_settings.idleTimeout; };
+            idle.erase(std::remove_if(idle.begin(), idle.end(), isExpired), idle.end());
+        }
+    }
+
+    std::uint64_t opened() const
+    {
+        return m_opened;
+    }
+
+private:
+    using Obtained = std::variant<ConnectionPointer, CallFailure>;
+
+    Obtained connection(const std::string &address, const std::shared_ptr<ConnectionLimit> &limit, const CallOptions &options, const asio::yield_context &yield)
+    {
+        if (auto idle = takeIdle(address)) {
+            return idle;
+        }
+        std::optional<ConnectionPermit> permit = limit ? limit->tryAcquire() : std::nullopt;
+        if (limit && !permit) {
+            return CallFailure {CallFailureKind::NoConnection, false, "the connection limit is reached"};
+        }
+        return connect(address, std::move(permit), options, yield);
+    }
+
+    /// The connection used last, since the others can then expire together.
+    ConnectionPointer takeIdle(const std::string &address)
+    {
+        auto &idle = m_idle[address];
+        while (!idle.empty()) {
+            ConnectionPointer connection = std::move(idle.back());
+            idle.pop_back();
+            if (isQuiet(*connection)) {
+                connection->reused = true;
+                return connection;
+            }
+        }
+        return nullptr;
+    }
+
+    void giveBack(const std::string &address, ConnectionPointer connection)
+    {
+        auto &idle = m_idle[address];
+        if (idle.size() >= m_settings.idleLimitPerAddress) {
+            return;
+        }
+        connection->stream.expires_never();
+        connection->idleSince = BootClock::now();
+        idle.push_back(std::move(connection));
+    }
+
+    /// A fault on the path silences all connections that were open at that time, while new ones work. Idle connections
+    /// that are as old as a stalled one are therefore closed with it.
+    CallFailure afterFailure(const std::string &address, const PooledConnection &failedConnection, CallFailure failure)
+    {
+        const bool wentSilent = failure.kind == CallFailureKind::Stalled || failure.kind == CallFailureKind::DeadlineExceeded;
+        if (wentSilent && failedConnection.reused) {
+            m_idle[address].clear();
+        }
+        return failure;
+    }
+
+    Obtained connect(const std::string &address, std::optional<ConnectionPermit> permit, const CallOptions &options, const asio::yield_context &yield)
+    {
+        const auto endpoint = parseEndpoint(address);
+        if (endpoint.has_error()) {
+            return CallFailure {CallFailureKind::ConnectFailed, false, endpoint.error().message};
+        }
+        const auto left = options.deadline - BootClock::now();
+        if (left <= BootClock::duration::zero()) {
+            return CallFailure {CallFailureKind::DeadlineExceeded, false, "the deadline passed before connecting"};
+        }
+        auto fresh = std::make_unique<PooledConnection>(m_context, std::move(permit));
+        const HookScope hook(options.cancellation, fresh->stream);
+        if (auto failed = bindSource(fresh->stream.socket())) {
+            return *failed;
+        }
+        beast::error_code error;
+        fresh->stream.expires_after(std::min<BootClock::duration>(left, m_settings.connectTimeout));
+        fresh->stream.async_connect(endpoint.value(), yield[error]);
+        if (error) {
+            return CallFailure {connectFailureKind(options, error), false, error.message()};
+        }
+        fresh->stream.socket().set_option(tcp::no_delay(true), error);
+        ++m_opened;
+        return fresh;
+    }
+
+    static CallFailureKind connectFailureKind(const CallOptions &options, const beast::error_code &error)
+    {
+        if (options.cancellation && options.cancellation->isRequested()) {
+            return CallFailureKind::Cancelled;
+        }
+        return error == beast::error::timeout ? CallFailureKind::ConnectTimeout : CallFailureKind::ConnectFailed;
+    }
+
+    std::optional<CallFailure> bindSource(tcp::socket &socket) const
+    {
+        if (m_settings.sourceAddress.empty()) {
+            return std::nullopt;
+        }
+        beast::error_code error;
+        const auto source = asio::ip::make_address_v4(m_settings.sourceAddress, error);
+        if (!error) {
+            socket.open(tcp::v4(), error);
+        }
+        if (!error) {
+            // Without this the system reserves a port for all destinations at once, and they run out.
+            socket.set_option(asio::detail::socket_option::boolean<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>(true), error);
+        }
+        if (!error) {
+            socket.bind(tcp::endpoint(source, 0), error);
+        }
+        if (!error) {
+            return std::nullopt;
+        }
+        return CallFailure {CallFailureKind::ConnectFailed, false, error.message()};
+    }
+
+    asio::io_context &m_context;
+    ConnectionPoolSettings m_settings;
+    std::unordered_map<std::string, std::vector<ConnectionPointer>> m_idle;
+    std::uint64_t m_opened = 0;
+};
+
+ConnectionPool::ConnectionPool(asio::io_context &context, ConnectionPoolSettings settings)
+    : m_implementation(std::make_unique<Implementation>(context, std::move(settings)))
+{
+}
+
+ConnectionPool::~ConnectionPool() = default;
+
+CallResult ConnectionPool::call(const std::string &address,
+    const std::shared_ptr<ConnectionLimit> &limit,
+    const HttpRequest &request,
+    const CallOptions &options,
+    const asio::yield_context &yield)
+{
+    return m_implementation->call(address, limit, request, options, yield);
+}
+
+void ConnectionPool::closeExpired(BootTime now)
+{
+    m_implementation->closeExpired(now);
+}
+
+std::uint64_t ConnectionPool::opened() const
+{
+    return m_implementation->opened();
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibHttp/connectionpool.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <LibCore/bootclock.h>
+#include <LibHttp/cancellation.h>
+#include <LibHttp/connectionlimit.h>
+#include <LibHttp/message.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace Trefoil {
+
+enum class CallFailureKind {
+    /// The connection limit is reached and no connection is idle.
+    NoConnection,
+    ConnectFailed,
+    ConnectTimeout,
+    /// The deadline passed.
+    DeadlineExceeded,
+    /// No byte came or went within the progress timeout.
+    Stalled,
+    /// The connection was reset or closed before the header of the response.
+    ConnectionLost,
+    /// The response was cut after it had begun.
+    Truncated,
+    /// The body of the response has neither a length nor chunks, so that its end can't be told from a cut.
+    LengthUndeclared,
+    /// The response belongs to another request.
+    WrongRequestId,
+    Malformed,
+    TooLarge,
+    Cancelled,
+    /// CallOptions::mayWrite refused.
+    WriteRefused,
+};
+
+/// Why a call has no response.
+struct CallFailure
+{
+    CallFailureKind kind = CallFailureKind::ConnectFailed;
+    /// False when certainly no byte of the request left this process.
+    bool anyByteWritten = false;
+    std::string message {};
+};
+
+using CallResult = std::variant<HttpResponse, CallFailure>;
+
+/// The kind's name in logs and reasons, such as "connect-failed". Precondition: none. Thread safety: safe from any thread.
+std::string_view toText(CallFailureKind kind);
+
+struct CallOptions
+{
+    BootTime deadline;
+    /// Longest silence while the response is awaited or read, and while the request is written.
+    std::chrono::milliseconds progressTimeout {2000};
+    /// Required value of Trefoil-Request-Id in the response; empty accepts every response.
+    std::string requestId {};
+    std::size_t responseLimit = std::size_t {16} * 1024 * 1024;
+    /// Ends the call early; may be null.
+    Cancellation *cancellation = nullptr;
+    /// Asked directly before the first byte is written, after every wait; an empty function allows it.
+    std::function<bool()> mayWrite {};
+};
+
+struct ConnectionPoolSettings
+{
+    /// Local IP of connections; empty leaves the choice to the system.
+    std::string sourceAddress {};
+    std::chrono::milliseconds connectTimeout {1000};
+    /// A new connection costs the upstream about 1 ms, so warm ones are kept through ordinary pauses.
+    std::chrono::seconds idleTimeout {60};
+    std::size_t idleLimitPerAddress = 64;
+};
+
+/// Keep-alive connections to upstreams and other hosts, for one worker thread.
+/// A connection carries one request at a time. It is reused only after a complete response that belongs to its
+/// request; every other end closes it. Thread safety: all calls on the thread that runs the context.
+class ConnectionPool
+{
+public:
+    /// Precondition: one thread runs context, which outlives the pool.
+    ConnectionPool(boost::asio::io_context &context, ConnectionPoolSettings settings);
+    ~ConnectionPool();
+    ConnectionPool(const ConnectionPool &) = delete;
+    ConnectionPool &operator=(const ConnectionPool &) = delete;
+
+    /// Sends a request once and reads its response. There is no retry: a lost warm connection ends the call.
+    /// Preconditions: address is a valid IP:port; the pool and all arguments outlive the call. limit may be null.
+    CallResult call(const std::string &address,
+        const std::shared_ptr<ConnectionLimit> &limit,
+        const HttpRequest &request,
+        const CallOptions &options,
+        const boost::asio::yield_context &yield);
+
+    /// Closes connections that were idle for too long. Precondition: none.
+    void closeExpired(BootTime now);
+
+    /// Connections opened since the start. Precondition: none.
+    std::uint64_t opened() const;
+
+private:
+    class Implementation;
+    std::unique_ptr<Implementation> m_implementation;
+};
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -0,0 +1,522 @@
+#include <LibHttp/httpserver.h>
+
+#include <LibHttp/endpoint.h>
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <fmt/format.h>
+#include <list>
+#include <optional>
+#include <variant>
+
+namespace Trefoil {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+/// After its last response a connection is read for this long, so that the caller gets the response and no reset.
+constexpr std::chrono::milliseconds s_lingerTimeout {1000};
+/// How often time limits are checked. One timer for all connections costs less than one for each operation.
+constexpr std::chrono::milliseconds s_expiryInterval {25};
+/// Pause of the accept loop when the process has no file descriptor left.
+constexpr std::chrono::milliseconds s_acceptPause {20};
+constexpr std::size_t s_lingerLimit = std::size_t {4} * 1024 * 1024;
+constexpr std::size_t s_readSize = 4096;
+
+struct ConnectionEnded
+{
+};
+
+using ReadResult = std::variant<HttpRequest, HttpResponse, ConnectionEnded>;
+
+HttpResponse responseForReadError(const beast::error_code &error, const HttpServerSettings &settings)
+{
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+        return errorResponse(431, "header-too-large", "header", fmt::format("the header exceeds {} bytes", settings.headerLimit));
+    }
+    if (error == http::error::body_limit) {
+        return errorResponse(413, "body-too-large", "body", fmt::format("the body exceeds {} bytes", settings.bodyLimit));
+    }
+    if (error == http::error::bad_content_length) {
+        return errorResponse(400, "malformed-request", "Content-Length", "Content-Length is not one valid length");
+    }
+    if (error == http::error::bad_transfer_encoding || error == http::error::bad_chunk || error == http::error::bad_chunk_extension) {
+        return errorResponse(400, "malformed-request", "Transfer-Encoding", "the chunked body is malformed");
+    }
+    if (error == http::error::bad_version) {
+        return errorResponse(400, "malformed-request", "version", "only HTTP/1.0 and HTTP/1.1 are understood");
+    }
+    if (error == http::error::bad_method) {
+        return errorResponse(400, "malformed-request", "method", "the method is malformed");
+    }
+    if (error == http::error::bad_target) {
+        return errorResponse(400, "malformed-request", "target", "the request target is malformed");
+    }
+    return errorResponse(400, "malformed-request", "header", error.message());
+}
+
+/// True when the error says that the input is wrong, not that the connection failed.
+bool isInputError(const beast::error_code &error)
+{
+    return error.category() == http::make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream
+        && error != http::error::partial_message;
+}
+
+} // namespace
+
+class HttpServer::State : public std::enable_shared_from_this<HttpServer::State>
+{
+public:
+    class Connection;
+
+    State(asio::io_context &context, HttpServerSettings settings, Handler handler)
+        : m_context(context)
+        , m_settings(std::move(settings))
+        , m_handler(std::move(handler))
+        , m_acceptor(context)
+        , m_expiryTimer(context)
+    {
+    }
+
+    Result<void> listen();
+    void startAccepting();
+    void closeIdle();
+    void closeAll();
+
+    void announceClose()
+    {
+        m_closing = true;
+    }
+
+    std::string address() const
+    {
+        boost::system::error_code ignored;
+        const auto endpoint = m_acceptor.local_endpoint(ignored);
+        return fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
+    }
+
+    std::size_t openConnections() const
+    {
+        return m_open.load();
+    }
+
+private:
+    void expireLoop(const asio::yield_context &yield);
+    void acceptLoop(const asio::yield_context &yield);
+    void serve(tcp::socket socket);
+
+    asio::io_context &m_context;
+    HttpServerSettings m_settings;
+    Handler m_handler;
+    tcp::acceptor m_acceptor;
+    asio::steady_timer m_expiryTimer;
+    std::list<Connection *> m_connections;
+    std::atomic<std::size_t> m_open {0};
+    bool m_closing = false;
+};
+
+/// One connection of a caller; lives as long as its coroutine.
+class HttpServer::State::Connection final : public CallerConnection
+{
+public:
+    Connection(std::shared_ptr<State> state, tcp::socket socket)
+        : m_state(std::move(state))
+        , m_socket(std::move(socket))
+        , m_buffer(m_state->m_settings.headerLimit + s_readSize)
+    {
+        beast::error_code ignored;
+        m_socket.set_option(tcp::no_delay(true), ignored);
+        m_address = m_socket.remote_endpoint(ignored).address().to_string();
+        m_position = m_state->m_connections.insert(m_state->m_connections.end(), this);
+        m_state->m_open.fetch_add(1);
+    }
+
+    ~Connection()
+    {
+        m_state->m_connections.erase(m_position);
+        m_state->m_open.fetch_sub(1);
+    }
+
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
+
+    const std::string &address() const override
+    {
+        return m_address;
+    }
+
+    Cancellation &cancellation() override
+    {
+        if (!m_watching) {
+            m_watching = true;
+            watchCaller();
+        }
+        return *m_cancellation;
+    }
+
+    void run(const asio::yield_context &yield)
+    {
+        bool keepOpen = true;
+        while (keepOpen) {
+            keepOpen = serveOne(yield);
+        }
+        linger(yield);
+    }
+
+    /// Ends the current operation when its time is over.
+    void cancelIfExpired(Clock::time_point now)
+    {
+        if (now < m_expiry) {
+            return;
+        }
+        m_timedOut = true;
+        m_expiry = Clock::time_point::max();
+        beast::error_code ignored;
+        m_socket.cancel(ignored);
+    }
+
+    bool isIdle() const
+    {
+        return m_idle;
+    }
+
+    void close()
+    {
+        beast::error_code ignored;
+        m_socket.close(ignored);
+    }
+
+private:
+    void expireAfter(std::chrono::milliseconds time)
+    {
+        m_timedOut = false;
+        m_expiry = Clock::now() + time;
+    }
+
+    bool serveOne(const asio::yield_context &yield)
+    {
+        ReadResult read = readRequest(yield);
+        if (std::holds_alternative<ConnectionEnded>(read)) {
+            m_ended = true;
+            return false;
+        }
+        if (const auto *refusal = std::get_if<HttpResponse>(&read)) {
+            writeResponse(*refusal, false, yield);
+            return false;
+        }
+        HttpResponse response = handle(std::get<HttpRequest>(read), yield);
+        const bool keepOpen = m_keepAlive && !m_state->m_closing;
+        return writeResponse(response, keepOpen, yield) && keepOpen;
+    }
+
+    HttpResponse handle(HttpRequest &request, const asio::yield_context &yield)
+    {
+        m_cancellation = std::make_shared<Cancellation>();
+        m_watching = false;
+        m_expiry = Clock::time_point::max();
+        HttpResponse response;
+        try {
+            response = m_state->m_handler(request, *this, yield);
+        } catch (const std::exception &error) {
+            response = errorResponse(500, "internal", "", error.what());
+        }
+        if (m_watching) {
+            beast::error_code ignored;
+            m_socket.cancel(ignored);
+        }
+        return response;
+    }
+
+    /// Waits until the connection becomes readable while a request is handled: an end of file means that the caller
+    /// left. More input means a pipelined request; after it an end can't be seen, so the watch stops.
+    void watchCaller()
+    {
+        m_socket.async_wait(tcp::socket::wait_read, [this, cancellation = std::weak_ptr<Cancellation>(m_cancellation)](const beast::error_code &error) {
+            const auto current = cancellation.lock();
+            // The cancellation object belongs to one request; when it is gone, so may be this connection.
+            if (error || !current) {
+                return;
+            }
+            char byte = 0;
+            const ssize_t count = ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            if (count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK)) {
+                current->request();
+            }
+        });
+    }
+
+    ReadResult readRequest(const asio::yield_context &yield)
+    {
+        beast::error_code error;
+        if (m_buffer.size() == 0) {
+            m_idle = true;
+            expireAfter(m_state->m_closing ? s_lingerTimeout : m_state->m_settings.idleTimeout);
+            const std::size_t count = m_socket.async_read_some(m_buffer.prepare(s_readSize), yield[error]);
+            m_idle = false;
+            m_buffer.commit(count);
+            if (error) {
+                return ConnectionEnded {};
+            }
+        }
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(m_state->m_settings.headerLimit));
+        parser.body_limit(m_state->m_settings.bodyLimit);
+        expireAfter(m_state->m_settings.headerTimeout);
+        http::async_read_header(m_socket, m_buffer, parser, yield[error]);
+        if (error) {
+            return endOfRead(error, "header");
+        }
+        if (!parser.is_done()) {
+            if (beast::iequals(parser.get()[http::field::expect], "100-continue") && !continueBody(yield)) {
+                return ConnectionEnded {};
+            }
+            expireAfter(m_state->m_settings.bodyTimeout);
+            http::async_read(m_socket, m_buffer, parser, yield[error]);
+            if (error) {
+                return endOfRead(error, "body");
+            }
+        }
+        m_keepAlive = parser.get().keep_alive();
+        return toRequest(parser.release());
+    }
+
+    ReadResult endOfRead(const beast::error_code &error, std::string_view part) const
+    {
+        if (m_timedOut) {
+            return errorResponse(408, "too-slow", part, fmt::format("the {} did not arrive in time", part));
+        }
+        if (!isInputError(error)) {
+            return ConnectionEnded {};
+        }
+        return responseForReadError(error, m_state->m_settings);
+    }
+
+    bool continueBody(const asio::yield_context &yield)
+    {
+        static constexpr std::string_view answer = "HTTP/1.1 100 Continue\r\n\r\n";
+        beast::error_code error;
+        expireAfter(m_state->m_settings.writeTimeout);
+        asio::async_write(m_socket, asio::buffer(answer), yield[error]);
+        return !error;
+    }
+
+    static HttpRequest toRequest(http::request<http::string_body> message)
+    {
+        HttpRequest request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto &field : message) {
+            request.headers.add(std::string_view(field.name_string()), std::string_view(field.value()));
+        }
+        request.body = std::move(message.body());
+        return request;
+    }
+
+    bool writeResponse(const HttpResponse &response, bool keepOpen, const asio::yield_context &yield)
+    {
+        http::response<http::span_body<const char>> message;
+        message.version(11);
+        message.result(static_cast<unsigned>(response.status));
+        for (const auto &field : response.headers.all()) {
+            message.insert(field.name, field.value);
+        }
+        message.keep_alive(keepOpen);
+        message.body() = {response.body.data(), response.body.size()};
+        message.content_length(response.body.size());
+        beast::error_code error;
+        expireAfter(m_state->m_settings.writeTimeout);
+        http::response_serializer<http::span_body<const char>> serializer(message);
+        http::async_write(m_socket, serializer, yield[error]);
+        m_ended = m_ended || error;
+        return !error;
+    }
+
+    /// Closing a socket with unread input resets the connection, and the caller may lose the response that way.
+    void linger(const asio::yield_context &yield)
+    {
+        if (m_ended) {
+            return;
+        }
+        beast::error_code error;
+        m_socket.shutdown(tcp::socket::shutdown_send, error);
+        expireAfter(s_lingerTimeout);
+        std::size_t discarded = 0;
+        std::array<char, s_readSize> sink {};
+        while (!error && discarded < s_lingerLimit) {
+            discarded += m_socket.async_read_some(asio::buffer(sink), yield[error]);
+        }
+    }
+
+    std::shared_ptr<State> m_state;
+    tcp::socket m_socket;
+    Clock::time_point m_expiry = Clock::time_point::max();
+    bool m_timedOut = false;
+    beast::flat_buffer m_buffer;
+    std::string m_address;
+    std::list<Connection *>::iterator m_position;
+    std::shared_ptr<Cancellation> m_cancellation = std::make_shared<Cancellation>();
+    bool m_watching = false;
+    bool m_idle = false;
+    bool m_ended = false;
+    bool m_keepAlive = false;
+};
+
+Result<void> HttpServer::State::listen()
+{
+    const auto endpoint = parseEndpoint(m_settings.address);
+    if (endpoint.has_error()) {
+        return endpoint.error();
+    }
+    boost::system::error_code error;
+    m_acceptor.open(tcp::v4(), error);
+    if (!error) {
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error && m_settings.sharesAddress) {
+        m_acceptor.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true), error);
+    }
+    if (!error) {
+        m_acceptor.bind(endpoint.value(), error);
+    }
+    if (!error) {
+        m_acceptor.listen(tcp::acceptor::max_listen_connections, error);
+    }
+    if (!error) {
+        m_acceptor.non_blocking(true, error);
+    }
+    if (error) {
+        return Error {ErrorCode::Unavailable, fmt::format("cannot listen on {}: {}", m_settings.address, error.message())};
+    }
+    return boost::outcome_v2::success();
+}
+
+void HttpServer::State::startAccepting()
+{
+    asio::spawn(m_context, [self = shared_from_this()](const asio::yield_context &yield) { self->acceptLoop(yield); });
+    asio::spawn(m_context, [self = shared_from_this()](const asio::yield_context &yield) { self->expireLoop(yield); });
+}
+
+void HttpServer::State::expireLoop(const asio::yield_context &yield)
+{
+    while (m_acceptor.is_open() || !m_connections.empty()) {
+        boost::system::error_code ignored;
+        m_expiryTimer.expires_after(s_expiryInterval);
+        m_expiryTimer.async_wait(yield[ignored]);
+        const Clock::time_point now = Clock::now();
+        for (Connection *connection : m_connections) {
+            connection->cancelIfExpired(now);
+        }
+    }
+}
+
+void HttpServer::State::acceptLoop(const asio::yield_context &yield)
+{
+    while (m_acceptor.is_open()) {
+        boost::system::error_code error;
+        tcp::socket socket(m_context);
+        m_acceptor.async_accept(socket, yield[error]);
+        if (error == asio::error::operation_aborted) {
+            break;
+        }
+        if (error) {
+            asio::steady_timer pause(m_context, s_acceptPause);
+            pause.async_wait(yield[error]);
+            continue;
+        }
+        serve(std::move(socket));
+    }
+    // Connections that the system has already completed would be reset when the listening socket closes.
+    boost::system::error_code error;
+    while (!error && m_acceptor.is_open()) {
+        tcp::socket socket(m_context);
+        m_acceptor.accept(socket, error);
+        if (!error) {
+            serve(std::move(socket));
+        }
+    }
+    m_acceptor.close(error);
+}
+
+void HttpServer::State::serve(tcp::socket socket)
+{
+    if (m_open.load() >= m_settings.connectionLimit) {
+        // FIXME: The caller sees a closed connection and gets no JSON error.
+        return;
+    }
+    auto connection = std::make_shared<Connection>(shared_from_this(), std::move(socket));
+    asio::spawn(m_context, [connection = std::move(connection)](const asio::yield_context &yield) { connection->run(yield); });
+}
+
+void HttpServer::State::closeIdle()
+{
+    m_closing = true;
+    boost::system::error_code ignored;
+    m_acceptor.cancel(ignored);
+    for (Connection *connection : m_connections) {
+        if (connection->isIdle()) {
+            connection->close();
+        }
+    }
+}
+
+void HttpServer::State::closeAll()
+{
+    m_closing = true;
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    for (Connection *connection : m_connections) {
+        connection->close();
+    }
+}
+
+HttpServer::HttpServer(std::shared_ptr<State> state)
+    : m_state(std::move(state))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    m_state->closeAll();
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::create(asio::io_context &context, HttpServerSettings settings, Handler handler)
+{
+    auto state = std::make_shared<State>(context, std::move(settings), std::move(handler));
+    const auto listening = state->listen();
+    if (listening.has_error()) {
+        return listening.error();
+    }
+    state->startAccepting();
+    return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
+}
+
+std::string HttpServer::address() const
+{
+    return m_state->address();
+}
+
+void HttpServer::announceClose()
+{
+    m_state->announceClose();
+}
+
+void HttpServer::closeIdle()
+{
+    m_state->closeIdle();
+}
+
+std::size_t HttpServer::openConnections() const
+{
+    return m_state->openConnections();
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibHttp/httpserver.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <LibCore/result.h>
+#include <LibHttp/cancellation.h>
+#include <LibHttp/message.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/spawn.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Trefoil {
+
+struct HttpServerSettings
+{
+    /// Listening IP:port.
+    std::string address;
+    /// Lets several servers share the address; the system spreads connections over them.
+    bool sharesAddress = false;
+    std::size_t connectionLimit = 4096;
+    std::size_t headerLimit = std::size_t {16} * 1024;
+    std::size_t bodyLimit = std::size_t {1024} * 1024;
+    /// Longest wait for the first byte of a request.
+    std::chrono::milliseconds idleTimeout {60000};
+    /// Time for the whole header from its first byte.
+    std::chrono::milliseconds headerTimeout {5000};
+    /// Time for the whole body.
+    std::chrono::milliseconds bodyTimeout {15000};
+    /// Time for the whole response.
+    std::chrono::milliseconds writeTimeout {15000};
+};
+
+/// The connection on which a request came in. Thread safety: all calls on the server's thread.
+class CallerConnection
+{
+public:
+    /// IP number of the caller. Precondition: none.
+    virtual const std::string &address() const = 0;
+
+    /// Requested when the caller closes its connection before it got its response. The first call starts the watch.
+    /// Precondition: called from within the handler.
+    virtual Cancellation &cancellation() = 0;
+
+protected:
+    CallerConnection() = default;
+    ~CallerConnection() = default;
+    CallerConnection(const CallerConnection &) = delete;
+    CallerConnection &operator=(const CallerConnection &) = delete;
+};
+
+/// HTTP/1.1 server with bounded headers, bodies, connections and waiting times. It answers malformed and oversized
+/// input itself. Thread safety: all calls on the thread that runs the context, except openConnections().
+class HttpServer
+{
+public:
+    /// Answers one request; runs in the coroutine of the request's connection.
+    using Handler = std::function<HttpResponse(HttpRequest &request, CallerConnection &caller, boost::asio::yield_context yield)>;
+
+    /// Binds the address and starts to accept. Precondition: one thread runs context, which outlives the server.
+    static Result<std::unique_ptr<HttpServer>> create(boost::asio::io_context &context, HttpServerSettings settings, Handler handler);
+
+    /// Closes the listening socket and all connections.
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /// The listening IP:port with the port that the system chose. Precondition: none.
+    std::string address() const;
+
+    /// From now on every response ends its connection. Precondition: none.
+    void announceClose();
+
+    /// Accepts what waits in the backlog, closes the listening socket and all connections without a request in work.
+    /// Other connections end with their response. Precondition: callers were told to go elsewhere.
+    void closeIdle();
+
+    /// Precondition: none. Thread safety: safe from any thread.
+    std::size_t openConnections() const;
+
+private:
+    class State;
+    explicit HttpServer(std::shared_ptr<State> state);
+
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace Trefoil
--- /dev/null
+++ b/Tests/LibHttp/testconnectionpool.cpp
@@ -0,0 +1,186 @@
+#include "coroutine.h"
+#include <LibHttp/connectionpool.h>
+#include <StandIns/upstream.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace Trefoil;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds s_progressTimeout {200};
+
+struct Fixture
+{
+    Fixture()
+        : upstream(std::move(UpstreamStandIn::create(context, {}).value()))
+        , pool(context, {})
+    {
+    }
+
+    CallOptions options(const std::string &id) const
+    {
+        CallOptions result;
+        result.deadline = BootClock::now() + std::chrono::seconds(3);
+        result.progressTimeout = s_progressTimeout;
+        result.requestId = id;
+        return result;
+    }
+
+    CallResult call(const std::string &id, const asio::yield_context &yield, const std::shared_ptr<ConnectionLimit> &limit = nullptr)
+    {
+        HttpRequest request {"POST", "/order", {}, "two casts"};
+        request.headers.add("Trefoil-Request-Id", id);
+        return pool.call(upstream->address(), limit, request, options(id), yield);
+    }
+
+    asio::io_context context {1};
+    std::unique_ptr<UpstreamStandIn> upstream;
+    ConnectionPool pool;
+};
+
+std::string textOf(const CallResult &result)
+{
+    const auto *failure = std::get_if<CallFailure>(&result);
+    return failure ? std::string(toText(failure->kind)) : std::to_string(std::get<HttpResponse>(result).status);
+}
+
+struct FaultCase
+{
+    char mode[24];
+    char expected[24];
+    int begun;
+};
+
+} // namespace
+
+// Guards against a cut, foreign or undeclared response that counts as one, and against a connection that is reused
+// after a fault: the call after the fault must get its own response.
+ParameterizedTestParameters(ConnectionPool, misbehavingUpstream)
+{
+    static FaultCase cases[] = {
+        {"normal", "200", 1},
+        {"swap-answers", "wrong-request-id", 1},
+        {"cut-header", "truncated-response", 1},
+        {"cut-body-start", "truncated-response", 1},
+        {"cut-body-middle", "truncated-response", 1},
+        {"cut-body-end", "truncated-response", 1},
+        {"cut-chunk", "truncated-response", 1},
+        {"no-length", "undeclared-length", 1},
+        {"extra-bytes", "200", 1},
+        {"silent-after-accept", "stalled", 0},
+        {"silent-after-read", "stalled", 1},
+        {"silent-in-body", "stalled", 1},
+        {"reset-before-read", "connection-lost", 0},
+        {"reset-after-read", "connection-lost", 1},
+        {"fast-errors", "500", 1},
+        {"shed", "503", 0},
+    };
+    return cr_make_param_array(FaultCase, cases, std::size(cases));
+}
+
+ParameterizedTest(FaultCase *testCase, ConnectionPool, misbehavingUpstream)
+{
+    Fixture fixture;
+    cr_assert(fixture.upstream->control({{"mode", testCase->mode}, {"count", 1}}).has_value());
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        const CallResult first = fixture.call("first", yield);
+        cr_assert_eq(textOf(first), testCase->expected, "%s: %s", testCase->mode, textOf(first).c_str());
+        if (const auto *failure = std::get_if<CallFailure>(&first)) {
+            cr_assert(failure->anyByteWritten, "%s", testCase->mode);
+        }
+        cr_assert_eq(fixture.upstream->counts().begun, static_cast<std::uint64_t>(testCase->begun));
+        const CallResult second = fixture.call("second", yield);
+        cr_assert_eq(textOf(second), "200", "%s: %s", testCase->mode, textOf(second).c_str());
+    });
+}
+
+// Guards against a late response that reaches the next request on the same connection.
+Test(ConnectionPool, lateAnswerIsNeverDelivered)
+{
+    Fixture fixture;
+    cr_assert(fixture.upstream->control({{"mode", "late-answer"}, {"count", 1}, {"delayMs", 300}}).has_value());
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        cr_assert_eq(textOf(fixture.call("first", yield)), "stalled");
+        asio::steady_timer timer(fixture.context, std::chrono::milliseconds(300));
+        timer.async_wait(yield);
+        const CallResult second = fixture.call("second", yield);
+        cr_assert_eq(std::get<HttpResponse>(second).headers.value("Trefoil-Request-Id"), "second");
+        cr_assert_eq(fixture.pool.opened(), 2);
+    });
+}
+
+// Guards against a new connection for each request, which costs the upstream about 1 ms each.
+Test(ConnectionPool, warmConnectionIsReused)
+{
+    Fixture fixture;
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        for (int i = 0; i < 20; ++i) {
+            cr_assert_eq(textOf(fixture.call(std::to_string(i), yield)), "200");
+        }
+    });
+    cr_assert_eq(fixture.pool.opened(), 1);
+    cr_assert_eq(fixture.upstream->counts().connectionsOpened, 1);
+}
+
+// Guards against more connections than granted, and against permits that leak with closed connections.
+Test(ConnectionPool, connectionLimitHolds)
+{
+    Fixture fixture;
+    const auto limit = ConnectionLimit::create(ConnectionCount(1));
+    cr_assert(fixture.upstream->control({{"mode", "silent-after-read"}, {"count", 1}}).has_value());
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        bool done = false;
+        asio::spawn(fixture.context, [&](const asio::yield_context &inner) {
+            cr_assert_eq(textOf(fixture.call("first", inner, limit)), "stalled");
+            done = true;
+        });
+        asio::steady_timer timer(fixture.context, s_progressTimeout / 2);
+        timer.async_wait(yield);
+        const CallResult second = fixture.call("second", yield, limit);
+        cr_assert_eq(textOf(second), "connection-limit");
+        cr_assert_not(std::get<CallFailure>(second).anyByteWritten);
+        timer.expires_after(s_progressTimeout);
+        timer.async_wait(yield);
+        cr_assert(done);
+        cr_assert_eq(limit->open().value(), 0);
+        cr_assert_eq(textOf(fixture.call("third", yield, limit)), "200");
+    });
+}
+
+// Guards against a failed connection that is reported as if the request could have run, and against writes after mayWrite refused.
+Test(ConnectionPool, nothingWrittenIsReportedTruthfully)
+{
+    Fixture fixture;
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        const CallResult unreachable = fixture.pool.call("127.0.0.1:1", nullptr, {"GET", "/"}, fixture.options(""), yield);
+        cr_assert_eq(textOf(unreachable), "connect-failed");
+        cr_assert_not(std::get<CallFailure>(unreachable).anyByteWritten);
+        CallOptions options = fixture.options("");
+        options.mayWrite = [] { return false; };
+        const CallResult refused = fixture.pool.call(fixture.upstream->address(), nullptr, {"GET", "/"}, options, yield);
+        cr_assert_eq(textOf(refused), "lease-expired");
+        cr_assert_not(std::get<CallFailure>(refused).anyByteWritten);
+    });
+    cr_assert_eq(fixture.upstream->counts().begun, 0);
+}
+
+// Guards against a cancelled call that goes on, and against its connection being reused.
+Test(ConnectionPool, cancellationClosesTheConnection)
+{
+    Fixture fixture;
+    cr_assert(fixture.upstream->control({{"mode", "late-answer"}, {"count", 1}, {"delayMs", 150}}).has_value());
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        Cancellation cancellation;
+        asio::steady_timer timer(fixture.context, std::chrono::milliseconds(50));
+        timer.async_wait([&](const boost::system::error_code &) { cancellation.request(); });
+        CallOptions options = fixture.options("first");
+        options.cancellation = &cancellation;
+        cr_assert_eq(textOf(fixture.pool.call(fixture.upstream->address(), nullptr, {"GET", "/"}, options, yield)), "cancelled");
+        cr_assert_eq(textOf(fixture.call("second", yield)), "200");
+    });
+    cr_assert_eq(fixture.pool.opened(), 2);
+}
--- /dev/null
+++ b/Tests/LibHttp/testhttpserver.cpp
@@ -0,0 +1,168 @@
+#include "coroutine.h"
+#include <LibHttp/endpoint.h>
+#include <LibHttp/httpserver.h>
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <nlohmann/json.hpp>
+
+using namespace Trefoil;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds s_shortTimeout {150};
+
+HttpServerSettings testSettings()
+{
+    HttpServerSettings settings;
+    settings.address = "127.0.0.1:0";
+    settings.bodyLimit = 1000;
+    settings.headerTimeout = s_shortTimeout;
+    settings.bodyTimeout = s_shortTimeout;
+    settings.idleTimeout = 2 * s_shortTimeout;
+    return settings;
+}
+
+HttpResponse echo(HttpRequest &request, CallerConnection &, const asio::yield_context &)
+{
+    HttpResponse response;
+    response.body = request.method + " " + request.target + " " + request.body;
+    return response;
+}
+
+asio::ip::tcp::socket connectTo(asio::io_context &context, const HttpServer &server, const asio::yield_context &yield)
+{
+    asio::ip::tcp::socket socket(context);
+    socket.async_connect(parseEndpoint(server.address()).value(), yield);
+    return socket;
+}
+
+std::string readToEnd(asio::ip::tcp::socket &socket, const asio::yield_context &yield)
+{
+    std::string text;
+    boost::system::error_code error;
+    asio::async_read(socket, asio::dynamic_buffer(text), yield[error]);
+    return text;
+}
+
+struct BadInputCase
+{
+    char start[96];
+    /// Letters added after start, to exceed limits.
+    int filler;
+    char end[32];
+    int status;
+    char field[24];
+};
+
+} // namespace
+
+// Guards against bad input that is accepted, that ends without an answer, or whose answer doesn't name the field.
+ParameterizedTestParameters(HttpServer, badInput)
+{
+    static BadInputCase cases[] = {
+        {"GET / HTTP/1.1\r\nHost: a\r\nX: ", 17000, "\r\n\r\n", 431, "header"},
+        {"GET /", 17000, " HTTP/1.1\r\n\r\n", 431, "header"},
+        {"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n", 1001, "", 413, "body"},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n400\r\n", 1024, "\r\n0\r\n\r\n", 413, "body"},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", 0, "", 400, "Transfer-Encoding"},
+        {"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 0, "", 400, "Content-Length"},
+        {"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 0, "", 400, "Content-Length"},
+        {"GET / HTTP/3.7\r\n\r\n", 0, "", 400, "version"},
+        {"G\x01T / HTTP/1.1\r\n\r\n", 0, "", 400, "method"},
+        {"GET / HTTP/1.1\r\nBad Name: 1\r\n\r\n", 0, "", 400, "header"},
+        {"GET / HTTP/1.1\r\nHo", 0, "", 408, "header"},
+        {"POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc", 0, "", 408, "body"},
+    };
+    return cr_make_param_array(BadInputCase, cases, std::size(cases));
+}
+
+ParameterizedTest(BadInputCase *testCase, HttpServer, badInput)
+{
+    asio::io_context context(1);
+    const auto server = std::move(HttpServer::create(context, testSettings(), echo).value());
+    std::string answer;
+    runCoroutine(context, [&](const asio::yield_context &yield) {
+        auto socket = connectTo(context, *server, yield);
+        const std::string input = testCase->start + std::string(static_cast<std::size_t>(testCase->filler), 'x') + testCase->end;
+        asio::async_write(socket, asio::buffer(input), yield);
+        answer = readToEnd(socket, yield);
+    });
+    const std::string expected = "HTTP/1.1 " + std::to_string(testCase->status);
+    cr_assert_eq(answer.substr(0, expected.size()), expected, "%s: got %s", testCase->start, answer.c_str());
+    const auto body = nlohmann::json::parse(answer.substr(answer.find("\r\n\r\n")), nullptr, false);
+    cr_assert(body.is_object(), "%s", answer.c_str());
+    cr_assert_eq(body.value("field", ""), testCase->field, "%s", answer.c_str());
+}
+
+// Guards against connections that never send anything and occupy the server forever.
+Test(HttpServer, idleConnectionIsClosed)
+{
+    asio::io_context context(1);
+    const auto server = std::move(HttpServer::create(context, testSettings(), echo).value());
+    runCoroutine(context, [&](const asio::yield_context &yield) {
+        auto socket = connectTo(context, *server, yield);
+        cr_assert_eq(readToEnd(socket, yield), "");
+    });
+    cr_assert_eq(server->openConnections(), 0);
+}
+
+// Guards against pipelined requests that are lost or answered out of order.
+Test(HttpServer, pipelinedRequestsAreAnsweredInOrder)
+{
+    asio::io_context context(1);
+    const auto server = std::move(HttpServer::create(context, testSettings(), echo).value());
+    std::string answer;
+    runCoroutine(context, [&](const asio::yield_context &yield) {
+        auto socket = connectTo(context, *server, yield);
+        asio::async_write(socket, asio::buffer(std::string_view("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\nConnection: close\r\n\r\n")), yield);
+        answer = readToEnd(socket, yield);
+    });
+    const auto first = answer.find("GET /1");
+    const auto second = answer.find("GET /2");
+    cr_assert(first != std::string::npos && second != std::string::npos && first < second, "%s", answer.c_str());
+}
+
+// Guards against more connections than the bound, which would use up the file descriptors.
+Test(HttpServer, connectionsAreBounded)
+{
+    asio::io_context context(1);
+    HttpServerSettings settings = testSettings();
+    settings.connectionLimit = 2;
+    const auto server = std::move(HttpServer::create(context, settings, echo).value());
+    runCoroutine(context, [&](const asio::yield_context &yield) {
+        auto first = connectTo(context, *server, yield);
+        auto second = connectTo(context, *server, yield);
+        auto third = connectTo(context, *server, yield);
+        readToEnd(third, yield);
+        cr_assert_eq(server->openConnections(), 2);
+    });
+}
+
+// Guards against work that goes on for a caller that has closed its connection.
+Test(HttpServer, callerThatLeavesIsNoticed)
+{
+    asio::io_context context(1);
+    bool noticed = false;
+    const auto server = std::move(HttpServer::create(context, testSettings(), [&](HttpRequest &, CallerConnection &caller, const asio::yield_context &yield) {
+        asio::steady_timer timer(context, std::chrono::seconds(10));
+        caller.cancellation().setHook([&timer] { timer.cancel(); });
+        boost::system::error_code error;
+        timer.async_wait(yield[error]);
+        noticed = caller.cancellation().isRequested();
+        context.stop();
+        return HttpResponse {};
+    }).value());
+    asio::spawn(context, [&](const asio::yield_context &yield) {
+        auto socket = connectTo(context, *server, yield);
+        asio::async_write(socket, asio::buffer(std::string_view("GET / HTTP/1.1\r\n\r\n")), yield);
+        asio::steady_timer timer(context, std::chrono::milliseconds(50));
+        timer.async_wait(yield);
+    });
+    context.run();
+    cr_assert(noticed);
+}
