--- a/Tests/StandIns/main.cpp
+++ b/Tests/StandIns/main.cpp
@@ -1,3 +1,4 @@
+#include <StandIns/platform.h>
 #include <StandIns/upstream.h>
 
 #include <cstdio>
@@ -13,6 +14,9 @@
 
 constexpr Subcommand s_subcommands[] = {
     {"upstream", Trefoil::runUpstreamStandIn},
+    {"table", Trefoil::runPlatformStandIn},
+    {"objects", Trefoil::runPlatformStandIn},
+    {"hostlist", Trefoil::runPlatformStandIn},
 };
 
 int printUsage()
