trefoilmountd: Add the request path, look-ups, relays and the planned stop

Cause: hosts have to answer look-ups, dispatch requests within their grants, relay what they cannot serve and end each request with exactly one true outcome. Change: the filters parse, classify, admit, claim, select, dispatch, check, record and respond as modules of the library TrefoilHost; one worker thread each with its own queue and connections; a routing assembler that derives selectors, shift windows, link budgets and look-up tables from what control loops publish; a planned stop. A slot stays reserved for abandoned work until the upstream confirms its cancellation or its deadline has passed. Conclusion: the control loops and the claim service are not attached to main.cpp yet; until then requests that must not repeat end as not-run.

--- /dev/null
+++ b/Services/trefoilmountd/admission.cpp
@@ -0,0 +1,241 @@
+#include <Services/trefoilmountd/admission.h>
+
+#include <random>
+#include <utility>
+
+namespace Trefoil {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Requests that one worker queues for one service.
+constexpr std::size_t s_queueCapacity = 512;
+/// While requests are queued, grants and deadlines are looked at this often; freed slots are signalled at once.
+constexpr std::chrono::milliseconds s_tick {2};
+/// Weight of the newest measurement in the mean service time.
+constexpr double s_serviceTimeGain = 0.1;
+
+SlotRefusal toSlotRefusal(DispatchRefusal refusal)
+{
+    switch (refusal) {
+    case DispatchRefusal::LeaseExpired:
+        return SlotRefusal::LeaseExpired;
+    case DispatchRefusal::RegionLimit:
+        return SlotRefusal::RegionLimit;
+    case DispatchRefusal::NoFreeSlot:
+        return SlotRefusal::NoFreeSlot;
+    case DispatchRefusal::ShiftCap:
+        return SlotRefusal::ShiftCap;
+    }
+    return SlotRefusal::NoFreeSlot;
+}
+
+} // namespace
+
+Admission::ServiceQueue::ServiceQueue()
+    : queue(s_queueCapacity)
+{
+}
+
+Admission::Admission(asio::io_context &context, HostState &state, SlotSignal &signal, std::size_t worker)
+    : m_context(context)
+    , m_state(state)
+    , m_signal(signal)
+    , m_worker(worker)
+    , m_generator(std::random_device {}())
+{
+    m_signal.attach(worker, context, [this] { pump(); });
+}
+
+NotRun Admission::toNotRun(SlotRefusal refusal)
+{
+    switch (refusal) {
+    case SlotRefusal::NoUpstream:
+        return {"no-upstream", "no upstream of the service may be used by this host"};
+    case SlotRefusal::LeaseExpired:
+        return {"lease-expired", "this host may not dispatch at present"};
+    case SlotRefusal::RegionLimit:
+        return {"no-slot", "the region limit is reached"};
+    case SlotRefusal::NoFreeSlot:
+        return {"no-slot", "no upstream slot became free in time"};
+    case SlotRefusal::ShiftCap:
+        return {"shift-cap", "the shift cap of the region is used up"};
+    }
+    return {"no-slot"};
+}
+
+SlotDecision Admission::reserve(const ClassifiedRequest &request)
+{
+    return m_state.routing.read([this, &request](const RoutingView &view) -> SlotDecision {
+        const auto *service = view.findService(request.parsed.service);
+        if (!service || !(*service)->gate) {
+            return SlotRefusal::NoUpstream;
+        }
+        auto decision = (*service)->gate->tryDispatch(request.moved, request.mayRepeat, m_state.lease, m_generator, BootClock::now());
+        if (const auto *refusal = std::get_if<DispatchRefusal>(&decision)) {
+            return toSlotRefusal(*refusal);
+        }
+        Dispatch &dispatch = std::get<Dispatch>(decision);
+        const UpstreamRoute &route = (*service)->routes.at(dispatch.selection.upstream->id());
+        return ReadyDispatch {std::move(dispatch), route};
+    });
+}
+
+SlotDecision Admission::tryNow(const ClassifiedRequest &request)
+{
+    const auto service = m_services.find(request.parsed.service);
+    if (service != m_services.end() && service->second.queue.size() > 0) {
+        return SlotRefusal::NoFreeSlot;
+    }
+    return reserve(request);
+}
+
+AdmissionResult Admission::waitForSlot(const ClassifiedRequest &request, Cancellation *cancellation, const asio::yield_context &yield)
+{
+    ServiceQueue &service = m_services[request.parsed.service];
+    const std::uint64_t ticket = ++m_lastTicket;
+    const QueuedWork work {ticket, request.parsed.tenant, request.tenantWeight, request.mayWait, request.deadline};
+    const PushResult pushed = service.queue.push(work, BootClock::now());
+    if (pushed.evicted) {
+        finish(service, pushed.evicted->ticket, NotRun {"queue-full", "the place in the queue went to another tenant", 429});
+    }
+    if (pushed.outcome == PushOutcome::Full) {
+        return NotRun {"queue-full", "the queue is full", 429};
+    }
+    if (pushed.outcome == PushOutcome::DeadlineTooClose) {
+        return NotRun {"deadline", "the deadline can't be met at the present service time"};
+    }
+    Waiter waiter(m_context, request);
+    service.waiters[ticket] = &waiter;
+    m_signal.setWaiting(m_worker, true);
+    startTicking();
+    pump();
+    if (!waiter.result && cancellation) {
+        cancellation->setHook([&service, &work, ticket] {
+            service.queue.cancel(work);
+            finish(service, ticket, NotRun {"cancelled", "the caller went away"});
+        });
+    }
+    if (!waiter.result) {
+        // The queue expires its work; this limit only guards against a waiter that the queue lost.
+        boost::system::error_code ignored;
+        waiter.timer.expires_after(request.deadline - BootClock::now() + std::chrono::seconds(1));
+        waiter.timer.async_wait(yield[ignored]);
+    }
+    if (cancellation) {
+        cancellation->setHook({});
+    }
+    service.waiters.erase(ticket);
+    m_signal.setWaiting(m_worker, waiting() > 0);
+    if (!waiter.result) {
+        service.queue.cancel(work);
+        return toNotRun(SlotRefusal::NoFreeSlot);
+    }
+    return std::move(*waiter.result);
+}
+
+void Admission::finish(ServiceQueue &service, std::uint64_t ticket, AdmissionResult result)
+{
+    const auto found = service.waiters.find(ticket);
+    if (found == service.waiters.end() || found->second->result) {
+        return;
+    }
+    found->second->result.emplace(std::move(result));
+    found->second->timer.cancel();
+}
+
+void Admission::slotFreed()
+{
+    if (waiting() > 0) {
+        pump();
+    }
+    m_signal.slotFreed(m_worker);
+}
+
+void Admission::pump()
+{
+    for (auto &[id, service] : m_services) {
+        if (!service.waiters.empty()) {
+            pumpService(service);
+        }
+    }
+}
+
+void Admission::pumpService(ServiceQueue &service)
+{
+    const BootTime now = BootClock::now();
+    for (const QueuedWork &work : service.queue.expire(now)) {
+        finish(service, work.ticket, toNotRun(SlotRefusal::NoFreeSlot));
+    }
+    // Moved requests that wait for the shift window must not hold up the others.
+    std::vector<QueuedWork> heldBack;
+    while (const auto work = service.queue.pop(now)) {
+        const auto found = service.waiters.find(work->ticket);
+        if (found == service.waiters.end()) {
+            continue;
+        }
+        SlotDecision decision = reserve(found->second->request);
+        if (auto *ready = std::get_if<ReadyDispatch>(&decision)) {
+            finish(service, work->ticket, std::move(*ready));
+            continue;
+        }
+        const SlotRefusal refusal = std::get<SlotRefusal>(decision);
+        if (refusal == SlotRefusal::ShiftCap) {
+            heldBack.push_back(*work);
+            continue;
+        }
+        if (refusal == SlotRefusal::NoUpstream || refusal == SlotRefusal::LeaseExpired) {
+            finish(service, work->ticket, toNotRun(refusal));
+            continue;
+        }
+        service.queue.putBack(*work);
+        break;
+    }
+    for (const QueuedWork &work : heldBack) {
+        const PushResult pushed = service.queue.push(work, now);
+        if (pushed.outcome != PushOutcome::Queued) {
+            finish(service, work.ticket, toNotRun(SlotRefusal::ShiftCap));
+        }
+        if (pushed.evicted) {
+            finish(service, pushed.evicted->ticket, NotRun {"queue-full", "the place in the queue went to another tenant", 429});
+        }
+    }
+}
+
+void Admission::startTicking()
+{
+    if (m_ticking) {
+        return;
+    }
+    m_ticking = true;
+    asio::spawn(m_context, [this](const asio::yield_context &yield) {
+        asio::steady_timer timer(m_context);
+        while (waiting() > 0) {
+            boost::system::error_code ignored;
+            timer.expires_after(s_tick);
+            timer.async_wait(yield[ignored]);
+            pump();
+        }
+        m_ticking = false;
+    });
+}
+
+std::size_t Admission::waiting() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, service] : m_services) {
+        count += service.waiters.size();
+    }
+    return count;
+}
+
+void Admission::recordServiceTime(const ServiceId &service, std::chrono::nanoseconds time)
+{
+    ServiceQueue &measured = m_services[service];
+    const auto newest = static_cast<double>(time.count());
+    measured.serviceTimeNanoseconds += (newest - measured.serviceTimeNanoseconds) * s_serviceTimeGain;
+    measured.queue.setServiceTime(std::chrono::nanoseconds(static_cast<std::int64_t>(measured.serviceTimeNanoseconds)));
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Services/trefoilmountd/claimaccess.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <Services/trefoilmountd/claimservice.h>
+
+#include <functional>
+#include <memory>
+
+namespace Trefoil {
+
+/// The claim operations as the request path uses them; see ClaimService for their contracts. Tests put their own here.
+/// Empty functions mean that the store is unavailable.
+struct ClaimAccess
+{
+    std::function<ClaimResult(const ClaimKey &key, BootTime deadline, const boost::asio::yield_context &yield)> claim;
+    std::function<ClaimResult(const ClaimKey &key, BootTime deadline, const boost::asio::yield_context &yield)> status;
+    std::function<void(const ClaimKey &key, const std::string &claimId, StoredResponse response)> recordResponse;
+    std::function<void(const ClaimKey &key, const std::string &claimId)> recordNotRun;
+};
+
+/// Access to a claim service, which must outlive it; without one the store counts as unavailable.
+ClaimAccess claimAccessTo(ClaimService *service);
+
+} // namespace Trefoil
--- /dev/null
+++ b/Services/trefoilmountd/requestpath.cpp
@@ -0,0 +1,420 @@
+#include <Services/trefoilmountd/requestpath.h>
+
+#include <Services/trefoilmountd/classifyrequest.h>
+#include <Services/trefoilmountd/forwarding.h>
+#include <Services/trefoilmountd/lookup.h>
+#include <Services/trefoilmountd/parserequest.h>
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
+#include <utility>
+
+namespace Trefoil {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Attempts of a repeatable request, the first one included.
+constexpr std::uint32_t s_attemptLimit = 3;
+/// How often selection is repeated to find an upstream that was not tried yet.
+constexpr std::size_t s_reselections = 4;
+/// Time in which the cancellation of abandoned work must be confirmed.
+constexpr std::chrono::milliseconds s_cancellationTimeout {500};
+/// A relayed request may be tried twice by the other host, each time up to the progress timeout.
+constexpr int s_relayedAttempts = 2;
+/// Longest wait for the table service in a key query.
+constexpr std::chrono::milliseconds s_keyQueryTimeout {2000};
+/// Size that a response is expected to have when a request is relayed, until it is known.
+constexpr std::int64_t s_expectedResponseBytes = 4096;
+/// Headers of a relayed request and its response, besides their bodies.
+constexpr std::int64_t s_headerBytes = 1024;
+
+/// Counts a request while it is handled.
+class InFlightScope
+{
+public:
+    explicit InFlightScope(std::atomic<std::int64_t> &count)
+        : m_count(count)
+    {
+        m_count.fetch_add(1);
+    }
+    ~InFlightScope()
+    {
+        m_count.fetch_sub(1);
+    }
+    InFlightScope(const InFlightScope &) = delete;
+    InFlightScope &operator=(const InFlightScope &) = delete;
+
+private:
+    std::atomic<std::int64_t> &m_count;
+};
+
+UpstreamOutcome outcomeForHealth(const CallResult &result)
+{
+    if (const auto *response = std::get_if<HttpResponse>(&result)) {
+        if (response->status == 503 && response->headers.value("Trefoil-Not-Started") == "1") {
+            return UpstreamOutcome::Shed;
+        }
+        return response->status >= 500 ? UpstreamOutcome::Error : UpstreamOutcome::Success;
+    }
+    switch (std::get<CallFailure>(result).kind) {
+    case CallFailureKind::NoConnection:
+    case CallFailureKind::WriteRefused:
+    case CallFailureKind::Cancelled:
+        return UpstreamOutcome::Cancelled;
+    case CallFailureKind::ConnectFailed:
+    case CallFailureKind::ConnectTimeout:
+        return UpstreamOutcome::ConnectFailed;
+    case CallFailureKind::Stalled:
+    case CallFailureKind::DeadlineExceeded:
+        return UpstreamOutcome::Timeout;
+    default:
+        return UpstreamOutcome::Error;
+    }
+}
+
+/// True when the upstream may go on working on a request whose response nobody reads any more.
+bool isAbandoned(const CallResult &result)
+{
+    const auto *failure = std::get_if<CallFailure>(&result);
+    return failure && failure->anyByteWritten;
+}
+
+bool isNotRun(const RequestEnd &end, std::string_view reason)
+{
+    const auto *notRun = std::get_if<NotRun>(&end);
+    return notRun && notRun->reason == reason;
+}
+
+NotRun cancelledEnd()
+{
+    return {"cancelled", "the caller went away"};
+}
+
+} // namespace
+
+RequestPath::RequestPath(asio::io_context &context, RequestPathSettings settings, RequestPathShared shared, std::size_t worker)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_shared(std::move(shared))
+    , m_worker(worker)
+    , m_pool(context, {m_settings.sourceAddress})
+    , m_admission(context, m_shared.state, m_shared.signal, worker)
+{
+}
+
+HttpResponse RequestPath::handle(HttpRequest &request, CallerConnection &caller, const asio::yield_context &yield)
+{
+    const InFlightScope scope(m_shared.inFlight);
+    ParsedInput input = parseRequest(request, caller.address());
+    if (auto *refusal = std::get_if<HttpResponse>(&input)) {
+        return refuseInput(std::move(*refusal));
+    }
+    if (const auto *lookup = std::get_if<LookupQuery>(&input)) {
+        const bool stopping = m_shared.state.stopping.load();
+        return m_shared.state.routing.read([&](const RoutingView &view) { return answerLookup(*lookup, view, m_settings.host, m_settings.region, stopping); });
+    }
+    if (const auto *query = std::get_if<KeyQuery>(&input)) {
+        return answerKeyQuery(m_shared.claims, *query, BootClock::now() + s_keyQueryTimeout, yield);
+    }
+    return serve(std::move(std::get<ParsedRequest>(input)), request, caller, yield);
+}
+
+HttpResponse RequestPath::serve(ParsedRequest parsed, const HttpRequest &original, CallerConnection &caller, const asio::yield_context &yield)
+{
+    const BootTime startedAt = BootClock::now();
+    if (!parsed.relayedBy.value().empty() && !isFromPeer(original.headers, m_settings.peerSecret)) {
+        return refuseInput(errorResponse(401, "unauthorized", "Authorization", "relayed requests need the secret of the hosts"));
+    }
+    ClassifiedInput classified =
+        m_shared.state.routing.read([&](const RoutingView &view) { return classifyRequest(std::move(parsed), view, m_settings.region, nextId(), startedAt); });
+    if (auto *refusal = std::get_if<HttpResponse>(&classified)) {
+        return refuseInput(std::move(*refusal));
+    }
+    Journey journey {original, std::move(std::get<ClassifiedRequest>(classified)), caller};
+    const auto series = m_shared.metrics.series(journey.request.parsed.tenant, journey.request.parsed.requestClass);
+    series->started();
+    RequestEnd end = run(journey, yield);
+    recordMetrics(journey, *series, end, startedAt);
+    return respond(std::move(end), journey.request.id);
+}
+
+RequestEnd RequestPath::run(Journey &journey, const asio::yield_context &yield)
+{
+    if (journey.request.mayRepeat) {
+        return runRepeatable(journey, yield);
+    }
+    return runOnce(journey, yield);
+}
+
+/// The host that dispatches takes the claim, so a request that must leave this host is relayed before.
+RequestEnd RequestPath::runOnce(Journey &journey, const asio::yield_context &yield)
+{
+    if (!journey.request.isRelayed() && mustRelay(journey)) {
+        if (auto target = relayTarget(journey, SlotRefusal::NoUpstream)) {
+            return relay(journey, std::move(*target), yield);
+        }
+        return Admission::toNotRun(SlotRefusal::NoUpstream);
+    }
+    auto claimed = takeClaim(m_shared.claims, journey.request, yield);
+    if (auto *end = std::get_if<RequestEnd>(&claimed)) {
+        return std::move(*end);
+    }
+    const HeldClaim &claim = std::get<HeldClaim>(claimed);
+    RequestEnd end = cancelledEnd();
+    if (!journey.caller.cancellation().isRequested()) {
+        AdmissionResult admitted = waitForSlot(journey, yield);
+        if (auto *ready = std::get_if<ReadyDispatch>(&admitted)) {
+            end = dispatch(journey, std::move(*ready), yield);
+        } else {
+            end = std::get<NotRun>(admitted);
+        }
+    }
+    recordClaim(m_shared.claims, claim, end);
+    return end;
+}
+
+/// True when no upstream of this region can serve the request through this host.
+bool RequestPath::mustRelay(const Journey &journey) const
+{
+    if (!m_shared.state.lease.isValid(BootClock::now())) {
+        return true;
+    }
+    return m_shared.state.routing.read([&journey](const RoutingView &view) {
+        const auto *service = view.findService(journey.request.parsed.service);
+        return !service || !(*service)->gate;
+    });
+}
+
+RequestEnd RequestPath::runRepeatable(Journey &journey, const asio::yield_context &yield)
+{
+    RequestEnd end = attempt(journey, yield);
+    std::optional<OutcomeUnknown> mayHaveRun;
+    while (!std::holds_alternative<Answered>(end)) {
+        if (const auto *unknown = std::get_if<OutcomeUnknown>(&end)) {
+            mayHaveRun = *unknown;
+        }
+        const bool isSent = !journey.triedUpstreams.empty() || !journey.triedHosts.empty();
+        const bool isOver =
+            !isSent || journey.attempts >= s_attemptLimit || journey.caller.cancellation().isRequested() || BootClock::now() >= journey.request.deadline;
+        if (isOver || !m_shared.retryBudget.tryTake(BootClock::now())) {
+            break;
+        }
+        const std::uint32_t before = journey.attempts;
+        end = attempt(journey, yield);
+        if (journey.attempts == before) {
+            // No other upstream had a slot.
+            break;
+        }
+    }
+    if (std::holds_alternative<Answered>(end)) {
+        m_shared.retryBudget.recordSuccess(BootClock::now());
+        return end;
+    }
+    // An attempt that may have run stays so, whatever became of the later ones.
+    if (mayHaveRun) {
+        return *mayHaveRun;
+    }
+    return end;
+}
+
+/// One attempt: on an upstream of this region, on another host, or after waiting for a slot.
+RequestEnd RequestPath::attempt(Journey &journey, const asio::yield_context &yield)
+{
+    SlotRefusal refusal = SlotRefusal::NoFreeSlot;
+    if (auto ready = selectUntried(journey, refusal)) {
+        return dispatch(journey, std::move(*ready), yield);
+    }
+    if (journey.request.isRelayed()) {
+        // The sending host has a queue of its own.
+        return Admission::toNotRun(refusal);
+    }
+    if (auto target = relayTarget(journey, refusal)) {
+        RequestEnd end = relay(journey, std::move(*target), yield);
+        const bool isFull = isNotRun(end, "no-slot") || isNotRun(end, "shift-cap") || isNotRun(end, "no-upstream");
+        if (!isFull) {
+            return end;
+        }
+    }
+    const bool mayQueue = refusal != SlotRefusal::NoUpstream && refusal != SlotRefusal::LeaseExpired && journey.triedUpstreams.empty();
+    if (!mayQueue) {
+        return Admission::toNotRun(refusal);
+    }
+    AdmissionResult admitted = waitForSlot(journey, yield);
+    if (auto *ready = std::get_if<ReadyDispatch>(&admitted)) {
+        return dispatch(journey, std::move(*ready), yield);
+    }
+    return std::get<NotRun>(admitted);
+}
+
+AdmissionResult RequestPath::waitForSlot(Journey &journey, const asio::yield_context &yield)
+{
+    SlotDecision decision = m_admission.tryNow(journey.request);
+    if (auto *ready = std::get_if<ReadyDispatch>(&decision)) {
+        return std::move(*ready);
+    }
+    if (journey.request.isRelayed()) {
+        return Admission::toNotRun(std::get<SlotRefusal>(decision));
+    }
+    const BootTime before = BootClock::now();
+    AdmissionResult result = m_admission.waitForSlot(journey.request, &journey.caller.cancellation(), yield);
+    journey.waiting += BootClock::now() - before;
+    return result;
+}
+
+/// A slot on an upstream that this request did not try yet. Slots on tried ones are held meanwhile, so that selection
+/// takes others, and go back unused.
+std::optional<ReadyDispatch> RequestPath::selectUntried(const Journey &journey, SlotRefusal &refusal)
+{
+    std::vector<ReadyDispatch> rejected;
+    std::optional<ReadyDispatch> chosen;
+    while (!chosen && rejected.size() < s_reselections) {
+        SlotDecision decision = m_admission.tryNow(journey.request);
+        if (const auto *refused = std::get_if<SlotRefusal>(&decision)) {
+            refusal = *refused;
+            break;
+        }
+        ReadyDispatch &ready = std::get<ReadyDispatch>(decision);
+        if (journey.triedUpstreams.count(ready.dispatch.selection.upstream->id()) > 0) {
+            rejected.push_back(std::move(ready));
+            continue;
+        }
+        chosen.emplace(std::move(ready));
+    }
+    const BootTime now = BootClock::now();
+    for (const auto &ready : rejected) {
+        ready.dispatch.selection.upstream->record(UpstreamOutcome::Cancelled, std::chrono::nanoseconds(0), now);
+    }
+    return chosen;
+}
+
+std::optional<RelayTarget> RequestPath::relayTarget(Journey &journey, SlotRefusal refusal) const
+{
+    if (journey.request.isRelayed() || m_settings.peerSecret.empty()) {
+        return std::nullopt;
+    }
+    // Another region may take what this one can't serve at all; a busy region keeps its requests, which then wait.
+    const bool sameRegionOnly = refusal == SlotRefusal::NoFreeSlot || refusal == SlotRefusal::RegionLimit;
+    const Bytes estimate(static_cast<std::int64_t>(journey.original.body.size()) + s_expectedResponseBytes + 2 * s_headerBytes);
+    return m_shared.state.routing.read([&](const RoutingView &view) {
+        return chooseRelayTarget(view, m_settings.host, m_settings.region, journey.triedHosts, sameRegionOnly, estimate, BootClock::now());
+    });
+}
+
+RequestEnd RequestPath::dispatch(Journey &journey, ReadyDispatch ready, const asio::yield_context &yield)
+{
+    const ClassifiedRequest &request = journey.request;
+    ++journey.attempts;
+    journey.triedUpstreams.insert(ready.dispatch.selection.upstream->id());
+    const BootTime startedAt = BootClock::now();
+    if (millisecondsLeft(request.deadline, startedAt) < 1) {
+        ready.dispatch.selection.upstream->record(UpstreamOutcome::Cancelled, std::chrono::nanoseconds(0), startedAt);
+        return NotRun {"deadline", "the deadline passed before the request was sent"};
+    }
+    CallOptions options;
+    options.deadline = request.deadline;
+    options.progressTimeout = request.progressTimeout;
+    options.requestId = request.id.value();
+    options.mayWrite = [this] { return m_shared.state.lease.isValid(BootClock::now()); };
+    // A request that must not repeat goes on after its caller left, so that its response is kept for a later attempt.
+    options.cancellation = request.mayRepeat ? &journey.caller.cancellation() : nullptr;
+    CallResult result = m_pool.call(ready.route.address, ready.route.connections, makeUpstreamRequest(request, journey.original, startedAt), options, yield);
+    recordUpstream(journey, ready, result, startedAt);
+    if (isAbandoned(result)) {
+        releaseAfterWork(journey, std::make_shared<ReadyDispatch>(std::move(ready)), request.mayRepeat);
+    } else {
+        // The slot goes back before the queue is served.
+        const ReadyDispatch released = std::move(ready);
+    }
+    m_admission.slotFreed();
+    return endOfCall(std::move(result));
+}
+
+void RequestPath::recordUpstream(const Journey &journey, ReadyDispatch &ready, const CallResult &result, BootTime startedAt)
+{
+    const BootTime now = BootClock::now();
+    const UpstreamOutcome outcome = outcomeForHealth(result);
+    ready.dispatch.selection.upstream->record(outcome, now - startedAt, now);
+    if (outcome == UpstreamOutcome::Success) {
+        m_admission.recordServiceTime(journey.request.parsed.service, now - startedAt);
+    }
+}
+
+/// An upstream may work on an abandoned request until its deadline. The slot stays reserved until the upstream confirms
+/// the cancellation or the deadline has passed; otherwise the upstream would get more work than it has slots.
+void RequestPath::releaseAfterWork(const Journey &journey, std::shared_ptr<ReadyDispatch> ready, bool cancel)
+{
+    asio::spawn(m_context,
+        [this, ready = std::move(ready), cancel, id = journey.request.id, deadline = journey.request.deadline](const asio::yield_context &yield) mutable {
+            bool hasEnded = false;
+            if (cancel) {
+                CallOptions options;
+                options.deadline = BootClock::now() + s_cancellationTimeout;
+                const CallResult result = m_pool.call(ready->route.address, ready->route.connections, {"DELETE", "/v1/work/" + id.value()}, options, yield);
+                const auto *response = std::get_if<HttpResponse>(&result);
+                hasEnded = response && (response->status < 300 || response->status == 404);
+            }
+            if (!hasEnded) {
+                boost::system::error_code ignored;
+                asio::steady_timer timer(m_context, deadline - BootClock::now());
+                timer.async_wait(yield[ignored]);
+            }
+            ready.reset();
+            m_admission.slotFreed();
+        });
+}
+
+RequestEnd RequestPath::relay(Journey &journey, RelayTarget target, const asio::yield_context &yield)
+{
+    const ClassifiedRequest &request = journey.request;
+    ++journey.attempts;
+    journey.triedHosts.insert(target.host);
+    const BootTime startedAt = BootClock::now();
+    if (millisecondsLeft(request.deadline, startedAt) < 1) {
+        return NotRun {"deadline", "the deadline passed before the request was relayed"};
+    }
+    CallOptions options;
+    options.deadline = request.deadline;
+    options.progressTimeout = s_relayedAttempts * request.progressTimeout;
+    options.requestId = request.id.value();
+    options.cancellation = request.mayRepeat ? &journey.caller.cancellation() : nullptr;
+    const HttpRequest relayed = makeRelayRequest(request, journey.original, m_settings.host, m_settings.peerSecret, startedAt);
+    CallResult result = m_pool.call(target.address, nullptr, relayed, options, yield);
+    if (target.link) {
+        const auto *response = std::get_if<HttpResponse>(&result);
+        const auto responseBytes = response ? static_cast<std::int64_t>(response->body.size()) : s_expectedResponseBytes;
+        target.link->settle(Bytes(static_cast<std::int64_t>(relayed.body.size()) + responseBytes + 2 * s_headerBytes), BootClock::now());
+    }
+    return endOfRelay(std::move(result));
+}
+
+void RequestPath::recordMetrics(const Journey &journey, RequestSeries &series, const RequestEnd &end, BootTime startedAt) const
+{
+    RequestMeasurement measurement;
+    measurement.latency = BootClock::now() - startedAt;
+    measurement.waiting = journey.waiting;
+    measurement.retries = journey.attempts > 1 ? journey.attempts - 1 : 0;
+    if (const auto *notRun = std::get_if<NotRun>(&end)) {
+        measurement.outcome = RequestOutcome::NotRun;
+        measurement.reason = notRun->reason;
+    }
+    if (const auto *unknown = std::get_if<OutcomeUnknown>(&end)) {
+        measurement.outcome = RequestOutcome::Unknown;
+        measurement.reason = unknown->reason;
+    }
+    series.finished(measurement);
+}
+
+RequestId RequestPath::nextId()
+{
+    return RequestId(fmt::format("{:x}-{:x}-{:x}", m_settings.incarnation.value(), m_worker, ++m_lastId));
+}
+
+void RequestPath::closeExpired()
+{
+    m_pool.closeExpired(BootClock::now());
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Services/trefoilmountd/requestpath.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <LibHttp/connectionpool.h>
+#include <LibHttp/httpserver.h>
+#include <LibSteering/retrybudget.h>
+#include <LibTelemetry/requestmetrics.h>
+#include <Services/trefoilmountd/admission.h>
+#include <Services/trefoilmountd/claim.h>
+#include <Services/trefoilmountd/relay.h>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace Trefoil {
+
+/// What the request path knows of its host.
+struct RequestPathSettings
+{
+    HostId host;
+    RegionId region;
+    Incarnation incarnation;
+    /// Shared by all hosts; empty refuses all relayed requests and relays none.
+    std::string peerSecret;
+    /// Local IP of connections to upstreams and hosts; empty leaves the choice to the system.
+    std::string sourceAddress;
+};
+
+/// Shared by the request paths of all workers.
+struct RequestPathShared
+{
+    HostState &state;
+    ClaimAccess claims;
+    SlotSignal &signal;
+    RetryBudget &retryBudget;
+    RequestMetrics &metrics;
+    /// Requests being handled, look-ups included.
+    std::atomic<std::int64_t> &inFlight;
+};
+
+/// The pipeline of one worker: parse, classify, admit, claim, select, dispatch, check, record, respond.
+/// Thread safety: the worker's thread, which holds a SnapshotReaderThread.
+class RequestPath
+{
+public:
+    /// Precondition: one thread runs context; everything in shared outlives the object.
+    RequestPath(boost::asio::io_context &context, RequestPathSettings settings, RequestPathShared shared, std::size_t worker);
+
+    /// Handles one request of a caller or of another host.
+    HttpResponse handle(HttpRequest &request, CallerConnection &caller, const boost::asio::yield_context &yield);
+
+    /// Closes upstream connections that were idle for too long.
+    void closeExpired();
+
+private:
+    /// One request on its way through the filters.
+    struct Journey
+    {
+        const HttpRequest &original;
+        ClassifiedRequest request;
+        CallerConnection &caller;
+        std::set<UpstreamId> triedUpstreams {};
+        std::set<HostId> triedHosts {};
+        std::chrono::nanoseconds waiting {0};
+        std::uint32_t attempts = 0;
+    };
+
+    HttpResponse serve(ParsedRequest parsed, const HttpRequest &original, CallerConnection &caller, const boost::asio::yield_context &yield);
+    RequestEnd run(Journey &journey, const boost::asio::yield_context &yield);
+    RequestEnd runOnce(Journey &journey, const boost::asio::yield_context &yield);
+    RequestEnd runRepeatable(Journey &journey, const boost::asio::yield_context &yield);
+    RequestEnd attempt(Journey &journey, const boost::asio::yield_context &yield);
+    AdmissionResult waitForSlot(Journey &journey, const boost::asio::yield_context &yield);
+    std::optional<ReadyDispatch> selectUntried(const Journey &journey, SlotRefusal &refusal);
+    std::optional<RelayTarget> relayTarget(Journey &journey, SlotRefusal refusal) const;
+    bool mustRelay(const Journey &journey) const;
+    RequestEnd dispatch(Journey &journey, ReadyDispatch ready, const boost::asio::yield_context &yield);
+    RequestEnd relay(Journey &journey, RelayTarget target, const boost::asio::yield_context &yield);
+    void recordUpstream(const Journey &journey, ReadyDispatch &ready, const CallResult &result, BootTime startedAt);
+    void releaseAfterWork(const Journey &journey, std::shared_ptr<ReadyDispatch> ready, bool cancel);
+    void recordMetrics(const Journey &journey, RequestSeries &series, const RequestEnd &end, BootTime startedAt) const;
+    RequestId nextId();
+
+    boost::asio::io_context &m_context;
+    RequestPathSettings m_settings;
+    RequestPathShared m_shared;
+    std::size_t m_worker;
+    ConnectionPool m_pool;
+    Admission m_admission;
+    std::uint64_t m_lastId = 0;
+};
+
+} // namespace Trefoil
--- /dev/null
+++ b/Services/trefoilmountd/worker.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <Services/trefoilmountd/requestpath.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <thread>
+
+namespace Trefoil {
+
+/// One worker thread: it accepts callers on the shared address and runs their requests.
+/// Thread safety: all methods are called from one thread other than the worker's.
+class Worker
+{
+public:
+    /// Binds the address. Precondition: everything in shared outlives the worker.
+    static Result<std::unique_ptr<Worker>> create(
+        const std::string &address, const RequestPathSettings &settings, const RequestPathShared &shared, std::size_t index);
+
+    /// Stops the thread at once; requests in flight are cut unless drain() came before.
+    ~Worker();
+    Worker(const Worker &) = delete;
+    Worker &operator=(const Worker &) = delete;
+
+    /// Starts the thread. Precondition: called once.
+    void start();
+
+    /// From now on responses end their connections.
+    void announceClose();
+
+    /// Closes the listening socket and idle connections.
+    void closeIdle();
+
+    std::size_t openConnections() const;
+
+    /// The listening IP:port.
+    std::string address() const;
+
+private:
+    Worker(const RequestPathSettings &settings, const RequestPathShared &shared, std::size_t index);
+    void run();
+
+    boost::asio::io_context m_context {1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    RequestPath m_path;
+    std::unique_ptr<HttpServer> m_server;
+    std::thread m_thread;
+};
+
+} // namespace Trefoil
--- /dev/null
+++ b/Tests/trefoilmountd/testsite.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <LibHttp/connectionpool.h>
+#include <Services/trefoilmountd/host.h>
+#include <StandIns/upstream.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Trefoil {
+
+/// Claims in memory, with the answers of the table service's claims.
+class MemoryClaims
+{
+public:
+    /// Precondition: this object outlives the access.
+    ClaimAccess access();
+
+private:
+    struct Row
+    {
+        bool running = true;
+        bool hasResponse = false;
+        StoredResponse response;
+    };
+
+    ClaimResult read(const std::string &key);
+
+    std::mutex m_mutex;
+    std::map<std::string, Row> m_rows;
+};
+
+/// Upstreams of one service that run in a thread of their own.
+class TestUpstreams
+{
+public:
+    TestUpstreams(std::size_t count, UpstreamStandInSettings settings);
+    ~TestUpstreams();
+    TestUpstreams(const TestUpstreams &) = delete;
+    TestUpstreams &operator=(const TestUpstreams &) = delete;
+
+    UpstreamStandIn &operator[](std::size_t index);
+    std::size_t size() const;
+    /// Requests that have begun, over all upstreams.
+    std::uint64_t begun() const;
+
+private:
+    boost::asio::io_context m_context {1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    std::vector<std::unique_ptr<UpstreamStandIn>> m_upstreams;
+    std::thread m_thread;
+};
+
+/// A configuration of regions gulf and plains with the service catalogue-svc in gulf, tenant museum and the classes
+/// browse (may repeat) and order (must not repeat).
+std::shared_ptr<const Configuration> testConfiguration(const std::vector<std::string> &upstreamAddresses, int slots);
+
+HostOptions testHostOptions(const std::string &id, const std::string &region);
+
+/// One host that serves in a thread of its own until it is stopped.
+class TestHost
+{
+public:
+    /// Without upstreams the host holds no grants and can only relay.
+    TestHost(HostOptions options, ClaimAccess claims, TestUpstreams *upstreams, int slots = 4);
+    ~TestHost();
+    TestHost(const TestHost &) = delete;
+    TestHost &operator=(const TestHost &) = delete;
+
+    Host &host();
+    std::string address() const;
+    /// Publishes the hosts that look-ups and relays see.
+    void setHosts(const std::vector<KnownHost> &hosts);
+    KnownHost known() const;
+    /// Waits for the end of a planned stop.
+    void join();
+
+private:
+    void publishConfiguration(TestUpstreams *upstreams, int slots);
+
+    HostOptions m_options;
+    std::unique_ptr<Host> m_host;
+    std::thread m_thread;
+};
+
+/// A caller with connections of its own. Thread safety: one thread at a time.
+class TestCaller
+{
+public:
+    CallResult call(const std::string &address, const HttpRequest &request, std::chrono::milliseconds timeout = std::chrono::seconds(5));
+
+private:
+    boost::asio::io_context m_context {1};
+    ConnectionPool m_pool {m_context, {}};
+};
+
+/// A request of tenant museum in the given class.
+HttpRequest testRequest(const std::string &requestClass, const std::string &key = {});
+
+/// "status outcome", or the kind of the failure.
+std::string summaryOf(const CallResult &result);
+
+} // namespace Trefoil
