--- a/Libraries/LibPeer/codec.cpp
+++ b/Libraries/LibPeer/codec.cpp
@@ -72,7 +72,8 @@
 {
     fields.shortText("operation", message.operation);
     fields.number("version", message.version);
-    fields.text("document", message.document);
+    fields.digest("digest", message.digest);
+    fields.text("commands", message.commands);
 }
 
 template<typename Fields, typename Message>
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -40,13 +40,16 @@
     bool confirmed = false;
 };
 
-/// Offers a candidate configuration before it is committed.
+/// Offers a candidate configuration before it is committed, as the commands that lead to it from the version before.
+/// Every host applies them itself; the digest shows that it got the same result. A document of the whole configuration
+/// for each change would exceed a host's 2 KB/s of control traffic.
 struct Prepare
 {
     std::string operation;
     ConfigurationVersion version;
-    /// Canonical JSON text of the configuration.
-    std::string document;
+    std::string digest;
+    /// Text in the command language.
+    std::string commands;
 };
 
 struct PrepareAck
--- a/Tests/LibPeer/testcodec.cpp
+++ b/Tests/LibPeer/testcodec.cpp
@@ -17,7 +17,7 @@
     return {Hello {HostId("gulf-a-1"), Incarnation(7), "secret"},
         Heartbeat {9, Incarnation(7), Epoch(3), ConfigurationVersion(12), SlotCount(4), true},
         HeartbeatAck {9, Epoch(3), ConfigurationVersion(12), true},
-        Prepare {"operation-1", ConfigurationVersion(13), R"({"version":13})"},
+        Prepare {"operation-1", ConfigurationVersion(13), s_digest, "drain zone gulf-a"},
         PrepareAck {"operation-1", ConfigurationVersion(13), false, "unsound"},
         Commit {ConfigurationVersion(13), s_digest, {HostId("gulf-a-2"), HostId("gulf-a-3")}},
         CommitAck {ConfigurationVersion(13)},
--- a/Tests/LibPeer/testpeernetwork.cpp
+++ b/Tests/LibPeer/testpeernetwork.cpp
@@ -300,9 +300,9 @@
         frozenContext.run_for(1ms);
         return frozen.received.size() == 1;
     }));
-    const std::string document(1U << 20U, 'x');
+    const std::string commands(1U << 20U, 'x');
     for (int i = 0; i < 100; ++i) {
-        host.network->send(frozen.id, Prepare {"operation", ConfigurationVersion(1), document});
+        host.network->send(frozen.id, Prepare {"operation", ConfigurationVersion(1), std::string(32, '0'), commands});
         context.run_for(1ms);
     }
     frozenContext.restart();
