--- a/Tests/Scenarios/process.cpp
+++ b/Tests/Scenarios/process.cpp
@@ -35,7 +35,7 @@
 
 Processes::~Processes()
 {
-    killAll();
+    endAll();
 }
 
 Result<pid_t> Processes::start(const ProcessStart &description)
@@ -121,7 +121,7 @@
     process.exitCode = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
-void Processes::killAll()
+void Processes::endAll()
 {
     for (auto &[name, process] : m_processes) {
         poll(process);
@@ -132,6 +132,7 @@
     for (auto &[name, process] : m_processes) {
         if (!process.exitCode) {
             waitpid(process.pid, nullptr, 0);
+            process.exitCode = 128 + SIGKILL;
         }
     }
 }
--- a/Tests/Scenarios/process.h
+++ b/Tests/Scenarios/process.h
@@ -43,6 +43,9 @@
 
     bool isRunning(const std::string &name);
 
+    /// Kills all processes that still run and waits for their end.
+    void endAll();
+
     /// Names of all processes that were started, ended or not.
     std::vector<std::string> names() const;
 
@@ -54,8 +57,6 @@
     };
 
     static void poll(Process &process);
-    void killAll();
-
     std::map<std::string, Process> m_processes;
 };
 
--- a/Tests/Scenarios/runner.cpp
+++ b/Tests/Scenarios/runner.cpp
@@ -138,6 +138,7 @@
     std::filesystem::create_directories(m_paths.folder, ignored);
     m_start = std::chrono::steady_clock::now();
     runLua(scenarioPath);
+    m_processes.endAll();
     if (!m_result.failures.empty()) {
         m_result.logs = tailOfLogs();
     }
