--- a/Services/trefoilmountd/host.cpp
+++ b/Services/trefoilmountd/host.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds s_drainPoll {5};
+/// Grants that can't be released, because the store is away, are reclaimed by other hosts.
+constexpr std::chrono::seconds s_stopConditionLimit {5};
 
 } // namespace
 
@@ -71,6 +73,16 @@
     return m_inFlight.load();
 }
 
+void Host::setClaims(ClaimAccess claims)
+{
+    m_claims = std::move(claims);
+}
+
+void Host::setStopCondition(std::function<bool()> condition)
+{
+    m_stopCondition = std::move(condition);
+}
+
 void Host::start()
 {
     for (const auto &worker : m_workers) {
@@ -104,6 +116,11 @@
         timer.expires_after(s_drainPoll);
         timer.async_wait(yield);
     }
+    const BootTime conditionLimit = BootClock::now() + s_stopConditionLimit;
+    while (m_stopCondition && !m_stopCondition() && BootClock::now() < conditionLimit) {
+        timer.expires_after(s_drainPoll);
+        timer.async_wait(yield);
+    }
     writeLog(LogLevel::Info, "stopped", {{"inFlight", inFlight()}});
     m_control.stop();
 }
--- a/Services/trefoilmountd/host.h
+++ b/Services/trefoilmountd/host.h
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -38,7 +39,7 @@
 {
 public:
     /// Binds the caller address with all workers. Precondition: threads is positive.
-    static Result<std::unique_ptr<Host>> create(HostOptions options, ClaimAccess claims);
+    static Result<std::unique_ptr<Host>> create(HostOptions options, ClaimAccess claims = {});
 
     ~Host();
     Host(const Host &) = delete;
@@ -59,6 +60,13 @@
     /// Requests in work, look-ups included. Precondition: none. Thread safety: safe from any thread.
     std::int64_t inFlight() const;
 
+    /// Replaces the access to claims. Precondition: called before start().
+    void setClaims(ClaimAccess claims);
+
+    /// Lets a planned stop wait, after the last request, until the condition holds, for at most 5 s.
+    /// Precondition: called before run(). The condition is called on the control thread.
+    void setStopCondition(std::function<bool()> condition);
+
     /// Starts to serve callers. Precondition: called once.
     void start();
 
@@ -82,6 +90,7 @@
     RequestMetrics m_metrics;
     std::atomic<std::int64_t> m_inFlight {0};
     ClaimAccess m_claims;
+    std::function<bool()> m_stopCondition;
     boost::asio::io_context m_control {1};
     std::vector<std::unique_ptr<Worker>> m_workers;
     std::atomic<bool> m_stopRequested {false};
--- a/Services/trefoilmountd/main.cpp
+++ b/Services/trefoilmountd/main.cpp
@@ -1,14 +1,14 @@
 #include <LibCore/snapshot.h>
 #include <LibSettings/hostsettings.h>
+#include <LibSettings/secretfile.h>
 #include <LibTelemetry/log.h>
+#include <Services/trefoilmountd/controlplane.h>
 #include <Services/trefoilmountd/host.h>
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
 #include <fmt/format.h>
-#include <fstream>
-#include <iterator>
 #include <random>
 
 namespace {
@@ -18,15 +18,22 @@
 constexpr int s_exitFailure = 1;
 constexpr int s_exitInvalidSettings = 2;
 
-/// The first line of a secret's file.
-Result<std::string> readSecret(const std::string &flag, const std::string &path)
+/// Reads both secrets; the findings of both are reported together.
+Result<HostSecrets> readSecrets(const HostSettings &settings)
 {
-    std::ifstream file(path);
-    std::string secret;
-    if (!std::getline(file, secret) || secret.empty()) {
-        return Error {ErrorCode::InvalidInput, "invalid settings", {{flag, "the file can't be read or its first line is empty", path}}};
+    auto admin = readSecretFile("--admin-secret-file", settings.adminSecretFile);
+    auto peer = readSecretFile("--peer-secret-file", settings.peerSecretFile);
+    Findings findings;
+    for (const auto *secret : {&admin, &peer}) {
+        if (secret->has_error()) {
+            const auto &more = secret->error().findings;
+            findings.insert(findings.end(), more.begin(), more.end());
+        }
+    }
+    if (!findings.empty()) {
+        return Error {ErrorCode::InvalidInput, "invalid settings", std::move(findings)};
     }
-    return secret;
+    return HostSecrets {admin.value(), peer.value()};
 }
 
 Incarnation drawIncarnation()
@@ -42,7 +49,7 @@
     return status;
 }
 
-int runHost(const HostSettings &settings, const std::string &peerSecret)
+int runHost(const HostSettings &settings, const HostSecrets &secrets)
 {
     const SnapshotReaderThread reader;
     HostOptions options;
@@ -52,20 +59,29 @@
     options.incarnation = drawIncarnation();
     options.callerAddress = settings.callerAddress;
     options.sourceAddress = settings.sourceAddress;
-    options.peerSecret = peerSecret;
+    options.peerSecret = secrets.peer;
     options.threads = settings.threads;
-    // FIXME: No claim service and no control loops are attached yet; requests that must not repeat end as not-run.
-    auto created = Host::create(options, {});
+    auto created = Host::create(options);
     if (created.has_error()) {
         return fail(created.error(), s_exitFailure);
     }
     Host &host = *created.value();
+    auto connected = ControlPlane::create(host, settings, secrets, options.incarnation);
+    if (connected.has_error()) {
+        return fail(connected.error(), s_exitFailure);
+    }
+    ControlPlane &controlPlane = *connected.value();
+    host.setClaims(claimAccessTo(&controlPlane.claims()));
+    host.setStopCondition([&controlPlane] { return controlPlane.hasLeft(); });
     boost::asio::signal_set signals(host.controlContext(), SIGTERM, SIGINT);
-    signals.async_wait([&host](const boost::system::error_code &error, int) {
-        if (!error) {
-            host.requestStop();
+    signals.async_wait([&host, &controlPlane](const boost::system::error_code &error, int) {
+        if (error) {
+            return;
         }
+        controlPlane.requestStop();
+        host.requestStop();
     });
+    controlPlane.start();
     host.start();
     host.run();
     return 0;
@@ -84,13 +100,13 @@
         return 0;
     }
     const HostSettings &settings = std::get<HostSettings>(parsed.value());
-    const auto peerSecret = readSecret("--peer-secret-file", settings.peerSecretFile);
-    if (peerSecret.has_error()) {
-        return fail(peerSecret.error(), s_exitInvalidSettings);
+    const auto secrets = readSecrets(settings);
+    if (secrets.has_error()) {
+        return fail(secrets.error(), s_exitInvalidSettings);
     }
     if (settings.checkOnly) {
         return 0;
     }
     configureLog(settings.logLevel, settings.host, settings.zone);
-    return runHost(settings, peerSecret.value());
+    return runHost(settings, secrets.value());
 }
--- a/Tests/trefoilmountd/adminfixture.h
+++ b/Tests/trefoilmountd/adminfixture.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <Services/trefoilmountd/adminserver.h>
 #include "configurationcluster.h"
+#include <Services/trefoilmountd/adminserver.h>
 
 namespace Trefoil {
 
