--- a/Tests/trefoilmountd/testconfigurationservice.cpp
+++ b/Tests/trefoilmountd/testconfigurationservice.cpp
@@ -103,6 +103,27 @@
     cr_assert(cluster.runUntil([&] { return done; }, 4000));
 }
 
+// Guards against a change that is reported as refused and takes effect later, when its delayed transaction arrives.
+Test(ConfigurationService, delayedCommitIsFenced)
+{
+    ConfigurationCluster cluster(1, "");
+    ConfigurationStore store(cluster.hosts[0]->table, cluster.hosts[0]->objects);
+    // No attempt of the transaction gets an answer; the fence does.
+    cluster.control(cluster.tableServer.address(), {{"mode", "frozen"}, {"only", "writes"}, {"count", 4}});
+    std::optional<HeadCommitResult> result;
+    boost::asio::spawn(cluster.context, [&](const boost::asio::yield_context &yield) {
+        const ConfigurationHead next {ConfigurationVersion(1), std::string(32, 'a'), "author", "operation-1"};
+        result = store.commit(ConfigurationHead {}, next, "{}", BootClock::now() + std::chrono::milliseconds(600), yield);
+    });
+    cr_assert(cluster.runUntil([&] { return result.has_value(); }, 5000));
+    cr_assert(std::holds_alternative<Unavailable>(*result), "alternative %zu", result->index());
+    const auto delayed = cluster.tableStore.transact({{"transaction", "t"},
+        {"conditions", {{{"key", "configuration/head"}, {"version", 0U}}}},
+        {"puts", {{{"key", "configuration/head"}, {"value", {{"version", 1U}, {"operation", "operation-1"}}}}}},
+        {"deletes", nlohmann::json::array()}});
+    cr_assert_eq(delayed.status, 409, "%s", delayed.body.c_str());
+}
+
 // Guards against a reader of old rows that reverts a host, or commits on top of an old version.
 Test(ConfigurationService, staleReader)
 {
