--- a/Services/trefoilmountd/adminqueries.cpp
+++ b/Services/trefoilmountd/adminqueries.cpp
@@ -1,4 +1,4 @@
-#include "adminqueries.h"
+#include <Services/trefoilmountd/adminqueries.h>
 
 #include <LibCommand/parser.h>
 #include <LibConfiguration/difference.h>
--- a/Services/trefoilmountd/adminqueries.h
+++ b/Services/trefoilmountd/adminqueries.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "hoststate.h"
+#include <Services/trefoilmountd/hoststate.h>
 
 #include <LibCommand/command.h>
 #include <LibCommand/whatif.h>
--- a/Services/trefoilmountd/adminserver.cpp
+++ b/Services/trefoilmountd/adminserver.cpp
@@ -1,4 +1,4 @@
-#include "adminserver.h"
+#include <Services/trefoilmountd/adminserver.h>
 
 #include <LibCommand/parser.h>
 #include <LibConfiguration/json.h>
--- a/Services/trefoilmountd/adminserver.h
+++ b/Services/trefoilmountd/adminserver.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "adminqueries.h"
-#include "configurationservice.h"
+#include <Services/trefoilmountd/adminqueries.h>
+#include <Services/trefoilmountd/configurationservice.h>
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
--- a/Services/trefoilmountd/configurationservice.cpp
+++ b/Services/trefoilmountd/configurationservice.cpp
@@ -1,6 +1,6 @@
-#include "configurationservice.h"
+#include <Services/trefoilmountd/configurationservice.h>
 
-#include "configurationstore.h"
+#include <Services/trefoilmountd/configurationstore.h>
 
 #include <LibCommand/apply.h>
 #include <LibCommand/parser.h>
--- a/Services/trefoilmountd/configurationservice.h
+++ b/Services/trefoilmountd/configurationservice.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "hoststate.h"
+#include <Services/trefoilmountd/hoststate.h>
 
 #include <LibConfiguration/difference.h>
 #include <LibCore/result.h>
--- a/Services/trefoilmountd/configurationstore.cpp
+++ b/Services/trefoilmountd/configurationstore.cpp
@@ -1,4 +1,4 @@
-#include "configurationstore.h"
+#include <Services/trefoilmountd/configurationstore.h>
 
 #include <LibConfiguration/digest.h>
 #include <LibConfiguration/json.h>
--- a/Tests/trefoilmountd/configurationcluster.h
+++ b/Tests/trefoilmountd/configurationcluster.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "configurationservice.h"
-#include "configurationstore.h"
+#include <Services/trefoilmountd/configurationservice.h>
+#include <Services/trefoilmountd/configurationstore.h>
 
 #include <LibPeer/codec.h>
 #include <StandIns/objectstore.h>
@@ -46,7 +46,7 @@
         }
 
         HostId id;
-        HostState state;
+        HostState state {HostId("host"), RegionId("gulf"), ZoneId("gulf-a")};
         TableClient table;
         ObjectClient objects;
         std::unique_ptr<ConfigurationService> service;
