--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -267,7 +267,7 @@
 
     CallResult call(const std::string &address,
         const std::shared_ptr<ConnectionLimit> &limit,
-        const HttpRequest &request,
+        HttpRequest request,
         const CallOptions &options,
         const asio::yield_context &yield)
     {
@@ -284,7 +284,7 @@
             giveBack(address, std::move(current));
             return CallFailure {CallFailureKind::DeadlineExceeded, false, "the deadline passed before the request was sent"};
         }
-        if (options.mayWrite && !options.mayWrite()) {
+        if (options.prepare && !options.prepare(request)) {
             giveBack(address, std::move(current));
             return CallFailure {CallFailureKind::WriteRefused, false, "the request may no longer be sent"};
         }
@@ -439,11 +439,11 @@
 
 CallResult ConnectionPool::call(const std::string &address,
     const std::shared_ptr<ConnectionLimit> &limit,
-    const HttpRequest &request,
+    HttpRequest request,
     const CallOptions &options,
     const asio::yield_context &yield)
 {
-    return m_implementation->call(address, limit, request, options, yield);
+    return m_implementation->call(address, limit, std::move(request), options, yield);
 }
 
 void ConnectionPool::closeExpired(BootTime now)
--- a/Libraries/LibHttp/connectionpool.h
+++ b/Libraries/LibHttp/connectionpool.h
@@ -36,7 +36,7 @@
     Malformed,
     TooLarge,
     Cancelled,
-    /// CallOptions::mayWrite refused.
+    /// CallOptions::prepare refused.
     WriteRefused,
 };
 
@@ -64,8 +64,9 @@
     std::size_t responseLimit = std::size_t {16} * 1024 * 1024;
     /// Ends the call early; may be null.
     Cancellation *cancellation = nullptr;
-    /// Asked directly before the first byte is written, after every wait; an empty function allows it.
-    std::function<bool()> mayWrite {};
+    /// Called directly before the first byte is written, after every wait, to complete the request, for example with the
+    /// time left; false refuses to send it. May be empty.
+    std::function<bool(HttpRequest &request)> prepare {};
 };
 
 struct ConnectionPoolSettings
@@ -94,7 +95,7 @@
     /// Preconditions: address is a valid IP:port; the pool and all arguments outlive the call. limit may be null.
     CallResult call(const std::string &address,
         const std::shared_ptr<ConnectionLimit> &limit,
-        const HttpRequest &request,
+        HttpRequest request,
         const CallOptions &options,
         const boost::asio::yield_context &yield);
 
--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -32,6 +32,11 @@
 constexpr std::size_t s_lingerLimit = std::size_t {4} * 1024 * 1024;
 constexpr std::size_t s_readSize = 4096;
 
+/// For a connection above the bound.
+constexpr std::string_view s_tooManyConnections = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nConnection: close\r\n"
+                                                  "Trefoil-Outcome: not-run\r\nContent-Length: 98\r\n\r\n"
+                                                  R"({"error":"too-many-connections","field":"connection","message":"this host has no connection left"})";
+
 struct ConnectionEnded
 {
 };
@@ -449,7 +454,12 @@
 void HttpServer::State::serve(tcp::socket socket)
 {
     if (m_open.load() >= m_settings.connectionLimit) {
-        // FIXME: The caller sees a closed connection and gets no JSON error.
+        // The socket's send buffer is empty, so the write neither waits nor is partial. A caller that has sent its
+        // request already may see a reset instead.
+        boost::system::error_code ignored;
+        socket.non_blocking(true, ignored);
+        socket.write_some(asio::buffer(s_tooManyConnections), ignored);
+        socket.shutdown(tcp::socket::shutdown_send, ignored);
         return;
     }
     auto connection = std::make_shared<Connection>(shared_from_this(), std::move(socket));
--- a/Services/trefoilmountd/forwarding.cpp
+++ b/Services/trefoilmountd/forwarding.cpp
@@ -73,9 +73,10 @@
     }
 }
 
-std::int64_t millisecondsLeft(BootTime deadline, BootTime now)
+void addDeadline(HttpRequest &request, BootTime deadline, BootTime now)
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count();
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
+    request.headers.add("Trefoil-Deadline-Ms", fmt::to_string(std::max<std::int64_t>(left.count(), 1)));
 }
 
 std::string reasonOf(CallFailureKind kind)
@@ -95,12 +96,11 @@
     }
 }
 
-HttpRequest makeUpstreamRequest(const ClassifiedRequest &request, const HttpRequest &original, BootTime now)
+HttpRequest makeUpstreamRequest(const ClassifiedRequest &request, const HttpRequest &original)
 {
     HttpRequest upstream {request.parsed.method, request.parsed.upstreamTarget, {}, original.body};
     copyEndToEndHeaders(original.headers, upstream.headers);
     upstream.headers.add("Trefoil-Request-Id", request.id.value());
-    upstream.headers.add("Trefoil-Deadline-Ms", fmt::to_string(millisecondsLeft(request.deadline, now)));
     if (!request.parsed.key.value().empty()) {
         upstream.headers.add("Idempotency-Key", request.parsed.key.value());
     }
--- a/Services/trefoilmountd/forwarding.h
+++ b/Services/trefoilmountd/forwarding.h
@@ -11,14 +11,14 @@
 /// system, nor its own `Trefoil-` headers. Precondition: none. Thread safety: safe from any thread.
 void copyEndToEndHeaders(const HttpHeaders &from, HttpHeaders &to);
 
-/// Whole milliseconds until the deadline, rounded down. Precondition: none. Thread safety: safe from any thread.
-std::int64_t millisecondsLeft(BootTime deadline, BootTime now);
+/// Adds the time left in whole milliseconds, rounded down but at least 1. Precondition: the request has no such header. Thread safety: safe from any thread.
+void addDeadline(HttpRequest &request, BootTime deadline, BootTime now);
 
 /// The reason in metrics and responses for a failed call. Precondition: none. Thread safety: safe from any thread.
 std::string reasonOf(CallFailureKind kind);
 
-/// The request as it is sent to an upstream. Precondition: time is left. Thread safety: safe from any thread.
-HttpRequest makeUpstreamRequest(const ClassifiedRequest &request, const HttpRequest &original, BootTime now);
+/// The request as it is sent to an upstream, still without the time left. Precondition: none. Thread safety: safe from any thread.
+HttpRequest makeUpstreamRequest(const ClassifiedRequest &request, const HttpRequest &original);
 
 /// The check filter: what a call to an upstream means for the request. Precondition: none. Thread safety: safe from any thread.
 RequestEnd endOfCall(CallResult result);
--- a/Services/trefoilmountd/relay.cpp
+++ b/Services/trefoilmountd/relay.cpp
@@ -67,7 +67,7 @@
     return std::nullopt;
 }
 
-HttpRequest makeRelayRequest(const ClassifiedRequest &request, const HttpRequest &original, const HostId &ownHost, const std::string &secret, BootTime now)
+HttpRequest makeRelayRequest(const ClassifiedRequest &request, const HttpRequest &original, const HostId &ownHost, const std::string &secret)
 {
     const ParsedRequest &parsed = request.parsed;
     HttpRequest relayed {parsed.method, fmt::format("/v1/requests/{}{}", parsed.service.value(), parsed.upstreamTarget), {}, original.body};
@@ -80,7 +80,6 @@
         "Trefoil-Client", fmt::format("{}.{}.{}.{}", parsed.client >> 24U, (parsed.client >> 16U) & 255U, (parsed.client >> 8U) & 255U, parsed.client & 255U));
     relayed.headers.add("Trefoil-Tenant", parsed.tenant.value());
     relayed.headers.add("Trefoil-Class", parsed.requestClass.value());
-    relayed.headers.add("Trefoil-Deadline-Ms", fmt::to_string(millisecondsLeft(request.deadline, now)));
     relayed.headers.add("Trefoil-May-Wait", request.mayWait ? "yes" : "no");
     relayed.headers.add("Trefoil-Repeat", request.mayRepeat ? "safe" : "never");
     if (!parsed.key.value().empty()) {
--- a/Services/trefoilmountd/relay.h
+++ b/Services/trefoilmountd/relay.h
@@ -30,8 +30,8 @@
     Bytes estimate,
     BootTime now);
 
-/// The request as it is sent to another host. Precondition: time is left. Thread safety: safe from any thread.
-HttpRequest makeRelayRequest(const ClassifiedRequest &request, const HttpRequest &original, const HostId &ownHost, const std::string &secret, BootTime now);
+/// The request as it is sent to another host, still without the time left. Precondition: none. Thread safety: safe from any thread.
+HttpRequest makeRelayRequest(const ClassifiedRequest &request, const HttpRequest &original, const HostId &ownHost, const std::string &secret);
 
 /// How a relayed request ended. Precondition: none. Thread safety: safe from any thread.
 RequestEnd endOfRelay(CallResult result);
--- a/Services/trefoilmountd/requestpath.cpp
+++ b/Services/trefoilmountd/requestpath.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t s_reselections = 4;
 /// Time in which the cancellation of abandoned work must be confirmed.
 constexpr std::chrono::milliseconds s_cancellationTimeout {500};
+/// An upstream learns the time left, not the time; its clock for a request starts later by the way there.
+constexpr std::chrono::milliseconds s_deadlineAllowance {50};
 /// A relayed request may be tried twice by the other host, each time up to the progress timeout.
 constexpr int s_relayedAttempts = 2;
 /// Longest wait for the table service in a key query.
@@ -309,18 +311,18 @@
     ++journey.attempts;
     journey.triedUpstreams.insert(ready.dispatch.selection.upstream->id());
     const BootTime startedAt = BootClock::now();
-    if (millisecondsLeft(request.deadline, startedAt) < 1) {
-        ready.dispatch.selection.upstream->record(UpstreamOutcome::Cancelled, std::chrono::nanoseconds(0), startedAt);
-        return NotRun {"deadline", "the deadline passed before the request was sent"};
-    }
     CallOptions options;
     options.deadline = request.deadline;
     options.progressTimeout = request.progressTimeout;
     options.requestId = request.id.value();
-    options.mayWrite = [this] { return m_shared.state.lease.isValid(BootClock::now()); };
+    options.prepare = [this, &request](HttpRequest &upstreamRequest) {
+        const BootTime now = BootClock::now();
+        addDeadline(upstreamRequest, request.deadline, now);
+        return m_shared.state.lease.isValid(now);
+    };
     // A request that must not repeat goes on after its caller left, so that its response is kept for a later attempt.
     options.cancellation = request.mayRepeat ? &journey.caller.cancellation() : nullptr;
-    CallResult result = m_pool.call(ready.route.address, ready.route.connections, makeUpstreamRequest(request, journey.original, startedAt), options, yield);
+    CallResult result = m_pool.call(ready.route.address, ready.route.connections, makeUpstreamRequest(request, journey.original), options, yield);
     recordUpstream(journey, ready, result, startedAt);
     if (isAbandoned(result)) {
         releaseAfterWork(journey, std::make_shared<ReadyDispatch>(std::move(ready)), request.mayRepeat);
@@ -358,7 +360,7 @@
             }
             if (!hasEnded) {
                 boost::system::error_code ignored;
-                asio::steady_timer timer(m_context, deadline - BootClock::now());
+                asio::steady_timer timer(m_context, deadline + s_deadlineAllowance - BootClock::now());
                 timer.async_wait(yield[ignored]);
             }
             ready.reset();
@@ -371,16 +373,16 @@
     const ClassifiedRequest &request = journey.request;
     ++journey.attempts;
     journey.triedHosts.insert(target.host);
-    const BootTime startedAt = BootClock::now();
-    if (millisecondsLeft(request.deadline, startedAt) < 1) {
-        return NotRun {"deadline", "the deadline passed before the request was relayed"};
-    }
     CallOptions options;
     options.deadline = request.deadline;
     options.progressTimeout = s_relayedAttempts * request.progressTimeout;
     options.requestId = request.id.value();
+    options.prepare = [&request](HttpRequest &relayedRequest) {
+        addDeadline(relayedRequest, request.deadline, BootClock::now());
+        return true;
+    };
     options.cancellation = request.mayRepeat ? &journey.caller.cancellation() : nullptr;
-    const HttpRequest relayed = makeRelayRequest(request, journey.original, m_settings.host, m_settings.peerSecret, startedAt);
+    const HttpRequest relayed = makeRelayRequest(request, journey.original, m_settings.host, m_settings.peerSecret);
     CallResult result = m_pool.call(target.address, nullptr, relayed, options, yield);
     if (target.link) {
         const auto *response = std::get_if<HttpResponse>(&result);
--- a/Tests/LibHttp/testconnectionpool.cpp
+++ b/Tests/LibHttp/testconnectionpool.cpp
@@ -151,7 +151,7 @@
     });
 }
 
-// Guards against a failed connection that is reported as if the request could have run, and against writes after mayWrite refused.
+// Guards against a failed connection that is reported as if the request could have run, and against writes after the last check refused.
 Test(ConnectionPool, nothingWrittenIsReportedTruthfully)
 {
     Fixture fixture;
@@ -160,7 +160,7 @@
         cr_assert_eq(textOf(unreachable), "connect-failed");
         cr_assert_not(std::get<CallFailure>(unreachable).anyByteWritten);
         CallOptions options = fixture.options("");
-        options.mayWrite = [] { return false; };
+        options.prepare = [](HttpRequest &) { return false; };
         const CallResult refused = fixture.pool.call(fixture.upstream->address(), nullptr, {"GET", "/"}, options, yield);
         cr_assert_eq(textOf(refused), "lease-expired");
         cr_assert_not(std::get<CallFailure>(refused).anyByteWritten);
@@ -168,6 +168,21 @@
     cr_assert_eq(fixture.upstream->counts().begun, 0);
 }
 
+// Guards against a deadline that is sent as it was before the wait for a connection.
+Test(ConnectionPool, requestIsCompletedAfterTheWait)
+{
+    Fixture fixture;
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        CallOptions options = fixture.options("");
+        options.prepare = [&fixture](HttpRequest &request) {
+            request.headers.add("Trefoil-Deadline-Ms", std::to_string(100 + fixture.pool.opened()));
+            return true;
+        };
+        const CallResult result = fixture.pool.call(fixture.upstream->address(), nullptr, {"GET", "/"}, options, yield);
+        cr_assert(std::get<HttpResponse>(result).body.find(R"("deadlineMs":"101")") != std::string::npos);
+    });
+}
+
 // Guards against a cancelled call that goes on, and against its connection being reused.
 Test(ConnectionPool, cancellationClosesTheConnection)
 {
--- a/Tests/LibHttp/testhttpserver.cpp
+++ b/Tests/LibHttp/testhttpserver.cpp
@@ -138,7 +138,8 @@
         auto first = connectTo(context, *server, yield);
         auto second = connectTo(context, *server, yield);
         auto third = connectTo(context, *server, yield);
-        readToEnd(third, yield);
+        const std::string answer = readToEnd(third, yield);
+        cr_assert_eq(answer.substr(0, 12), "HTTP/1.1 503", "%s", answer.c_str());
         cr_assert_eq(server->openConnections(), 2);
     });
 }
