--- a/Tests/Scenarios/deployment.lua
+++ b/Tests/Scenarios/deployment.lua
@@ -313,12 +313,21 @@
     return reply
 end
 
+-- A declared class whose requests may repeat.
+local function repeatable_class()
+    for class, properties in pairs(deployed.options.classes) do
+        if properties:find("may-repeat yes", 1, true) then
+            return class
+        end
+    end
+end
+
 -- One probe from each region's callers, until all are answered.
 function wait_until_ready(names)
     for _, name in ipairs(names) do
         local last
         require_that(eventually(READY_LIMIT, function()
-            last = request({ host = name })
+            last = request({ host = name, class = repeatable_class() })
             return last.headers and last.headers["trefoil-outcome"] == "answered"
         end), "%s does not dispatch: %s", name, last and (last.text .. (last.error or "")))
     end
