LibSteering: Release relays that ended from the free slots of their target

Cause: a target's free slots were counted down by every relay until the next heartbeat, although a slot serves many requests in the 500 ms between two. Change: relays are counted while they are open (RelayCounter, ReportedSlots). RelayTargets chooses a host of the own region in the same way, in proportion to free slots, which are best reported as a mean. Conclusion: the count at one instant is too coarse a report; the heartbeat should carry a mean.

--- a/Libraries/LibSteering/regionselector.cpp
+++ b/Libraries/LibSteering/regionselector.cpp
@@ -35,13 +35,13 @@
     };
     std::stable_sort(others.begin(), others.end(), before);
     for (auto &other : others) {
-        assert(other.link);
-        m_others.push_back(std::make_unique<Candidate>());
-        m_others.back()->region = std::move(other);
+        assert(other.link && other.relays);
+        const ReportedSlots slots(other.freeSlots.value(), other.relays);
+        m_others.push_back(Candidate {std::move(other), slots});
     }
 }
 
-RegionDecision RegionSelector::decide(const RegionQuestion &question, BootTime now)
+RegionDecision RegionSelector::decide(const RegionQuestion &question, BootTime now) const
 {
     const ServeHere here {question.home != m_own.id};
     if (!m_own.open && question.relayed) {
@@ -69,11 +69,11 @@
     return NoRegion {m_own.open ? NoRegion::Reason::OwnRegionFull : NoRegion::Reason::OwnRegionClosed};
 }
 
-std::optional<RelayToRegion> RegionSelector::tryRelay(const RegionQuestion &question, double usedBelow, bool &linkWasFull, BootTime now)
+std::optional<RelayToRegion> RegionSelector::tryRelay(const RegionQuestion &question, double usedBelow, bool &linkWasFull, BootTime now) const
 {
     for (const auto &candidate : m_others) {
-        const RegionCandidate &region = candidate->region;
-        const std::int32_t free = freeSlots(*candidate);
+        const RegionCandidate &region = candidate.region;
+        const std::int32_t free = candidate.slots.free();
         if (!region.open || free <= 0 || usedShare(SlotCount(free), region.slots) >= usedBelow) {
             continue;
         }
@@ -86,15 +86,9 @@
             linkWasFull = true;
             continue;
         }
-        candidate->relayed.fetch_add(1, std::memory_order_relaxed);
-        return RelayToRegion {region.id, std::move(*link)};
+        return RelayToRegion {region.id, std::move(*link), candidate.slots.begin()};
     }
     return std::nullopt;
 }
 
-std::int32_t RegionSelector::freeSlots(const Candidate &candidate)
-{
-    return candidate.region.freeSlots.value() - candidate.relayed.load(std::memory_order_relaxed);
-}
-
 } // namespace Trefoil
--- a/Libraries/LibSteering/regionselector.h
+++ b/Libraries/LibSteering/regionselector.h
@@ -2,8 +2,8 @@
 
 #include <LibConfiguration/configuration.h>
 #include <LibSteering/linkbudget.h>
+#include <LibSteering/relaycounter.h>
 
-#include <atomic>
 #include <cstddef>
 #include <memory>
 #include <optional>
@@ -24,6 +24,8 @@
     SlotCount slots;
     /// Budget of the link towards the region and back.
     std::shared_ptr<LinkBudget> link;
+    /// This host's open relays of the service to the region.
+    std::shared_ptr<RelayCounter> relays;
 };
 
 /// This region as this host sees it.
@@ -61,6 +63,8 @@
 {
     RegionId region;
     LinkReservation link;
+    /// Held until the relay has ended.
+    RelayPlace place;
 };
 
 /// No region has a place now; the request waits in the queue or ends as not-run.
@@ -80,29 +84,27 @@
 class RegionSelector
 {
 public:
-    /// Precondition: each candidate has a link.
+    /// Precondition: each candidate has a link and a counter, and its report has just arrived.
     RegionSelector(Objective objective, OwnRegion own, std::vector<RegionCandidate> others);
 
     /// The own region while it has a slot; with the objective Headroom, a clearly emptier region already before that. Otherwise the nearest
     /// region (Latency) or the emptiest one (Headroom) that is open, has free slots and a link budget for the estimate. With the objective
     /// Latency a request stays when its wait is known to be shorter than the way to the other region and back.
     /// Precondition: the estimate is positive. Thread safety: safe from any thread; lock-free.
-    RegionDecision decide(const RegionQuestion &question, BootTime now);
+    RegionDecision decide(const RegionQuestion &question, BootTime now) const;
 
 private:
     struct Candidate
     {
         RegionCandidate region;
-        /// Relays since the last heartbeat round, which its free slots do not show yet.
-        std::atomic<std::int32_t> relayed {0};
+        ReportedSlots slots;
     };
 
-    std::optional<RelayToRegion> tryRelay(const RegionQuestion &question, double usedBelow, bool &linkWasFull, BootTime now);
-    static std::int32_t freeSlots(const Candidate &candidate);
+    std::optional<RelayToRegion> tryRelay(const RegionQuestion &question, double usedBelow, bool &linkWasFull, BootTime now) const;
 
     Objective m_objective;
     OwnRegion m_own;
-    std::vector<std::unique_ptr<Candidate>> m_others;
+    std::vector<Candidate> m_others;
 };
 
 } // namespace Trefoil
--- a/Tests/Bench/benchsteering.cpp
+++ b/Tests/Bench/benchsteering.cpp
@@ -74,7 +74,13 @@
     link->setGranted(KilobitsPerSecond(280'000), s_start);
     std::vector<RegionCandidate> others;
     for (int i = 1; i < 9; ++i) {
-        others.push_back({RegionId("region" + std::to_string(i)), std::chrono::milliseconds(10 * i), true, SlotCount(10), SlotCount(100), link});
+        others.push_back({RegionId("region" + std::to_string(i)),
+            std::chrono::milliseconds(10 * i),
+            true,
+            SlotCount(10),
+            SlotCount(100),
+            link,
+            std::make_shared<RelayCounter>()});
     }
     RegionSelector regions(Objective::Headroom, {RegionId("region0"), true, SlotCount(60), SlotCount(100)}, std::move(others));
     LeaseGuard lease;
--- a/Tests/LibSteering/testregions.cpp
+++ b/Tests/LibSteering/testregions.cpp
@@ -1,6 +1,8 @@
 #include <LibSteering/dispatchgate.h>
 #include <LibSteering/regionselector.h>
+#include <LibSteering/relaytargets.h>
 
+#include <array>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <list>
@@ -104,26 +106,64 @@
     const auto link = LinkBudget::create();
     link->setGranted(KilobitsPerSecond(param->linkKilobits), s_start);
     std::vector<RegionCandidate> others;
-    others.push_back({RegionId("far"), 30ms, true, SlotCount(param->farFree), SlotCount(10), link});
-    others.push_back({RegionId("near"), 10ms, true, SlotCount(param->nearFree), SlotCount(10), link});
-    others.push_back({RegionId("lost"), 1ms, false, SlotCount(10), SlotCount(10), link});
+    others.push_back({RegionId("far"), 30ms, true, SlotCount(param->farFree), SlotCount(10), link, std::make_shared<RelayCounter>()});
+    others.push_back({RegionId("near"), 10ms, true, SlotCount(param->nearFree), SlotCount(10), link, std::make_shared<RelayCounter>()});
+    others.push_back({RegionId("lost"), 1ms, false, SlotCount(10), SlotCount(10), link, std::make_shared<RelayCounter>()});
     RegionSelector selector(param->objective, {RegionId("own"), param->ownOpen, SlotCount(param->ownFree), SlotCount(10)}, std::move(others));
     const RegionQuestion question {RegionId("own"), param->relayed, param->ownSlotFree, Milliseconds(param->expectedWait), Bytes(100)};
     const std::string decided = nameOf(selector.decide(question, s_start + 1s));
     cr_assert_eq(decided, std::string(param->expected), "%s: %s", param->name, decided.c_str());
 }
 
-// Guards against more relays than free slots were reported, before the next heartbeat shows them.
-Test(RegionSelector, relaysCountAgainstReportedSlots)
+// Guards against more open relays than free slots were reported, and against a limit on relays that ended: a slot serves many
+// requests between two heartbeats. Before ended relays were released, a drained region refused 18% of all requests below its shift cap.
+Test(RegionSelector, openRelaysCountAgainstReportedSlots)
 {
     const auto link = LinkBudget::create();
     link->setGranted(KilobitsPerSecond(8000), s_start);
-    RegionSelector selector(
-        Objective::Latency, {RegionId("own"), true, SlotCount(0), SlotCount(10)}, {{RegionId("near"), 10ms, true, SlotCount(3), SlotCount(10), link}});
+    const auto relays = std::make_shared<RelayCounter>();
+    const auto selector = [&] {
+        return RegionSelector(Objective::Latency,
+            {RegionId("own"), true, SlotCount(0), SlotCount(10)},
+            {{RegionId("near"), 10ms, true, SlotCount(3), SlotCount(10), link, relays}});
+    };
+    const RegionQuestion question {RegionId("own"), false, false, 0ms, Bytes(10)};
+    const auto first = selector();
+    std::list<RegionDecision> open;
+    for (int i = 0; i < 5; ++i) {
+        open.push_back(first.decide(question, s_start + 1s));
+        cr_assert_eq(nameOf(open.back()), std::string(i < 3 ? "near" : "full"));
+    }
+    open.pop_front();
+    cr_assert_eq(nameOf(first.decide(question, s_start + 1s)), std::string("near"));
+    // The next report already shows the two that are still open.
+    const auto second = selector();
     for (int i = 0; i < 5; ++i) {
-        const auto decision = selector.decide({RegionId("own"), false, false, 0ms, Bytes(10)}, s_start + 1s);
-        cr_assert_eq(nameOf(decision), std::string(i < 3 ? "near" : "full"));
+        open.push_back(second.decide(question, s_start + 2s));
+        cr_assert_eq(nameOf(open.back()), std::string(i < 3 ? "near" : "full"));
+    }
+}
+
+// Guards against relays to hosts without free slots and against a choice that always falls on one host.
+Test(RelayTargets, drawnInProportionToFreeSlots)
+{
+    std::vector<RelayTarget> targets;
+    for (const int free : {0, 2, 4, -1}) {
+        targets.push_back({SlotCount(free), std::make_shared<RelayCounter>()});
+    }
+    const RelayTargets relayTargets(targets);
+    pcg32 generator(3);
+    std::array<int, 4> chosen {};
+    for (int i = 0; i < 600; ++i) {
+        ++chosen[relayTargets.choose(generator)->index];
+    }
+    cr_assert(chosen[0] == 0 && chosen[3] == 0 && chosen[1] > 150 && chosen[1] < 250);
+    std::list<ChosenTarget> open;
+    for (int i = 0; i < 6; ++i) {
+        open.push_back(std::move(*relayTargets.choose(generator)));
     }
+    cr_assert_not(relayTargets.choose(generator).has_value());
+    cr_assert_not(relayTargets.hasFreeSlot());
 }
 
 // Guards against more requests at an upstream than it has slots, more in a region than its limit allows, and dispatches under an expired lease,
