LibSteering: Balance regions evenly and free the shift cap for forced moves

Change: RegionBalance corrects a moved share step by step. RegionSelector goes to the emptiest of equally near regions, passes a request on when the own shift cap is full, keeps requests for their wait, and holds spills back while a region is closed. HostRanking turns equally near regions with the partition. UpstreamSelector reports usable and free slots. One failed connection ejects. The latency average covers about ten responses, balancing stops at 75% use.

--- a/Libraries/LibSteering/hostranking.cpp
+++ b/Libraries/LibSteering/hostranking.cpp
@@ -54,6 +54,22 @@
     return order;
 }
 
+/// Regions by delay, those of equal delay in an order that turns with the partition: the callers of a lost region spread over them.
+std::vector<std::size_t> rotatedTies(std::vector<std::size_t> byDelay,
+    std::size_t partition,
+    const std::vector<RegionId> &regions,
+    const RegionId &home,
+    const std::vector<LinkConfiguration> &links)
+{
+    for (auto begin = byDelay.begin(); begin != byDelay.end();) {
+        const auto delay = delayBetween(home, regions[*begin], links);
+        const auto end = std::find_if(begin, byDelay.end(), [&](std::size_t other) { return delayBetween(home, regions[other], links) != delay; });
+        std::rotate(begin, begin + static_cast<std::ptrdiff_t>(partition) % (end - begin), end);
+        begin = end;
+    }
+    return byDelay;
+}
+
 } // namespace
 
 HostRanking::HostRanking(const std::vector<RankedHost> &hosts, const std::vector<RegionId> &regions, const std::vector<LinkConfiguration> &links)
@@ -81,7 +97,7 @@
         }
         for (std::size_t home = 0; home < regions.size(); ++home) {
             Order order = own[home];
-            for (const std::size_t other : byDelay[home]) {
+            for (const std::size_t other : rotatedTies(byDelay[home], partition, regions, regions[home], links)) {
                 const auto end = own[other].begin() + static_cast<std::ptrdiff_t>(std::min(s_otherHosts, own[other].size()));
                 order.insert(order.end(), own[other].begin(), end);
             }
--- a/Libraries/LibSteering/regionselector.cpp
+++ b/Libraries/LibSteering/regionselector.cpp
@@ -8,10 +8,12 @@
 
 namespace {
 
-/// A region that is used less than this keeps its requests; moving them would only cost latency and cold caches.
-constexpr double s_moveAboveUsed = 0.7;
-/// Another region must be emptier by this much, otherwise lagging reports would move requests back and forth.
-constexpr double s_leastDifference = 0.2;
+/// Regions that were passed over are kept as bits of one word.
+constexpr std::size_t s_mostRegions = 64;
+/// Balancing does not move requests into a region that is used more than this: it has to keep room for forced moves.
+constexpr double s_balanceBelowUsed = 0.75;
+/// While a region is closed, a request waits this many times the way to another region before it leaves its own.
+constexpr int s_waitsWhileClosed = 8;
 
 double usedShare(SlotCount freeSlots, SlotCount slots)
 {
@@ -23,22 +25,23 @@
 
 } // namespace
 
-RegionSelector::RegionSelector(Objective objective, OwnRegion own, std::vector<RegionCandidate> others)
+RegionSelector::RegionSelector(Objective objective, OwnRegion own, std::vector<RegionCandidate> others, std::shared_ptr<RegionBalance> balance)
     : m_objective(objective)
     , m_own(std::move(own))
+    , m_balance(std::move(balance))
 {
-    const auto before = [objective](const RegionCandidate &a, const RegionCandidate &b) {
-        if (objective == Objective::Headroom) {
-            return usedShare(a.freeSlots, a.slots) < usedShare(b.freeSlots, b.slots);
-        }
-        return a.delay < b.delay;
-    };
-    std::stable_sort(others.begin(), others.end(), before);
+    assert(m_balance && others.size() <= s_mostRegions);
+    double emptiest = 1.0;
     for (auto &other : others) {
         assert(other.link && other.relays);
+        m_regionClosed = m_regionClosed || !other.open;
+        emptiest = std::min(emptiest, usedShare(other.freeSlots, other.slots));
         const ReportedSlots slots(other.freeSlots.value(), other.relays);
         m_others.push_back(Candidate {std::move(other), slots});
     }
+    if (m_objective == Objective::Headroom) {
+        m_balance->update(usedShare(m_own.freeSlots, m_own.slots), m_regionClosed ? 1.0 : emptiest);
+    }
 }
 
 RegionDecision RegionSelector::decide(const RegionQuestion &question, BootTime now) const
@@ -51,10 +54,10 @@
         return here;
     }
     bool linkWasFull = false;
-    if (m_own.open && question.ownSlotFree) {
-        const double used = usedShare(m_own.freeSlots, m_own.slots);
-        if (m_objective == Objective::Headroom && !here.moved && used >= s_moveAboveUsed) {
-            if (auto relay = tryRelay(question, used - s_leastDifference, linkWasFull, now)) {
+    if (m_own.open && question.ownSlotFree && !question.ownShiftFull) {
+        if (m_objective == Objective::Headroom && !here.moved && m_balance->movesNext()) {
+            const double used = usedShare(m_own.freeSlots, m_own.slots);
+            if (auto relay = tryRelay(question, std::min(used, s_balanceBelowUsed), linkWasFull, now)) {
                 return std::move(*relay);
             }
         }
@@ -71,24 +74,45 @@
 
 std::optional<RelayToRegion> RegionSelector::tryRelay(const RegionQuestion &question, double usedBelow, bool &linkWasFull, BootTime now) const
 {
-    for (const auto &candidate : m_others) {
-        const RegionCandidate &region = candidate.region;
-        const std::int32_t free = candidate.slots.free();
-        if (!region.open || free <= 0 || usedShare(SlotCount(free), region.slots) >= usedBelow) {
-            continue;
+    // A region whose link is full is passed over, so there are at most as many rounds as regions.
+    std::uint64_t passedOver = 0;
+    for (std::size_t round = 0; round < m_others.size(); ++round) {
+        std::size_t best = m_others.size();
+        for (std::size_t i = 0; i < m_others.size(); ++i) {
+            const bool usable = (passedOver >> i & 1U) == 0 && isUsable(m_others[i], question, usedBelow);
+            if (usable && (best == m_others.size() || isBetter(m_others[i], m_others[best]))) {
+                best = i;
+            }
         }
-        const bool waitIsShorter = question.expectedWait.count() > 0 && question.expectedWait < 2 * region.delay;
-        if (m_objective == Objective::Latency && m_own.open && waitIsShorter) {
-            continue;
+        if (best == m_others.size()) {
+            return std::nullopt;
         }
-        auto link = region.link->tryReserve(question.estimate, now);
-        if (!link) {
-            linkWasFull = true;
-            continue;
+        if (auto link = m_others[best].region.link->tryReserve(question.estimate, now)) {
+            return RelayToRegion {m_others[best].region.id, std::move(*link), m_others[best].slots.begin()};
         }
-        return RelayToRegion {region.id, std::move(*link), candidate.slots.begin()};
+        linkWasFull = true;
+        passedOver |= std::uint64_t {1} << best;
     }
     return std::nullopt;
 }
 
+bool RegionSelector::isUsable(const Candidate &candidate, const RegionQuestion &question, double usedBelow) const
+{
+    const RegionCandidate &region = candidate.region;
+    const std::int32_t free = candidate.slots.free();
+    if (!region.open || free <= 0 || usedShare(SlotCount(free), region.slots) >= usedBelow) {
+        return false;
+    }
+    const auto bearable = 2 * region.delay * (m_regionClosed ? s_waitsWhileClosed : 1);
+    return !m_own.open || question.ownShiftFull || question.ownSlotFree || question.expectedWait.count() == 0 || question.expectedWait > bearable;
+}
+
+bool RegionSelector::isBetter(const Candidate &a, const Candidate &b) const
+{
+    if (m_objective == Objective::Latency && a.region.delay != b.region.delay) {
+        return a.region.delay < b.region.delay;
+    }
+    return usedShare(SlotCount(a.slots.free()), a.region.slots) < usedShare(SlotCount(b.slots.free()), b.region.slots);
+}
+
 } // namespace Trefoil
--- a/Libraries/LibSteering/regionselector.h
+++ b/Libraries/LibSteering/regionselector.h
@@ -2,6 +2,7 @@
 
 #include <LibConfiguration/configuration.h>
 #include <LibSteering/linkbudget.h>
+#include <LibSteering/regionbalance.h>
 #include <LibSteering/relaycounter.h>
 
 #include <cstddef>
@@ -46,6 +47,8 @@
     bool relayed = false;
     /// This host, or another one of its region, has a slot for the request now.
     bool ownSlotFree = false;
+    /// The own region refused the request by its shift cap; another one may have room.
+    bool ownShiftFull = false;
     /// How long the request would wait for a slot of the own region; 0 when that is not known.
     std::chrono::nanoseconds expectedWait {0};
     /// Request and response together.
@@ -84,12 +87,14 @@
 class RegionSelector
 {
 public:
-    /// Precondition: each candidate has a link and a counter, and its report has just arrived.
-    RegionSelector(Objective objective, OwnRegion own, std::vector<RegionCandidate> others);
-
-    /// The own region while it has a slot; with the objective Headroom, a clearly emptier region already before that. Otherwise the nearest
-    /// region (Latency) or the emptiest one (Headroom) that is open, has free slots and a link budget for the estimate. With the objective
-    /// Latency a request stays when its wait is known to be shorter than the way to the other region and back.
+    /// Preconditions: each candidate has a link and a counter, and its report has just arrived; balance is not null and kept from round to round.
+    RegionSelector(Objective objective, OwnRegion own, std::vector<RegionCandidate> others, std::shared_ptr<RegionBalance> balance);
+
+    /// The own region while it has a slot; with the objective Headroom, a share of the requests goes to the emptiest region before that. Otherwise
+    /// the nearest region (Latency; the emptiest of those as near) or the emptiest one (Headroom) that is open, has free slots and a link
+    /// budget for the estimate. A request stays
+    /// when its wait is known to be shorter than the way to the other region and back. While a region is closed, what the others may take under
+    /// their shift caps is needed for its requests: open regions then keep theirs except for very long waits, and balance nothing.
     /// Precondition: the estimate is positive. Thread safety: safe from any thread; lock-free.
     RegionDecision decide(const RegionQuestion &question, BootTime now) const;
 
@@ -101,10 +106,14 @@
     };
 
     std::optional<RelayToRegion> tryRelay(const RegionQuestion &question, double usedBelow, bool &linkWasFull, BootTime now) const;
+    bool isUsable(const Candidate &candidate, const RegionQuestion &question, double usedBelow) const;
+    bool isBetter(const Candidate &a, const Candidate &b) const;
 
     Objective m_objective;
     OwnRegion m_own;
     std::vector<Candidate> m_others;
+    std::shared_ptr<RegionBalance> m_balance;
+    bool m_regionClosed = false;
 };
 
 } // namespace Trefoil
--- a/Libraries/LibSteering/upstreamhealth.cpp
+++ b/Libraries/LibSteering/upstreamhealth.cpp
@@ -11,7 +11,7 @@
 
 /// About the last ten requests. A host sends an upstream a few requests a second, so this covers a few seconds.
 constexpr float s_rateAlpha = 0.1F;
-constexpr float s_latencyAlpha = 0.2F;
+constexpr float s_latencyAlpha = 0.1F;
 constexpr float s_leastQuality = 0.01F;
 constexpr std::int32_t s_failuresToEject = 5;
 /// An upstream that fails more often than this is ejected although single requests succeed in between.
@@ -150,8 +150,8 @@
 
 void UpstreamHealth::recordFailure(UpstreamOutcome outcome, BootTime now)
 {
-    // A refused connection tells more than a failed request: two suffice.
-    const std::int32_t severity = outcome == UpstreamOutcome::ConnectFailed ? 3 : 1;
+    // A failed connection tells that the upstream is away, and costs the next request up to 1 s: one suffices. Its probe is due 1 s later.
+    const std::int32_t severity = outcome == UpstreamOutcome::ConnectFailed ? s_failuresToEject : 1;
     const std::int32_t failures = m_failuresInARow.fetch_add(severity) + severity;
     if (isEjected()) {
         const std::int32_t doublings = m_probing.load() ? std::min(m_failedProbes.fetch_add(1) + 1, s_probeDoublings) : 0;
--- a/Libraries/LibSteering/upstreamselector.cpp
+++ b/Libraries/LibSteering/upstreamselector.cpp
@@ -100,8 +100,7 @@
     if (m_upstreams.empty() || !lease.isValid(now)) {
         return std::nullopt;
     }
-    const bool usesHealth = std::holds_alternative<LatencyPolicy>(m_policy) || std::holds_alternative<HeadroomPolicy>(m_policy);
-    if (usesHealth && mayProbe && m_group->ejected() > 0) {
+    if (usesHealth() && mayProbe && m_group->ejected() > 0) {
         if (auto probe = selectProbe(lease, now)) {
             return probe;
         }
@@ -109,6 +108,37 @@
     return std::visit(Visitor {*this, lease, generator, now}, m_policy);
 }
 
+SlotCount UpstreamSelector::freeSlots() const
+{
+    SlotCount sum;
+    for (const auto &upstream : m_upstreams) {
+        sum = sum + std::max(SlotCount(0), usableSlotsOf(*upstream) - upstream->slots().inFlight());
+    }
+    return sum;
+}
+
+SlotCount UpstreamSelector::usableSlots() const
+{
+    SlotCount sum;
+    for (const auto &upstream : m_upstreams) {
+        sum = sum + usableSlotsOf(*upstream);
+    }
+    return sum;
+}
+
+bool UpstreamSelector::usesHealth() const
+{
+    return std::holds_alternative<LatencyPolicy>(m_policy) || std::holds_alternative<HeadroomPolicy>(m_policy);
+}
+
+SlotCount UpstreamSelector::usableSlotsOf(const UpstreamTracker &upstream) const
+{
+    if (upstream.isLeaving() || (usesHealth() && upstream.health().isEjected())) {
+        return SlotCount(0);
+    }
+    return usesHealth() ? upstream.limit() : upstream.slots().granted();
+}
+
 const std::vector<std::shared_ptr<UpstreamTracker>> &UpstreamSelector::upstreams() const
 {
     return m_upstreams;
--- a/Libraries/LibSteering/upstreamselector.h
+++ b/Libraries/LibSteering/upstreamselector.h
@@ -36,12 +36,23 @@
     /// Thread safety: safe from any thread with a generator of its own; lock-free.
     std::optional<Selection> select(bool mayProbe, const LeaseGuard &lease, pcg32 &generator, BootTime now);
 
+    /// Slots that select() could still reserve, for heartbeats and for the choice between queueing and relaying. Slots of leaving upstreams do
+    /// not count, nor, for the product's policies, those of ejected upstreams or beyond a cold-start ramp: a host that counted them
+    /// would draw relays it cannot serve. Looks at every upstream, so it is not for every request.
+    /// Precondition: none. Thread safety: safe from any thread.
+    SlotCount freeSlots() const;
+
+    /// As freeSlots(), with the slots in use. Precondition: none. Thread safety: safe from any thread.
+    SlotCount usableSlots() const;
+
     /// Precondition: none. Thread safety: safe from any thread.
     const std::vector<std::shared_ptr<UpstreamTracker>> &upstreams() const;
 
 private:
     struct Visitor;
 
+    bool usesHealth() const;
+    SlotCount usableSlotsOf(const UpstreamTracker &upstream) const;
     std::optional<Selection> selectProbe(const LeaseGuard &lease, BootTime now);
     template<typename Cost>
     std::optional<Selection> selectCheapest(Cost cost, const LeaseGuard &lease, pcg32 &generator, BootTime now);
--- a/Tests/Bench/benchsteering.cpp
+++ b/Tests/Bench/benchsteering.cpp
@@ -82,7 +82,8 @@
             link,
             std::make_shared<RelayCounter>()});
     }
-    RegionSelector regions(Objective::Headroom, {RegionId("region0"), true, SlotCount(60), SlotCount(100)}, std::move(others));
+    const RegionSelector regions(
+        Objective::Headroom, {RegionId("region0"), true, SlotCount(60), SlotCount(100)}, std::move(others), std::make_shared<RegionBalance>());
     LeaseGuard lease;
     lease.extend(s_start + std::chrono::hours(1));
     pcg32 generator(1);
@@ -94,7 +95,7 @@
             }
         }
     }
-    const RegionQuestion question {RegionId("region0"), false, true, std::chrono::milliseconds(0), Bytes(20000)};
+    const RegionQuestion question {RegionId("region0"), false, true, false, std::chrono::milliseconds(0), Bytes(20000)};
     BootTime now = s_start;
     bool moved = false;
     return nanosecondsPerCall(s_decisions, [&] {
--- a/Tests/LibSteering/testhealth.cpp
+++ b/Tests/LibSteering/testhealth.cpp
@@ -255,3 +255,25 @@
         cr_assert_not(selector->select(false, region.lease, generator, s_start).has_value());
     }
 }
+
+// Guards against a host that reports the slots of ejected, leaving or cold upstreams as free, and so draws relays that wait there: in the loss
+// of a zone this refused twice as many requests as policies that do not eject.
+Test(UpstreamSelector, freeSlotsAreThoseThatCanBeReserved)
+{
+    for (const auto &policy : s_policies) {
+        Region region(4, 2);
+        region.upstreams[0]->setLeaving(true);
+        region.upstreams[1]->record(UpstreamOutcome::ConnectFailed, 1ms, s_start);
+        region.upstreams[2]->record(UpstreamOutcome::Success, 1ms, s_start);
+        auto selector = region.selector(policy);
+        pcg32 generator(1);
+        const int usable = selector->usableSlots().value();
+        cr_assert_eq(usable, policy.index() < 2 ? 3 : 6);
+        std::deque<Selection> open;
+        while (auto selection = selector->select(false, region.lease, generator, s_start)) {
+            open.push_back(std::move(*selection));
+            cr_assert_eq(selector->freeSlots().value(), usable - static_cast<int>(open.size()), "policy %zu", policy.index());
+        }
+        cr_assert_eq(selector->freeSlots().value(), 0, "policy %zu", policy.index());
+    }
+}
--- a/Tests/LibSteering/testregions.cpp
+++ b/Tests/LibSteering/testregions.cpp
@@ -3,6 +3,7 @@
 #include <LibSteering/relaytargets.h>
 
 #include <array>
+#include <cmath>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <list>
@@ -29,7 +30,9 @@
     bool ownOpen;
     bool ownSlotFree;
     bool relayed;
-    char expected[17];
+    bool ownShiftFull;
+    bool regionLost;
+    char expected[16];
 };
 
 std::string nameOf(const RegionDecision &decision)
@@ -81,21 +84,26 @@
     constexpr auto latency = Objective::Latency;
     constexpr auto headroom = Objective::Headroom;
     static RegionCase cases[] = {
-        {"own slot free", latency, 1, 10, 10, 8000, 0, true, true, false, "here"},
-        {"own region full", latency, 0, 10, 10, 8000, 0, true, false, false, "near"},
-        {"nearest full", latency, 0, 0, 10, 8000, 0, true, false, false, "far"},
-        {"short wait", latency, 0, 10, 10, 8000, 15, true, false, false, "full"},
-        {"wait above the way", latency, 0, 10, 10, 8000, 25, true, false, false, "near"},
-        {"all full", latency, 0, 0, 0, 8000, 0, true, false, false, "full"},
-        {"link full", latency, 0, 10, 10, 0, 0, true, false, false, "link"},
-        {"drained", latency, 10, 10, 10, 8000, 0, false, true, false, "near"},
-        {"drained, nowhere to go", latency, 10, 0, 0, 8000, 0, false, true, false, "closed"},
-        {"relayed once only", latency, 0, 10, 10, 8000, 0, true, false, true, "here"},
-        {"relayed to a drained region", latency, 10, 10, 10, 8000, 0, false, true, true, "closed"},
-        {"little used", headroom, 5, 10, 10, 8000, 0, true, true, false, "here"},
-        {"much used, far is emptier", headroom, 1, 5, 8, 8000, 0, true, true, false, "far"},
-        {"much used, others alike", headroom, 2, 3, 3, 8000, 0, true, true, false, "here"},
-        {"much used, link full", headroom, 1, 10, 10, 0, 0, true, true, false, "here"},
+        {"own slot free", latency, 1, 10, 10, 8000, 0, true, true, false, false, false, "here"},
+        {"own region full", latency, 0, 10, 10, 8000, 0, true, false, false, false, false, "near"},
+        {"nearest full", latency, 0, 0, 10, 8000, 0, true, false, false, false, false, "far"},
+        {"short wait", latency, 0, 10, 10, 8000, 15, true, false, false, false, false, "full"},
+        {"wait above the way", latency, 0, 10, 10, 8000, 25, true, false, false, false, false, "near"},
+        {"all full", latency, 0, 0, 0, 8000, 0, true, false, false, false, false, "full"},
+        {"link full", latency, 0, 10, 10, 0, 0, true, false, false, false, false, "link"},
+        {"shift cap of the own region", latency, 5, 10, 10, 8000, 5, true, true, false, true, false, "near"},
+        {"long wait, a region lost", latency, 0, 10, 10, 8000, 100, true, false, false, false, true, "full"},
+        {"very long wait, a region lost", latency, 0, 10, 10, 8000, 200, true, false, false, false, true, "near"},
+        {"much used, a region lost", headroom, 1, 5, 8, 8000, 0, true, true, false, false, true, "here"},
+        {"drained, a region lost", latency, 10, 10, 10, 8000, 5, false, true, false, false, true, "near"},
+        {"drained", latency, 10, 10, 10, 8000, 0, false, true, false, false, false, "near"},
+        {"drained, nowhere to go", latency, 10, 0, 0, 8000, 0, false, true, false, false, false, "closed"},
+        {"relayed once only", latency, 0, 10, 10, 8000, 0, true, false, true, false, false, "here"},
+        {"relayed to a drained region", latency, 10, 10, 10, 8000, 0, false, true, true, false, false, "closed"},
+        {"little used", headroom, 7, 10, 10, 8000, 0, true, true, false, false, false, "here"},
+        {"much used, far is emptier", headroom, 1, 5, 8, 8000, 0, true, true, false, false, false, "far"},
+        {"much used, others alike", headroom, 3, 3, 3, 8000, 0, true, true, false, false, false, "here"},
+        {"much used, link full", headroom, 1, 10, 10, 0, 0, true, true, false, false, false, "here"},
     };
     return cr_make_param_array(RegionCase, cases, std::size(cases));
 }
@@ -108,10 +116,21 @@
     std::vector<RegionCandidate> others;
     others.push_back({RegionId("far"), 30ms, true, SlotCount(param->farFree), SlotCount(10), link, std::make_shared<RelayCounter>()});
     others.push_back({RegionId("near"), 10ms, true, SlotCount(param->nearFree), SlotCount(10), link, std::make_shared<RelayCounter>()});
-    others.push_back({RegionId("lost"), 1ms, false, SlotCount(10), SlotCount(10), link, std::make_shared<RelayCounter>()});
-    RegionSelector selector(param->objective, {RegionId("own"), param->ownOpen, SlotCount(param->ownFree), SlotCount(10)}, std::move(others));
-    const RegionQuestion question {RegionId("own"), param->relayed, param->ownSlotFree, Milliseconds(param->expectedWait), Bytes(100)};
-    const std::string decided = nameOf(selector.decide(question, s_start + 1s));
+    if (param->regionLost) {
+        others.push_back({RegionId("lost"), 1ms, false, SlotCount(10), SlotCount(10), link, std::make_shared<RelayCounter>()});
+    }
+    // Several rounds of equal reports, so that the balance has settled at its largest share, every fourth request.
+    const auto balance = std::make_shared<RegionBalance>();
+    const OwnRegion own {RegionId("own"), param->ownOpen, SlotCount(param->ownFree), SlotCount(10)};
+    for (int round = 0; round < 20; ++round) {
+        RegionSelector(param->objective, own, others, balance);
+    }
+    const RegionSelector selector(param->objective, own, others, balance);
+    const RegionQuestion question {RegionId("own"), param->relayed, param->ownSlotFree, param->ownShiftFull, Milliseconds(param->expectedWait), Bytes(100)};
+    for (int i = 0; i < 3; ++i) {
+        selector.decide(question, s_start + 1s);
+    }
+    const std::string decided = nameOf(selector.decide(question, s_start + 2s));
     cr_assert_eq(decided, std::string(param->expected), "%s: %s", param->name, decided.c_str());
 }
 
@@ -125,9 +144,10 @@
     const auto selector = [&] {
         return RegionSelector(Objective::Latency,
             {RegionId("own"), true, SlotCount(0), SlotCount(10)},
-            {{RegionId("near"), 10ms, true, SlotCount(3), SlotCount(10), link, relays}});
+            {{RegionId("near"), 10ms, true, SlotCount(3), SlotCount(10), link, relays}},
+            std::make_shared<RegionBalance>());
     };
-    const RegionQuestion question {RegionId("own"), false, false, 0ms, Bytes(10)};
+    const RegionQuestion question {RegionId("own"), false, false, false, 0ms, Bytes(10)};
     const auto first = selector();
     std::list<RegionDecision> open;
     for (int i = 0; i < 5; ++i) {
@@ -144,6 +164,31 @@
     }
 }
 
+// Guards against hosts that all move their requests at one report and back at the next: the used shares of two regions, of which one
+// has nearly twice the demand and reports lag by a round, must meet and then stay together.
+Test(RegionBalance, sharesMeetWithoutOscillation)
+{
+    RegionBalance balance;
+    double reportedHot = 0.7;
+    double reportedCold = 0.4;
+    for (int round = 0; round < 60; ++round) {
+        const double moved = 0.7 * balance.share();
+        balance.update(reportedHot, reportedCold);
+        reportedHot = 0.7 - moved;
+        reportedCold = 0.4 + moved;
+        cr_assert(round < 30 || std::abs(reportedHot - reportedCold) < 0.1, "round %d: %.2f and %.2f", round, reportedHot, reportedCold);
+    }
+    int moves = 0;
+    for (int i = 0; i < 1000; ++i) {
+        moves += balance.movesNext() ? 1 : 0;
+    }
+    cr_assert_float_eq(moves / 1000.0, balance.share(), 0.002);
+    for (int round = 0; round < 60; ++round) {
+        balance.update(0.2, 0.1);
+    }
+    cr_assert_lt(balance.share(), 0.001);
+}
+
 // Guards against relays to hosts without free slots and against a choice that always falls on one host.
 Test(RelayTargets, drawnInProportionToFreeSlots)
 {
