Scenarios: Run the request path against real processes with fixed grants

Cause: the daemon's control loops were not wired, so that the scenarios for whole deployments could not run. Change: statichost is the request path with fixed grants.

--- a/Tests/Scenarios/deployment.lua
+++ b/Tests/Scenarios/deployment.lua
@@ -253,6 +253,29 @@
         "--admin-secret-file", admin_secret, "--peer-secret-file", peer_secret, "--threads", deployed.options.threads })
 end
 
+-- Starts a host's request path with fixed grants, without control loops, claims and peers.
+function start_static_host(name)
+    local host = deployed.hosts[name]
+    local hosts = {}
+    for _, other in ipairs(deployed.host_names) do
+        local known = deployed.hosts[other]
+        table.insert(hosts, { id = other, region = known.region, zone = known.zone, callerAddress = known.caller_via })
+    end
+    local plan = native.writeFile({ name = name .. ".plan.json", text = native.encode({ host = name, region = host.region, zone = host.zone,
+        callerAddress = host.caller, sourceAddress = host.ip, threads = deployed.options.threads, hosts = hosts, commands = declaration() }) })
+    start_process(name, "statichost", { plan })
+end
+
+-- A deployment of such hosts, ready when every host answers a request.
+function start_static_deployment()
+    start_proxy()
+    start_upstreams()
+    for _, name in ipairs(deployed.host_names) do
+        start_static_host(name)
+    end
+    wait_until_ready(deployed.host_names)
+end
+
 function admin_call(name, method, target, value)
     return call({ method = method, address = deployed.hosts[name].admin, target = target, body = value and native.encode(value) or "",
         headers = { Authorization = "Bearer " .. ADMIN_SECRET }, timeoutMs = 10000 })
--- a/Tests/Scenarios/programs.h
+++ b/Tests/Scenarios/programs.h
@@ -14,6 +14,7 @@
                 {"trefoilctl", build + "/Utilities/trefoilctl/trefoilctl"},
                 {"standin", build + "/Tests/StandIns/standin"},
                 {"standinplatform", build + "/Tests/StandIns/standinplatform"},
+                {"statichost", build + "/Tests/Scenarios/statichost"},
                 {"linkproxy", build + "/Tests/Scenarios/linkproxy"},
                 {"loadtool", build + "/Tests/Load/loadtool"}},
         {TREFOIL_SCENARIO_SOURCES "/prelude.lua", TREFOIL_SCENARIO_SOURCES "/deployment.lua"},
--- a/Tests/Scenarios/testscenarios.cpp
+++ b/Tests/Scenarios/testscenarios.cpp
@@ -107,3 +107,15 @@
 {
     run(testCase->path);
 }
+
+// The request path with fixed grants: these hosts have no control loops.
+ParameterizedTestParameters(Scenarios, requestPath)
+{
+    static auto cases = scenariosIn("requestpath");
+    return cr_make_param_array(ScenarioCase, cases.data(), cases.size());
+}
+
+ParameterizedTest(ScenarioCase *testCase, Scenarios, requestPath, .timeout = 120)
+{
+    run(testCase->path);
+}
