--- /dev/null
+++ b/Libraries/LibMembership/member.cpp
@@ -0,0 +1,690 @@
+#include <LibMembership/member.h>
+
+namespace Trefoil {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr BootClock::duration s_heartbeatInterval = milliseconds(500);
+constexpr BootClock::duration s_storeDeadline = milliseconds(2500);
+/// 1,500 hosts write 150 times a second at this interval, which leaves most of the store's writes to claims.
+constexpr BootClock::duration s_renewalInterval = seconds(10);
+/// A host whose guardians do not confirm renews well within the lease of 3 s.
+constexpr BootClock::duration s_unconfirmedRenewalInterval = seconds(1);
+constexpr BootClock::duration s_slowRenewalInterval = milliseconds(2500);
+/// Guardians count as confirming while the last confirmation is this recent: three heartbeats.
+constexpr BootClock::duration s_confirmedFor = milliseconds(1500);
+/// 1,500 hosts read 500 times a second at this interval, a quarter of the store's reads.
+constexpr BootClock::duration s_longestPollInterval = seconds(3);
+constexpr BootClock::duration s_shortestPollInterval = seconds(1);
+constexpr std::int64_t s_pollsPerSecond = 500;
+constexpr BootClock::duration s_revisionInterval = seconds(2);
+/// A guardian that stays silent for this long is replaced.
+constexpr BootClock::duration s_silentGuardian = seconds(10);
+/// Silence after which a guardian starts to observe the host's row.
+constexpr BootClock::duration s_suspicion = milliseconds(1500);
+/// Ticks come every 100 ms; a gap this long means that the process was paused.
+constexpr BootClock::duration s_pause = seconds(2);
+constexpr BootClock::duration s_checkInterval = seconds(1);
+/// Each host watches the row of the next one in its region, in case all guardians of that one are gone. Rows are
+/// renewed every 10 s.
+constexpr BootClock::duration s_watchInterval = seconds(10);
+constexpr BootClock::duration s_watchedUnchanged = seconds(15);
+constexpr BootClock::duration s_shortestBackoff = milliseconds(50);
+constexpr BootClock::duration s_longestBackoff = seconds(4);
+
+} // namespace
+
+Member::Member(MemberSettings settings, BootTime now)
+    : m_settings(std::move(settings))
+    , m_random(m_settings.seed)
+    , m_epoch(m_random())
+    , m_proposedEpoch(m_epoch)
+    , m_ledger(now)
+    , m_directory(m_settings.host, m_settings.region, m_outbox)
+    , m_grants(m_settings.host)
+    , m_reclaimer(m_settings.host,
+          m_ledger,
+          m_outbox,
+          m_random,
+          [this](const HostId &host, BootTime then) {
+              m_ledger.forget(host);
+              m_directory.remove(host);
+              m_nextPoll = then;
+          })
+    , m_lastTick(now)
+    , m_resumedAt(now)
+    , m_joinBackoff(s_shortestBackoff, s_longestBackoff)
+    , m_updateBackoff(s_shortestBackoff, s_longestBackoff)
+{
+    m_nextHeartbeat = now + jitter(s_heartbeatInterval);
+    m_nextWatch = now + jitter(s_watchInterval);
+}
+
+BootClock::duration Member::jitter(BootClock::duration longest)
+{
+    return BootClock::duration(std::uniform_int_distribution<BootClock::rep>(0, longest.count())(m_random));
+}
+
+void Member::setConfiguration(ConfigurationVersion version, std::vector<Resource> resources, BootTime now)
+{
+    m_configuration = version;
+    m_grants.setResources(std::move(resources), now);
+    m_nextUpdate = now;
+}
+
+void Member::setHostList(const std::vector<ListedHost> &hosts, BootTime now)
+{
+    m_directory.setList(hosts, now);
+}
+
+std::map<ResourceId, std::int64_t> Member::limits(BootTime now) const
+{
+    std::map<ResourceId, std::int64_t> limits;
+    for (const Resource &resource : m_grants.resources()) {
+        limits[resource.id] = m_phase == Phase::Member ? m_grants.limit(resource, now) : 0;
+    }
+    return limits;
+}
+
+void Member::notePause(BootTime now)
+{
+    if (now - m_lastTick > s_pause) {
+        m_resumedAt = now;
+    }
+}
+
+bool Member::mayAcknowledge() const
+{
+    // A process that was paused may have been replaced by a new one with the same id, whose votes it does not know.
+    return m_phase != Phase::Absent && m_lease.validUntil() >= m_resumedAt + s_leaseDuration;
+}
+
+void Member::tick(BootTime now)
+{
+    notePause(now);
+    m_lastTick = now;
+    m_directory.tick(now);
+    checkRows(now);
+    for (const HostId &host : m_ledger.silentSince(now - s_suspicion)) {
+        m_reclaimer.suspect(host, now);
+    }
+    m_reclaimer.tick(now);
+    if (m_phase == Phase::Absent) {
+        tickAbsent(now);
+        return;
+    }
+    if (m_phase == Phase::Releasing) {
+        releaseAll(now);
+        return;
+    }
+    if (m_phase != Phase::Member) {
+        return;
+    }
+    heartbeat(now);
+    reviseGuardians(now);
+    renew(now);
+    poll(now);
+    updateGrants(now);
+    watch(now);
+}
+
+// Joining
+
+void Member::tickAbsent(BootTime now)
+{
+    if (m_joining || m_leaving || now < m_nextJoin) {
+        return;
+    }
+    m_joining = true;
+    m_outbox.read(
+        {hostRowKey(m_settings.host), grantsRowKey(m_settings.region), grantsVersionRowKey(m_settings.region)},
+        now + s_storeDeadline,
+        [this](const std::vector<TableRow> &rows, BootTime then) { joinRowsRead(rows, then); },
+        [this](BootTime then) { retryJoin(then); });
+}
+
+void Member::retryJoin(BootTime now)
+{
+    m_joining = false;
+    m_nextJoin = now + m_joinBackoff.next(m_random);
+}
+
+void Member::joinRowsRead(const std::vector<TableRow> &rows, BootTime now)
+{
+    auto present = grantRowsFrom(rows, m_settings.region);
+    if (present.has_error()) {
+        retryJoin(now);
+        return;
+    }
+    const TableRow *own = findRow(rows, hostRowKey(m_settings.host));
+    if (own == nullptr) {
+        join(present.value(), now);
+        return;
+    }
+    const auto row = hostRowFromJson(own->value);
+    if (row && row->incarnation == m_settings.incarnation && row->epoch == m_epoch) {
+        // An earlier attempt to join took effect although its response was lost.
+        m_grants.adopt(std::move(present.value()), now);
+        becomeMember(own->version, row->guardians, now);
+        return;
+    }
+    // An earlier process of this host may still run. Its row is reclaimed by the same rule as any other.
+    m_reclaimer.suspect(m_settings.host, now);
+    retryJoin(now);
+    m_nextJoin = now + milliseconds(500);
+}
+
+void Member::join(const GrantRows &present, BootTime now)
+{
+    std::set<HostId> members = present.table.members();
+    members.insert(m_settings.host);
+    const GrantTable table = m_grants.joinedTable(present.table, members.size() + m_directory.expectedMembers(members, now));
+    m_proposedGuardians = chooseGuardians({m_settings.host, m_settings.region, m_settings.zone}, m_directory.candidates());
+    Transaction transaction;
+    transaction.conditions.push_back({hostRowKey(m_settings.host), 0});
+    transaction.puts.push_back({hostRowKey(m_settings.host), toJson(ownRow())});
+    addGrantsUpdate(transaction, m_settings.region, present, table);
+    m_outbox.transact(std::move(transaction), now + s_storeDeadline, [this, table, sentAt = now](const StoreReply &reply, BootTime then) {
+        joined(reply, table, sentAt, then);
+    });
+}
+
+void Member::joined(const StoreReply &reply, GrantTable table, BootTime sentAt, BootTime now)
+{
+    const auto *committed = std::get_if<Committed>(&reply);
+    const auto row = committed == nullptr ? std::map<std::string, RowVersion>::const_iterator() : committed->versions.find(hostRowKey(m_settings.host));
+    if (committed == nullptr || row == committed->versions.end()) {
+        retryJoin(now);
+        return;
+    }
+    m_lease.confirmationFromStore(sentAt);
+    if (auto rows = committedRows(reply, std::move(table))) {
+        adoptGrants(std::move(*rows), now);
+    } else {
+        m_nextPoll = now;
+    }
+    becomeMember(row->second, *m_proposedGuardians, now);
+}
+
+void Member::becomeMember(RowVersion version, std::vector<HostId> guardians, BootTime now)
+{
+    m_joining = false;
+    m_joinBackoff.reset();
+    m_phase = Phase::Member;
+    m_rowVersion = version;
+    m_proposedEpoch = m_epoch;
+    m_proposedGuardians.reset();
+    m_lease.setGuardians(std::move(guardians));
+    m_directory.setRegionMembers(m_grants.rows().table.members());
+    m_lastRenewal = now;
+    m_renewSoon = m_lease.validUntil() == BootTime();
+    m_nextUpdate = now;
+    m_nextRevision = now + jitter(s_revisionInterval);
+}
+
+void Member::fenced(BootTime now)
+{
+    m_lease.revoke();
+    m_grants.clear();
+    m_phase = m_leaving ? Phase::Left : Phase::Absent;
+    m_epoch = Epoch(std::max(m_epoch, m_proposedEpoch).value() + 1);
+    m_proposedEpoch = m_epoch;
+    m_proposedGuardians.reset();
+    m_rowVersion = 0;
+    m_nextJoin = now + jitter(s_heartbeatInterval);
+}
+
+void Member::leave()
+{
+    m_leaving = true;
+    if (m_phase == Phase::Absent) {
+        m_phase = Phase::Left;
+    }
+}
+
+void Member::releaseAll(BootTime now)
+{
+    if (m_phase == Phase::Left || m_releasing || m_renewing || m_updatingGrants) {
+        m_phase = m_phase == Phase::Left ? Phase::Left : Phase::Releasing;
+        return;
+    }
+    m_phase = Phase::Releasing;
+    m_lease.revoke();
+    if (now < m_nextUpdate) {
+        return;
+    }
+    m_releasing = true;
+    Transaction transaction;
+    transaction.conditions.push_back({hostRowKey(m_settings.host), m_rowVersion});
+    transaction.deletes.push_back(hostRowKey(m_settings.host));
+    GrantTable table = m_grants.rows().table;
+    table.reclaim(m_settings.host);
+    addGrantsUpdate(transaction, m_settings.region, m_grants.rows(), table);
+    m_outbox.transact(std::move(transaction), now + s_storeDeadline, [this](const StoreReply &reply, BootTime then) {
+        m_releasing = false;
+        m_nextUpdate = then + m_updateBackoff.next(m_random);
+        if (std::holds_alternative<Committed>(reply)) {
+            m_phase = Phase::Left;
+        } else if (const auto *failed = std::get_if<ConditionFailed>(&reply)) {
+            adoptOwnRow(failed->rows, then);
+            adoptFromConditions(*failed, then);
+        }
+    });
+}
+
+// Heartbeats
+
+void Member::heartbeat(BootTime now)
+{
+    if (now < m_nextHeartbeat) {
+        return;
+    }
+    m_nextHeartbeat = std::max(m_nextHeartbeat + s_heartbeatInterval, now);
+    const auto targets = m_lease.heartbeatTargets();
+    if (targets.empty()) {
+        return;
+    }
+    m_lease.heartbeatSent(++m_sequence, now);
+    const Heartbeat message {m_sequence, m_settings.incarnation, m_epoch, m_configuration, m_settings.freeSlots(), m_leaving};
+    for (const HostId &guardian : targets) {
+        m_lastHeardGuardian.emplace(guardian, now);
+        m_outbox.send(guardian, message);
+    }
+}
+
+void Member::receive(const HostId &from, const PeerMessage &message, BootTime now)
+{
+    notePause(now);
+    m_lastTick = std::max(m_lastTick, now);
+    if (const auto *heartbeatMessage = std::get_if<Heartbeat>(&message)) {
+        heartbeatReceived(from, *heartbeatMessage, now);
+    } else if (const auto *acknowledgement = std::get_if<HeartbeatAck>(&message)) {
+        acknowledgementReceived(from, *acknowledgement, now);
+    } else if (const auto *request = std::get_if<ReclaimVoteRequest>(&message)) {
+        const bool granted = m_ledger.vote(request->host, request->epoch, now);
+        m_outbox.send(from, ReclaimVote {request->host, request->epoch, request->ballot, granted});
+    } else if (const auto *vote = std::get_if<ReclaimVote>(&message)) {
+        m_reclaimer.voteReceived(from, *vote, now);
+    }
+}
+
+void Member::storeReplied(std::uint64_t id, const StoreReply &reply, BootTime now)
+{
+    notePause(now);
+    m_lastTick = std::max(m_lastTick, now);
+    m_outbox.reply(id, reply, now);
+}
+
+void Member::acknowledge(const HostId &to, const Heartbeat &heartbeat, bool confirmed)
+{
+    m_outbox.send(to, HeartbeatAck {heartbeat.sequence, heartbeat.epoch, m_configuration, confirmed});
+}
+
+void Member::heartbeatReceived(const HostId &from, const Heartbeat &heartbeat, BootTime now)
+{
+    m_directory.heartbeatReceived(from, heartbeat);
+    if (!mayAcknowledge()) {
+        return;
+    }
+    switch (m_ledger.acknowledge(from, heartbeat.epoch, now)) {
+    case Acknowledgement::Confirmed:
+        acknowledge(from, heartbeat, true);
+        return;
+    case Acknowledgement::Refused:
+        acknowledge(from, heartbeat, false);
+        return;
+    case Acknowledgement::RowNeeded:
+        m_unchecked[from] = heartbeat;
+        return;
+    }
+}
+
+void Member::checkRows(BootTime now)
+{
+    if (m_checking || !mayAcknowledge()) {
+        return;
+    }
+    std::map<HostId, Heartbeat> checked;
+    std::vector<std::string> keys;
+    for (auto position = m_unchecked.begin(); position != m_unchecked.end();) {
+        BootTime &nextCheck = m_nextCheck[position->first];
+        if (now < nextCheck) {
+            ++position;
+            continue;
+        }
+        nextCheck = now + s_checkInterval;
+        keys.push_back(hostRowKey(position->first));
+        checked.insert(*position);
+        position = m_unchecked.erase(position);
+    }
+    if (keys.empty()) {
+        return;
+    }
+    m_checking = true;
+    m_outbox.readConsistently(
+        keys,
+        now + s_storeDeadline,
+        [this, checked](const std::vector<TableRow> &rows, BootTime) {
+            m_checking = false;
+            m_directory.rowsRead(rows);
+            for (const auto &[host, message] : checked) {
+                const TableRow *row = findRow(rows, hostRowKey(host));
+                const auto value = row == nullptr ? std::nullopt : hostRowFromJson(row->value);
+                m_ledger.rowChecked(host, value ? std::optional<Epoch>(value->epoch) : std::nullopt);
+                if (!value || value->epoch != message.epoch) {
+                    acknowledge(host, message, false);
+                }
+            }
+        },
+        [this](BootTime) { m_checking = false; });
+}
+
+void Member::acknowledgementReceived(const HostId &from, const HeartbeatAck &acknowledgement, BootTime now)
+{
+    m_lastHeardGuardian[from] = now;
+    if (m_phase != Phase::Member || acknowledgement.epoch != m_epoch) {
+        return;
+    }
+    if (acknowledgement.confirmed) {
+        m_lease.confirmationFromGuardian(from, acknowledgement.sequence);
+        return;
+    }
+    // The guardian voted against this epoch. A renewal with the next epoch makes the votes void, or shows the fence.
+    m_proposedEpoch = Epoch(m_epoch.value() + 1);
+    m_renewSoon = true;
+}
+
+void Member::reviseGuardians(BootTime now)
+{
+    if (now < m_nextRevision || m_proposedGuardians) {
+        return;
+    }
+    m_nextRevision = now + s_revisionInterval;
+    std::vector<HostId> working;
+    for (const HostId &guardian : m_lease.guardians()) {
+        const auto heard = m_lastHeardGuardian.find(guardian);
+        if (heard == m_lastHeardGuardian.end() || now - heard->second < s_silentGuardian) {
+            working.push_back(guardian);
+        }
+    }
+    std::vector<GuardianCandidate> candidates;
+    for (const GuardianCandidate &candidate : m_directory.candidates()) {
+        const auto heard = m_lastHeardGuardian.find(candidate.id);
+        if (heard == m_lastHeardGuardian.end() || now - heard->second < s_silentGuardian || now - heard->second > 6 * s_silentGuardian) {
+            candidates.push_back(candidate);
+        }
+    }
+    auto chosen = chooseGuardians({m_settings.host, m_settings.region, m_settings.zone}, candidates, working);
+    const std::set<HostId> before(m_lease.guardians().begin(), m_lease.guardians().end());
+    if (std::set<HostId>(chosen.begin(), chosen.end()) == before) {
+        return;
+    }
+    m_lease.proposeGuardians(chosen);
+    m_proposedGuardians = std::move(chosen);
+    m_renewSoon = true;
+}
+
+// Renewal in the store
+
+HostRow Member::ownRow() const
+{
+    return {m_settings.region,
+        m_settings.zone,
+        m_settings.callerAddress,
+        m_settings.peerAddress,
+        m_settings.incarnation,
+        m_proposedEpoch,
+        m_proposedGuardians ? *m_proposedGuardians : m_lease.guardians(),
+        m_leaving};
+}
+
+BootClock::duration Member::renewalInterval(BootTime now)
+{
+    if (now - m_lease.lastGuardianConfirmation() < s_confirmedFor) {
+        return m_renewSoon || m_leaving != m_leavingWritten ? s_unconfirmedRenewalInterval : s_renewalInterval - m_renewalJitter;
+    }
+    return m_renewalIsSlow ? s_slowRenewalInterval : s_unconfirmedRenewalInterval;
+}
+
+void Member::renew(BootTime now)
+{
+    if (m_renewing || now < m_lastRenewal + renewalInterval(now)) {
+        return;
+    }
+    m_renewing = true;
+    m_renewSoon = false;
+    m_lastRenewal = now;
+    m_renewalJitter = jitter(s_renewalInterval / 10);
+    const HostRow row = ownRow();
+    Transaction transaction;
+    transaction.conditions.push_back({hostRowKey(m_settings.host), m_rowVersion});
+    transaction.puts.push_back({hostRowKey(m_settings.host), toJson(row)});
+    m_outbox.transact(std::move(transaction), now + s_storeDeadline, [this, row, sentAt = now](const StoreReply &reply, BootTime then) {
+        renewed(reply, row, sentAt, then);
+    });
+}
+
+void Member::renewed(const StoreReply &reply, const HostRow &row, BootTime sentAt, BootTime now)
+{
+    m_renewing = false;
+    m_renewalIsSlow = now - sentAt > s_unconfirmedRenewalInterval;
+    if (m_phase != Phase::Member && m_phase != Phase::Releasing) {
+        return;
+    }
+    if (const auto *failed = std::get_if<ConditionFailed>(&reply)) {
+        adoptOwnRow(failed->rows, now);
+        return;
+    }
+    const auto *committed = std::get_if<Committed>(&reply);
+    const auto version = committed == nullptr ? std::map<std::string, RowVersion>::const_iterator() : committed->versions.find(hostRowKey(m_settings.host));
+    if (committed == nullptr || version == committed->versions.end()) {
+        m_renewSoon = true;
+        return;
+    }
+    m_rowVersion = version->second;
+    if (m_phase == Phase::Member) {
+        m_lease.confirmationFromStore(sentAt);
+    }
+    m_leavingWritten = row.leaving;
+    if (row.epoch != m_epoch) {
+        m_epoch = row.epoch;
+        m_lease.forgetHeartbeats();
+    }
+    if (m_proposedGuardians && row.guardians == *m_proposedGuardians) {
+        m_lease.setGuardians(row.guardians);
+        m_proposedGuardians.reset();
+    }
+}
+
+void Member::adoptOwnRow(const std::vector<TableRow> &rows, BootTime now)
+{
+    const TableRow *own = findRow(rows, hostRowKey(m_settings.host));
+    if (own == nullptr) {
+        return;
+    }
+    const auto row = hostRowFromJson(own->value);
+    const bool isOwn = own->version != 0 && row && row->incarnation == m_settings.incarnation && (row->epoch == m_epoch || row->epoch == m_proposedEpoch);
+    if (!isOwn) {
+        fenced(now);
+        return;
+    }
+    // A renewal whose response was lost took effect. It is no confirmation, since it is not known when it was sent.
+    m_rowVersion = own->version;
+    if (row->epoch != m_epoch) {
+        m_epoch = row->epoch;
+        m_lease.forgetHeartbeats();
+    }
+    m_proposedEpoch = m_epoch;
+    m_lease.setGuardians(row->guardians);
+    m_proposedGuardians.reset();
+    m_renewSoon = true;
+}
+
+// Grants
+
+std::size_t Member::sharingHosts(BootTime now) const
+{
+    const auto &members = m_grants.rows().table.members();
+    return std::max<std::size_t>(1, members.size() + m_directory.expectedMembers(members, now));
+}
+
+std::optional<GrantRows> Member::committedRows(const StoreReply &reply, GrantTable table) const
+{
+    const auto *committed = std::get_if<Committed>(&reply);
+    if (committed == nullptr) {
+        return std::nullopt;
+    }
+    const auto grants = committed->versions.find(grantsRowKey(m_settings.region));
+    const auto version = committed->versions.find(grantsVersionRowKey(m_settings.region));
+    if (grants == committed->versions.end() || version == committed->versions.end()) {
+        return std::nullopt;
+    }
+    return GrantRows {std::move(table), grants->second, version->second};
+}
+
+void Member::poll(BootTime now)
+{
+    if (m_polling || now < m_nextPoll) {
+        return;
+    }
+    m_polling = true;
+    const auto hosts = static_cast<std::int64_t>(m_directory.peers().size()) + 1;
+    const BootClock::duration interval = std::clamp<BootClock::duration>(seconds(hosts) / s_pollsPerSecond, s_shortestPollInterval, s_longestPollInterval);
+    m_nextPoll = now + interval - jitter(interval / 5);
+    m_outbox.read(
+        {grantsVersionRowKey(m_settings.region)},
+        now + s_storeDeadline,
+        [this](const std::vector<TableRow> &rows, BootTime then) {
+            m_polling = false;
+            const TableRow *row = findRow(rows, grantsVersionRowKey(m_settings.region));
+            if (row != nullptr && row->version > m_grants.rows().versionRowVersion) {
+                readGrants(then);
+            }
+        },
+        [this](BootTime) { m_polling = false; });
+}
+
+void Member::readGrants(BootTime now)
+{
+    m_polling = true;
+    m_outbox.read(
+        {grantsRowKey(m_settings.region), grantsVersionRowKey(m_settings.region)},
+        now + s_storeDeadline,
+        [this](const std::vector<TableRow> &rows, BootTime then) {
+            m_polling = false;
+            if (auto read = grantRowsFrom(rows, m_settings.region)) {
+                adoptGrants(std::move(read.value()), then);
+            }
+        },
+        [this](BootTime) { m_polling = false; });
+}
+
+void Member::adoptGrants(GrantRows rows, BootTime now)
+{
+    const bool isNewer = rows.grantsVersion > m_grants.rows().grantsVersion;
+    m_grants.adopt(std::move(rows), now);
+    if (!isNewer) {
+        return;
+    }
+    m_directory.setRegionMembers(m_grants.rows().table.members());
+    m_nextUpdate = std::min(m_nextUpdate, now + jitter(s_shortestBackoff));
+    if (m_phase == Phase::Member && m_grants.rows().table.members().count(m_settings.host) == 0) {
+        fenced(now);
+    }
+}
+
+void Member::updateGrants(BootTime now)
+{
+    const bool maySend = m_phase == Phase::Member && now < m_lease.validUntil() && m_grants.rows().table.members().count(m_settings.host) != 0;
+    if (m_updatingGrants || m_leaving || !maySend || now < m_nextUpdate) {
+        return;
+    }
+    auto table = m_grants.nextTable(sharingHosts(now), m_settings.usage);
+    if (!table) {
+        m_nextUpdate = now + s_heartbeatInterval;
+        return;
+    }
+    m_updatingGrants = true;
+    Transaction transaction;
+    addGrantsUpdate(transaction, m_settings.region, m_grants.rows(), *table);
+    m_outbox.transact(
+        std::move(transaction), now + s_storeDeadline, [this, table = *table](const StoreReply &reply, BootTime then) { grantsUpdated(reply, table, then); });
+}
+
+void Member::grantsUpdated(const StoreReply &reply, GrantTable table, BootTime now)
+{
+    m_updatingGrants = false;
+    if (m_phase != Phase::Member) {
+        return;
+    }
+    if (auto rows = committedRows(reply, std::move(table))) {
+        m_updateBackoff.reset();
+        m_nextUpdate = now + s_heartbeatInterval;
+        adoptGrants(std::move(*rows), now);
+        return;
+    }
+    m_nextUpdate = now + m_updateBackoff.next(m_random);
+    if (std::holds_alternative<Ambiguous>(reply)) {
+        m_grants.updateIsAmbiguous();
+    }
+    const auto *failed = std::get_if<ConditionFailed>(&reply);
+    if (failed == nullptr || !adoptFromConditions(*failed, now)) {
+        m_nextPoll = now;
+    }
+}
+
+bool Member::adoptFromConditions(const ConditionFailed &failed, BootTime now)
+{
+    if (findRow(failed.rows, grantsRowKey(m_settings.region)) == nullptr) {
+        return false;
+    }
+    auto rows = grantRowsFrom(failed.rows, m_settings.region);
+    if (rows.has_error()) {
+        return false;
+    }
+    adoptGrants(std::move(rows.value()), now);
+    return true;
+}
+
+// Watching the next host of the region
+
+void Member::watch(BootTime now)
+{
+    const auto &members = m_grants.rows().table.members();
+    if (now < m_nextWatch || members.size() < 2) {
+        return;
+    }
+    m_nextWatch = now + s_watchInterval - jitter(s_watchInterval / 10);
+    auto next = members.upper_bound(m_settings.host);
+    next = next == members.end() ? members.begin() : next;
+    if (*next != m_watched) {
+        m_watched = *next;
+        m_watchedVersion = 0;
+    }
+    m_outbox.read(
+        {hostRowKey(m_watched)},
+        now + s_storeDeadline,
+        [this, host = m_watched](const std::vector<TableRow> &rows, BootTime then) { watchedRead(host, rows, then); },
+        [](BootTime) {});
+}
+
+void Member::watchedRead(const HostId &host, const std::vector<TableRow> &rows, BootTime now)
+{
+    const TableRow *row = findRow(rows, hostRowKey(host));
+    if (row == nullptr || host != m_watched) {
+        return;
+    }
+    if (row->version != m_watchedVersion) {
+        m_watchedVersion = row->version;
+        m_watchedSince = now;
+        return;
+    }
+    if (now - m_watchedSince >= s_watchedUnchanged) {
+        m_reclaimer.suspect(host, now);
+    }
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibMembership/member.h
@@ -0,0 +1,194 @@
+#pragma once
+
+#include <LibMembership/backoff.h>
+#include <LibMembership/grantholder.h>
+#include <LibMembership/guardianledger.h>
+#include <LibMembership/peerdirectory.h>
+#include <LibMembership/reclaimer.h>
+
+namespace Trefoil {
+
+struct MemberSettings
+{
+    HostId host;
+    RegionId region;
+    ZoneId zone;
+    /// Addresses that others use, IP:port.
+    std::string callerAddress;
+    std::string peerAddress;
+    Incarnation incarnation;
+    /// Seeds the jitter and the first epoch; has to differ between processes.
+    std::uint64_t seed = 0;
+    /// How much of a resource is in use at the moment.
+    std::function<std::int64_t(const ResourceId &resource)> usage;
+    std::function<SlotCount()> freeSlots;
+};
+
+/// Membership of one host as a pure state machine: join, lease, guardians, grants, reclaim and leaving.
+/// The caller passes in time, messages and store replies, and carries out the actions that it takes out after each call.
+/// Thread safety: one thread at a time.
+class Member
+{
+public:
+    /// Precondition: now is the start of the process.
+    Member(MemberSettings settings, BootTime now);
+    Member(const Member &) = delete;
+    Member &operator=(const Member &) = delete;
+
+    /// Takes the totals of a configuration; lowered totals bind at once.
+    void setConfiguration(ConfigurationVersion version, std::vector<Resource> resources, BootTime now);
+
+    /// Takes the platform's list of hosts.
+    void setHostList(const std::vector<ListedHost> &hosts, BootTime now);
+
+    /// Does what is due. Precondition: called at least every 100 ms while the process runs; a longer gap counts as a pause.
+    void tick(BootTime now);
+
+    /// Handles a heartbeat, an acknowledgement, a request for a vote or a vote; other messages are ignored.
+    void receive(const HostId &from, const PeerMessage &message, BootTime now);
+
+    /// Handles the reply to a StoreRequest.
+    void storeReplied(std::uint64_t id, const StoreReply &reply, BootTime now);
+
+    /// Marks this host as leaving in its heartbeats and its row.
+    void leave();
+
+    /// Gives up the membership and all grants. Precondition: leave() was called and the host uses no grant any more.
+    void releaseAll(BootTime now);
+
+    /// True when releaseAll() took effect, or the host never joined.
+    bool hasLeft() const
+    {
+        return m_phase == Phase::Left;
+    }
+
+    std::vector<MemberAction> takeActions()
+    {
+        return m_outbox.take();
+    }
+
+    /// End of the lease; an earlier time after a fence.
+    BootTime leaseValidUntil() const
+    {
+        return m_lease.validUntil();
+    }
+
+    bool isMember() const
+    {
+        return m_phase == Phase::Member;
+    }
+
+    /// What the host may use of each resource of its configuration now, while its lease is valid.
+    std::map<ResourceId, std::int64_t> limits(BootTime now) const;
+
+    const PeerDirectory &directory() const
+    {
+        return m_directory;
+    }
+    const GrantTable &grants() const
+    {
+        return m_grants.rows().table;
+    }
+
+private:
+    enum class Phase {
+        /// Not a member: joins when it can.
+        Absent,
+        Member,
+        /// releaseAll() was called; the transaction is repeated until it took effect.
+        Releasing,
+        Left,
+    };
+
+    void notePause(BootTime now);
+    bool mayAcknowledge() const;
+
+    void tickAbsent(BootTime now);
+    void joinRowsRead(const std::vector<TableRow> &rows, BootTime now);
+    void join(const GrantRows &present, BootTime now);
+    void joined(const StoreReply &reply, GrantTable table, BootTime sentAt, BootTime now);
+    void retryJoin(BootTime now);
+    void becomeMember(RowVersion version, std::vector<HostId> guardians, BootTime now);
+    void fenced(BootTime now);
+
+    void heartbeat(BootTime now);
+    void heartbeatReceived(const HostId &from, const Heartbeat &heartbeat, BootTime now);
+    void acknowledgementReceived(const HostId &from, const HeartbeatAck &acknowledgement, BootTime now);
+    void acknowledge(const HostId &to, const Heartbeat &heartbeat, bool confirmed);
+    void checkRows(BootTime now);
+    void reviseGuardians(BootTime now);
+
+    HostRow ownRow() const;
+    BootClock::duration renewalInterval(BootTime now);
+    void renew(BootTime now);
+    void renewed(const StoreReply &reply, const HostRow &row, BootTime sentAt, BootTime now);
+    void adoptOwnRow(const std::vector<TableRow> &rows, BootTime now);
+
+    void poll(BootTime now);
+    void readGrants(BootTime now);
+    void adoptGrants(GrantRows rows, BootTime now);
+    void updateGrants(BootTime now);
+    void grantsUpdated(const StoreReply &reply, GrantTable table, BootTime now);
+    bool adoptFromConditions(const ConditionFailed &failed, BootTime now);
+    std::optional<GrantRows> committedRows(const StoreReply &reply, GrantTable table) const;
+    std::size_t sharingHosts(BootTime now) const;
+
+    void watch(BootTime now);
+    void watchedRead(const HostId &host, const std::vector<TableRow> &rows, BootTime now);
+    BootClock::duration jitter(BootClock::duration longest);
+
+    MemberSettings m_settings;
+    pcg32 m_random;
+    MemberOutbox m_outbox;
+    Epoch m_epoch;
+    Epoch m_proposedEpoch;
+    RowVersion m_rowVersion = 0;
+    ConfigurationVersion m_configuration;
+
+    GuardianLedger m_ledger;
+    HostLease m_lease;
+    PeerDirectory m_directory;
+    GrantHolder m_grants;
+    Reclaimer m_reclaimer;
+
+    BootTime m_lastTick;
+    /// End of the last pause of this process; it acknowledges no heartbeat until it was confirmed after that.
+    BootTime m_resumedAt;
+    std::uint64_t m_sequence = 0;
+    BootTime m_nextHeartbeat;
+    std::map<HostId, BootTime> m_lastHeardGuardian;
+
+    std::map<HostId, Heartbeat> m_unchecked;
+    std::map<HostId, BootTime> m_nextCheck;
+
+    BootTime m_nextJoin;
+    Backoff m_joinBackoff;
+
+    BootTime m_lastRenewal;
+    BootClock::duration m_renewalJitter {0};
+    std::optional<std::vector<HostId>> m_proposedGuardians;
+    BootTime m_nextRevision;
+
+    BootTime m_nextPoll;
+    BootTime m_nextUpdate;
+    Backoff m_updateBackoff;
+
+    HostId m_watched;
+    RowVersion m_watchedVersion = 0;
+    BootTime m_watchedSince;
+    BootTime m_nextWatch;
+
+    Phase m_phase = Phase::Absent;
+    bool m_leaving = false;
+    bool m_leavingWritten = false;
+    bool m_checking = false;
+    bool m_joining = false;
+    bool m_renewing = false;
+    bool m_renewalIsSlow = false;
+    bool m_renewSoon = false;
+    bool m_polling = false;
+    bool m_updatingGrants = false;
+    bool m_releasing = false;
+};
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibMembership/peerdirectory.cpp
@@ -0,0 +1,163 @@
+#include <LibMembership/peerdirectory.h>
+
+#include <algorithm>
+
+namespace Trefoil {
+
+namespace {
+
+constexpr std::size_t s_rowsPerRead = 200;
+constexpr BootClock::duration s_readInterval = std::chrono::milliseconds(500);
+/// A host on the list that has no row yet is looked up again after this time.
+constexpr BootClock::duration s_missingInterval = std::chrono::seconds(3);
+constexpr BootClock::duration s_readDeadline = std::chrono::seconds(2);
+/// Hosts that start together count in each other's fair shares for this long, so that the first ones don't take everything.
+constexpr BootClock::duration s_expectedFor = std::chrono::seconds(15);
+
+const std::string s_keyPrefix = "hosts/";
+
+} // namespace
+
+PeerDirectory::PeerDirectory(HostId self, RegionId region, MemberOutbox &outbox)
+    : m_self(std::move(self))
+    , m_region(std::move(region))
+    , m_outbox(outbox)
+{
+}
+
+void PeerDirectory::setList(const std::vector<ListedHost> &hosts, BootTime now)
+{
+    std::map<HostId, Listed> listed;
+    for (const ListedHost &host : hosts) {
+        if (host.id == m_self) {
+            continue;
+        }
+        const auto before = m_listed.find(host.id);
+        listed[host.id] = {host, before == m_listed.end() ? now : before->second.firstSeen};
+        const auto peer = m_peers.find(host.id);
+        if (peer == m_peers.end() || peer->second.row.peerAddress != host.address) {
+            m_missing.emplace(host.id, now);
+            continue;
+        }
+        m_revision += peer->second.leaving != (host.leaving || peer->second.row.leaving) ? 1 : 0;
+        peer->second.leaving = peer->second.leaving || host.leaving;
+    }
+    for (auto position = m_peers.begin(); position != m_peers.end();) {
+        const bool vanished = listed.count(position->first) == 0 && m_listed.count(position->first) != 0;
+        m_revision += vanished ? 1 : 0;
+        position = vanished ? m_peers.erase(position) : std::next(position);
+    }
+    m_listed = std::move(listed);
+}
+
+void PeerDirectory::rowsRead(const std::vector<TableRow> &rows)
+{
+    for (const TableRow &row : rows) {
+        if (row.key.compare(0, s_keyPrefix.size(), s_keyPrefix) != 0) {
+            continue;
+        }
+        const HostId host(row.key.substr(s_keyPrefix.size()));
+        auto value = hostRowFromJson(row.value);
+        if (host == m_self || !value) {
+            continue;
+        }
+        const auto listed = m_listed.find(host);
+        const auto known = m_peers.find(host);
+        if (known != m_peers.end() && known->second.version >= row.version) {
+            continue;
+        }
+        const bool sameProcess = known != m_peers.end() && known->second.row.incarnation == value->incarnation;
+        KnownPeer peer {*value, row.version, {}, value->leaving || (listed != m_listed.end() && listed->second.host.leaving)};
+        peer.freeSlots = sameProcess ? known->second.freeSlots : SlotCount(0);
+        const bool changed = !sameProcess || known->second.leaving != peer.leaving || known->second.row.peerAddress != peer.row.peerAddress;
+        m_peers[host] = std::move(peer);
+        m_missing.erase(host);
+        m_revision += changed ? 1 : 0;
+    }
+}
+
+void PeerDirectory::remove(const HostId &host)
+{
+    m_revision += m_peers.erase(host);
+}
+
+void PeerDirectory::heartbeatReceived(const HostId &host, const Heartbeat &heartbeat)
+{
+    const auto peer = m_peers.find(host);
+    if (peer == m_peers.end() || peer->second.row.incarnation != heartbeat.incarnation) {
+        m_missing.emplace(host, BootTime());
+        return;
+    }
+    const bool changed = peer->second.freeSlots != heartbeat.freeSlots || (heartbeat.leaving && !peer->second.leaving);
+    peer->second.freeSlots = heartbeat.freeSlots;
+    peer->second.leaving = peer->second.leaving || heartbeat.leaving;
+    m_revision += changed ? 1 : 0;
+}
+
+void PeerDirectory::setRegionMembers(const std::set<HostId> &members)
+{
+    for (const HostId &member : members) {
+        if (member != m_self && m_peers.count(member) == 0) {
+            m_missing.emplace(member, BootTime());
+        }
+    }
+    for (auto position = m_peers.begin(); position != m_peers.end();) {
+        const bool left = position->second.row.region == m_region && members.count(position->first) == 0;
+        m_revision += left ? 1 : 0;
+        position = left ? m_peers.erase(position) : std::next(position);
+    }
+}
+
+void PeerDirectory::tick(BootTime now)
+{
+    if (m_reading || now < m_nextRead) {
+        return;
+    }
+    std::vector<std::string> keys;
+    for (auto position = m_missing.begin(); position != m_missing.end() && keys.size() < s_rowsPerRead; ++position) {
+        if (position->second > now) {
+            continue;
+        }
+        position->second = now + s_missingInterval;
+        keys.push_back(hostRowKey(position->first));
+    }
+    // Hosts that are neither listed nor found are not looked up again until somebody names them.
+    for (auto position = m_missing.begin(); position != m_missing.end();) {
+        const bool asked = position->second > now;
+        position = asked && m_listed.count(position->first) == 0 ? m_missing.erase(position) : std::next(position);
+    }
+    if (keys.empty()) {
+        return;
+    }
+    m_reading = true;
+    m_nextRead = now + s_readInterval;
+    m_outbox.read(
+        std::move(keys),
+        now + s_readDeadline,
+        [this](const std::vector<TableRow> &rows, BootTime) {
+            m_reading = false;
+            rowsRead(rows);
+        },
+        [this](BootTime) { m_reading = false; });
+}
+
+std::vector<GuardianCandidate> PeerDirectory::candidates() const
+{
+    std::vector<GuardianCandidate> candidates;
+    for (const auto &[host, peer] : m_peers) {
+        if (!peer.leaving) {
+            candidates.push_back({host, peer.row.region, peer.row.zone});
+        }
+    }
+    return candidates;
+}
+
+std::size_t PeerDirectory::expectedMembers(const std::set<HostId> &members, BootTime now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_listed.begin(), m_listed.end(), [&](const auto &entry) {
+        const Listed &listed = entry.second;
+        return listed.host.region == m_region && !listed.host.leaving && members.count(entry.first) == 0 && now < listed.firstSeen + s_expectedFor;
+    }));
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibMembership/reclaimattempt.cpp
@@ -0,0 +1,43 @@
+#include <LibMembership/reclaimattempt.h>
+
+#include <algorithm>
+
+namespace Trefoil {
+
+ReclaimAttempt::ReclaimAttempt(HostId host, Epoch epoch, std::uint64_t rowVersion, std::vector<HostId> guardians, BootTime observedAt)
+    : m_host(std::move(host))
+    , m_epoch(epoch)
+    , m_rowVersion(rowVersion)
+    , m_guardians(std::move(guardians))
+    , m_observedAt(observedAt)
+{
+}
+
+bool ReclaimAttempt::mayAskForVotes(BootTime now) const
+{
+    return now >= m_observedAt + s_guardianPromise;
+}
+
+void ReclaimAttempt::guardianRowsRead(std::map<HostId, std::uint64_t> versions)
+{
+    m_guardianRows = std::move(versions);
+    m_voters.clear();
+}
+
+void ReclaimAttempt::recordVote(const HostId &guardian, Epoch epoch, std::uint64_t ballot, bool granted)
+{
+    const bool isGuardian = std::find(m_guardians.begin(), m_guardians.end(), guardian) != m_guardians.end();
+    const auto row = m_guardianRows.find(guardian);
+    if (!granted || !isGuardian || row == m_guardianRows.end() || epoch != m_epoch || ballot != m_rowVersion) {
+        return;
+    }
+    m_voters[guardian] = row->second;
+}
+
+bool ReclaimAttempt::mayCommit(BootTime now) const
+{
+    // A row without guardians is renewed in the store only, so its unchanged version is enough.
+    return mayAskForVotes(now) && (m_guardians.empty() || isMajority(m_voters.size(), m_guardians.size()));
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibMembership/reclaimer.cpp
@@ -0,0 +1,209 @@
+#include <LibMembership/reclaimer.h>
+
+#include <algorithm>
+#include <random>
+
+namespace Trefoil {
+
+namespace {
+
+/// A zone of 50 hosts may fail at once; each host handles this many of them at a time.
+constexpr std::size_t s_mostAttempts = 8;
+constexpr BootClock::duration s_storeDeadline = std::chrono::seconds(2);
+constexpr BootClock::duration s_voteTimeout = std::chrono::seconds(1);
+constexpr BootClock::duration s_retryDelay = std::chrono::milliseconds(500);
+/// Guardian number n of the row starts n times this later than the first.
+constexpr BootClock::duration s_guardianStagger = std::chrono::milliseconds(300);
+/// A host that was heard this recently is alive; two heartbeats may be lost.
+constexpr BootClock::duration s_recently = std::chrono::milliseconds(1200);
+constexpr int s_mostFailures = 6;
+
+} // namespace
+
+Reclaimer::Reclaimer(HostId self, GuardianLedger &ledger, MemberOutbox &outbox, pcg32 &random, GoneHandler gone)
+    : m_self(std::move(self))
+    , m_ledger(ledger)
+    , m_outbox(outbox)
+    , m_random(random)
+    , m_gone(std::move(gone))
+{
+}
+
+BootClock::duration Reclaimer::jitter(BootClock::duration longest)
+{
+    return BootClock::duration(std::uniform_int_distribution<BootClock::rep>(0, longest.count())(m_random));
+}
+
+Reclaimer::Attempt *Reclaimer::find(const HostId &host, Stage stage)
+{
+    const auto position = m_attempts.find(host);
+    return position == m_attempts.end() || position->second.stage != stage ? nullptr : &position->second;
+}
+
+void Reclaimer::suspect(const HostId &host, BootTime now)
+{
+    if (m_attempts.count(host) != 0 || m_attempts.size() >= s_mostAttempts) {
+        return;
+    }
+    m_attempts[host].nextStep = now;
+    observe(host, now);
+}
+
+void Reclaimer::observe(const HostId &host, BootTime now)
+{
+    Attempt &attempt = m_attempts[host];
+    attempt.stage = Stage::Observing;
+    attempt.rule.reset();
+    m_outbox.read(
+        {hostRowKey(host)},
+        now + s_storeDeadline,
+        [this, host](const std::vector<TableRow> &rows, BootTime then) { rowObserved(host, rows, then); },
+        [this, host](BootTime) { m_attempts.erase(host); });
+}
+
+void Reclaimer::rowObserved(const HostId &host, const std::vector<TableRow> &rows, BootTime now)
+{
+    const TableRow *row = findRow(rows, hostRowKey(host));
+    const auto value = row == nullptr ? std::nullopt : hostRowFromJson(row->value);
+    if (!value) {
+        m_attempts.erase(host);
+        m_gone(host, now);
+        return;
+    }
+    Attempt &attempt = m_attempts[host];
+    attempt.rule.emplace(host, value->epoch, row->version, value->guardians, now);
+    attempt.region = value->region;
+    attempt.nextStep = now + s_guardianPromise + startDelay(*attempt.rule);
+}
+
+BootClock::duration Reclaimer::startDelay(const ReclaimAttempt &rule)
+{
+    const auto &guardians = rule.guardians();
+    const auto position = std::find(guardians.begin(), guardians.end(), m_self) - guardians.begin();
+    return rule.host() == m_self ? BootClock::duration(0) : s_guardianStagger * position + jitter(s_guardianStagger / 2);
+}
+
+void Reclaimer::tick(BootTime now)
+{
+    std::vector<HostId> due;
+    for (auto position = m_attempts.begin(); position != m_attempts.end();) {
+        const bool drop = position->second.failures > s_mostFailures || m_ledger.isHeardSince(position->first, now - s_recently);
+        if (drop && position->second.stage != Stage::Committing) {
+            position = m_attempts.erase(position);
+            continue;
+        }
+        const bool waits = position->second.stage == Stage::Observing || position->second.stage == Stage::Voting;
+        if (waits && position->second.rule && now >= position->second.nextStep) {
+            due.push_back(position->first);
+        }
+        ++position;
+    }
+    for (const HostId &host : due) {
+        Attempt &attempt = m_attempts[host];
+        attempt.failures += attempt.stage == Stage::Voting ? 1 : 0;
+        readForVotes(host, attempt, now);
+    }
+}
+
+void Reclaimer::readForVotes(const HostId &host, Attempt &attempt, BootTime now)
+{
+    attempt.stage = Stage::Reading;
+    std::vector<std::string> keys = {hostRowKey(host), grantsRowKey(attempt.region), grantsVersionRowKey(attempt.region)};
+    for (const HostId &guardian : attempt.rule->guardians()) {
+        keys.push_back(hostRowKey(guardian));
+    }
+    m_outbox.read(
+        std::move(keys),
+        now + s_storeDeadline,
+        [this, host](const std::vector<TableRow> &rows, BootTime then) { rowsForVotesRead(host, rows, then); },
+        [this, host](BootTime) { m_attempts.erase(host); });
+}
+
+void Reclaimer::rowsForVotesRead(const HostId &host, const std::vector<TableRow> &rows, BootTime now)
+{
+    Attempt *attempt = find(host, Stage::Reading);
+    if (attempt == nullptr) {
+        return;
+    }
+    const TableRow *row = findRow(rows, hostRowKey(host));
+    auto grants = grantRowsFrom(rows, attempt->region);
+    if (row == nullptr || row->version != attempt->rule->rowVersion() || grants.has_error()) {
+        attempt->stage = Stage::Observing;
+        rowObserved(host, rows, now);
+        return;
+    }
+    attempt->grants = std::move(grants.value());
+    std::map<HostId, std::uint64_t> versions;
+    for (const HostId &guardian : attempt->rule->guardians()) {
+        if (const TableRow *guardianRow = findRow(rows, hostRowKey(guardian))) {
+            versions[guardian] = guardianRow->version;
+        }
+    }
+    attempt->rule->guardianRowsRead(std::move(versions));
+    askForVotes(*attempt, now);
+    commitIfAllowed(host, now);
+}
+
+void Reclaimer::askForVotes(Attempt &attempt, BootTime now)
+{
+    attempt.stage = Stage::Voting;
+    attempt.nextStep = now + s_voteTimeout + jitter(s_retryDelay);
+    ReclaimAttempt &rule = *attempt.rule;
+    for (const HostId &guardian : rule.guardians()) {
+        if (guardian == m_self) {
+            rule.recordVote(m_self, rule.epoch(), rule.rowVersion(), m_ledger.vote(rule.host(), rule.epoch(), now));
+            continue;
+        }
+        m_outbox.send(guardian, ReclaimVoteRequest {rule.host(), rule.epoch(), rule.rowVersion()});
+    }
+}
+
+void Reclaimer::voteReceived(const HostId &from, const ReclaimVote &vote, BootTime now)
+{
+    Attempt *attempt = find(vote.host, Stage::Voting);
+    if (attempt == nullptr) {
+        return;
+    }
+    attempt->rule->recordVote(from, vote.epoch, vote.ballot, vote.granted);
+    commitIfAllowed(vote.host, now);
+}
+
+void Reclaimer::commitIfAllowed(const HostId &host, BootTime now)
+{
+    Attempt &attempt = m_attempts[host];
+    if (!attempt.rule->mayCommit(now)) {
+        return;
+    }
+    attempt.stage = Stage::Committing;
+    Transaction transaction;
+    transaction.conditions.push_back({hostRowKey(host), attempt.rule->rowVersion()});
+    for (const auto &[voter, version] : attempt.rule->voters()) {
+        transaction.conditions.push_back({hostRowKey(voter), version});
+    }
+    transaction.deletes.push_back(hostRowKey(host));
+    GrantTable table = attempt.grants.table;
+    table.reclaim(host);
+    addGrantsUpdate(transaction, attempt.region, attempt.grants, table);
+    m_outbox.transact(std::move(transaction), now + s_storeDeadline, [this, host](const StoreReply &reply, BootTime then) { committed(host, reply, then); });
+}
+
+void Reclaimer::committed(const HostId &host, const StoreReply &reply, BootTime now)
+{
+    if (std::holds_alternative<Committed>(reply)) {
+        m_attempts.erase(host);
+        m_gone(host, now);
+        return;
+    }
+    retry(host, now);
+}
+
+void Reclaimer::retry(const HostId &host, BootTime now)
+{
+    Attempt &attempt = m_attempts[host];
+    ++attempt.failures;
+    // The rows are read again and all votes asked for again; the observation time of an unchanged row still counts.
+    attempt.stage = Stage::Observing;
+    attempt.nextStep = now + jitter(s_retryDelay);
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibMembership/reclaimer.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <LibMembership/grantholder.h>
+#include <LibMembership/guardianledger.h>
+#include <LibMembership/hostrow.h>
+#include <LibMembership/peerdirectory.h>
+#include <LibMembership/reclaimattempt.h>
+
+#include <functional>
+#include <pcg_random.hpp>
+
+namespace Trefoil {
+
+/// Frees the grants of silent hosts by the rule of ReclaimAttempt. Guardians that notice the silence act one after the
+/// other, so that usually one of them does the work.
+/// Thread safety: one thread at a time.
+class Reclaimer
+{
+public:
+    /// Called with a host whose row is gone, after this or another host reclaimed it or it left.
+    using GoneHandler = std::function<void(const HostId &host, BootTime now)>;
+
+    /// Precondition: the references outlive the reclaimer.
+    Reclaimer(HostId self, GuardianLedger &ledger, MemberOutbox &outbox, pcg32 &random, GoneHandler gone);
+
+    /// Starts to observe a host that may be dead. Suspecting a host twice has no further effect.
+    void suspect(const HostId &host, BootTime now);
+
+    /// Moves all attempts on.
+    void tick(BootTime now);
+
+    void voteReceived(const HostId &from, const ReclaimVote &vote, BootTime now);
+
+    std::size_t attempts() const
+    {
+        return m_attempts.size();
+    }
+
+private:
+    enum class Stage {
+        /// The row is being read, or its version is observed.
+        Observing,
+        /// The rows of the guardians and the grants are being read.
+        Reading,
+        Voting,
+        Committing,
+    };
+
+    struct Attempt
+    {
+        std::optional<ReclaimAttempt> rule;
+        RegionId region;
+        GrantRows grants;
+        Stage stage = Stage::Observing;
+        BootTime nextStep;
+        int failures = 0;
+    };
+
+    Attempt *find(const HostId &host, Stage stage);
+    void observe(const HostId &host, BootTime now);
+    void rowObserved(const HostId &host, const std::vector<TableRow> &rows, BootTime now);
+    void readForVotes(const HostId &host, Attempt &attempt, BootTime now);
+    void rowsForVotesRead(const HostId &host, const std::vector<TableRow> &rows, BootTime now);
+    void askForVotes(Attempt &attempt, BootTime now);
+    void commitIfAllowed(const HostId &host, BootTime now);
+    void committed(const HostId &host, const StoreReply &reply, BootTime now);
+    void retry(const HostId &host, BootTime now);
+    BootClock::duration startDelay(const ReclaimAttempt &rule);
+    BootClock::duration jitter(BootClock::duration longest);
+
+    HostId m_self;
+    GuardianLedger &m_ledger;
+    MemberOutbox &m_outbox;
+    pcg32 &m_random;
+    GoneHandler m_gone;
+    std::map<HostId, Attempt> m_attempts;
+};
+
+} // namespace Trefoil
--- a/Libraries/LibStore/hostlistclient.h
+++ b/Libraries/LibStore/hostlistclient.h
@@ -1,37 +1,12 @@
 #pragma once
 
-#include <LibCore/strongid.h>
 #include <LibStore/storeconnection.h>
 
 #include <string>
 #include <variant>
-#include <vector>
 
 namespace Trefoil {
 
-/// One entry host on the platform's list.
-struct ListedHost
-{
-    HostId id;
-    RegionId region;
-    ZoneId zone;
-    /// Peer address, IP:port.
-    std::string address;
-    bool leaving = false;
-};
-
-struct ListedUpstream
-{
-    UpstreamId id;
-    bool leaving = false;
-};
-
-struct HostList
-{
-    std::vector<ListedHost> hosts;
-    std::vector<ListedUpstream> upstreams;
-};
-
 /// The list has not changed since this client last read it.
 struct HostListUnchanged
 {
--- a/Libraries/LibStore/storeconnection.h
+++ b/Libraries/LibStore/storeconnection.h
@@ -2,6 +2,7 @@
 
 #include <LibHttp/jsonclient.h>
 #include <LibStore/requestrate.h>
+#include <LibStore/storetypes.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
@@ -24,18 +25,6 @@
     BootClock::duration attemptTimeout = std::chrono::milliseconds(1000);
 };
 
-/// The service did not answer, or answered that it did nothing. The request has no effect.
-struct Unavailable
-{
-    std::string reason;
-};
-
-/// The write may have taken effect, or may still take effect.
-struct Ambiguous
-{
-    std::string reason;
-};
-
 enum class StoreAccess {
     Read,
     Write,
--- a/Libraries/LibStore/tableclient.h
+++ b/Libraries/LibStore/tableclient.h
@@ -1,64 +1,15 @@
 #pragma once
 
 #include <LibStore/storeconnection.h>
+#include <LibStore/storetypes.h>
 
-#include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <variant>
 #include <vector>
 
-/// Clients of the platform's table service, object store and host list.
 namespace Trefoil {
 
-/// Version 0 stands for a row that does not exist.
-using RowVersion = std::uint64_t;
-
-struct TableRow
-{
-    std::string key;
-    RowVersion version = 0;
-    nlohmann::json value;
-};
-
-struct RowCondition
-{
-    std::string key;
-    RowVersion version = 0;
-};
-
-struct RowPut
-{
-    std::string key;
-    /// A JSON object. The client adds the member "transaction" with the transaction's id.
-    nlohmann::json value;
-};
-
-/// Changes that take effect together, when every condition holds, or not at all.
-struct Transaction
-{
-    /// Unique over all hosts and time; drawn by the client when empty. Keeping the id over several calls makes them one transaction.
-    std::string id {};
-    /// Every put and delete needs a condition on its row; otherwise a repeated transaction could undo another host's change.
-    std::vector<RowCondition> conditions {};
-    std::vector<RowPut> puts {};
-    std::vector<std::string> deletes {};
-};
-
-struct Committed
-{
-    /// New versions of the rows that were put.
-    std::map<std::string, RowVersion> versions;
-};
-
-/// A condition does not hold; nothing was changed. Holds the rows whose conditions failed as they are now.
-struct ConditionFailed
-{
-    std::vector<TableRow> rows;
-};
-
-using TransactResult = std::variant<Committed, ConditionFailed, Ambiguous, Unavailable>;
 using RowsResult = std::variant<std::vector<TableRow>, Unavailable>;
 
 /// Client of the table service. Repeats attempts with jitter until the deadline, at a bounded rate, and resolves a lost
--- /dev/null
+++ b/Tests/LibMembership/simulation.h
@@ -0,0 +1,166 @@
+#pragma once
+
+#include <LibMembership/member.h>
+#include <StandIns/tablestore.h>
+
+#include <deque>
+#include <memory>
+#include <queue>
+
+/// Members of several regions, their network and the table service in virtual time, with faults.
+namespace Trefoil::Simulation {
+
+struct Shape
+{
+    std::size_t regions = 3;
+    std::size_t zonesPerRegion = 2;
+    std::size_t hostsPerRegion = 4;
+    std::vector<Resource> resources;
+    BootClock::duration delayInRegion = std::chrono::microseconds(500);
+    BootClock::duration delayBetweenRegions = std::chrono::milliseconds(12);
+    /// Largest difference between the times at which hosts start.
+    BootClock::duration startSpread = std::chrono::seconds(1);
+    /// The platform's list names all hosts from the start.
+    bool listed = true;
+    int storeWritesPerSecond = 400;
+};
+
+/// How the table service behaves at the moment.
+struct StoreFaults
+{
+    bool down = false;
+    /// Share of responses that are lost after the request took effect.
+    double loseAnswers = 0;
+    /// Longest extra time before a request takes effect; beyond the client's deadline the client sees an ambiguous result.
+    BootClock::duration slow {0};
+    bool staleReads = false;
+};
+
+/// One process of a host. A host that was restarted has several, and earlier ones may still run.
+struct Process
+{
+    HostId host;
+    std::size_t region = 0;
+    std::unique_ptr<Member> member;
+    bool dead = false;
+    /// Another process of the host was started or is about to start.
+    bool replaced = false;
+    bool cutFromPeers = false;
+    bool cutFromStore = false;
+    BootTime pausedUntil;
+    /// Work in flight by resource; it never grows beyond the limit and ends after some time.
+    std::map<ResourceId, std::int64_t> inUse;
+    /// What was spent of windowed resources, and when.
+    std::map<ResourceId, std::deque<std::pair<BootTime, std::int64_t>>> spent;
+    /// What happens to the process when it resumes.
+    std::vector<std::function<void()>> waiting;
+    std::uint64_t messageBytes = 0;
+    std::uint64_t messages = 0;
+    std::uint64_t storeReads = 0;
+    std::uint64_t storeWrites = 0;
+    std::uint64_t storeBytes = 0;
+};
+
+class Region;
+
+class World
+{
+public:
+    World(Shape shape, std::uint64_t seed);
+
+    /// Runs all events until the given time, and checks the totals every 10 ms.
+    void runUntil(BootTime end);
+
+    BootTime now() const
+    {
+        return m_now;
+    }
+    std::vector<std::unique_ptr<Process>> &processes()
+    {
+        return m_processes;
+    }
+    pcg32 &random()
+    {
+        return m_random;
+    }
+    double chance();
+    BootClock::duration between(BootClock::duration low, BootClock::duration high);
+
+    /// Starts a process of the host, beside any earlier one.
+    Process &start(const HostId &host, std::size_t region);
+    void pause(Process &process, BootClock::duration duration);
+    void setResources(std::vector<Resource> resources);
+    void at(BootTime time, std::function<void()> action);
+
+    StoreFaults storeFaults;
+    StandIns::TableStore store;
+
+    /// Sum of what the processes with a valid lease may use of a resource in a region.
+    std::int64_t usableSum(std::size_t region, const Resource &resource) const;
+
+    /// Explains the first violation of a total; empty when there was none.
+    const std::string &violation() const
+    {
+        return m_violation;
+    }
+    const std::vector<Resource> &resources() const
+    {
+        return m_resources;
+    }
+    std::uint64_t storeWritesMaximum() const
+    {
+        return m_writesMaximum;
+    }
+    std::uint64_t storeRefusals() const
+    {
+        return m_refusals;
+    }
+    static RegionId regionId(std::size_t region);
+
+private:
+    struct Event
+    {
+        BootTime time;
+        std::uint64_t order = 0;
+        std::shared_ptr<std::function<void()>> action;
+
+        bool operator>(const Event &other) const
+        {
+            return std::tie(time, order) > std::tie(other.time, other.order);
+        }
+    };
+
+    void tick(Process &process);
+    void run(Process &process, std::function<void()> action);
+    void carryOut(Process &process);
+    void deliver(Process &from, const SendMessage &message);
+    void request(Process &process, const StoreRequest &request);
+    StoreReply execute(const StoreRequest &request);
+    bool admitWrite();
+    void use(Process &process);
+    void spend(Process &process, const Resource &resource, std::int64_t limit);
+    void check();
+    void checkWindow(std::size_t region, const Resource &resource);
+    BootClock::duration delay(std::size_t from, std::size_t to);
+    std::vector<ListedHost> list() const;
+
+    Shape m_shape;
+    pcg32 m_random;
+    BootTime m_now {std::chrono::seconds(1000)};
+    std::vector<std::unique_ptr<Process>> m_processes;
+    std::map<HostId, Process *> m_current;
+    std::map<HostId, std::size_t> m_hosts;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+    std::uint64_t m_order = 0;
+    std::uint64_t m_nextIncarnation = 0;
+    std::vector<Resource> m_resources;
+    BootTime m_resourcesSince;
+    std::string m_violation;
+    BootTime m_nextCheck;
+    std::int64_t m_writeSecond = 0;
+    std::uint64_t m_writesInSecond = 0;
+    std::uint64_t m_writesMaximum = 0;
+    std::uint64_t m_refusals = 0;
+};
+
+} // namespace Trefoil::Simulation
