--- a/Libraries/LibMembership/granttable.cpp
+++ b/Libraries/LibMembership/granttable.cpp
@@ -14,11 +14,13 @@
 
 std::int64_t scaledDown(std::int64_t amount, std::int64_t numerator, std::int64_t denominator)
 {
+    assert(denominator > 0);
     return amount * numerator / denominator;
 }
 
 std::int64_t scaledUp(std::int64_t amount, std::int64_t numerator, std::int64_t denominator)
 {
+    assert(denominator > 0);
     return (amount * numerator + denominator - 1) / denominator;
 }
 
@@ -125,7 +127,7 @@
     return entry == position->second.end() ? Grant {} : entry->second;
 }
 
-std::int64_t GrantTable::free(const Resource &resource) const
+std::int64_t GrantTable::remainder(const Resource &resource) const
 {
     const auto position = m_grants.find(resource.id);
     if (position == m_grants.end()) {
@@ -163,7 +165,7 @@
 {
     assert(m_members.count(host) != 0);
     assert(amount >= 0);
-    const std::int64_t taken = std::min(amount, free(resource));
+    const std::int64_t taken = std::min(amount, remainder(resource));
     if (taken <= 0) {
         return 0;
     }
--- a/Libraries/LibMembership/granttable.h
+++ b/Libraries/LibMembership/granttable.h
@@ -42,7 +42,7 @@
     Grant grant(const HostId &host, const ResourceId &resource) const;
 
     /// The part of the resource's present total that is free to be taken.
-    std::int64_t free(const Resource &resource) const;
+    std::int64_t remainder(const Resource &resource) const;
 
     /// Sum of all grants of a resource.
     std::int64_t granted(const ResourceId &resource) const;
--- a/Libraries/LibMembership/shares.cpp
+++ b/Libraries/LibMembership/shares.cpp
@@ -31,7 +31,7 @@
         for (const Resource *resource : group) {
             total += resource->total;
             m_own[resource->id] = table.grant(host, resource->id).usable(resource->total);
-            m_free[resource->id] = table.free(*resource);
+            m_free[resource->id] = table.remainder(*resource);
             m_freeSum += m_free[resource->id];
         }
         m_total = total;
@@ -208,7 +208,7 @@
     }
     for (const Resource &resource : resources) {
         if (resource.proportionalTo) {
-            const std::int64_t reachable = table.grant(host, resource.id).usable(resource.total) + table.free(resource);
+            const std::int64_t reachable = table.grant(host, resource.id).usable(resource.total) + table.remainder(resource);
             plan[resource.id] = std::min(reachable, proportionalPart(resource, resources, plan));
         }
     }
