trefoilmountd: Require keys of the form <Unix seconds>-<text>

Cause: a key without its creation time can't be refused after its claim was deleted. Change: the form is checked when a request is parsed.

--- a/Services/trefoilmountd/claim.cpp
+++ b/Services/trefoilmountd/claim.cpp
@@ -46,7 +46,7 @@
     }
     std::variant<HeldClaim, RequestEnd> operator()(const ClaimKeyExpired &) const
     {
-        return RequestEnd(OutcomeUnknown {"key-expired", "the key is older than claims are kept", 410});
+        return RequestEnd(OutcomeUnknown {"key-expired", "the key was created more than 24 h ago, or in the future", 410});
     }
     std::variant<HeldClaim, RequestEnd> operator()(const ClaimUnavailable &) const
     {
@@ -86,7 +86,7 @@
     }
     HttpResponse operator()(const ClaimKeyExpired &) const
     {
-        return errorResponse(410, "key-expired", "key", "the key is older than claims are kept");
+        return errorResponse(410, "key-expired", "key", "the key was created more than 24 h ago, or in the future");
     }
     HttpResponse operator()(const ClaimUnavailable &) const
     {
--- a/Services/trefoilmountd/parserequest.cpp
+++ b/Services/trefoilmountd/parserequest.cpp
@@ -1,5 +1,7 @@
 #include <Services/trefoilmountd/parserequest.h>
 
+#include <LibIdempotency/claimkey.h>
+
 #include <LibConfiguration/validation.h>
 
 #include <algorithm>
@@ -143,6 +145,8 @@
         }
         if (!isValidKey(*value)) {
             fail("Idempotency-Key", fmt::format("not 1 to {} visible characters without '/'", s_longestKey));
+        } else if (!creationTime(RequestKey(*value))) {
+            fail("Idempotency-Key", "not \"<creation time in Unix seconds>-<text>\"");
         }
         m_request.key = RequestKey(*value);
     }
--- a/Tests/Load/loadrun.cpp
+++ b/Tests/Load/loadrun.cpp
@@ -158,7 +158,7 @@
 {
     // A key carries its creation time, by which the system refuses keys older than 24 h.
     const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return fmt::format("{}-{}", std::chrono::duration_cast<std::chrono::milliseconds>(now).count(), nonce);
+    return fmt::format("{}-{}", std::chrono::duration_cast<std::chrono::seconds>(now).count(), nonce);
 }
 
 LoadRun::Verdict LoadRun::judge(const Request &request, const HttpResponse &response)
--- a/Tests/Scenarios/deployment.lua
+++ b/Tests/Scenarios/deployment.lua
@@ -361,7 +361,8 @@
 -- A new key of a non-repeatable request.
 function new_key()
     request_number = request_number + 1
-    return string.format("%d-%d", native.unixMilliseconds(), request_number)
+    local milliseconds = native.unixMilliseconds()
+    return string.format("%d-%d-%d", milliseconds // 1000, milliseconds % 1000, request_number)
 end
 
 -- The HTTP request of a caller. Fields: host, service, class, tenant, key, deadline_ms, may_wait, path, body.
--- a/Tests/trefoilmountd/testoutcomes.cpp
+++ b/Tests/trefoilmountd/testoutcomes.cpp
@@ -54,13 +54,13 @@
     for (std::size_t i = 0; i < upstreams.size(); ++i) {
         cr_assert(upstreams[i].control({{"mode", testCase->mode}}).has_value());
     }
-    const auto first = summaryOf(caller.call(host.address(), testRequest("order", "key-1")));
+    const auto first = summaryOf(caller.call(host.address(), testRequest("order", "1800000000-key-1")));
     cr_assert_eq(first, testCase->first, "%s: %s", testCase->mode, first.c_str());
     cr_assert_eq(upstreams.begun(), static_cast<std::uint64_t>(testCase->begunByFirst), "%s", testCase->mode);
     for (std::size_t i = 0; i < upstreams.size(); ++i) {
         cr_assert(upstreams[i].control({{"mode", "normal"}}).has_value());
     }
-    const auto again = summaryOf(caller.call(host.address(), testRequest("order", "key-1")));
+    const auto again = summaryOf(caller.call(host.address(), testRequest("order", "1800000000-key-1")));
     cr_assert_eq(again, testCase->again, "%s: %s", testCase->mode, again.c_str());
     cr_assert_eq(upstreams.begun(), static_cast<std::uint64_t>(testCase->begunByBoth), "%s", testCase->mode);
 }
--- a/Tests/trefoilmountd/testrequestinput.cpp
+++ b/Tests/trefoilmountd/testrequestinput.cpp
@@ -60,6 +60,7 @@
         {"GET", "/v1/requests/catalogue-svc/a", "Trefoil-Repeat", "never", 400, "Idempotency-Key"},
         {"GET", "/v1/requests/catalogue-svc/a", "Trefoil-Class", "order", 400, "Idempotency-Key"},
         {"GET", "/v1/requests/catalogue-svc/a", "Idempotency-Key", "a b", 400, "Idempotency-Key"},
+        {"GET", "/v1/requests/catalogue-svc/a", "Idempotency-Key", "order-7", 400, "Idempotency-Key"},
         {"GET", "/v1/requests/catalogue-svc/a", "Trefoil-Client", "::1", 400, "Trefoil-Client"},
         {"GET", "/v1/requests/catalogue-svc/a", "Trefoil-Relay", "host-2", 400, "Trefoil-Home-Region"},
         {"GET", "/v1/lookup", "", "", 400, "service"},
--- a/Tests/trefoilmountd/testrequestpath.cpp
+++ b/Tests/trefoilmountd/testrequestpath.cpp
@@ -35,7 +35,7 @@
     TestUpstreams upstreams(1, {});
     TestHost host(testHostOptions("host-1", "gulf"), {}, &upstreams);
     TestCaller caller;
-    const CallResult result = caller.call(host.address(), testRequest("order", "key-1"));
+    const CallResult result = caller.call(host.address(), testRequest("order", "1800000000-key-1"));
     cr_assert_eq(summaryOf(result), "503 not-run");
     cr_assert_eq(std::get<HttpResponse>(result).headers.value("Trefoil-Reason"), "store-unavailable");
     cr_assert_eq(upstreams.begun(), 0);
@@ -102,7 +102,7 @@
     MemoryClaims claims;
     TestHost host(testHostOptions("host-1", "gulf"), claims.access(), &upstreams, 1);
     TestCaller caller;
-    HttpRequest order = testRequest("order", "key-1");
+    HttpRequest order = testRequest("order", "1800000000-key-1");
     order.headers.add("Trefoil-Deadline-Ms", "600");
     cr_assert_eq(summaryOf(caller.call(host.address(), order)), "504 unknown");
     HttpRequest next = testRequest("browse");
@@ -124,8 +124,8 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
     TestCaller caller;
     cr_assert_eq(summaryOf(caller.call(relaying.address(), testRequest("browse"))), "200 answered");
-    cr_assert_eq(summaryOf(caller.call(relaying.address(), testRequest("order", "key-1"))), "200 answered");
-    cr_assert_eq(summaryOf(caller.call(server.address(), testRequest("order", "key-1"))), "200 answered");
+    cr_assert_eq(summaryOf(caller.call(relaying.address(), testRequest("order", "1800000000-key-1"))), "200 answered");
+    cr_assert_eq(summaryOf(caller.call(server.address(), testRequest("order", "1800000000-key-1"))), "200 answered");
     cr_assert_eq(upstreams.begun(), 2);
     relaying.setHosts({relaying.known(), third.known()});
     third.setHosts({server.known(), third.known()});
@@ -192,9 +192,9 @@
     MemoryClaims claims;
     TestHost host(testHostOptions("host-1", "gulf"), claims.access(), &upstreams);
     TestCaller caller;
-    const HttpRequest query {"GET", "/v1/keys/catalogue-svc/museum/key-1"};
+    const HttpRequest query {"GET", "/v1/keys/catalogue-svc/museum/1800000000-key-1"};
     cr_assert_eq(summaryOf(caller.call(host.address(), query)), "404 ");
-    cr_assert_eq(summaryOf(caller.call(host.address(), testRequest("order", "key-1"))), "200 answered");
+    cr_assert_eq(summaryOf(caller.call(host.address(), testRequest("order", "1800000000-key-1"))), "200 answered");
     const CallResult answered = caller.call(host.address(), query);
     cr_assert_eq(nlohmann::json::parse(std::get<HttpResponse>(answered).body).value("outcome", ""), "answered");
 }
