--- a/Libraries/LibSteering/relaytargets.cpp
+++ b/Libraries/LibSteering/relaytargets.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-RelayTargets::RelayTargets(const std::vector<RelayTarget> &targets)
+RelayTargets::RelayTargets(const std::vector<RelayCandidate> &targets)
 {
     m_targets.reserve(targets.size());
     for (const auto &target : targets) {
--- a/Libraries/LibSteering/relaytargets.h
+++ b/Libraries/LibSteering/relaytargets.h
@@ -12,7 +12,7 @@
 
 /// Another host of the own region with free slots in its last heartbeat. Best reported as a mean over the time between two heartbeats:
 /// a host has few slots of an upstream, and the number free at one instant tells little about the next half second.
-struct RelayTarget
+struct RelayCandidate
 {
     SlotCount freeSlots;
     std::shared_ptr<RelayCounter> relays;
@@ -30,7 +30,7 @@
 {
 public:
     /// Precondition: no counter is null.
-    explicit RelayTargets(const std::vector<RelayTarget> &targets);
+    explicit RelayTargets(const std::vector<RelayCandidate> &targets);
 
     /// A host drawn in proportion to its free slots, of up to 16 from a random place on; nothing when none has one.
     /// Precondition: the request was not relayed before. Thread safety: safe from any thread with a generator of its own; lock-free.
--- a/Tests/Bench/Decisions/decisionrun.cpp
+++ b/Tests/Bench/Decisions/decisionrun.cpp
@@ -713,7 +713,7 @@
         std::vector<int> slots(m_regionIds.size());
         HostService &service = host.services[index];
         service.targetHosts.clear();
-        std::vector<RelayTarget> targets;
+        std::vector<RelayCandidate> targets;
         for (std::size_t other = 0; other < m_hosts.size(); ++other) {
             if (m_time.now() - m_hosts[other].lastSeen >= 2 * s_heartbeat) {
                 continue;
--- a/Tests/LibSteering/testregions.cpp
+++ b/Tests/LibSteering/testregions.cpp
@@ -192,7 +192,7 @@
 // Guards against relays to hosts without free slots and against a choice that always falls on one host.
 Test(RelayTargets, drawnInProportionToFreeSlots)
 {
-    std::vector<RelayTarget> targets;
+    std::vector<RelayCandidate> targets;
     for (const int free : {0, 2, 4, -1}) {
         targets.push_back({SlotCount(free), std::make_shared<RelayCounter>()});
     }
