trefoilmountd: Set the grants of windows that a new configuration brings

Cause: a changed interval makes a new shift window, which kept a zero grant until the next change of grants. Change: rates are set after each configuration.

--- a/Services/trefoilmountd/membershipservice.cpp
+++ b/Services/trefoilmountd/membershipservice.cpp
@@ -78,6 +78,8 @@
         m_member.setConfiguration(configuration.version, m_resources, BootClock::now());
         followUpstreams();
         m_publishedLimits.clear();
+        // A changed interval brings a new shift window, whose grant is still zero.
+        publishRates();
         carryOut();
     }
 
@@ -199,7 +201,7 @@
 
     StoreReply execute(const StoreRequest &request, const asio::yield_context &yield)
     {
-        const auto convert = [](auto result) { return std::visit([](auto &&value) { return StoreReply(std::move(value)); }, std::move(result)); };
+        const auto convert = [](auto result) { return std::visit([](auto &&value) { return StoreReply(std::forward<decltype(value)>(value)); }, std::move(result)); };
         if (const auto *read = std::get_if<ReadRows>(&request.operation)) {
             return convert(m_table.read(read->keys, request.deadline, yield));
         }
