trefoilmountd: Let the request path see the claims that are set before the start

Cause: the workers copied the empty claim access when they were created; in Meta/demo all 1,124 orders and releases ended as not-run (store-unavailable). Change: they refer to the host's.

--- a/Services/trefoilmountd/requestpath.h
+++ b/Services/trefoilmountd/requestpath.h
@@ -32,7 +32,8 @@
 struct RequestPathShared
 {
     HostState &state;
-    ClaimAccess claims;
+    /// Owned by the host, which may replace it before it starts.
+    const ClaimAccess &claims;
     SlotSignal &signal;
     RetryBudget &retryBudget;
     RequestMetrics &metrics;
--- a/Tests/trefoilmountd/testplannedstop.cpp
+++ b/Tests/trefoilmountd/testplannedstop.cpp
@@ -32,7 +32,7 @@
             TestCaller caller;
             for (int j = 0; std::chrono::steady_clock::now() < end; ++j) {
                 const bool isOrder = j % 3 == 0;
-                const std::string key = isOrder ? std::to_string(i) + "-" + std::to_string(j) : "";
+                const std::string key = isOrder ? "1800000000-" + std::to_string(i) + "-" + std::to_string(j) : "";
                 const auto result = summaryOf(caller.call(address, testRequest(isOrder ? "order" : "browse", key)));
                 ++(result == "200 answered" ? answered : others);
             }
