trefoilmountd: Spend the store write rate on claims before outcomes

Cause: claims and outcomes shared 20 writes a second on a host, and four batches queued for it; at 25 orders a second on one host a claim waited for all of them. Change: outcomes share a write every 250 ms, two batches at a time, 25 writes a second.

--- a/Services/trefoilmountd/claimwriter.cpp
+++ b/Services/trefoilmountd/claimwriter.cpp
@@ -13,10 +13,13 @@
 namespace {
 
 constexpr std::size_t s_claimsPerBatch = 64;
-/// Batches in flight at once; more would let a slow store pile up work.
-constexpr int s_concurrentBatches = 4;
+/// Batches in flight at once. A claim waits for the batches before it, each of which waits for the host's write rate; with one
+/// alone, a response that is lost would hold up all claims.
+constexpr int s_concurrentBatches = 2;
 /// Claims that arrive within this time share a transaction.
 constexpr std::chrono::milliseconds s_gatherTime {2};
+/// Outcomes wait this long to share a transaction, since no caller waits for them and the host's write rate is better spent on claims.
+constexpr std::chrono::milliseconds s_outcomeGatherTime {250};
 /// Waiting claims above this end as unavailable at once.
 constexpr std::size_t s_longestQueue = 10000;
 /// Outcomes above this are dropped, oldest first; their claims then read "unknown".
@@ -154,8 +157,8 @@
 
 void ClaimWriter::runOutcomes(const asio::yield_context &yield)
 {
-    wait(s_gatherTime, yield);
     while (!m_outcomes.empty()) {
+        wait(s_outcomeGatherTime, yield);
         std::vector<Outcome> outcomes;
         while (!m_outcomes.empty() && outcomes.size() < s_outcomesPerWrite) {
             outcomes.push_back(std::move(m_outcomes.front()));
--- a/Services/trefoilmountd/controlplane.cpp
+++ b/Services/trefoilmountd/controlplane.cpp
@@ -11,11 +11,15 @@
 /// Expired claims are deleted a page at a time, for one random tenant and service; hosts share the work by chance.
 constexpr std::chrono::seconds s_claimDeletionInterval {60};
 
+/// 12 hosts then send at most 300 writes a second, of the several hundred that the table service takes.
+constexpr double s_writesPerSecond = 25;
+
 StoreSettings storeSettings(const std::string &address, const HostSettings &settings)
 {
     StoreSettings store;
     store.address = address;
     store.sourceAddress = settings.sourceAddress;
+    store.writesPerSecond = s_writesPerSecond;
     return store;
 }
 
