--- a/Libraries/LibCommand/apply.cpp
+++ b/Libraries/LibCommand/apply.cpp
@@ -7,9 +7,11 @@
 #include <fmt/format.h>
 #include <unordered_map>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 template<typename Item>
 Item *findById(std::vector<Item> &items, const std::string &id)
@@ -63,7 +65,7 @@
             m_findings = validate(m_result);
         }
         if (!m_findings.empty()) {
-            return Error {ErrorCode::InvalidInput, "the change cannot be applied", std::move(m_findings)};
+            return Error{ErrorCode::InvalidInput, "the change cannot be applied", std::move(m_findings)};
         }
         m_result.version = ConfigurationVersion(m_result.version.value() + 1);
         return std::move(m_result);
@@ -242,7 +244,7 @@
 
     bool requireReference(EntityKind kind, const std::optional<SourceName> &name)
     {
-        return !name || require(EntityName {kind, *name, {}});
+        return !name || require(EntityName{kind, *name, {}});
     }
 
     // Declarations
--- a/Libraries/LibCommand/apply.h
+++ b/Libraries/LibCommand/apply.h
@@ -5,7 +5,8 @@
 
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Applies the changes among some commands, in their order, and raises the version by one. Either all of them apply or
 /// the error holds all findings, each with "line:column" as its place. Queries are passed over.
--- a/Libraries/LibCommand/command.h
+++ b/Libraries/LibCommand/command.h
@@ -8,7 +8,8 @@
 #include <vector>
 
 /// The operators' command language as typed values; docs/commands.md holds its grammar.
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// A position in the text of the commands; both numbers start at 1, columns count bytes.
 struct SourcePlace
--- a/Libraries/LibCommand/lexer.cpp
+++ b/Libraries/LibCommand/lexer.cpp
@@ -1,8 +1,10 @@
 #include <LibCommand/lexer.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 bool isBlank(char character)
 {
@@ -54,7 +56,7 @@
 
     void readWord()
     {
-        Token token {{}, m_place};
+        Token token{{}, m_place};
         while (m_position < m_text.size() && !endsWord(m_text[m_position])) {
             token.text += printable(m_text[m_position]);
             advance();
--- a/Libraries/LibCommand/lexer.h
+++ b/Libraries/LibCommand/lexer.h
@@ -6,7 +6,8 @@
 #include <string_view>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// A word of the command language.
 struct Token
--- a/Libraries/LibCommand/parser.cpp
+++ b/Libraries/LibCommand/parser.cpp
@@ -10,16 +10,18 @@
 #include <fmt/format.h>
 #include <limits>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t s_mostFindings = 100;
 /// A longer word is cut in findings; a pasted file without line ends would fill the report.
 constexpr std::size_t s_longestQuote = 64;
 
-constexpr std::array<const char *, 8> s_entityKeywords {"region", "zone", "link", "service", "upstream", "class", "tenant", "block"};
-constexpr std::array<const char *, 6> s_showKeywords {"configuration", "services", "upstreams", "hosts", "traffic", "grants"};
+constexpr std::array<const char *, 8> s_entityKeywords{"region", "zone", "link", "service", "upstream", "class", "tenant", "block"};
+constexpr std::array<const char *, 6> s_showKeywords{"configuration", "services", "upstreams", "hosts", "traffic", "grants"};
 
 std::string quoted(const std::string &word)
 {
@@ -33,8 +35,8 @@
     std::int64_t factor;
 };
 
-constexpr std::array<Unit, 4> s_timeUnits {{{"ms", 1}, {"s", 1000}, {"min", 60000}, {"h", 3600000}}};
-constexpr std::array<Unit, 3> s_rateUnits {{{"kbps", 1}, {"Mbps", 1000}, {"Gbps", 1000000}}};
+constexpr std::array<Unit, 4> s_timeUnits{{{"ms", 1}, {"s", 1000}, {"min", 60000}, {"h", 3600000}}};
+constexpr std::array<Unit, 3> s_rateUnits{{{"kbps", 1}, {"Mbps", 1000}, {"Gbps", 1000000}}};
 
 /// Reads the words of one command and adds findings to a list shared by all commands.
 class CommandParser
@@ -70,14 +72,14 @@
         const std::string verb = takeKeyword("a command", {"declare", "set", "remove", "drain", "undrain", "show", "why", "what-if"});
         if (verb == "declare") {
             EntityName entity = readEntity();
-            return DeclareCommand {entity, readProperties(entity.kind, true)};
+            return DeclareCommand{entity, readProperties(entity.kind, true)};
         }
         if (verb == "set") {
             EntityName entity = readEntity();
-            return SetCommand {entity, readProperties(entity.kind, false)};
+            return SetCommand{entity, readProperties(entity.kind, false)};
         }
         if (verb == "remove") {
-            return RemoveCommand {readEntity()};
+            return RemoveCommand{readEntity()};
         }
         if (verb == "drain" || verb == "undrain") {
             return readDrain(verb == "drain");
@@ -90,7 +92,7 @@
         }
         if (verb == "what-if") {
             takeKeyword("a change", {"drain"});
-            return WhatIfCommand {readDrain(true)};
+            return WhatIfCommand{readDrain(true)};
         }
         return std::nullopt;
     }
@@ -138,7 +140,7 @@
         case EntityKind::Block:
             return readProperties<BlockProperties>(blockProperties(), isDeclaration);
         }
-        return RegionProperties {};
+        return RegionProperties{};
     }
 
     static std::vector<Property<RegionProperties>> regionProperties()
@@ -268,7 +270,7 @@
 
     WhyCommand readWhy()
     {
-        WhyCommand command {readEntity({"tenant", "service"}), std::nullopt};
+        WhyCommand command{readEntity({"tenant", "service"}), std::nullopt};
         if (m_position < m_line.tokens.size()) {
             takeKeyword("the selection", {"to"});
             command.region = readName("a region");
@@ -469,7 +471,7 @@
     static constexpr std::int64_t s_maximumKilobits = 1000000000;
     static constexpr std::int64_t s_maximumRequests = 1000000000;
     static constexpr std::int64_t s_longestDelay = 10000;
-    static constexpr std::int64_t s_longestMilliseconds = std::int64_t {24} * 3600 * 1000;
+    static constexpr std::int64_t s_longestMilliseconds = std::int64_t{24} * 3600 * 1000;
 
     const TokenLine &m_line;
     Findings &m_findings;
@@ -516,7 +518,7 @@
         }
     }
     if (!findings.empty()) {
-        return Error {ErrorCode::InvalidInput, "the commands are invalid", std::move(findings)};
+        return Error{ErrorCode::InvalidInput, "the commands are invalid", std::move(findings)};
     }
     return commands;
 }
--- a/Libraries/LibCommand/parser.h
+++ b/Libraries/LibCommand/parser.h
@@ -6,7 +6,8 @@
 #include <string_view>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Reads all commands of a text. The error holds every finding with "line:column" as its place; no command is returned
 /// beside findings. At most 100 findings are kept.
--- a/Libraries/LibCommand/whatif.cpp
+++ b/Libraries/LibCommand/whatif.cpp
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 struct SlotSums
 {
--- a/Libraries/LibCommand/whatif.h
+++ b/Libraries/LibCommand/whatif.h
@@ -8,7 +8,8 @@
 #include <string>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// What a drain would leave of one service.
 struct DrainForecast
--- a/Libraries/LibConfiguration/configuration.h
+++ b/Libraries/LibConfiguration/configuration.h
@@ -10,7 +10,8 @@
 
 /// The configuration that operators declare: one immutable document per version.
 /// All structures are plain values; reading one from several threads is safe while no thread changes it.
-namespace Trefoil {
+namespace Trefoil
+{
 
 using Milliseconds = std::chrono::milliseconds;
 
@@ -42,7 +43,7 @@
 {
     RegionId from;
     RegionId to;
-    Milliseconds delay {0};
+    Milliseconds delay{0};
     KilobitsPerSecond capacity;
 };
 
@@ -65,7 +66,7 @@
 {
     /// Requests per interval over all hosts, counted at the serving region.
     RequestCount requests;
-    Milliseconds interval {10000};
+    Milliseconds interval{10000};
 };
 
 struct ServiceConfiguration
@@ -82,9 +83,9 @@
     ClassId id;
     bool mayWait = false;
     bool mayRepeat = true;
-    Milliseconds defaultDeadline {5000};
+    Milliseconds defaultDeadline{5000};
     /// Longest silence on an upstream connection while an answer is awaited or read.
-    Milliseconds progressTimeout {2000};
+    Milliseconds progressTimeout{2000};
 };
 
 struct TenantConfiguration
--- a/Libraries/LibConfiguration/difference.cpp
+++ b/Libraries/LibConfiguration/difference.cpp
@@ -4,9 +4,11 @@
 #include <fmt/format.h>
 #include <map>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 using Members = std::map<std::string, std::string>;
 using Subjects = std::map<std::string, Members>;
--- a/Libraries/LibConfiguration/difference.h
+++ b/Libraries/LibConfiguration/difference.h
@@ -6,7 +6,8 @@
 #include <string>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 enum class ChangeAction {
     Added,
--- a/Libraries/LibConfiguration/digest.cpp
+++ b/Libraries/LibConfiguration/digest.cpp
@@ -5,7 +5,8 @@
 #include <fmt/format.h>
 #include <xxhash.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 std::string digest(const Configuration &configuration)
 {
--- a/Libraries/LibConfiguration/digest.h
+++ b/Libraries/LibConfiguration/digest.h
@@ -4,7 +4,8 @@
 
 #include <string>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Hexadecimal XXH3-128 digest of the document's canonical JSON text; equal documents have equal digests.
 /// It detects damage and mix-ups, not forgery. Precondition: none. Thread safety: safe from any thread.
--- a/Libraries/LibConfiguration/json.cpp
+++ b/Libraries/LibConfiguration/json.cpp
@@ -6,11 +6,13 @@
 #include <fmt/format.h>
 #include <limits>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 const char *objectiveName(Objective objective)
 {
@@ -368,7 +370,7 @@
         findings = validate(configuration);
     }
     if (!findings.empty()) {
-        return Error {ErrorCode::InvalidInput, "the configuration is invalid", std::move(findings)};
+        return Error{ErrorCode::InvalidInput, "the configuration is invalid", std::move(findings)};
     }
     return configuration;
 }
--- a/Libraries/LibConfiguration/json.h
+++ b/Libraries/LibConfiguration/json.h
@@ -5,7 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// The document's JSON form. Precondition: none. Thread safety: safe from any thread.
 nlohmann::json toJson(const Configuration &configuration);
--- a/Libraries/LibConfiguration/validation.cpp
+++ b/Libraries/LibConfiguration/validation.cpp
@@ -7,9 +7,11 @@
 #include <fmt/format.h>
 #include <set>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t s_maximumNameLength = 64;
 constexpr std::int32_t s_maximumSlots = 100000;
--- a/Libraries/LibConfiguration/validation.h
+++ b/Libraries/LibConfiguration/validation.h
@@ -3,7 +3,8 @@
 #include <LibConfiguration/configuration.h>
 #include <LibCore/findings.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Checks references, ranges and uniqueness; an empty list means that the configuration is sound.
 /// Precondition: none. Thread safety: safe from any thread.
--- a/Libraries/LibCore/bootclock.cpp
+++ b/Libraries/LibCore/bootclock.cpp
@@ -2,11 +2,12 @@
 
 #include <ctime>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 BootClock::time_point BootClock::now() noexcept
 {
-    timespec value {};
+    timespec value{};
     clock_gettime(CLOCK_BOOTTIME, &value);
     return time_point(std::chrono::seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec));
 }
--- a/Libraries/LibCore/bootclock.h
+++ b/Libraries/LibCore/bootclock.h
@@ -2,7 +2,8 @@
 
 #include <chrono>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Monotonic clock that also counts the time for which the machine was suspended (CLOCK_BOOTTIME).
 /// A lease checked against it lapses while its holder sleeps.
--- a/Libraries/LibCore/constanttime.cpp
+++ b/Libraries/LibCore/constanttime.cpp
@@ -1,6 +1,7 @@
 #include <LibCore/constanttime.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 bool equalInConstantTime(std::string_view given, std::string_view expected)
 {
--- a/Libraries/LibCore/constanttime.h
+++ b/Libraries/LibCore/constanttime.h
@@ -2,7 +2,8 @@
 
 #include <string_view>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Compares a given secret with the expected one. The time taken depends on the length of the given text only, so that
 /// an attacker cannot find the secret byte by byte. An empty expected secret equals nothing.
--- a/Libraries/LibCore/findings.cpp
+++ b/Libraries/LibCore/findings.cpp
@@ -4,7 +4,8 @@
 #include <fmt/format.h>
 #include <numeric>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 std::string toText(const Findings &findings)
 {
--- a/Libraries/LibCore/findings.h
+++ b/Libraries/LibCore/findings.h
@@ -3,7 +3,8 @@
 #include <string>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// One fault in some input, with the place where it stands.
 struct Finding
--- a/Libraries/LibCore/result.h
+++ b/Libraries/LibCore/result.h
@@ -5,7 +5,8 @@
 #include <boost/outcome/result.hpp>
 #include <string>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 enum class ErrorCode {
     InvalidInput,
@@ -23,7 +24,7 @@
 {
     ErrorCode code = ErrorCode::Internal;
     std::string message;
-    Findings findings {};
+    Findings findings{};
 };
 
 /// A value or an Error. Access is checked by assertions only, as for Boost.Outcome's all_narrow policy.
--- a/Libraries/LibCore/snapshot.cpp
+++ b/Libraries/LibCore/snapshot.cpp
@@ -6,9 +6,11 @@
 #include <sanitizer/tsan_interface.h>
 #endif
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 // The thread sanitizer does not see the barriers inside liburcu. These tell it what the library guarantees: the end of a
 // read-side critical section happens before a grace period that waited for it ends.
@@ -46,7 +48,8 @@
     urcu_memb_unregister_thread();
 }
 
-namespace Detail {
+namespace Detail
+{
 
 SnapshotReadGuard::SnapshotReadGuard()
 {
--- a/Libraries/LibCore/snapshot.h
+++ b/Libraries/LibCore/snapshot.h
@@ -5,7 +5,8 @@
 #include <mutex>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Registers the calling thread with the read-copy-update library for the lifetime of the object.
 /// Every thread that calls Snapshot::read must hold one.
@@ -18,7 +19,8 @@
     SnapshotReaderThread &operator=(const SnapshotReaderThread &) = delete;
 };
 
-namespace Detail {
+namespace Detail
+{
 
 /// Read-side critical section of the read-copy-update library.
 class SnapshotReadGuard
--- a/Libraries/LibCore/strongid.h
+++ b/Libraries/LibCore/strongid.h
@@ -6,7 +6,8 @@
 #include <string>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// An identifier of its own type, so that ids of different kinds cannot be mixed up.
 /// Thread safety: as for a value of type Rep.
@@ -58,7 +59,7 @@
     }
 
 private:
-    Rep m_value {};
+    Rep m_value{};
 };
 
 using HostId = StrongId<struct HostIdTag, std::string>;
@@ -85,6 +86,6 @@
 {
     std::size_t operator()(const Trefoil::StrongId<Tag, Rep> &id) const noexcept
     {
-        return std::hash<Rep> {}(id.value());
+        return std::hash<Rep>{}(id.value());
     }
 };
--- a/Libraries/LibCore/units.h
+++ b/Libraries/LibCore/units.h
@@ -2,7 +2,8 @@
 
 #include <cstdint>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// A counted quantity with a unit of its own.
 /// Thread safety: as for a value of type Rep.
@@ -58,7 +59,7 @@
     }
 
 private:
-    Rep m_value {};
+    Rep m_value{};
 };
 
 /// Requests that an upstream works on at once.
--- a/Libraries/LibHttp/cancellation.cpp
+++ b/Libraries/LibHttp/cancellation.cpp
@@ -2,7 +2,8 @@
 
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 bool Cancellation::isRequested() const
 {
--- a/Libraries/LibHttp/cancellation.h
+++ b/Libraries/LibHttp/cancellation.h
@@ -2,7 +2,8 @@
 
 #include <functional>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Tells running work that its result is no longer wanted.
 /// Thread safety: all calls on the thread of the worker that runs the work.
--- a/Libraries/LibHttp/connectionlimit.cpp
+++ b/Libraries/LibHttp/connectionlimit.cpp
@@ -3,7 +3,8 @@
 #include <cassert>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 ConnectionPermit::ConnectionPermit(std::shared_ptr<ConnectionLimit> limit)
     : m_limit(std::move(limit))
--- a/Libraries/LibHttp/connectionlimit.h
+++ b/Libraries/LibHttp/connectionlimit.h
@@ -6,7 +6,8 @@
 #include <memory>
 #include <optional>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 class ConnectionLimit;
 
@@ -53,7 +54,7 @@
     explicit ConnectionLimit(ConnectionCount granted);
 
     std::atomic<std::int32_t> m_granted;
-    std::atomic<std::int32_t> m_open {0};
+    std::atomic<std::int32_t> m_open{0};
 };
 
 } // namespace Trefoil
--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -11,17 +11,19 @@
 #include <unordered_map>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
-namespace {
+namespace
+{
 
 constexpr std::uint32_t s_headerLimit = 16 * 1024;
-constexpr std::size_t s_bufferLimit = std::size_t {64} * 1024;
+constexpr std::size_t s_bufferLimit = std::size_t{64} * 1024;
 
 struct PooledConnection
 {
@@ -36,7 +38,7 @@
     beast::flat_buffer buffer;
     std::optional<ConnectionPermit> permit;
     BootTime openedAt = BootClock::now();
-    BootTime idleSince {};
+    BootTime idleSince{};
     bool reused = false;
 };
 
@@ -169,7 +171,7 @@
             http::async_read_some(m_connection.stream, m_connection.buffer, parser, yield[error]);
             // Checked before the error: without a declared length, the end of the connection looks like the end of the body.
             if (parser.is_header_done() && parser.get().result_int() >= 200 && !declaresLength(parser)) {
-                return CallFailure {CallFailureKind::LengthUndeclared, true, "the response declares no length"};
+                return CallFailure{CallFailureKind::LengthUndeclared, true, "the response declares no length"};
             }
             if (error) {
                 return failure(parser.got_some() ? CallFailureKind::Truncated : CallFailureKind::ConnectionLost, error);
@@ -184,7 +186,7 @@
             return response;
         }
         m_reusable = false;
-        return CallFailure {CallFailureKind::WrongRequestId, true, "the response carries the id of another request"};
+        return CallFailure{CallFailureKind::WrongRequestId, true, "the response carries the id of another request"};
     }
 
     /// The stream ends an operation at the earlier of the deadline and the progress timeout.
@@ -278,15 +280,15 @@
         ConnectionPointer current = std::move(std::get<ConnectionPointer>(obtained));
         const HookScope hook(options.cancellation, current->stream);
         if (options.cancellation && options.cancellation->isRequested()) {
-            return CallFailure {CallFailureKind::Cancelled, false, "cancelled before the request was sent"};
+            return CallFailure{CallFailureKind::Cancelled, false, "cancelled before the request was sent"};
         }
         if (BootClock::now() >= options.deadline) {
             giveBack(address, std::move(current));
-            return CallFailure {CallFailureKind::DeadlineExceeded, false, "the deadline passed before the request was sent"};
+            return CallFailure{CallFailureKind::DeadlineExceeded, false, "the deadline passed before the request was sent"};
         }
         if (options.prepare && !options.prepare(request)) {
             giveBack(address, std::move(current));
-            return CallFailure {CallFailureKind::WriteRefused, false, "the request may no longer be sent"};
+            return CallFailure{CallFailureKind::WriteRefused, false, "the request may no longer be sent"};
         }
         Exchange exchange(*current, options);
         if (auto failed = exchange.write(request, address, yield)) {
@@ -325,7 +327,7 @@
         }
         std::optional<ConnectionPermit> permit = limit ? limit->tryAcquire() : std::nullopt;
         if (limit && !permit) {
-            return CallFailure {CallFailureKind::NoConnection, false, "the connection limit is reached"};
+            return CallFailure{CallFailureKind::NoConnection, false, "the connection limit is reached"};
         }
         return connect(address, std::move(permit), options, yield);
     }
@@ -371,11 +373,11 @@
     {
         const auto endpoint = parseEndpoint(address);
         if (endpoint.has_error()) {
-            return CallFailure {CallFailureKind::ConnectFailed, false, endpoint.error().message};
+            return CallFailure{CallFailureKind::ConnectFailed, false, endpoint.error().message};
         }
         const auto left = options.deadline - BootClock::now();
         if (left <= BootClock::duration::zero()) {
-            return CallFailure {CallFailureKind::DeadlineExceeded, false, "the deadline passed before connecting"};
+            return CallFailure{CallFailureKind::DeadlineExceeded, false, "the deadline passed before connecting"};
         }
         auto fresh = std::make_unique<PooledConnection>(m_context, std::move(permit));
         const HookScope hook(options.cancellation, fresh->stream);
@@ -386,7 +388,7 @@
         fresh->stream.expires_after(std::min<BootClock::duration>(left, m_settings.connectTimeout));
         fresh->stream.async_connect(endpoint.value(), yield[error]);
         if (error) {
-            return CallFailure {connectFailureKind(options, error), false, error.message()};
+            return CallFailure{connectFailureKind(options, error), false, error.message()};
         }
         fresh->stream.socket().set_option(tcp::no_delay(true), error);
         ++m_opened;
@@ -421,7 +423,7 @@
         if (!error) {
             return std::nullopt;
         }
-        return CallFailure {CallFailureKind::ConnectFailed, false, error.message()};
+        return CallFailure{CallFailureKind::ConnectFailed, false, error.message()};
     }
 
     asio::io_context &m_context;
--- a/Libraries/LibHttp/connectionpool.h
+++ b/Libraries/LibHttp/connectionpool.h
@@ -14,7 +14,8 @@
 #include <string>
 #include <variant>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 enum class CallFailureKind {
     /// The connection limit is reached and no connection is idle.
@@ -46,7 +47,7 @@
     CallFailureKind kind = CallFailureKind::ConnectFailed;
     /// False when certainly no byte of the request left this process.
     bool anyByteWritten = false;
-    std::string message {};
+    std::string message{};
 };
 
 using CallResult = std::variant<HttpResponse, CallFailure>;
@@ -58,24 +59,24 @@
 {
     BootTime deadline;
     /// Longest silence while the response is awaited or read, and while the request is written.
-    std::chrono::milliseconds progressTimeout {2000};
+    std::chrono::milliseconds progressTimeout{2000};
     /// Required value of Trefoil-Request-Id in the response; empty accepts every response.
-    std::string requestId {};
-    std::size_t responseLimit = std::size_t {16} * 1024 * 1024;
+    std::string requestId{};
+    std::size_t responseLimit = std::size_t{16} * 1024 * 1024;
     /// Ends the call early; may be null.
     Cancellation *cancellation = nullptr;
     /// Called directly before the first byte is written, after every wait, to complete the request, for example with the
     /// time left; false refuses to send it. May be empty.
-    std::function<bool(HttpRequest &request)> prepare {};
+    std::function<bool(HttpRequest &request)> prepare{};
 };
 
 struct ConnectionPoolSettings
 {
     /// Local IP of connections; empty leaves the choice to the system.
-    std::string sourceAddress {};
-    std::chrono::milliseconds connectTimeout {1000};
+    std::string sourceAddress{};
+    std::chrono::milliseconds connectTimeout{1000};
     /// A new connection costs the upstream about 1 ms, so warm ones are kept through ordinary pauses.
-    std::chrono::seconds idleTimeout {60};
+    std::chrono::seconds idleTimeout{60};
     std::size_t idleLimitPerAddress = 64;
 };
 
--- a/Libraries/LibHttp/endpoint.cpp
+++ b/Libraries/LibHttp/endpoint.cpp
@@ -4,11 +4,12 @@
 #include <charconv>
 #include <fmt/format.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 Result<boost::asio::ip::tcp::endpoint> parseEndpoint(const std::string &address)
 {
-    const Error invalid {ErrorCode::InvalidInput, fmt::format("\"{}\" is not an IPv4 number and port", address)};
+    const Error invalid{ErrorCode::InvalidInput, fmt::format("\"{}\" is not an IPv4 number and port", address)};
     const auto colon = address.find(':');
     if (colon == std::string::npos) {
         return invalid;
--- a/Libraries/LibHttp/endpoint.h
+++ b/Libraries/LibHttp/endpoint.h
@@ -5,7 +5,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <string>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Reads "IP:port" with an IPv4 number; port 0 lets the system choose when listening.
 /// Precondition: none. Thread safety: safe from any thread.
--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -13,7 +13,8 @@
 #include <optional>
 #include <variant>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -21,15 +22,16 @@
 using tcp = asio::ip::tcp;
 using Clock = std::chrono::steady_clock;
 
-namespace {
+namespace
+{
 
 /// After its last response a connection is read for this long, so that the caller gets the response and no reset.
-constexpr std::chrono::milliseconds s_lingerTimeout {1000};
+constexpr std::chrono::milliseconds s_lingerTimeout{1000};
 /// How often time limits are checked. One timer for all connections costs less than one for each operation.
-constexpr std::chrono::milliseconds s_expiryInterval {25};
+constexpr std::chrono::milliseconds s_expiryInterval{25};
 /// Pause of the accept loop when the process has no file descriptor left.
-constexpr std::chrono::milliseconds s_acceptPause {20};
-constexpr std::size_t s_lingerLimit = std::size_t {4} * 1024 * 1024;
+constexpr std::chrono::milliseconds s_acceptPause{20};
+constexpr std::size_t s_lingerLimit = std::size_t{4} * 1024 * 1024;
 constexpr std::size_t s_readSize = 4096;
 
 /// For a connection above the bound.
@@ -125,7 +127,7 @@
     tcp::acceptor m_acceptor;
     asio::steady_timer m_expiryTimer;
     std::list<Connection *> m_connections;
-    std::atomic<std::size_t> m_open {0};
+    std::atomic<std::size_t> m_open{0};
     bool m_closing = false;
 };
 
@@ -269,7 +271,7 @@
             m_idle = false;
             m_buffer.commit(count);
             if (error) {
-                return ConnectionEnded {};
+                return ConnectionEnded{};
             }
         }
         http::request_parser<http::string_body> parser;
@@ -282,7 +284,7 @@
         }
         if (!parser.is_done()) {
             if (beast::iequals(parser.get()[http::field::expect], "100-continue") && !continueBody(yield)) {
-                return ConnectionEnded {};
+                return ConnectionEnded{};
             }
             expireAfter(m_state->m_settings.bodyTimeout);
             http::async_read(m_socket, m_buffer, parser, yield[error]);
@@ -300,7 +302,7 @@
             return errorResponse(408, "too-slow", part, fmt::format("the {} did not arrive in time", part));
         }
         if (!isInputError(error)) {
-            return ConnectionEnded {};
+            return ConnectionEnded{};
         }
         return responseForReadError(error, m_state->m_settings);
     }
@@ -355,7 +357,7 @@
         m_socket.shutdown(tcp::socket::shutdown_send, error);
         expireAfter(s_lingerTimeout);
         std::size_t discarded = 0;
-        std::array<char, s_readSize> sink {};
+        std::array<char, s_readSize> sink{};
         while (!error && discarded < s_lingerLimit) {
             discarded += m_socket.async_read_some(asio::buffer(sink), yield[error]);
         }
@@ -399,7 +401,7 @@
         m_acceptor.non_blocking(true, error);
     }
     if (error) {
-        return Error {ErrorCode::Unavailable, fmt::format("cannot listen on {}: {}", m_settings.address, error.message())};
+        return Error{ErrorCode::Unavailable, fmt::format("cannot listen on {}: {}", m_settings.address, error.message())};
     }
     return boost::outcome_v2::success();
 }
--- a/Libraries/LibHttp/httpserver.h
+++ b/Libraries/LibHttp/httpserver.h
@@ -12,7 +12,8 @@
 #include <memory>
 #include <string>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 struct HttpServerSettings
 {
@@ -21,16 +22,16 @@
     /// Lets several servers share the address; the system spreads connections over them.
     bool sharesAddress = false;
     std::size_t connectionLimit = 4096;
-    std::size_t headerLimit = std::size_t {16} * 1024;
-    std::size_t bodyLimit = std::size_t {1024} * 1024;
+    std::size_t headerLimit = std::size_t{16} * 1024;
+    std::size_t bodyLimit = std::size_t{1024} * 1024;
     /// Longest wait for the first byte of a request.
-    std::chrono::milliseconds idleTimeout {60000};
+    std::chrono::milliseconds idleTimeout{60000};
     /// Time for the whole header from its first byte.
-    std::chrono::milliseconds headerTimeout {5000};
+    std::chrono::milliseconds headerTimeout{5000};
     /// Time for the whole body.
-    std::chrono::milliseconds bodyTimeout {15000};
+    std::chrono::milliseconds bodyTimeout{15000};
     /// Time for the whole response.
-    std::chrono::milliseconds writeTimeout {15000};
+    std::chrono::milliseconds writeTimeout{15000};
 };
 
 /// The connection on which a request came in. Thread safety: all calls on the server's thread.
--- a/Libraries/LibHttp/jsonclient.cpp
+++ b/Libraries/LibHttp/jsonclient.cpp
@@ -6,14 +6,16 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
-namespace {
+namespace
+{
 
 tcp::endpoint endpointOf(const std::string &address)
 {
@@ -89,12 +91,12 @@
         stream.socket().bind({asio::ip::make_address(m_settings.sourceAddress, error), 0}, error);
     }
     if (error) {
-        return RequestNotSent {"cannot open a socket: " + error.message()};
+        return RequestNotSent{"cannot open a socket: " + error.message()};
     }
     stream.expires_after(std::max(deadline - BootClock::now(), BootClock::duration(0)));
     stream.async_connect(endpointOf(m_settings.address), yield[error]);
     if (error) {
-        return RequestNotSent {"cannot connect to " + m_settings.address + ": " + error.message()};
+        return RequestNotSent{"cannot connect to " + m_settings.address + ": " + error.message()};
     }
     stream.socket().set_option(tcp::no_delay(true), error);
     return stream;
@@ -112,7 +114,7 @@
 JsonResult JsonClient::request(const JsonRequest &request, BootTime deadline, const asio::yield_context &yield)
 {
     if (deadline <= BootClock::now()) {
-        return RequestNotSent {"the deadline has passed"};
+        return RequestNotSent{"the deadline has passed"};
     }
     auto connected = connection(deadline, yield);
     if (std::holds_alternative<RequestNotSent>(connected)) {
@@ -124,17 +126,17 @@
     boost::system::error_code error;
     m_bytesSent += http::async_write(stream, message, yield[error]);
     if (error) {
-        return RequestAmbiguous {"cannot write the request: " + error.message()};
+        return RequestAmbiguous{"cannot write the request: " + error.message()};
     }
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(m_settings.maximumBodyBytes);
     m_bytesReceived += http::async_read(stream, buffer, parser, yield[error]);
     if (error) {
-        return RequestAmbiguous {"no complete response: " + error.message()};
+        return RequestAmbiguous{"no complete response: " + error.message()};
     }
     if (!declaresLength(parser)) {
-        return RequestAmbiguous {"the response declares no length"};
+        return RequestAmbiguous{"the response declares no length"};
     }
     const bool reusable = parser.keep_alive() && buffer.size() == 0;
     auto response = parser.release();
@@ -142,7 +144,7 @@
         keep(std::move(stream));
     }
     const auto tag = response[http::field::etag];
-    return JsonResponse {static_cast<int>(response.result_int()), std::move(response.body()), std::string(tag.data(), tag.size())};
+    return JsonResponse{static_cast<int>(response.result_int()), std::move(response.body()), std::string(tag.data(), tag.size())};
 }
 
 } // namespace Trefoil
--- a/Libraries/LibHttp/jsonclient.h
+++ b/Libraries/LibHttp/jsonclient.h
@@ -11,7 +11,8 @@
 #include <vector>
 
 /// A small HTTP client for requests between the system and its platform: short bodies, one request at a time on each connection.
-namespace Trefoil {
+namespace Trefoil
+{
 
 struct JsonClientSettings
 {
@@ -20,8 +21,8 @@
     /// Local IP of the connections; empty leaves the choice to the system.
     std::string sourceAddress;
     /// Sent as the Authorization header when not empty.
-    std::string authorization {};
-    std::size_t maximumBodyBytes = std::size_t {64} * 1024 * 1024;
+    std::string authorization{};
+    std::size_t maximumBodyBytes = std::size_t{64} * 1024 * 1024;
     std::size_t maximumIdleConnections = 8;
 };
 
@@ -30,9 +31,9 @@
     /// GET, POST, PUT or DELETE.
     std::string method = "GET";
     std::string target;
-    std::string body {};
+    std::string body{};
     /// Entity tag of the copy that the caller holds; an unchanged resource is then answered with 304 and no body.
-    std::string ifNoneMatch {};
+    std::string ifNoneMatch{};
 };
 
 /// A complete response with a declared length.
--- a/Libraries/LibHttp/message.cpp
+++ b/Libraries/LibHttp/message.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 static char toLower(char character)
 {
--- a/Libraries/LibHttp/message.h
+++ b/Libraries/LibHttp/message.h
@@ -5,7 +5,8 @@
 #include <vector>
 
 /// HTTP messages as plain values, independent of the library that reads and writes them.
-namespace Trefoil {
+namespace Trefoil
+{
 
 struct HttpHeader
 {
@@ -45,15 +46,15 @@
 {
     std::string method;
     std::string target;
-    HttpHeaders headers {};
-    std::string body {};
+    HttpHeaders headers{};
+    std::string body{};
 };
 
 struct HttpResponse
 {
     int status = 200;
-    HttpHeaders headers {};
-    std::string body {};
+    HttpHeaders headers{};
+    std::string body{};
 };
 
 /// A response with a JSON body `{"error", "field", "message"}`.
--- a/Libraries/LibIdempotency/claim.h
+++ b/Libraries/LibIdempotency/claim.h
@@ -6,7 +6,8 @@
 #include <variant>
 
 /// At-most-once claims: the row of a key in the table service is written before its request is sent.
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Names one non-repeatable request.
 struct ClaimKey
--- a/Libraries/LibIdempotency/claimbatch.cpp
+++ b/Libraries/LibIdempotency/claimbatch.cpp
@@ -4,7 +4,8 @@
 #include <map>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 ClaimBatch::ClaimBatch(std::vector<PendingClaim> claims)
     : m_remaining(std::move(claims))
@@ -18,7 +19,7 @@
     for (const auto &claim : m_remaining) {
         const std::string rowKey = rowKeyOf(claim.key);
         transaction.conditions.push_back({rowKey, 0});
-        transaction.puts.push_back({rowKey, toJson(ClaimRow {claim.claimId, claim.wallDeadline, {}, false})});
+        transaction.puts.push_back({rowKey, toJson(ClaimRow{claim.claimId, claim.wallDeadline, {}, false})});
     }
     return transaction;
 }
@@ -44,7 +45,7 @@
     std::vector<ClaimDecision> decisions;
     for (auto &claim : m_remaining) {
         const auto version = committed.versions.find(rowKeyOf(claim.key));
-        const ClaimGranted granted {claim.claimId};
+        const ClaimGranted granted{claim.claimId};
         decisions.push_back({std::move(claim), granted, version == committed.versions.end() ? 0 : version->second});
     }
     m_remaining.clear();
@@ -82,7 +83,7 @@
             remaining.push_back(std::move(claim));
             continue;
         }
-        decisions.push_back({std::move(claim), ClaimUnavailable {}, 0});
+        decisions.push_back({std::move(claim), ClaimUnavailable{}, 0});
     }
     m_remaining = std::move(remaining);
     return decisions;
--- a/Libraries/LibIdempotency/claimbatch.h
+++ b/Libraries/LibIdempotency/claimbatch.h
@@ -5,7 +5,8 @@
 
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// An attempt that waits for its claim.
 struct PendingClaim
--- a/Libraries/LibIdempotency/claimkey.cpp
+++ b/Libraries/LibIdempotency/claimkey.cpp
@@ -3,7 +3,8 @@
 #include <charconv>
 #include <fmt/format.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 std::optional<WallTime> creationTime(const RequestKey &key)
 {
@@ -15,7 +16,7 @@
     }
     std::int64_t seconds = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + digits, seconds);
-    if (error != std::errc {} || end != text.data() + digits || seconds < 0) {
+    if (error != std::errc{} || end != text.data() + digits || seconds < 0) {
         return std::nullopt;
     }
     return WallTime(std::chrono::seconds(seconds));
--- a/Libraries/LibIdempotency/claimkey.h
+++ b/Libraries/LibIdempotency/claimkey.h
@@ -5,14 +5,15 @@
 #include <chrono>
 #include <optional>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 using WallTime = std::chrono::system_clock::time_point;
 
 /// Claims are kept this long after the creation time of their key.
-constexpr std::chrono::hours s_claimLifetime {24};
+constexpr std::chrono::hours s_claimLifetime{24};
 /// Clocks of callers and hosts may differ this much. Rows are deleted only this long after their key has expired.
-constexpr std::chrono::minutes s_clockTolerance {10};
+constexpr std::chrono::minutes s_clockTolerance{10};
 
 enum class KeyAge {
     /// Not of the form "<creation time in Unix seconds>-<text>", or created in the future.
--- a/Libraries/LibIdempotency/claimrow.cpp
+++ b/Libraries/LibIdempotency/claimrow.cpp
@@ -3,11 +3,13 @@
 #include <boost/algorithm/hex.hpp>
 #include <iterator>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 std::int64_t toMilliseconds(WallTime time)
 {
@@ -73,21 +75,21 @@
 {
     const auto row = claimRowFromJson(value);
     if (!row) {
-        return ClaimOutcomeUnknown {};
+        return ClaimOutcomeUnknown{};
     }
     if (row->response) {
-        return ClaimAnswered {*row->response};
+        return ClaimAnswered{*row->response};
     }
     if (row->responseTooLarge) {
-        return ClaimOutcomeUnknown {};
+        return ClaimOutcomeUnknown{};
     }
     if (row->claimId == ownClaimId) {
-        return ClaimGranted {ownClaimId};
+        return ClaimGranted{ownClaimId};
     }
     if (now < row->deadline) {
-        return ClaimRunning {};
+        return ClaimRunning{};
     }
-    return ClaimOutcomeUnknown {};
+    return ClaimOutcomeUnknown{};
 }
 
 } // namespace Trefoil
--- a/Libraries/LibIdempotency/claimrow.h
+++ b/Libraries/LibIdempotency/claimrow.h
@@ -6,7 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Content of the row of a claimed key.
 struct ClaimRow
@@ -22,7 +23,7 @@
 };
 
 /// Bodies above this are not kept, since a row of the table service is small.
-constexpr std::size_t s_largestStoredBody = 64 * 1024;
+constexpr std::size_t s_largestStoredBody = std::size_t{64} * 1024;
 
 /// Precondition: none. Thread safety: safe from any thread.
 nlohmann::json toJson(const ClaimRow &row);
--- a/Libraries/LibMembership/backoff.h
+++ b/Libraries/LibMembership/backoff.h
@@ -6,7 +6,8 @@
 #include <pcg_random.hpp>
 #include <random>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Delays between attempts: uniform between zero and a ceiling that doubles with each failure, so that hosts that failed
 /// at the same moment do not come back at the same moment.
--- a/Libraries/LibMembership/grantholder.cpp
+++ b/Libraries/LibMembership/grantholder.cpp
@@ -5,7 +5,8 @@
 
 #include <algorithm>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 Result<GrantRows> grantRowsFrom(const std::vector<TableRow> &rows, const RegionId &region)
 {
--- a/Libraries/LibMembership/grantholder.h
+++ b/Libraries/LibMembership/grantholder.h
@@ -5,7 +5,8 @@
 
 #include <deque>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// A copy of a region's grants with the versions of its two rows.
 struct GrantRows
--- a/Libraries/LibMembership/granttable.cpp
+++ b/Libraries/LibMembership/granttable.cpp
@@ -3,11 +3,13 @@
 #include <algorithm>
 #include <cassert>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 /// Largest total that the configuration allows, so that products of a grant and a total fit into 64 bits.
 constexpr std::int64_t s_largestTotal = 1000000000;
@@ -68,7 +70,7 @@
 
 Result<GrantTable> GrantTable::fromJson(const json &value)
 {
-    const Error error {ErrorCode::Protocol, "the row of grants is malformed"};
+    const Error error{ErrorCode::Protocol, "the row of grants is malformed"};
     if (!value.is_object() || !value.contains("members") || !value["members"].is_array() || !value.contains("grants") || !value["grants"].is_object()) {
         return error;
     }
@@ -91,7 +93,7 @@
         }
     }
     if (!table.isSound()) {
-        return Error {ErrorCode::Protocol, "the row of grants exceeds a total"};
+        return Error{ErrorCode::Protocol, "the row of grants exceeds a total"};
     }
     return table;
 }
@@ -124,7 +126,7 @@
         return {};
     }
     const auto entry = position->second.find(host);
-    return entry == position->second.end() ? Grant {} : entry->second;
+    return entry == position->second.end() ? Grant{} : entry->second;
 }
 
 std::int64_t GrantTable::remainder(const Resource &resource) const
--- a/Libraries/LibMembership/granttable.h
+++ b/Libraries/LibMembership/granttable.h
@@ -8,7 +8,8 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// A host's part of a resource, and the total out of which it was taken.
 struct Grant
--- a/Libraries/LibMembership/guardianledger.cpp
+++ b/Libraries/LibMembership/guardianledger.cpp
@@ -1,6 +1,7 @@
 #include <LibMembership/guardianledger.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 GuardianLedger::GuardianLedger(BootTime startedAt)
     : m_startedAt(startedAt)
--- a/Libraries/LibMembership/guardianledger.h
+++ b/Libraries/LibMembership/guardianledger.h
@@ -6,7 +6,8 @@
 #include <optional>
 #include <set>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 enum class Acknowledgement {
     Confirmed,
--- a/Libraries/LibMembership/guardians.cpp
+++ b/Libraries/LibMembership/guardians.cpp
@@ -6,9 +6,11 @@
 #include <tuple>
 #include <xxhash.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t s_guardiansInRegion = 3;
 constexpr std::size_t s_guardiansOutside = 2;
--- a/Libraries/LibMembership/guardians.h
+++ b/Libraries/LibMembership/guardians.h
@@ -4,7 +4,8 @@
 
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 struct GuardianCandidate
 {
--- a/Libraries/LibMembership/hostlease.cpp
+++ b/Libraries/LibMembership/hostlease.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 /// Heartbeats that are still of use: those sent within a lease's duration, at two a second.
 constexpr std::size_t s_rememberedHeartbeats = 8;
--- a/Libraries/LibMembership/hostlease.h
+++ b/Libraries/LibMembership/hostlease.h
@@ -8,7 +8,8 @@
 #include <set>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// A host dispatches for at most this long after the confirmed heartbeat or renewal was sent.
 constexpr BootClock::duration s_leaseDuration = std::chrono::seconds(3);
--- a/Libraries/LibMembership/hostrow.cpp
+++ b/Libraries/LibMembership/hostrow.cpp
@@ -1,6 +1,7 @@
 #include <LibMembership/hostrow.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 using nlohmann::json;
 
@@ -19,7 +20,7 @@
             return std::nullopt;
         }
     }
-    HostRow row {RegionId(value["region"].get<std::string>()),
+    HostRow row{RegionId(value["region"].get<std::string>()),
         ZoneId(value["zone"].get<std::string>()),
         value["caller"].get<std::string>(),
         value["peer"].get<std::string>(),
--- a/Libraries/LibMembership/hostrow.h
+++ b/Libraries/LibMembership/hostrow.h
@@ -7,7 +7,8 @@
 #include <string>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Content of the row hosts/<host>.
 struct HostRow
--- a/Libraries/LibMembership/member.cpp
+++ b/Libraries/LibMembership/member.cpp
@@ -1,8 +1,10 @@
 #include <LibMembership/member.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -288,7 +290,7 @@
         return;
     }
     m_lease.heartbeatSent(++m_sequence, now);
-    const Heartbeat message {m_sequence, m_settings.incarnation, m_epoch, m_configuration, m_settings.freeSlots(), m_leaving};
+    const Heartbeat message{m_sequence, m_settings.incarnation, m_epoch, m_configuration, m_settings.freeSlots(), m_leaving};
     for (const HostId &guardian : targets) {
         m_lastHeardGuardian.emplace(guardian, now);
         m_outbox.send(guardian, message);
@@ -305,7 +307,7 @@
         acknowledgementReceived(from, *acknowledgement, now);
     } else if (const auto *request = std::get_if<ReclaimVoteRequest>(&message)) {
         const bool granted = m_ledger.vote(request->host, request->epoch, now);
-        m_outbox.send(from, ReclaimVote {request->host, request->epoch, request->ballot, granted});
+        m_outbox.send(from, ReclaimVote{request->host, request->epoch, request->ballot, granted});
     } else if (const auto *vote = std::get_if<ReclaimVote>(&message)) {
         m_reclaimer.voteReceived(from, *vote, now);
     }
@@ -320,7 +322,7 @@
 
 void Member::acknowledge(const HostId &to, const Heartbeat &heartbeat, bool confirmed)
 {
-    m_outbox.send(to, HeartbeatAck {heartbeat.sequence, heartbeat.epoch, m_configuration, confirmed});
+    m_outbox.send(to, HeartbeatAck{heartbeat.sequence, heartbeat.epoch, m_configuration, confirmed});
 }
 
 void Member::heartbeatReceived(const HostId &from, const Heartbeat &heartbeat, BootTime now)
@@ -542,7 +544,7 @@
     if (grants == committed->versions.end() || version == committed->versions.end()) {
         return std::nullopt;
     }
-    return GrantRows {std::move(table), grants->second, version->second};
+    return GrantRows{std::move(table), grants->second, version->second};
 }
 
 void Member::poll(BootTime now)
--- a/Libraries/LibMembership/member.h
+++ b/Libraries/LibMembership/member.h
@@ -6,7 +6,8 @@
 #include <LibMembership/peerdirectory.h>
 #include <LibMembership/reclaimer.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 struct MemberSettings
 {
@@ -165,7 +166,7 @@
     Backoff m_joinBackoff;
 
     BootTime m_lastRenewal;
-    BootClock::duration m_renewalJitter {0};
+    BootClock::duration m_renewalJitter{0};
     std::optional<std::vector<HostId>> m_proposedGuardians;
     BootTime m_nextRevision;
 
--- a/Libraries/LibMembership/memberoutbox.cpp
+++ b/Libraries/LibMembership/memberoutbox.cpp
@@ -2,25 +2,27 @@
 
 #include <algorithm>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 /// No row reaches this version; it is the largest integer that every JSON reader keeps exactly.
-constexpr RowVersion s_impossibleVersion = (RowVersion {1} << 53U) - 1;
+constexpr RowVersion s_impossibleVersion = (RowVersion{1} << 53U) - 1;
 
 } // namespace
 
 void MemberOutbox::send(HostId to, PeerMessage message)
 {
-    m_actions.emplace_back(SendMessage {std::move(to), std::move(message)});
+    m_actions.emplace_back(SendMessage{std::move(to), std::move(message)});
 }
 
 void MemberOutbox::add(std::variant<Transaction, ReadRows> operation, BootTime deadline, Continuation done)
 {
     const std::uint64_t id = ++m_lastId;
     m_open[id] = std::move(done);
-    m_actions.emplace_back(StoreRequest {id, std::move(operation), deadline});
+    m_actions.emplace_back(StoreRequest{id, std::move(operation), deadline});
 }
 
 void MemberOutbox::transact(Transaction transaction, BootTime deadline, Continuation done)
@@ -30,7 +32,7 @@
 
 void MemberOutbox::read(std::vector<std::string> keys, BootTime deadline, RowsContinuation done, FailureContinuation failed)
 {
-    add(ReadRows {std::move(keys)}, deadline, [done = std::move(done), failed = std::move(failed)](const StoreReply &reply, BootTime now) {
+    add(ReadRows{std::move(keys)}, deadline, [done = std::move(done), failed = std::move(failed)](const StoreReply &reply, BootTime now) {
         if (const auto *rows = std::get_if<std::vector<TableRow>>(&reply)) {
             done(*rows, now);
             return;
--- a/Libraries/LibMembership/memberoutbox.h
+++ b/Libraries/LibMembership/memberoutbox.h
@@ -8,7 +8,8 @@
 #include <map>
 #include <optional>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 struct SendMessage
 {
--- a/Libraries/LibMembership/peerdirectory.cpp
+++ b/Libraries/LibMembership/peerdirectory.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t s_rowsPerRead = 200;
 constexpr BootClock::duration s_readInterval = std::chrono::milliseconds(500);
@@ -67,7 +69,7 @@
             continue;
         }
         const bool sameProcess = known != m_peers.end() && known->second.row.incarnation == value->incarnation;
-        KnownPeer peer {*value, row.version, {}, value->leaving || (listed != m_listed.end() && listed->second.host.leaving)};
+        KnownPeer peer{*value, row.version, {}, value->leaving || (listed != m_listed.end() && listed->second.host.leaving)};
         peer.freeSlots = sameProcess ? known->second.freeSlots : SlotCount(0);
         const bool changed = !sameProcess || known->second.leaving != peer.leaving || known->second.row.peerAddress != peer.row.peerAddress;
         m_peers[host] = std::move(peer);
--- a/Libraries/LibMembership/peerdirectory.h
+++ b/Libraries/LibMembership/peerdirectory.h
@@ -7,7 +7,8 @@
 #include <map>
 #include <set>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// What is known of another host that has a row.
 struct KnownPeer
--- a/Libraries/LibMembership/reclaimattempt.cpp
+++ b/Libraries/LibMembership/reclaimattempt.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 ReclaimAttempt::ReclaimAttempt(HostId host, Epoch epoch, std::uint64_t rowVersion, std::vector<HostId> guardians, BootTime observedAt)
     : m_host(std::move(host))
--- a/Libraries/LibMembership/reclaimattempt.h
+++ b/Libraries/LibMembership/reclaimattempt.h
@@ -5,7 +5,8 @@
 #include <map>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// One attempt of this host to free the grants of a silent host. The grants may be freed in one transaction when all of
 /// these hold:
--- a/Libraries/LibMembership/reclaimer.cpp
+++ b/Libraries/LibMembership/reclaimer.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <random>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 /// A zone of 50 hosts may fail at once; each host handles this many of them at a time.
 constexpr std::size_t s_mostAttempts = 8;
@@ -154,7 +156,7 @@
             rule.recordVote(m_self, rule.epoch(), rule.rowVersion(), m_ledger.vote(rule.host(), rule.epoch(), now));
             continue;
         }
-        m_outbox.send(guardian, ReclaimVoteRequest {rule.host(), rule.epoch(), rule.rowVersion()});
+        m_outbox.send(guardian, ReclaimVoteRequest{rule.host(), rule.epoch(), rule.rowVersion()});
     }
 }
 
--- a/Libraries/LibMembership/reclaimer.h
+++ b/Libraries/LibMembership/reclaimer.h
@@ -9,7 +9,8 @@
 #include <functional>
 #include <pcg_random.hpp>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Frees the grants of silent hosts by the rule of ReclaimAttempt. Guardians that notice the silence act one after the
 /// other, so that usually one of them does the work.
--- a/Libraries/LibMembership/resources.cpp
+++ b/Libraries/LibMembership/resources.cpp
@@ -1,11 +1,13 @@
 #include <LibMembership/resources.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 /// A link's rate is spent over this interval.
-constexpr Milliseconds s_linkWindow {1000};
+constexpr Milliseconds s_linkWindow{1000};
 
 void addService(std::vector<Resource> &resources, const ServiceConfiguration &service, const RegionId &region)
 {
--- a/Libraries/LibMembership/resources.h
+++ b/Libraries/LibMembership/resources.h
@@ -7,7 +7,8 @@
 
 /// Membership of entry hosts and the division of limits among them, as pure state machines: time is passed in, and
 /// messages and store requests are values.
-namespace Trefoil {
+namespace Trefoil
+{
 
 using ResourceId = StrongId<struct ResourceIdTag, std::string>;
 
@@ -16,12 +17,12 @@
 {
     ResourceId id;
     /// Resources of one group are shared as one: a host's fair share counts over the group. Empty for a resource on its own.
-    std::string group {};
+    std::string group{};
     std::int64_t total = 0;
     /// A windowed resource is spent per interval; zero for one that is held.
-    Milliseconds window {0};
+    Milliseconds window{0};
     /// A host takes of this resource in proportion to its grant of that one.
-    std::optional<ResourceId> proportionalTo {};
+    std::optional<ResourceId> proportionalTo{};
 };
 
 ResourceId slotsResource(const UpstreamId &upstream);
--- a/Libraries/LibMembership/shares.cpp
+++ b/Libraries/LibMembership/shares.cpp
@@ -4,9 +4,11 @@
 #include <cassert>
 #include <xxhash.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 using Plan = std::map<ResourceId, std::int64_t>;
 
--- a/Libraries/LibMembership/shares.h
+++ b/Libraries/LibMembership/shares.h
@@ -2,7 +2,8 @@
 
 #include <LibMembership/granttable.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// The grants that a host should hold, from the present ones: more where a part is free and the host has less than its
 /// fair share, less where another host lacks its share. Shares within an eighth are left alone, so that in a large region
--- a/Libraries/LibPeer/codec.cpp
+++ b/Libraries/LibPeer/codec.cpp
@@ -10,11 +10,13 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 template<typename Message>
 struct MessageTag
@@ -23,7 +25,7 @@
 
 /// Names in heartbeats and the type's member are short: with long ones the heartbeats of an idle host took 3,076 B/s, sent and received
 /// together, more than the 2 KB/s that all control traffic of a host may take.
-constexpr std::array<const char *, std::variant_size_v<PeerMessage>> s_typeNames {"hello",
+constexpr std::array<const char *, std::variant_size_v<PeerMessage>> s_typeNames{"hello",
     "hb",
     "hba",
     "prepare",
@@ -385,7 +387,7 @@
 
 Error protocolError(std::string message)
 {
-    return Error {ErrorCode::Protocol, std::move(message)};
+    return Error{ErrorCode::Protocol, std::move(message)};
 }
 
 template<typename Message>
@@ -393,7 +395,7 @@
 {
     FieldReader reader(std::move(fields));
     Message message;
-    describe(MessageTag<Message> {}, reader, message);
+    describe(MessageTag<Message>{}, reader, message);
     if (!reader.fault().empty()) {
         return protocolError(reader.fault());
     }
@@ -435,7 +437,7 @@
     json object = json::object();
     object["t"] = s_typeNames[message.index()];
     FieldWriter writer(object);
-    std::visit([&writer](const auto &value) { describe(MessageTag<std::decay_t<decltype(value)>> {}, writer, value); }, message);
+    std::visit([&writer](const auto &value) { describe(MessageTag<std::decay_t<decltype(value)>>{}, writer, value); }, message);
     std::string bytes;
     json::to_cbor(object, bytes);
     return bytes;
--- a/Libraries/LibPeer/codec.h
+++ b/Libraries/LibPeer/codec.h
@@ -7,7 +7,8 @@
 #include <string_view>
 
 /// CBOR form of the peer messages: one map with a "t" member, which names the type, and one member per field.
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// The message as CBOR bytes. Precondition: texts are UTF-8. Thread safety: safe from any thread.
 std::string encodePeerMessage(const PeerMessage &message);
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -10,7 +10,8 @@
 #include <vector>
 
 /// Control messages between entry hosts. Every message travels as one CBOR map over websocket.
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// First message on a connection, in both directions. The secret proves that the sender is a host of the system.
 struct Hello
--- a/Libraries/LibPeer/peerlink.cpp
+++ b/Libraries/LibPeer/peerlink.cpp
@@ -4,22 +4,24 @@
 
 #include <boost/asio/write.hpp>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 using boost::asio::ip::tcp;
 
-namespace {
+namespace
+{
 
-constexpr std::chrono::milliseconds s_silenceLimit {2000};
-constexpr std::chrono::milliseconds s_pingAfter {1000};
-constexpr std::chrono::seconds s_idleLimit {60};
+constexpr std::chrono::milliseconds s_silenceLimit{2000};
+constexpr std::chrono::milliseconds s_pingAfter{1000};
+constexpr std::chrono::seconds s_idleLimit{60};
 
 /// Room for one configuration with 850,000 client blocks as JSON text (about 45 MB).
-constexpr std::size_t s_maximumMessageSize = std::size_t {64} << 20U;
+constexpr std::size_t s_maximumMessageSize = std::size_t{64} << 20U;
 /// A Hello is far smaller; the limit bounds what a stranger can make the host hold.
 constexpr std::size_t s_maximumUnprovedMessageSize = 4096;
 /// A peer that reads too slowly loses messages above this, except for one that is larger by itself.
-constexpr std::size_t s_maximumQueuedBytes = std::size_t {4} << 20U;
+constexpr std::size_t s_maximumQueuedBytes = std::size_t{4} << 20U;
 
 using WebsocketServer = websocketpp::server<PeerWebsocketConfig>;
 using WebsocketClient = websocketpp::client<PeerWebsocketConfig>;
--- a/Libraries/LibPeer/peerlink.h
+++ b/Libraries/LibPeer/peerlink.h
@@ -16,7 +16,8 @@
 #include <websocketpp/random/random_device.hpp>
 #include <websocketpp/server.hpp>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// websocketpp without its own sockets, locks and logs: the link owns the socket and runs on one thread.
 struct PeerWebsocketConfig : public websocketpp::config::core
@@ -121,7 +122,7 @@
     bool m_isFeeding = false;
     HostId m_remoteHost;
 
-    std::array<char, 8192> m_readBuffer {};
+    std::array<char, 8192> m_readBuffer{};
     /// Bytes that the running write sends, and bytes that wait for it.
     std::string m_writing;
     std::string m_waiting;
--- a/Libraries/LibPeer/peernetwork.cpp
+++ b/Libraries/LibPeer/peernetwork.cpp
@@ -14,17 +14,19 @@
 #include <random>
 #include <set>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 using boost::asio::ip::tcp;
 
-namespace {
+namespace
+{
 
-constexpr std::chrono::milliseconds s_checkInterval {250};
-constexpr std::chrono::milliseconds s_shortestRetryDelay {50};
-constexpr std::chrono::milliseconds s_longestRetryDelay {2000};
+constexpr std::chrono::milliseconds s_checkInterval{250};
+constexpr std::chrono::milliseconds s_shortestRetryDelay{50};
+constexpr std::chrono::milliseconds s_longestRetryDelay{2000};
 /// A control message that waited this long for a link is out of date; what it told is repeated by newer ones.
-constexpr std::chrono::milliseconds s_longestWait {2000};
+constexpr std::chrono::milliseconds s_longestWait{2000};
 constexpr std::size_t s_mostWaitingMessages = 64;
 /// Bounds the memory and sockets that strangers can hold; a restarted region of 170 hosts fits.
 constexpr std::size_t s_mostUnprovedLinks = 512;
@@ -32,7 +34,7 @@
 Result<tcp::endpoint> parseAddress(const std::string &address)
 {
     if (!isValidAddress(address)) {
-        return Error {ErrorCode::InvalidInput, fmt::format("\"{}\" is not an IPv4 number and port", address)};
+        return Error{ErrorCode::InvalidInput, fmt::format("\"{}\" is not an IPv4 number and port", address)};
     }
     const auto colon = address.rfind(':');
     boost::system::error_code error;
@@ -67,7 +69,7 @@
         , m_settings(std::move(settings))
         , m_source(std::move(source))
         , m_handler(std::move(handler))
-        , m_random(std::random_device {}())
+        , m_random(std::random_device{}())
     {
     }
 
@@ -85,7 +87,7 @@
             m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
         }
         if (error) {
-            return Error {ErrorCode::Unavailable, fmt::format("cannot listen on {}: {}", m_settings.listenAddress, error.message())};
+            return Error{ErrorCode::Unavailable, fmt::format("cannot listen on {}: {}", m_settings.listenAddress, error.message())};
         }
         acceptNext();
         scheduleCheck();
@@ -397,8 +399,8 @@
     std::set<std::shared_ptr<PeerLink>> m_incoming;
     bool m_acceptAgain = false;
     bool m_isClosed = false;
-    std::atomic<std::uint64_t> m_bytesSent {0};
-    std::atomic<std::uint64_t> m_bytesReceived {0};
+    std::atomic<std::uint64_t> m_bytesSent{0};
+    std::atomic<std::uint64_t> m_bytesReceived{0};
 };
 
 PeerNetwork::PeerNetwork(std::shared_ptr<Implementation> implementation)
@@ -422,11 +424,11 @@
         boost::system::error_code error;
         source = boost::asio::ip::make_address(settings.sourceAddress, error);
         if (error) {
-            return Error {ErrorCode::InvalidInput, fmt::format("\"{}\" is not an IP number", settings.sourceAddress)};
+            return Error{ErrorCode::InvalidInput, fmt::format("\"{}\" is not an IP number", settings.sourceAddress)};
         }
     }
     if (settings.secret.empty()) {
-        return Error {ErrorCode::InvalidInput, "the peer secret is empty"};
+        return Error{ErrorCode::InvalidInput, "the peer secret is empty"};
     }
     auto implementation = std::make_shared<Implementation>(context, std::move(settings), std::move(source), std::move(handler));
     const auto listening = implementation->listen(endpoint.value());
--- a/Libraries/LibPeer/peernetwork.h
+++ b/Libraries/LibPeer/peernetwork.h
@@ -9,7 +9,8 @@
 #include <string>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Where a peer listens.
 struct PeerEndpoint
--- a/Libraries/LibSettings/hostsettings.cpp
+++ b/Libraries/LibSettings/hostsettings.cpp
@@ -10,9 +10,11 @@
 #include <cstdlib>
 #include <fmt/format.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 /// Names of the environment variables: --host-id has TREFOIL_HOST_ID.
 std::string variableOf(const std::string &name)
@@ -45,16 +47,16 @@
         try {
             m_app.parse(argc, argv);
         } catch (const CLI::CallForHelp &) {
-            return std::variant<HostSettings, TextRequested>(TextRequested {m_app.help()});
+            return std::variant<HostSettings, TextRequested>(TextRequested{m_app.help()});
         } catch (const CLI::CallForVersion &) {
-            return std::variant<HostSettings, TextRequested>(TextRequested {m_app.version() + "\n"});
+            return std::variant<HostSettings, TextRequested>(TextRequested{m_app.version() + "\n"});
         } catch (const CLI::ParseError &error) {
-            return Error {ErrorCode::InvalidInput, "invalid settings", {{"command line", error.what(), "see --help"}}};
+            return Error{ErrorCode::InvalidInput, "invalid settings", {{"command line", error.what(), "see --help"}}};
         }
         m_arguments.assign(argv + 1, argv + argc);
         check();
         if (!m_findings.empty()) {
-            return Error {ErrorCode::InvalidInput, "invalid settings", std::move(m_findings)};
+            return Error{ErrorCode::InvalidInput, "invalid settings", std::move(m_findings)};
         }
         return std::variant<HostSettings, TextRequested>(complete());
     }
@@ -261,7 +263,7 @@
         return m_settings;
     }
 
-    CLI::App m_app {"One entry host of trefoilmount"};
+    CLI::App m_app{"One entry host of trefoilmount"};
     HostSettings m_settings;
     std::string m_host;
     std::string m_region;
--- a/Libraries/LibSettings/hostsettings.h
+++ b/Libraries/LibSettings/hostsettings.h
@@ -8,7 +8,8 @@
 #include <variant>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Settings of one host, from flags and environment variables. Addresses are "IP:port".
 struct HostSettings
--- a/Libraries/LibSettings/secretfile.cpp
+++ b/Libraries/LibSettings/secretfile.cpp
@@ -5,16 +5,18 @@
 #include <fmt/format.h>
 #include <fstream>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 /// A larger file is a mistake, for example a wrong path; only this much is read.
 constexpr std::size_t maximumSecretLength = 4096;
 
 Error fault(const std::string &place, std::string message, std::string hint = {})
 {
-    return Error {ErrorCode::InvalidInput, "invalid secret file", {{place, std::move(message), std::move(hint)}}};
+    return Error{ErrorCode::InvalidInput, "invalid secret file", {{place, std::move(message), std::move(hint)}}};
 }
 
 } // namespace
--- a/Libraries/LibSettings/secretfile.h
+++ b/Libraries/LibSettings/secretfile.h
@@ -4,7 +4,8 @@
 
 #include <string>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Shortest secret that is accepted, in characters.
 constexpr std::size_t minimumSecretLength = 16;
--- a/Libraries/LibSettings/version.h
+++ b/Libraries/LibSettings/version.h
@@ -1,6 +1,7 @@
 #pragma once
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Version of both programs, as printed by --version.
 constexpr const char *versionText = "0.1.0";
--- a/Libraries/LibSteering/admissionqueue.cpp
+++ b/Libraries/LibSteering/admissionqueue.cpp
@@ -4,9 +4,11 @@
 #include <cassert>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t s_mayNotWait = 0;
 constexpr std::size_t s_mayWait = 1;
--- a/Libraries/LibSteering/admissionqueue.h
+++ b/Libraries/LibSteering/admissionqueue.h
@@ -12,7 +12,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// A request that waits for a slot. None of its bytes were written to an upstream.
 struct QueuedWork
@@ -38,7 +39,7 @@
 {
     PushOutcome outcome = PushOutcome::Queued;
     /// Work that gave up its place; it ends as not-run.
-    std::optional<QueuedWork> evicted {};
+    std::optional<QueuedWork> evicted{};
 };
 
 /// Requests of one service that wait for a slot. Work that may not wait goes before work that may, but one in 16 dispatches goes to
@@ -101,7 +102,7 @@
     bool canMeet(BootTime deadline, BootTime now) const;
 
     std::size_t m_capacity;
-    std::chrono::nanoseconds m_serviceTime {0};
+    std::chrono::nanoseconds m_serviceTime{0};
     /// Work that may not wait, and work that may.
     std::array<Level, 2> m_levels;
     std::uint32_t m_dispatches = 0;
--- a/Libraries/LibSteering/coldstartramp.cpp
+++ b/Libraries/LibSteering/coldstartramp.cpp
@@ -1,8 +1,10 @@
 #include <LibSteering/coldstartramp.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 constexpr unsigned s_limitShift = 32;
 constexpr std::uint64_t s_successMask = 0xffffffffU;
@@ -40,7 +42,7 @@
 
 void ColdStartRamp::restart()
 {
-    m_state.store(std::uint64_t {1} << s_limitShift, std::memory_order_release);
+    m_state.store(std::uint64_t{1} << s_limitShift, std::memory_order_release);
 }
 
 } // namespace Trefoil
--- a/Libraries/LibSteering/coldstartramp.h
+++ b/Libraries/LibSteering/coldstartramp.h
@@ -5,7 +5,8 @@
 #include <atomic>
 #include <cstdint>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Limits the concurrent requests to an upstream that has just started, so that it warms up before it gets its full share.
 class ColdStartRamp
@@ -27,7 +28,7 @@
 
 private:
     /// Limit in the upper and successes of the round in the lower 32 bits.
-    std::atomic<std::uint64_t> m_state {std::uint64_t {1} << 32U};
+    std::atomic<std::uint64_t> m_state{std::uint64_t{1} << 32U};
 };
 
 } // namespace Trefoil
--- a/Libraries/LibSteering/dispatchgate.cpp
+++ b/Libraries/LibSteering/dispatchgate.cpp
@@ -3,7 +3,8 @@
 #include <cassert>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 DispatchGate::DispatchGate(std::shared_ptr<UpstreamSlots> regionLimit, std::shared_ptr<ShiftWindow> shiftWindow, std::shared_ptr<UpstreamSelector> selector)
     : m_regionLimit(std::move(regionLimit))
@@ -31,14 +32,14 @@
     if (moved && !m_shiftWindow->tryTake(now)) {
         return DispatchRefusal::ShiftCap;
     }
-    return Dispatch {std::move(*selection), std::move(*regionSlot)};
+    return Dispatch{std::move(*selection), std::move(*regionSlot)};
 }
 
 SlotCount DispatchGate::regionLimitGrant(SlotCount grantedSlots, std::int32_t limitPercent)
 {
     assert(limitPercent >= 0 && limitPercent <= 100);
     constexpr std::int64_t whole = 100;
-    return SlotCount(static_cast<std::int32_t>(std::int64_t {grantedSlots.value()} * limitPercent / whole));
+    return SlotCount(static_cast<std::int32_t>(std::int64_t{grantedSlots.value()} * limitPercent / whole));
 }
 
 } // namespace Trefoil
--- a/Libraries/LibSteering/dispatchgate.h
+++ b/Libraries/LibSteering/dispatchgate.h
@@ -6,7 +6,8 @@
 #include <memory>
 #include <variant>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// A request that may be sent now, with everything that was reserved for it.
 struct Dispatch
--- a/Libraries/LibSteering/hostranking.cpp
+++ b/Libraries/LibSteering/hostranking.cpp
@@ -7,9 +7,11 @@
 #include <utility>
 #include <xxhash.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 /// Enough that nearly each of the 170 hosts of a region leads some partition, and few enough to compute at each change of the host list.
 constexpr std::size_t s_partitions = 512;
@@ -112,7 +114,7 @@
     // Multiplied by 2^32 over the golden ratio, so that neighbouring blocks fall into different partitions.
     constexpr std::uint32_t spread = 2654435769U;
     constexpr unsigned shift = 23;
-    static_assert(s_partitions == std::size_t {1} << (32U - shift));
+    static_assert(s_partitions == std::size_t{1} << (32U - shift));
     return m_orders[((partition * spread) >> shift) * m_regionCount + region];
 }
 
--- a/Libraries/LibSteering/hostranking.h
+++ b/Libraries/LibSteering/hostranking.h
@@ -5,7 +5,8 @@
 #include <cstdint>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// A host as the ranking sees it.
 struct RankedHost
--- a/Libraries/LibSteering/leaseguard.cpp
+++ b/Libraries/LibSteering/leaseguard.cpp
@@ -1,6 +1,7 @@
 #include <LibSteering/leaseguard.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 bool LeaseGuard::isValid(BootTime now) const
 {
--- a/Libraries/LibSteering/leaseguard.h
+++ b/Libraries/LibSteering/leaseguard.h
@@ -5,7 +5,8 @@
 #include <atomic>
 #include <cstdint>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Tells whether this host may dispatch. Membership extends it; the request path checks it before every dispatch.
 class LeaseGuard
@@ -24,7 +25,7 @@
     void revoke();
 
 private:
-    std::atomic<std::int64_t> m_validUntilNanoseconds {0};
+    std::atomic<std::int64_t> m_validUntilNanoseconds{0};
 };
 
 } // namespace Trefoil
--- a/Libraries/LibSteering/linkbudget.cpp
+++ b/Libraries/LibSteering/linkbudget.cpp
@@ -4,9 +4,11 @@
 #include <cassert>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 /// Of each second's capacity, this part may be spent in one burst. Shallower buckets refuse single large responses,
 /// deeper ones take more of the sustained rate away.
--- a/Libraries/LibSteering/linkbudget.h
+++ b/Libraries/LibSteering/linkbudget.h
@@ -8,7 +8,8 @@
 #include <memory>
 #include <optional>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 class LinkBudget;
 
@@ -61,11 +62,11 @@
 
     void noteContent(std::int64_t emptyAt, BootTime now);
 
-    std::atomic<std::int64_t> m_granted {0};
+    std::atomic<std::int64_t> m_granted{0};
     /// The time at which the bucket was, or will be, empty: its content is what flowed in since then. Ahead of the clock it is a debt.
-    std::atomic<std::int64_t> m_emptyAtNanoseconds {0};
+    std::atomic<std::int64_t> m_emptyAtNanoseconds{0};
     /// When the bucket was last seen at least half full.
-    std::atomic<std::int64_t> m_halfFullAtNanoseconds {0};
+    std::atomic<std::int64_t> m_halfFullAtNanoseconds{0};
 };
 
 } // namespace Trefoil
--- a/Libraries/LibSteering/lookuptable.cpp
+++ b/Libraries/LibSteering/lookuptable.cpp
@@ -7,18 +7,20 @@
 #include <unordered_map>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 constexpr std::uint16_t s_noRegion = std::numeric_limits<std::uint16_t>::max();
 constexpr unsigned s_indexShift = 16;
-constexpr std::size_t s_indexSize = std::size_t {1} << s_indexShift;
+constexpr std::size_t s_indexSize = std::size_t{1} << s_indexShift;
 constexpr unsigned s_addressBits = 32;
 
 std::uint64_t endOf(const ClientBlock &block)
 {
-    return std::uint64_t {block.first} + (std::uint64_t {1} << (s_addressBits - block.prefixLength));
+    return std::uint64_t{block.first} + (std::uint64_t{1} << (s_addressBits - block.prefixLength));
 }
 
 } // namespace
@@ -51,7 +53,7 @@
         blocks.push_back({network.network().to_uint(), static_cast<std::uint8_t>(network.prefix_length()), region->second});
     }
     if (!findings.empty()) {
-        return Error {ErrorCode::InvalidInput, "the client blocks have faults", std::move(findings)};
+        return Error{ErrorCode::InvalidInput, "the client blocks have faults", std::move(findings)};
     }
     return LookupTable(std::move(blocks), std::move(regions));
 }
@@ -80,7 +82,7 @@
         addRange(block.first, block.region);
         open.push_back(block);
     }
-    closeUntil(std::uint64_t {1} << s_addressBits);
+    closeUntil(std::uint64_t{1} << s_addressBits);
     m_firsts.shrink_to_fit();
     m_rangeRegions.shrink_to_fit();
     buildIndex();
@@ -96,7 +98,7 @@
     if (m_rangeRegions[range] == s_noRegion) {
         return std::nullopt;
     }
-    return LookupEntry {m_rangeRegions[range], static_cast<std::uint32_t>(range)};
+    return LookupEntry{m_rangeRegions[range], static_cast<std::uint32_t>(range)};
 }
 
 const RegionId *LookupTable::homeRegion(std::uint32_t address) const
--- a/Libraries/LibSteering/lookuptable.h
+++ b/Libraries/LibSteering/lookuptable.h
@@ -8,7 +8,8 @@
 #include <optional>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// One client block: an IPv4 prefix and the index of its home region.
 struct ClientBlock
--- a/Libraries/LibSteering/movingaverage.h
+++ b/Libraries/LibSteering/movingaverage.h
@@ -2,7 +2,8 @@
 
 #include <atomic>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Moves an exponentially weighted average towards a sample by the share alpha.
 /// Precondition: alpha lies in (0, 1]. Thread safety: safe from any thread; lock-free.
--- a/Libraries/LibSteering/regionbalance.cpp
+++ b/Libraries/LibSteering/regionbalance.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 /// A region that is used less than this keeps its requests; moving them would only cost latency and cold caches.
 constexpr double s_moveAboveUsed = 0.5;
--- a/Libraries/LibSteering/regionbalance.h
+++ b/Libraries/LibSteering/regionbalance.h
@@ -3,7 +3,8 @@
 #include <atomic>
 #include <cstdint>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Share of the own region's requests that goes to emptier regions before the own one is full (objective Headroom). The share is corrected a
 /// little at each heartbeat round: all hosts of a region see the same reports, and would otherwise all move their requests at once and back.
@@ -21,8 +22,8 @@
     double share() const;
 
 private:
-    std::atomic<std::uint32_t> m_step {0};
-    std::atomic<std::uint32_t> m_credit {0};
+    std::atomic<std::uint32_t> m_step{0};
+    std::atomic<std::uint32_t> m_credit{0};
 };
 
 } // namespace Trefoil
--- a/Libraries/LibSteering/regionselector.cpp
+++ b/Libraries/LibSteering/regionselector.cpp
@@ -4,9 +4,11 @@
 #include <cassert>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 /// Regions that were passed over are kept as bits of one word.
 constexpr std::size_t s_mostRegions = 64;
@@ -37,7 +39,7 @@
         m_regionClosed = m_regionClosed || !other.open;
         emptiest = std::min(emptiest, usedShare(other.freeSlots, other.slots));
         const ReportedSlots slots(other.freeSlots.value(), other.relays);
-        m_others.push_back(Candidate {std::move(other), slots});
+        m_others.push_back(Candidate{std::move(other), slots});
     }
     if (m_objective == Objective::Headroom) {
         m_balance->update(usedShare(m_own.freeSlots, m_own.slots), m_regionClosed ? 1.0 : emptiest);
@@ -46,9 +48,9 @@
 
 RegionDecision RegionSelector::decide(const RegionQuestion &question, BootTime now) const
 {
-    const ServeHere here {question.home != m_own.id};
+    const ServeHere here{question.home != m_own.id};
     if (!m_own.open && question.relayed) {
-        return NoRegion {NoRegion::Reason::OwnRegionClosed};
+        return NoRegion{NoRegion::Reason::OwnRegionClosed};
     }
     if (question.relayed) {
         return here;
@@ -67,9 +69,9 @@
         return std::move(*relay);
     }
     if (linkWasFull) {
-        return NoRegion {NoRegion::Reason::LinkFull};
+        return NoRegion{NoRegion::Reason::LinkFull};
     }
-    return NoRegion {m_own.open ? NoRegion::Reason::OwnRegionFull : NoRegion::Reason::OwnRegionClosed};
+    return NoRegion{m_own.open ? NoRegion::Reason::OwnRegionFull : NoRegion::Reason::OwnRegionClosed};
 }
 
 std::optional<RelayToRegion> RegionSelector::tryRelay(const RegionQuestion &question, double usedBelow, bool &linkWasFull, BootTime now) const
@@ -88,10 +90,10 @@
             return std::nullopt;
         }
         if (auto link = m_others[best].region.link->tryReserve(question.estimate, now)) {
-            return RelayToRegion {m_others[best].region.id, std::move(*link), m_others[best].slots.begin()};
+            return RelayToRegion{m_others[best].region.id, std::move(*link), m_others[best].slots.begin()};
         }
         linkWasFull = true;
-        passedOver |= std::uint64_t {1} << best;
+        passedOver |= std::uint64_t{1} << best;
     }
     return std::nullopt;
 }
--- a/Libraries/LibSteering/regionselector.h
+++ b/Libraries/LibSteering/regionselector.h
@@ -11,13 +11,14 @@
 #include <variant>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Another region as this host last heard of it. Heartbeats make it up to a second old.
 struct RegionCandidate
 {
     RegionId id;
-    std::chrono::nanoseconds delay {0};
+    std::chrono::nanoseconds delay{0};
     /// Reachable, and neither drained nor lost.
     bool open = true;
     /// Of the service, over all hosts of the region.
@@ -50,9 +51,9 @@
     /// The own region refused the request by its shift cap; another one may have room.
     bool ownShiftFull = false;
     /// How long the request would wait for a slot of the own region; 0 when that is not known.
-    std::chrono::nanoseconds expectedWait {0};
+    std::chrono::nanoseconds expectedWait{0};
     /// Request and response together.
-    Bytes estimate {1};
+    Bytes estimate{1};
 };
 
 /// The own region serves the request. A moved one needs a place in the shift window when it is dispatched.
--- a/Libraries/LibSteering/relaycounter.h
+++ b/Libraries/LibSteering/relaycounter.h
@@ -5,7 +5,8 @@
 #include <memory>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Counts this host's relays to one target that have not ended. Kept over heartbeat rounds.
 /// Thread safety: safe from any thread; lock-free.
@@ -19,7 +20,7 @@
 
 private:
     friend class RelayPlace;
-    std::atomic<std::int32_t> m_open {0};
+    std::atomic<std::int32_t> m_open{0};
 };
 
 /// One relay that is under way, until it is destroyed. Thread safety: one thread at a time.
--- a/Libraries/LibSteering/relaytargets.cpp
+++ b/Libraries/LibSteering/relaytargets.cpp
@@ -4,16 +4,18 @@
 #include <array>
 #include <cassert>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 /// Hosts compared for one choice; a region of the two-year target has some 170.
 constexpr std::size_t s_compared = 16;
 
 std::size_t randomIndex(pcg32 &generator, std::size_t count)
 {
-    return static_cast<std::size_t>((std::uint64_t {generator()} * count) >> 32U);
+    return static_cast<std::size_t>((std::uint64_t{generator()} * count) >> 32U);
 }
 
 } // namespace
@@ -34,7 +36,7 @@
     }
     const std::size_t count = std::min(m_targets.size(), s_compared);
     const std::size_t start = randomIndex(generator, m_targets.size());
-    std::array<std::int32_t, s_compared> free {};
+    std::array<std::int32_t, s_compared> free{};
     std::int32_t sum = 0;
     for (std::size_t i = 0; i < count; ++i) {
         free[i] = std::max(0, m_targets[(start + i) % m_targets.size()].free());
@@ -48,7 +50,7 @@
         place -= free[i];
         if (place < 0) {
             const std::size_t index = (start + i) % m_targets.size();
-            return ChosenTarget {index, m_targets[index].begin()};
+            return ChosenTarget{index, m_targets[index].begin()};
         }
     }
     return std::nullopt;
--- a/Libraries/LibSteering/relaytargets.h
+++ b/Libraries/LibSteering/relaytargets.h
@@ -8,7 +8,8 @@
 #include <pcg_random.hpp>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Another host of the own region with free slots in its last heartbeat. Best reported as a mean over the time between two heartbeats:
 /// a host has few slots of an upstream, and the number free at one instant tells little about the next half second.
--- a/Libraries/LibSteering/retrybudget.cpp
+++ b/Libraries/LibSteering/retrybudget.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 constexpr std::int64_t s_successSeconds = 10;
 constexpr std::int64_t s_successesPerRetry = 10;
--- a/Libraries/LibSteering/retrybudget.h
+++ b/Libraries/LibSteering/retrybudget.h
@@ -2,7 +2,8 @@
 
 #include <LibSteering/slidingwindowcounter.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Bounds the retries of idempotent requests, so that a failing region does not multiply its own load.
 class RetryBudget
--- a/Libraries/LibSteering/selectionpolicy.h
+++ b/Libraries/LibSteering/selectionpolicy.h
@@ -4,7 +4,8 @@
 
 #include <variant>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Expected time to the response; the policy of services whose objective is latency.
 struct LatencyPolicy
@@ -42,9 +43,9 @@
 inline SelectionPolicy policyFor(Objective objective)
 {
     if (objective == Objective::Headroom) {
-        return HeadroomPolicy {};
+        return HeadroomPolicy{};
     }
-    return LatencyPolicy {};
+    return LatencyPolicy{};
 }
 
 } // namespace Trefoil
--- a/Libraries/LibSteering/shiftwindow.cpp
+++ b/Libraries/LibSteering/shiftwindow.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <cassert>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 ShiftWindow::ShiftWindow(std::chrono::nanoseconds interval)
     : m_taken(interval)
--- a/Libraries/LibSteering/shiftwindow.h
+++ b/Libraries/LibSteering/shiftwindow.h
@@ -6,7 +6,8 @@
 #include <array>
 #include <atomic>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// This host's part of a shift cap: how many moved requests it may begin to serve in any window of the interval (P1).
 /// A changed interval needs a new object, whose grant then waits like any newly taken one.
@@ -33,8 +34,8 @@
     /// A raise that becomes usable later.
     struct Raise
     {
-        std::atomic<std::int64_t> usableAtNanoseconds {0};
-        std::atomic<std::int64_t> requests {0};
+        std::atomic<std::int64_t> usableAtNanoseconds{0};
+        std::atomic<std::int64_t> requests{0};
     };
 
     void foldUsableRaises(BootTime now);
@@ -42,7 +43,7 @@
 
     SlidingWindowCounter m_taken;
     std::int64_t m_granted = 0;
-    std::atomic<std::int64_t> m_usable {0};
+    std::atomic<std::int64_t> m_usable{0};
     std::array<Raise, 4> m_raises;
 };
 
--- a/Libraries/LibSteering/slidingwindowcounter.cpp
+++ b/Libraries/LibSteering/slidingwindowcounter.cpp
@@ -3,12 +3,14 @@
 #include <algorithm>
 #include <cassert>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 constexpr unsigned s_countBits = 24;
-constexpr std::uint64_t s_countMask = (std::uint64_t {1} << s_countBits) - 1;
+constexpr std::uint64_t s_countMask = (std::uint64_t{1} << s_countBits) - 1;
 
 std::int64_t bucketNumberOf(std::uint64_t packed)
 {
--- a/Libraries/LibSteering/slidingwindowcounter.h
+++ b/Libraries/LibSteering/slidingwindowcounter.h
@@ -6,7 +6,8 @@
 #include <atomic>
 #include <cstdint>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Counts events of a moving time window in sub-buckets. A window of the given length touches at most one bucket more than
 /// it has, so that bucket is counted too: the count is never too low, and too high by at most one bucket.
@@ -40,10 +41,10 @@
 
     std::chrono::nanoseconds m_window;
     std::int64_t m_bucketNanoseconds;
-    std::atomic<std::int64_t> m_newestBucket {0};
-    std::atomic<std::int64_t> m_total {0};
+    std::atomic<std::int64_t> m_newestBucket{0};
+    std::atomic<std::int64_t> m_total{0};
     /// Bucket number in the upper 40 bits, events in the lower 24, so that both change together.
-    std::array<std::atomic<std::uint64_t>, s_bucketCount> m_buckets {};
+    std::array<std::atomic<std::uint64_t>, s_bucketCount> m_buckets{};
 };
 
 } // namespace Trefoil
--- a/Libraries/LibSteering/upstreamgroup.cpp
+++ b/Libraries/LibSteering/upstreamgroup.cpp
@@ -3,9 +3,11 @@
 
 #include <cassert>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 /// The group's average covers about a hundred responses, so that one slow upstream does not pass for the usual.
 constexpr float s_latencyAlpha = 0.01F;
--- a/Libraries/LibSteering/upstreamgroup.h
+++ b/Libraries/LibSteering/upstreamgroup.h
@@ -5,7 +5,8 @@
 #include <atomic>
 #include <cstdint>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// What the upstreams of one service in one region share on this host: how many of them are ejected, and their usual latency.
 class UpstreamGroup
@@ -36,9 +37,9 @@
     std::chrono::nanoseconds usualLatency() const;
 
 private:
-    std::atomic<std::int32_t> m_upstreamCount {0};
-    std::atomic<std::int32_t> m_ejected {0};
-    std::atomic<float> m_usualLatencySeconds {0};
+    std::atomic<std::int32_t> m_upstreamCount{0};
+    std::atomic<std::int32_t> m_ejected{0};
+    std::atomic<float> m_usualLatencySeconds{0};
 };
 
 } // namespace Trefoil
--- a/Libraries/LibSteering/upstreamhealth.cpp
+++ b/Libraries/LibSteering/upstreamhealth.cpp
@@ -5,9 +5,11 @@
 #include <cassert>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 /// About the last ten requests. A host sends an upstream a few requests a second, so this covers a few seconds.
 constexpr float s_rateAlpha = 0.1F;
--- a/Libraries/LibSteering/upstreamhealth.h
+++ b/Libraries/LibSteering/upstreamhealth.h
@@ -7,7 +7,8 @@
 #include <cstdint>
 #include <memory>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// How a request to an upstream ended, as far as its health is concerned.
 enum class UpstreamOutcome {
@@ -66,17 +67,17 @@
     float trust(BootTime now) const;
 
     std::shared_ptr<UpstreamGroup> m_group;
-    std::atomic<float> m_errorRate {0};
-    std::atomic<float> m_shedRate {0};
-    std::atomic<float> m_latencySeconds {0};
-    std::atomic<float> m_reportedLoad {0};
-    std::atomic<std::int64_t> m_reportedAtNanoseconds {0};
-    std::atomic<std::int64_t> m_measuredAtNanoseconds {0};
-    std::atomic<std::int32_t> m_failuresInARow {0};
-    std::atomic<std::int32_t> m_failedProbes {0};
-    std::atomic<bool> m_ejected {false};
-    std::atomic<bool> m_probing {false};
-    std::atomic<std::int64_t> m_nextProbeNanoseconds {0};
+    std::atomic<float> m_errorRate{0};
+    std::atomic<float> m_shedRate{0};
+    std::atomic<float> m_latencySeconds{0};
+    std::atomic<float> m_reportedLoad{0};
+    std::atomic<std::int64_t> m_reportedAtNanoseconds{0};
+    std::atomic<std::int64_t> m_measuredAtNanoseconds{0};
+    std::atomic<std::int32_t> m_failuresInARow{0};
+    std::atomic<std::int32_t> m_failedProbes{0};
+    std::atomic<bool> m_ejected{false};
+    std::atomic<bool> m_probing{false};
+    std::atomic<std::int64_t> m_nextProbeNanoseconds{0};
 };
 
 } // namespace Trefoil
--- a/Libraries/LibSteering/upstreamselector.cpp
+++ b/Libraries/LibSteering/upstreamselector.cpp
@@ -5,9 +5,11 @@
 #include <limits>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 /// Upstreams compared for one choice. More hardly improve the choice; all of them would make its cost grow.
 constexpr std::size_t s_compared = 16;
@@ -20,7 +22,7 @@
 
 std::size_t randomIndex(pcg32 &generator, std::size_t count)
 {
-    return static_cast<std::size_t>((std::uint64_t {generator()} * count) >> 32U);
+    return static_cast<std::size_t>((std::uint64_t{generator()} * count) >> 32U);
 }
 
 float usedShare(const UpstreamTracker &upstream)
@@ -105,7 +107,7 @@
             return probe;
         }
     }
-    return std::visit(Visitor {*this, lease, generator, now}, m_policy);
+    return std::visit(Visitor{*this, lease, generator, now}, m_policy);
 }
 
 SlotCount UpstreamSelector::freeSlots() const
@@ -152,7 +154,7 @@
     if (!slot) {
         return std::nullopt;
     }
-    return Selection {upstream, std::move(*slot), true};
+    return Selection{upstream, std::move(*slot), true};
 }
 
 template<typename Cost>
@@ -184,7 +186,7 @@
             return std::nullopt;
         }
         if (auto slot = m_upstreams[bestIndex]->tryReserve(lease, now)) {
-            return Selection {m_upstreams[bestIndex], std::move(*slot)};
+            return Selection{m_upstreams[bestIndex], std::move(*slot)};
         }
     }
     return std::nullopt;
@@ -252,7 +254,7 @@
     if (!slot) {
         return std::nullopt;
     }
-    return Selection {m_upstreams[index], std::move(*slot)};
+    return Selection{m_upstreams[index], std::move(*slot)};
 }
 
 } // namespace Trefoil
--- a/Libraries/LibSteering/upstreamselector.h
+++ b/Libraries/LibSteering/upstreamselector.h
@@ -11,7 +11,8 @@
 #include <pcg_random.hpp>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// A chosen upstream with the slot that was reserved on it.
 struct Selection
@@ -65,8 +66,8 @@
     SelectionPolicy m_policy;
     std::vector<std::shared_ptr<UpstreamTracker>> m_upstreams;
     std::shared_ptr<UpstreamGroup> m_group;
-    std::atomic<std::uint32_t> m_next {0};
-    std::atomic<std::uint32_t> m_nextProbe {0};
+    std::atomic<std::uint32_t> m_next{0};
+    std::atomic<std::uint32_t> m_nextProbe{0};
 };
 
 } // namespace Trefoil
--- a/Libraries/LibSteering/upstreamslots.cpp
+++ b/Libraries/LibSteering/upstreamslots.cpp
@@ -5,7 +5,8 @@
 #include <limits>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 SlotReservation::SlotReservation(std::shared_ptr<UpstreamSlots> slots)
     : m_slots(std::move(slots))
--- a/Libraries/LibSteering/upstreamslots.h
+++ b/Libraries/LibSteering/upstreamslots.h
@@ -7,7 +7,8 @@
 #include <memory>
 #include <optional>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 class UpstreamSlots;
 
@@ -56,8 +57,8 @@
     friend class SlotReservation;
     UpstreamSlots() = default;
 
-    std::atomic<std::int32_t> m_granted {0};
-    std::atomic<std::int32_t> m_inFlight {0};
+    std::atomic<std::int32_t> m_granted{0};
+    std::atomic<std::int32_t> m_inFlight{0};
 };
 
 } // namespace Trefoil
--- a/Libraries/LibSteering/upstreamtracker.cpp
+++ b/Libraries/LibSteering/upstreamtracker.cpp
@@ -4,7 +4,8 @@
 #include <cassert>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 UpstreamTracker::UpstreamTracker(UpstreamId id, bool inOwnZone, std::shared_ptr<UpstreamSlots> slots, std::shared_ptr<UpstreamGroup> group)
     : m_id(std::move(id))
--- a/Libraries/LibSteering/upstreamtracker.h
+++ b/Libraries/LibSteering/upstreamtracker.h
@@ -8,7 +8,8 @@
 #include <atomic>
 #include <memory>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Everything this host keeps about one upstream. It keeps its identity across configuration versions.
 /// Thread safety: all methods are safe from any thread and lock-free.
@@ -60,8 +61,8 @@
     std::shared_ptr<UpstreamSlots> m_slots;
     UpstreamHealth m_health;
     ColdStartRamp m_ramp;
-    std::atomic<bool> m_leaving {false};
-    std::atomic<std::int32_t> m_weight {100};
+    std::atomic<bool> m_leaving{false};
+    std::atomic<std::int32_t> m_weight{100};
 };
 
 } // namespace Trefoil
--- a/Libraries/LibStore/hostlistclient.cpp
+++ b/Libraries/LibStore/hostlistclient.cpp
@@ -2,11 +2,13 @@
 
 #include <fmt/format.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 constexpr int s_ok = 200;
 constexpr int s_notModified = 304;
@@ -51,11 +53,11 @@
     }
     const auto &response = std::get<JsonResponse>(result);
     if (response.status == s_notModified) {
-        return HostListUnchanged {};
+        return HostListUnchanged{};
     }
     const json body = response.json();
     if (response.status != s_ok || !body.is_object()) {
-        return Unavailable {fmt::format("the host list responded {}", response.status)};
+        return Unavailable{fmt::format("the host list responded {}", response.status)};
     }
     m_entityTag = response.entityTag;
     return hostListFromJson(body);
--- a/Libraries/LibStore/hostlistclient.h
+++ b/Libraries/LibStore/hostlistclient.h
@@ -5,7 +5,8 @@
 #include <string>
 #include <variant>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// The list has not changed since this client last read it.
 struct HostListUnchanged
--- a/Libraries/LibStore/objectclient.cpp
+++ b/Libraries/LibStore/objectclient.cpp
@@ -2,9 +2,11 @@
 
 #include <fmt/format.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 constexpr int s_notFound = 404;
 
@@ -28,9 +30,9 @@
     }
     const int status = std::get<JsonResponse>(result).status;
     if (!isSuccess(status)) {
-        return Unavailable {fmt::format("the object store responded {}", status)};
+        return Unavailable{fmt::format("the object store responded {}", status)};
     }
-    return ObjectStored {};
+    return ObjectStored{};
 }
 
 ObjectGetResult ObjectClient::get(const std::string &name, BootTime deadline, const boost::asio::yield_context &yield)
@@ -41,12 +43,12 @@
     }
     auto &response = std::get<JsonResponse>(result);
     if (response.status == s_notFound) {
-        return ObjectNotFound {};
+        return ObjectNotFound{};
     }
     if (!isSuccess(response.status)) {
-        return Unavailable {fmt::format("the object store responded {}", response.status)};
+        return Unavailable{fmt::format("the object store responded {}", response.status)};
     }
-    return ObjectBody {std::move(response.body)};
+    return ObjectBody{std::move(response.body)};
 }
 
 } // namespace Trefoil
--- a/Libraries/LibStore/objectclient.h
+++ b/Libraries/LibStore/objectclient.h
@@ -5,7 +5,8 @@
 #include <string>
 #include <variant>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 struct ObjectStored
 {
--- a/Libraries/LibStore/requestrate.cpp
+++ b/Libraries/LibStore/requestrate.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <cassert>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 RequestRate::RequestRate(double perSecond)
     : m_interval(static_cast<BootClock::rep>(1e9 / perSecond))
--- a/Libraries/LibStore/requestrate.h
+++ b/Libraries/LibStore/requestrate.h
@@ -2,7 +2,8 @@
 
 #include <LibCore/bootclock.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Bounds the requests of one kind that a host sends to the store: a token bucket that holds one second's worth.
 /// Thread safety: one thread at a time.
--- a/Libraries/LibStore/storeconnection.cpp
+++ b/Libraries/LibStore/storeconnection.cpp
@@ -4,9 +4,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <random>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 constexpr BootClock::duration s_longestDelay = std::chrono::milliseconds(500);
 constexpr int s_tooManyRequests = 429;
@@ -61,15 +63,15 @@
 {
     RequestRate &rate = access == StoreAccess::Write ? m_writes : m_reads;
     if (rate.next(BootClock::now()) >= deadline) {
-        return RequestNotSent {"this host's rate of store requests is used up"};
+        return RequestNotSent{"this host's rate of store requests is used up"};
     }
     if (!sleepUntil(rate.reserve(BootClock::now()), deadline, yield)) {
-        return RequestNotSent {"the deadline has passed"};
+        return RequestNotSent{"the deadline has passed"};
     }
     JsonResult result = m_client.request(request, std::min(deadline, BootClock::now() + m_settings.attemptTimeout), yield);
     const auto *response = std::get_if<JsonResponse>(&result);
     if (response != nullptr && (response->status == s_tooManyRequests || response->status == s_serviceUnavailable)) {
-        return RequestNotSent {"the service refuses requests for now"};
+        return RequestNotSent{"the service refuses requests for now"};
     }
     return result;
 }
@@ -87,7 +89,7 @@
         const auto *notSent = std::get_if<RequestNotSent>(&result);
         reason = notSent != nullptr ? notSent->reason : std::get<RequestAmbiguous>(result).reason;
     } while (pause(delay, deadline, yield));
-    return Unavailable {reason};
+    return Unavailable{reason};
 }
 
 } // namespace Trefoil
--- a/Libraries/LibStore/storeconnection.h
+++ b/Libraries/LibStore/storeconnection.h
@@ -9,14 +9,15 @@
 #include <pcg_random.hpp>
 #include <string>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 struct StoreSettings
 {
     /// IP:port of the service.
     std::string address;
     /// Local IP of the connections; empty leaves the choice to the system.
-    std::string sourceAddress {};
+    std::string sourceAddress{};
     /// Most writes and reads that this host sends in a second, retries included. The store as a whole takes several
     /// hundred writes and about 2,000 reads a second.
     double writesPerSecond = 20;
--- a/Libraries/LibStore/storetypes.h
+++ b/Libraries/LibStore/storetypes.h
@@ -11,7 +11,8 @@
 
 /// Clients of the platform's table service, object store and host list.
 /// This header holds their plain values, which pure code uses without the network.
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Version 0 stands for a row that does not exist.
 using RowVersion = std::uint64_t;
@@ -40,11 +41,11 @@
 struct Transaction
 {
     /// Unique over all hosts and time; drawn by the client when empty. Keeping the id over several calls makes them one transaction.
-    std::string id {};
+    std::string id{};
     /// Every put and delete needs a condition on its row; otherwise a repeated transaction could undo another host's change.
-    std::vector<RowCondition> conditions {};
-    std::vector<RowPut> puts {};
-    std::vector<std::string> deletes {};
+    std::vector<RowCondition> conditions{};
+    std::vector<RowPut> puts{};
+    std::vector<std::string> deletes{};
 };
 
 struct Committed
--- a/Libraries/LibStore/tableclient.cpp
+++ b/Libraries/LibStore/tableclient.cpp
@@ -4,11 +4,13 @@
 #include <cassert>
 #include <fmt/format.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 constexpr int s_ok = 200;
 constexpr int s_conflict = 409;
@@ -94,7 +96,7 @@
     const bool allDeleted =
         std::none_of(transaction.deletes.begin(), transaction.deletes.end(), [&rows](const auto &key) { return find(rows, key) != nullptr; });
     if (transaction.puts.empty() && !transaction.deletes.empty() && allDeleted) {
-        return Committed {};
+        return Committed{};
     }
     return std::nullopt;
 }
@@ -112,7 +114,7 @@
     if (response.status == s_conflict && body.is_object()) {
         auto rows = rowsFromJson(body.value("failed", json()));
         if (rows) {
-            return ConditionFailed {std::move(*rows)};
+            return ConditionFailed{std::move(*rows)};
         }
     }
     return std::nullopt;
@@ -148,7 +150,7 @@
     if (transaction.id.empty()) {
         transaction.id = newTransactionId();
     }
-    const JsonRequest request {"POST", "/v1/table/transact", toJson(transaction).dump()};
+    const JsonRequest request{"POST", "/v1/table/transact", toJson(transaction).dump()};
     RetryDelay delay(m_connection.random());
     bool mayHaveTakenEffect = false;
     std::string reason;
@@ -176,13 +178,13 @@
             return *resolved;
         }
         if (conditionFailed) {
-            return Ambiguous {"a condition failed after a lost response, and the rows were written again since"};
+            return Ambiguous{"a condition failed after a lost response, and the rows were written again since"};
         }
     } while (m_connection.pause(delay, deadline, yield));
     if (mayHaveTakenEffect) {
-        return Ambiguous {reason};
+        return Ambiguous{reason};
     }
-    return Unavailable {reason};
+    return Unavailable{reason};
 }
 
 RowsResult TableClient::rows(const JsonRequest &request, BootTime deadline, const boost::asio::yield_context &yield)
@@ -195,19 +197,19 @@
     const json body = response.json();
     auto found = response.status == s_ok && body.is_object() ? rowsFromJson(body.value("rows", json())) : std::nullopt;
     if (!found) {
-        return Unavailable {fmt::format("the table service responded {} without rows", response.status)};
+        return Unavailable{fmt::format("the table service responded {} without rows", response.status)};
     }
     return std::move(*found);
 }
 
 RowsResult TableClient::read(const std::vector<std::string> &keys, BootTime deadline, const boost::asio::yield_context &yield)
 {
-    return rows({"POST", "/v1/table/read", json {{"keys", keys}}.dump()}, deadline, yield);
+    return rows({"POST", "/v1/table/read", json{{"keys", keys}}.dump()}, deadline, yield);
 }
 
 RowsResult TableClient::scan(const std::string &prefix, std::size_t limit, BootTime deadline, const boost::asio::yield_context &yield, const std::string &after)
 {
-    return rows({"POST", "/v1/table/scan", json {{"prefix", prefix}, {"limit", limit}, {"after", after}}.dump()}, deadline, yield);
+    return rows({"POST", "/v1/table/scan", json{{"prefix", prefix}, {"limit", limit}, {"after", after}}.dump()}, deadline, yield);
 }
 
 } // namespace Trefoil
--- a/Libraries/LibStore/tableclient.h
+++ b/Libraries/LibStore/tableclient.h
@@ -8,7 +8,8 @@
 #include <variant>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 using RowsResult = std::variant<std::vector<TableRow>, Unavailable>;
 
--- a/Libraries/LibTelemetry/floodlimiter.cpp
+++ b/Libraries/LibTelemetry/floodlimiter.cpp
@@ -2,11 +2,13 @@
 
 #include <iterator>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
-constexpr std::chrono::seconds windowLength {1};
+constexpr std::chrono::seconds windowLength{1};
 constexpr const char *sharedEvent = "other";
 
 } // namespace
@@ -17,7 +19,7 @@
     if (m_windows.find(name) == m_windows.end() && m_windows.size() >= maximumEvents) {
         name = sharedEvent;
     }
-    auto &window = m_windows.try_emplace(name, Window {now}).first->second;
+    auto &window = m_windows.try_emplace(name, Window{now}).first->second;
     if (now >= window.start + windowLength) {
         window.start = now;
         window.written = 0;
--- a/Libraries/LibTelemetry/floodlimiter.h
+++ b/Libraries/LibTelemetry/floodlimiter.h
@@ -8,7 +8,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// How many lines of one event were left out since its last summary.
 struct FloodSummary
@@ -42,7 +43,7 @@
     };
 
     std::unordered_map<std::string, Window> m_windows;
-    BootTime m_nextSummary {};
+    BootTime m_nextSummary{};
 };
 
 } // namespace Trefoil
--- a/Libraries/LibTelemetry/log.cpp
+++ b/Libraries/LibTelemetry/log.cpp
@@ -9,9 +9,11 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 struct LogSettings
 {
--- a/Libraries/LibTelemetry/log.h
+++ b/Libraries/LibTelemetry/log.h
@@ -9,7 +9,8 @@
 #include <variant>
 
 /// Structured log: one JSON object a line on standard error.
-namespace Trefoil {
+namespace Trefoil
+{
 
 enum class LogLevel {
     Debug,
--- a/Libraries/LibTelemetry/requestmetrics.cpp
+++ b/Libraries/LibTelemetry/requestmetrics.cpp
@@ -4,9 +4,11 @@
 #include <cmath>
 #include <fmt/format.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 constexpr const char *sharedName = "other";
 constexpr double microsecondsInSecond = 1e6;
@@ -95,10 +97,10 @@
 } // namespace
 
 RequestSeries::RequestSeries(const std::vector<std::string> &reasons)
-    : m_latencyMicroseconds {Histogram<Bounds>(Bounds(timeBounds()))}
-    , m_waitingMicroseconds {Histogram<Bounds>(Bounds(timeBounds()))}
-    , m_inFlightAtStart {Histogram<Bounds>(Bounds(countBounds()))}
-    , m_retries {Histogram<Bounds>(Bounds(retryBounds()))}
+    : m_latencyMicroseconds{Histogram<Bounds>(Bounds(timeBounds()))}
+    , m_waitingMicroseconds{Histogram<Bounds>(Bounds(timeBounds()))}
+    , m_inFlightAtStart{Histogram<Bounds>(Bounds(countBounds()))}
+    , m_retries{Histogram<Bounds>(Bounds(retryBounds()))}
     , m_refusals(Reasons(reasons))
 {
 }
@@ -139,7 +141,7 @@
 }
 
 RequestMetrics::RequestMetrics()
-    : m_series(std::make_unique<SeriesByTenant>(SeriesByTenant {{sharedName, {{sharedName, std::make_shared<RequestSeries>(reasonNames())}}}}))
+    : m_series(std::make_unique<SeriesByTenant>(SeriesByTenant{{sharedName, {{sharedName, std::make_shared<RequestSeries>(reasonNames())}}}}))
 {
 }
 
--- a/Libraries/LibTelemetry/requestmetrics.h
+++ b/Libraries/LibTelemetry/requestmetrics.h
@@ -20,7 +20,8 @@
 #include <vector>
 
 /// Measurements of requests: one series for each pair of a declared tenant and class.
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// How a request ended (design 2.7).
 enum class RequestOutcome {
@@ -36,9 +37,9 @@
     /// Why it was refused, as in Trefoil-Reason; empty when it was answered. Reasons outside the known list count as "other".
     std::string_view reason;
     /// From the parsed request to the last byte of the response.
-    std::chrono::nanoseconds latency {0};
+    std::chrono::nanoseconds latency{0};
     /// Part of the latency that was spent in the admission queue.
-    std::chrono::nanoseconds waiting {0};
+    std::chrono::nanoseconds waiting{0};
     /// Attempts after the first.
     std::uint32_t retries = 0;
 };
@@ -74,7 +75,7 @@
     struct Distribution
     {
         Histogram<Bounds> counts;
-        std::atomic<std::uint64_t> sum {0};
+        std::atomic<std::uint64_t> sum{0};
     };
 
     Distribution m_latencyMicroseconds;
@@ -82,8 +83,8 @@
     Distribution m_inFlightAtStart;
     Distribution m_retries;
     Histogram<Reasons> m_refusals;
-    std::array<std::atomic<std::uint64_t>, 3> m_outcomes {};
-    std::atomic<std::int64_t> m_inFlight {0};
+    std::array<std::atomic<std::uint64_t>, 3> m_outcomes{};
+    std::atomic<std::int64_t> m_inFlight{0};
 };
 
 /// All request series of this host. Their number is bounded by what declare() was given and by the limits below,
--- a/Libraries/LibTelemetry/scrapewriter.cpp
+++ b/Libraries/LibTelemetry/scrapewriter.cpp
@@ -3,9 +3,11 @@
 #include <fmt/format.h>
 #include <iterator>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 std::string escaped(std::string_view value)
 {
--- a/Libraries/LibTelemetry/scrapewriter.h
+++ b/Libraries/LibTelemetry/scrapewriter.h
@@ -5,7 +5,8 @@
 #include <string_view>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// One label of a metric. Values may hold any bytes; they are escaped.
 struct MetricLabel
--- a/Services/trefoilmountd/adminqueries.cpp
+++ b/Services/trefoilmountd/adminqueries.cpp
@@ -6,20 +6,22 @@
 #include <algorithm>
 #include <fmt/format.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 Error unavailable()
 {
-    return Error {ErrorCode::Unavailable, "this host does not answer this query"};
+    return Error{ErrorCode::Unavailable, "this host does not answer this query"};
 }
 
 Error unknownName(const char *kind, const SourceName &name, const std::vector<std::string> &names)
 {
-    return Error {ErrorCode::InvalidInput,
+    return Error{ErrorCode::InvalidInput,
         "the query is invalid",
         {{toText(name.place), fmt::format("unknown {} \"{}\"", kind, name.text), nearestNameHint(name.text, names)}}};
 }
@@ -159,7 +161,7 @@
                 if (result.has_error()) {
                     return result.error();
                 }
-                return json {{"title", title(value)}, {"rows", std::move(result.value())}};
+                return json{{"title", title(value)}, {"rows", std::move(result.value())}};
             } else {
                 return unavailable();
             }
--- a/Services/trefoilmountd/adminqueries.h
+++ b/Services/trefoilmountd/adminqueries.h
@@ -11,7 +11,8 @@
 #include <optional>
 #include <string>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Where the answers come from that other services keep. A function that is not set makes its query unavailable.
 /// All are called on the control thread and return a list of flat objects, the rows of a table.
--- a/Services/trefoilmountd/adminserver.cpp
+++ b/Services/trefoilmountd/adminserver.cpp
@@ -11,21 +11,23 @@
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 namespace http = boost::beast::http;
 using boost::asio::yield_context;
 using boost::asio::ip::tcp;
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 /// Covers the longest change (about 8 s) and the transfer of its text.
-constexpr std::chrono::seconds s_requestLimit {20};
-constexpr std::chrono::seconds s_idleLimit {60};
+constexpr std::chrono::seconds s_requestLimit{20};
+constexpr std::chrono::seconds s_idleLimit{60};
 constexpr std::uint32_t s_maximumHeaderBytes = 8192;
 /// Commands that declare 850,000 client blocks take about 40 MB.
-constexpr std::uint64_t s_maximumBodyBytes = std::uint64_t {64} << 20U;
+constexpr std::uint64_t s_maximumBodyBytes = std::uint64_t{64} << 20U;
 /// Connections that have not completed a first request; further ones are closed, so that strangers cannot use up the
 /// host's descriptors.
 constexpr std::uint64_t s_maximumUnprovedConnections = 32;
@@ -93,7 +95,7 @@
 
 Error badField(const char *field, const char *message)
 {
-    return Error {ErrorCode::InvalidInput, "the request is invalid", {{field, message, {}}}};
+    return Error{ErrorCode::InvalidInput, "the request is invalid", {{field, message, {}}}};
 }
 
 Result<CommandRequest> readCommandRequest(const std::string &body)
@@ -146,7 +148,7 @@
         const auto ip = boost::asio::ip::make_address(m_settings.listenAddress.substr(0, colon), error);
         const int port = colon == std::string::npos ? -1 : std::atoi(m_settings.listenAddress.c_str() + colon + 1);
         if (error || port < 0 || port > 65535) {
-            return Error {ErrorCode::InvalidInput, fmt::format("\"{}\" is not an IP number and port", m_settings.listenAddress)};
+            return Error{ErrorCode::InvalidInput, fmt::format("\"{}\" is not an IP number and port", m_settings.listenAddress)};
         }
         const tcp::endpoint endpoint(ip, static_cast<std::uint16_t>(port));
         m_acceptor.open(endpoint.protocol(), error);
@@ -160,7 +162,7 @@
             m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
         }
         if (error) {
-            return Error {ErrorCode::Unavailable, fmt::format("cannot listen on {}: {}", m_settings.listenAddress, error.message())};
+            return Error{ErrorCode::Unavailable, fmt::format("cannot listen on {}: {}", m_settings.listenAddress, error.message())};
         }
         boost::asio::spawn(m_context, [self = shared_from_this()](const yield_context &yield) { self->acceptConnections(yield); });
         return boost::outcome_v2::success();
@@ -384,7 +386,7 @@
     boost::asio::io_context &context, AdminServerSettings settings, ConfigurationService &configuration, const HostState &state, AdminServerSources sources)
 {
     if (settings.secret.empty()) {
-        return Error {ErrorCode::InvalidInput, "the administration secret is empty"};
+        return Error{ErrorCode::InvalidInput, "the administration secret is empty"};
     }
     auto implementation = std::make_shared<Implementation>(context, std::move(settings), configuration, state, std::move(sources));
     const auto listening = implementation->listen();
--- a/Services/trefoilmountd/adminserver.h
+++ b/Services/trefoilmountd/adminserver.h
@@ -8,7 +8,8 @@
 #include <memory>
 #include <string>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 struct AdminServerSettings
 {
--- a/Services/trefoilmountd/admission.cpp
+++ b/Services/trefoilmountd/admission.cpp
@@ -3,16 +3,18 @@
 #include <random>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 namespace asio = boost::asio;
 
-namespace {
+namespace
+{
 
 /// Requests that one worker queues for one service.
 constexpr std::size_t s_queueCapacity = 512;
 /// While requests are queued, grants and deadlines are looked at this often; freed slots are signalled at once.
-constexpr std::chrono::milliseconds s_tick {2};
+constexpr std::chrono::milliseconds s_tick{2};
 /// Weight of the newest measurement in the mean service time.
 constexpr double s_serviceTimeGain = 0.1;
 
@@ -43,7 +45,7 @@
     , m_state(state)
     , m_signal(signal)
     , m_worker(worker)
-    , m_generator(std::random_device {}())
+    , m_generator(std::random_device{}())
 {
     m_signal.attach(worker, context, [this] { pump(); });
 }
@@ -78,7 +80,7 @@
         }
         Dispatch &dispatch = std::get<Dispatch>(decision);
         const UpstreamRoute &route = (*service)->routes.at(dispatch.selection.upstream->id());
-        return ReadyDispatch {std::move(dispatch), route};
+        return ReadyDispatch{std::move(dispatch), route};
     });
 }
 
@@ -95,16 +97,16 @@
 {
     ServiceQueue &service = m_services[request.parsed.service];
     const std::uint64_t ticket = ++m_lastTicket;
-    const QueuedWork work {ticket, request.parsed.tenant, request.tenantWeight, request.mayWait, request.deadline};
+    const QueuedWork work{ticket, request.parsed.tenant, request.tenantWeight, request.mayWait, request.deadline};
     const PushResult pushed = service.queue.push(work, BootClock::now());
     if (pushed.evicted) {
-        finish(service, pushed.evicted->ticket, NotRun {"queue-full", "the place in the queue went to another tenant", 429});
+        finish(service, pushed.evicted->ticket, NotRun{"queue-full", "the place in the queue went to another tenant", 429});
     }
     if (pushed.outcome == PushOutcome::Full) {
-        return NotRun {"queue-full", "the queue is full", 429};
+        return NotRun{"queue-full", "the queue is full", 429};
     }
     if (pushed.outcome == PushOutcome::DeadlineTooClose) {
-        return NotRun {"deadline", "the deadline can't be met at the present service time"};
+        return NotRun{"deadline", "the deadline can't be met at the present service time"};
     }
     Waiter waiter(m_context, request);
     service.waiters[ticket] = &waiter;
@@ -114,7 +116,7 @@
     if (!waiter.result && cancellation) {
         cancellation->setHook([&service, &work, ticket] {
             service.queue.cancel(work);
-            finish(service, ticket, NotRun {"cancelled", "the caller went away"});
+            finish(service, ticket, NotRun{"cancelled", "the caller went away"});
         });
     }
     if (!waiter.result) {
@@ -198,7 +200,7 @@
             finish(service, work.ticket, toNotRun(SlotRefusal::ShiftCap));
         }
         if (pushed.evicted) {
-            finish(service, pushed.evicted->ticket, NotRun {"queue-full", "the place in the queue went to another tenant", 429});
+            finish(service, pushed.evicted->ticket, NotRun{"queue-full", "the place in the queue went to another tenant", 429});
         }
     }
 }
--- a/Services/trefoilmountd/admission.h
+++ b/Services/trefoilmountd/admission.h
@@ -15,7 +15,8 @@
 #include <unordered_map>
 #include <variant>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// A request that may be sent now, and where to.
 struct ReadyDispatch
@@ -72,7 +73,7 @@
 
         const ClassifiedRequest &request;
         boost::asio::steady_timer timer;
-        std::optional<AdmissionResult> result {};
+        std::optional<AdmissionResult> result{};
     };
 
     struct ServiceQueue
--- a/Services/trefoilmountd/claim.cpp
+++ b/Services/trefoilmountd/claim.cpp
@@ -4,9 +4,11 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 HttpResponse toResponse(const StoredResponse &stored)
 {
@@ -26,31 +28,31 @@
 
     std::variant<HeldClaim, RequestEnd> operator()(const ClaimGranted &granted) const
     {
-        return HeldClaim {key, granted.claimId};
+        return HeldClaim{key, granted.claimId};
     }
     std::variant<HeldClaim, RequestEnd> operator()(const ClaimAnswered &answered) const
     {
-        return RequestEnd(Answered {toResponse(answered.response)});
+        return RequestEnd(Answered{toResponse(answered.response)});
     }
     std::variant<HeldClaim, RequestEnd> operator()(const ClaimRunning &) const
     {
-        return RequestEnd(OutcomeUnknown {"key-running", "another attempt with this key is in flight", 409});
+        return RequestEnd(OutcomeUnknown{"key-running", "another attempt with this key is in flight", 409});
     }
     std::variant<HeldClaim, RequestEnd> operator()(const ClaimOutcomeUnknown &) const
     {
-        return RequestEnd(OutcomeUnknown {"outcome-unknown", "an earlier attempt with this key has no known outcome"});
+        return RequestEnd(OutcomeUnknown{"outcome-unknown", "an earlier attempt with this key has no known outcome"});
     }
     std::variant<HeldClaim, RequestEnd> operator()(const ClaimNotFound &) const
     {
-        return RequestEnd(NotRun {"store-unavailable", "the claim was lost"});
+        return RequestEnd(NotRun{"store-unavailable", "the claim was lost"});
     }
     std::variant<HeldClaim, RequestEnd> operator()(const ClaimKeyExpired &) const
     {
-        return RequestEnd(OutcomeUnknown {"key-expired", "the key was created more than 24 h ago, or in the future", 410});
+        return RequestEnd(OutcomeUnknown{"key-expired", "the key was created more than 24 h ago, or in the future", 410});
     }
     std::variant<HeldClaim, RequestEnd> operator()(const ClaimUnavailable &) const
     {
-        return RequestEnd(NotRun {"store-unavailable", "the claim was not confirmed in time"});
+        return RequestEnd(NotRun{"store-unavailable", "the claim was not confirmed in time"});
     }
 };
 
@@ -99,10 +101,10 @@
 std::variant<HeldClaim, RequestEnd> takeClaim(const ClaimAccess &access, const ClassifiedRequest &request, const boost::asio::yield_context &yield)
 {
     if (!access.claim) {
-        return RequestEnd(NotRun {"store-unavailable", "requests that must not repeat need the table service"});
+        return RequestEnd(NotRun{"store-unavailable", "requests that must not repeat need the table service"});
     }
-    const ClaimKey key {request.parsed.service, request.parsed.tenant, request.parsed.key};
-    return std::visit(EndOfClaim {key}, access.claim(key, request.deadline, yield));
+    const ClaimKey key{request.parsed.service, request.parsed.tenant, request.parsed.key};
+    return std::visit(EndOfClaim{key}, access.claim(key, request.deadline, yield));
 }
 
 void recordClaim(const ClaimAccess &access, const HeldClaim &claim, const RequestEnd &end)
@@ -120,9 +122,9 @@
 HttpResponse answerKeyQuery(const ClaimAccess &access, const KeyQuery &query, BootTime deadline, const boost::asio::yield_context &yield)
 {
     if (!access.status) {
-        return KeyStatus {}(ClaimUnavailable {});
+        return KeyStatus{}(ClaimUnavailable{});
     }
-    return std::visit(KeyStatus {}, access.status({query.service, query.tenant, query.key}, deadline, yield));
+    return std::visit(KeyStatus{}, access.status({query.service, query.tenant, query.key}, deadline, yield));
 }
 
 } // namespace Trefoil
--- a/Services/trefoilmountd/claim.h
+++ b/Services/trefoilmountd/claim.h
@@ -6,7 +6,8 @@
 #include <string>
 #include <variant>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// A claim that this host holds for one request. Ended without a record it stays open and reads "unknown".
 struct HeldClaim
--- a/Services/trefoilmountd/claimaccess.cpp
+++ b/Services/trefoilmountd/claimaccess.cpp
@@ -2,7 +2,8 @@
 
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 ClaimAccess claimAccessTo(ClaimService *service)
 {
--- a/Services/trefoilmountd/claimaccess.h
+++ b/Services/trefoilmountd/claimaccess.h
@@ -5,7 +5,8 @@
 #include <functional>
 #include <memory>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// The claim operations as the request path uses them; see ClaimService for their contracts. Tests put their own here.
 /// Empty functions mean that the store is unavailable.
--- a/Services/trefoilmountd/claimservice.cpp
+++ b/Services/trefoilmountd/claimservice.cpp
@@ -8,11 +8,13 @@
 #include <fmt/format.h>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 namespace asio = boost::asio;
 
-namespace {
+namespace
+{
 
 WallTime wallTimeOf(BootTime time)
 {
@@ -74,22 +76,22 @@
         const RowsResult result = m_table.read({rowKeyOf(key)}, deadline, yield);
         const auto *rows = std::get_if<std::vector<TableRow>>(&result);
         if (!rows) {
-            return ClaimUnavailable {};
+            return ClaimUnavailable{};
         }
         if (!rows->empty()) {
             return interpretClaim(rows->front().value, {}, std::chrono::system_clock::now());
         }
         if (keyAge(key.key, std::chrono::system_clock::now()) == KeyAge::Expired) {
-            return ClaimKeyExpired {};
+            return ClaimKeyExpired{};
         }
-        return ClaimNotFound {};
+        return ClaimNotFound{};
     }
 
     asio::io_context &m_control;
     TableClient &m_table;
     std::shared_ptr<ClaimWriter> m_writer;
     std::string m_claimIdPrefix;
-    std::atomic<std::uint64_t> m_sequence {1};
+    std::atomic<std::uint64_t> m_sequence{1};
 };
 
 ClaimService::ClaimService(asio::io_context &control, TableClient &table, const HostId &host, Incarnation incarnation)
@@ -102,9 +104,9 @@
 ClaimResult ClaimService::claim(const ClaimKey &key, BootTime deadline, const asio::yield_context &yield)
 {
     if (keyAge(key.key, std::chrono::system_clock::now()) != KeyAge::Current) {
-        return ClaimKeyExpired {};
+        return ClaimKeyExpired{};
     }
-    PendingClaim pending {key, m_implementation->nextClaimId(), deadline, wallTimeOf(deadline), false};
+    PendingClaim pending{key, m_implementation->nextClaimId(), deadline, wallTimeOf(deadline), false};
     return waitForResult(yield, [this, &pending](ClaimWriter::Complete complete) {
         asio::post(m_implementation->control(), [implementation = m_implementation, pending, complete = std::move(complete)]() mutable {
             implementation->writer().claim(std::move(pending), std::move(complete));
--- a/Services/trefoilmountd/claimservice.h
+++ b/Services/trefoilmountd/claimservice.h
@@ -9,7 +9,8 @@
 #include <memory>
 #include <string>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// At-most-once claims in the table service, batched over all requests of this host.
 class ClaimService
--- a/Services/trefoilmountd/claimwriter.cpp
+++ b/Services/trefoilmountd/claimwriter.cpp
@@ -6,27 +6,29 @@
 #include <fmt/format.h>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 namespace asio = boost::asio;
 
-namespace {
+namespace
+{
 
 constexpr std::size_t s_claimsPerBatch = 64;
 /// Batches in flight at once. A claim waits for the batches before it, each of which waits for the host's write rate; with one
 /// alone, a response that is lost would hold up all claims.
 constexpr int s_concurrentBatches = 2;
 /// Claims that arrive within this time share a transaction.
-constexpr std::chrono::milliseconds s_gatherTime {2};
+constexpr std::chrono::milliseconds s_gatherTime{2};
 /// Outcomes wait this long to share a transaction, since no caller waits for them and the host's write rate is better spent on claims.
-constexpr std::chrono::milliseconds s_outcomeGatherTime {250};
+constexpr std::chrono::milliseconds s_outcomeGatherTime{250};
 /// Waiting claims above this end as unavailable at once.
 constexpr std::size_t s_longestQueue = 10000;
 /// Outcomes above this are dropped, oldest first; their claims then read "unknown".
 constexpr std::size_t s_mostOutcomes = 10000;
 constexpr std::size_t s_outcomesPerWrite = 64;
-constexpr std::chrono::milliseconds s_outcomeRetryDelay {500};
-constexpr std::chrono::seconds s_outcomeDeadline {5};
+constexpr std::chrono::milliseconds s_outcomeRetryDelay{500};
+constexpr std::chrono::seconds s_outcomeDeadline{5};
 constexpr std::size_t s_expiredPage = 100;
 
 } // namespace
@@ -40,7 +42,7 @@
 void ClaimWriter::claim(PendingClaim claim, Complete complete)
 {
     if (m_waiting.size() >= s_longestQueue) {
-        complete(ClaimUnavailable {});
+        complete(ClaimUnavailable{});
         return;
     }
     m_waiting.push_back({std::move(claim), std::move(complete)});
@@ -69,7 +71,7 @@
         Waiting waiting = std::move(m_waiting.front());
         m_waiting.pop_front();
         if (BootClock::now() >= waiting.claim.deadline) {
-            waiting.complete(ClaimUnavailable {});
+            waiting.complete(ClaimUnavailable{});
             continue;
         }
         if (!m_rowsInBatches.insert(rowKeyOf(waiting.claim.key)).second) {
@@ -109,7 +111,7 @@
     if (std::holds_alternative<ClaimGranted>(decision.result)) {
         if (BootClock::now() >= decision.claim.deadline) {
             // Confirmed too late to be used; the request ends as not-run, so that the claim goes away again.
-            decision.result = ClaimUnavailable {};
+            decision.result = ClaimUnavailable{};
             enqueue({rowKey, decision.claim.claimId, std::nullopt, decision.version});
         } else {
             m_versions[decision.claim.claimId] = decision.version;
@@ -122,7 +124,7 @@
 
 void ClaimWriter::recordResponse(const ClaimKey &key, const std::string &claimId, StoredResponse response)
 {
-    ClaimRow row {claimId, std::chrono::system_clock::now(), std::nullopt, false};
+    ClaimRow row{claimId, std::chrono::system_clock::now(), std::nullopt, false};
     if (response.body.size() <= s_largestStoredBody) {
         row.response = std::move(response);
     } else {
--- a/Services/trefoilmountd/claimwriter.h
+++ b/Services/trefoilmountd/claimwriter.h
@@ -11,7 +11,8 @@
 #include <memory>
 #include <set>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Writes claims and their outcomes to the table service, many in one transaction.
 /// Thread safety: control thread only.
--- a/Services/trefoilmountd/classifyrequest.cpp
+++ b/Services/trefoilmountd/classifyrequest.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <fmt/format.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 template<typename Item, typename Id>
 const Item *findById(const std::vector<Item> &items, const Id &id)
--- a/Services/trefoilmountd/classifyrequest.h
+++ b/Services/trefoilmountd/classifyrequest.h
@@ -3,7 +3,8 @@
 #include <Services/trefoilmountd/requestmodel.h>
 #include <Services/trefoilmountd/routingview.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Second filter: compares a request with the configuration and fills in the defaults of its class.
 /// A request may repeat only when neither its class nor its header forbids it.
--- a/Services/trefoilmountd/configurationservice.cpp
+++ b/Services/trefoilmountd/configurationservice.cpp
@@ -15,27 +15,29 @@
 #include <map>
 #include <random>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 using boost::asio::yield_context;
 
-namespace {
+namespace
+{
 
-constexpr std::chrono::milliseconds s_headReadLimit {1000};
-constexpr std::chrono::milliseconds s_prepareLimit {1500};
+constexpr std::chrono::milliseconds s_headReadLimit{1000};
+constexpr std::chrono::milliseconds s_prepareLimit{1500};
 /// A prepare or commit without an answer is sent again, or to another host, after this time.
-constexpr std::chrono::milliseconds s_resendAfter {500};
-constexpr std::chrono::milliseconds s_commitLimit {2500};
+constexpr std::chrono::milliseconds s_resendAfter{500};
+constexpr std::chrono::milliseconds s_commitLimit{2500};
 /// P8: after this time the answer is "pending" instead of "accepted".
-constexpr std::chrono::milliseconds s_publishLimit {3000};
+constexpr std::chrono::milliseconds s_publishLimit{3000};
 /// Well below 3 s, so that a host that cannot follow stops before the limit of P8.
-constexpr std::chrono::milliseconds s_behindLimit {2000};
-constexpr std::chrono::milliseconds s_fetchInterval {250};
+constexpr std::chrono::milliseconds s_behindLimit{2000};
+constexpr std::chrono::milliseconds s_fetchInterval{250};
 /// Peers get this long to deliver a version before the store is asked for it.
-constexpr std::chrono::milliseconds s_peerFetchLimit {500};
-constexpr std::chrono::milliseconds s_longestRepairDelay {4000};
+constexpr std::chrono::milliseconds s_peerFetchLimit{500};
+constexpr std::chrono::milliseconds s_longestRepairDelay{4000};
 /// Finds a version that no peer announces. 1,500 hosts make 50 reads/s of the store's 2,000.
-constexpr std::chrono::seconds s_storeCheckInterval {30};
+constexpr std::chrono::seconds s_storeCheckInterval{30};
 constexpr std::size_t s_rememberedCandidates = 4;
 constexpr std::size_t s_rememberedChanges = 32;
 constexpr std::size_t s_longestAuthor = 64;
@@ -105,7 +107,7 @@
         , m_state(state)
         , m_store(table, objects)
         , m_sender(std::move(sender))
-        , m_random(std::random_device {}())
+        , m_random(std::random_device{}())
     {
     }
 
@@ -210,7 +212,7 @@
             learnOf(ConfigurationVersion(message.version.value() - 1), from);
         }
         const std::string reason = prepareReason(message);
-        m_sender(from, PrepareAck {message.operation, message.version, reason.empty(), reason});
+        m_sender(from, PrepareAck{message.operation, message.version, reason.empty(), reason});
     }
 
     /// Keeps the candidate; returns why it cannot come into force here, or an empty text.
@@ -263,7 +265,7 @@
         // Forwarding comes first, so that a slow host does not delay its availability zone.
         for (const auto &host : message.forwardTo) {
             if (host != m_settings.host) {
-                m_sender(host, Commit {message.version, message.digest, {}});
+                m_sender(host, Commit{message.version, message.digest, {}});
             }
         }
         const auto candidate = std::find_if(m_candidates.begin(), m_candidates.end(), [&message](const auto &entry) { return entry.first == message.digest; });
@@ -271,7 +273,7 @@
             enforce(candidate->second);
         }
         if (m_current->version >= message.version) {
-            m_sender(from, CommitAck {m_current->version});
+            m_sender(from, CommitAck{m_current->version});
             return;
         }
         m_awaitingInForce[from] = message.version;
@@ -293,7 +295,7 @@
         if (m_current->version <= message.newerThan) {
             return;
         }
-        m_sender(from, ConfigurationCopy {m_current->version, digest(*m_current), toJson(*m_current).dump()});
+        m_sender(from, ConfigurationCopy{m_current->version, digest(*m_current), toJson(*m_current).dump()});
     }
 
     void receive(const HostId & /*from*/, const ConfigurationCopy &message)
@@ -351,7 +353,7 @@
                 ++position;
                 continue;
             }
-            m_sender(position->first, CommitAck {m_current->version});
+            m_sender(position->first, CommitAck{m_current->version});
             position = m_awaitingInForce.erase(position);
         }
     }
@@ -380,7 +382,7 @@
                 const auto match = known.find(upstream.id);
                 auto slots = match == known.end() ? UpstreamSlots::create() : match->second->slots;
                 const bool leaving = isDrained(*m_current, upstream) || m_leavingUpstreams.count(upstream.id) != 0;
-                states.push_back(std::make_shared<const UpstreamState>(UpstreamState {upstream, service.id, std::move(slots), leaving}));
+                states.push_back(std::make_shared<const UpstreamState>(UpstreamState{upstream, service.id, std::move(slots), leaving}));
             }
         }
         return states;
@@ -402,7 +404,7 @@
         }
         if (!m_lastFetch || now - *m_lastFetch >= s_fetchInterval) {
             m_lastFetch = now;
-            m_sender(from, FetchConfiguration {m_current->version});
+            m_sender(from, FetchConfiguration{m_current->version});
         }
     }
 
@@ -562,7 +564,7 @@
     /// The live hosts that are known, this one included.
     std::vector<Member> members() const
     {
-        std::vector<Member> result {{m_settings.host, m_settings.region, m_settings.zone}};
+        std::vector<Member> result{{m_settings.host, m_settings.region, m_settings.zone}};
         m_state.routing.read([&](const RoutingView &view) {
             for (const auto &host : view.hosts) {
                 if (!host.leaving && host.id != m_settings.host) {
@@ -616,7 +618,7 @@
         std::vector<RegionId> missing = regionsWithoutMajority(regions, hosts, change.prepared);
         while (!m_isStopped && !missing.empty() && BootClock::now() < deadline) {
             if (BootClock::now() >= sendAt) {
-                sendPrepare(Prepare {change.operation, change.candidate->version, candidateDigest, text}, hosts, change);
+                sendPrepare(Prepare{change.operation, change.candidate->version, candidateDigest, text}, hosts, change);
                 sendAt += s_resendAfter;
             }
             waitForAnswer(change, std::min(deadline, sendAt), yield);
@@ -664,12 +666,12 @@
                 return {ChangeStatus::Accepted, next.version, "in force in every region"};
             }
             if (BootClock::now() >= deadline) {
-                ChangeOutcome pending {ChangeStatus::Pending, next.version, "committed, pending in " + toText(missing)};
+                ChangeOutcome pending{ChangeStatus::Pending, next.version, "committed, pending in " + toText(missing)};
                 pending.regions = missing;
                 return pending;
             }
             if (BootClock::now() >= sendAt) {
-                push(Commit {next.version, next.digest, {}}, hosts, change.inForce, attempt++);
+                push(Commit{next.version, next.digest, {}}, hosts, change.inForce, attempt++);
                 sendAt += s_resendAfter;
             }
             waitForAnswer(change, std::min(deadline, sendAt), yield);
@@ -799,7 +801,7 @@
     boost::asio::io_context &context, ConfigurationServiceSettings settings, HostState &state, TableClient &table, ObjectClient &objects, Sender sender)
 {
     if (settings.host.value().empty() || settings.region.value().empty() || settings.zone.value().empty()) {
-        return Error {ErrorCode::InvalidInput, "host, region and zone must be set"};
+        return Error{ErrorCode::InvalidInput, "host, region and zone must be set"};
     }
     auto implementation = std::make_shared<Implementation>(context, std::move(settings), state, table, objects, std::move(sender));
     return std::unique_ptr<ConfigurationService>(new ConfigurationService(std::move(implementation)));
--- a/Services/trefoilmountd/configurationservice.h
+++ b/Services/trefoilmountd/configurationservice.h
@@ -16,7 +16,8 @@
 #include <string>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 enum class ChangeStatus {
     /// The text has findings; nothing was done.
@@ -45,11 +46,11 @@
     /// The version that the change made, or for other outcomes the one in force at this host.
     ConfigurationVersion version;
     std::string message;
-    Findings findings {};
+    Findings findings{};
     /// The change itself; for a conflict what others changed since the base version.
-    std::vector<ConfigurationChange> changes {};
+    std::vector<ConfigurationChange> changes{};
     /// Regions that refused, or that have not confirmed.
-    std::vector<RegionId> regions {};
+    std::vector<RegionId> regions{};
 };
 
 struct ConfigurationServiceSettings
--- a/Services/trefoilmountd/configurationstore.cpp
+++ b/Services/trefoilmountd/configurationstore.cpp
@@ -6,11 +6,13 @@
 #include <algorithm>
 #include <fmt/format.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 const char *const s_headKey = "configuration/head";
 /// Far more changes than are made while one change waits for the store.
@@ -51,7 +53,7 @@
 std::optional<ConfigurationHead> headFromRow(const TableRow &row)
 {
     if (row.version == 0) {
-        return ConfigurationHead {};
+        return ConfigurationHead{};
     }
     if (!row.value.is_object() || !row.value.contains("version") || !row.value["version"].is_number_unsigned()) {
         return std::nullopt;
@@ -73,7 +75,7 @@
             return headFromRow(row);
         }
     }
-    return ConfigurationHead {};
+    return ConfigurationHead{};
 }
 
 /// The operations that the head after this one remembers.
@@ -93,7 +95,7 @@
     return transaction;
 }
 
-const Unavailable s_damagedHead {"the row configuration/head is damaged"};
+const Unavailable s_damagedHead{"the row configuration/head is damaged"};
 
 } // namespace
 
@@ -130,7 +132,7 @@
     const auto *body = std::get_if<ObjectBody>(&result);
     auto configuration = body == nullptr ? nullptr : checkedConfiguration(body->body, head.version, head.digest);
     if (!configuration) {
-        return Unavailable {fmt::format("object {} is {}", objectName(head), body == nullptr ? "missing" : "damaged")};
+        return Unavailable{fmt::format("object {} is {}", objectName(head), body == nullptr ? "missing" : "damaged")};
     }
     return configuration;
 }
@@ -146,7 +148,7 @@
     while (BootClock::now() < deadline) {
         const TransactResult result = m_table.transact(headTransaction(base, next), deadline, yield);
         if (std::holds_alternative<Committed>(result)) {
-            return HeadCommitted {};
+            return HeadCommitted{};
         }
         if (const auto *unavailable = std::get_if<Unavailable>(&result)) {
             return *unavailable;
@@ -159,15 +161,15 @@
             return s_damagedHead;
         }
         if (head->includes(next.operation)) {
-            return HeadCommitted {};
+            return HeadCommitted{};
         }
         if (head->version != base.version) {
-            return HeadLost {*head};
+            return HeadLost{*head};
         }
         // Only the row's version moved, because another host fenced a lost change of its own.
         base.row = head->row;
     }
-    return Unavailable {"the head kept changing"};
+    return Unavailable{"the head kept changing"};
 }
 
 HeadCommitResult ConfigurationStore::fence(
@@ -175,23 +177,23 @@
 {
     const TransactResult result = m_table.transact(headTransaction(base, base), deadline, yield);
     if (std::holds_alternative<Committed>(result)) {
-        return Unavailable {"the table service lost the transaction"};
+        return Unavailable{"the table service lost the transaction"};
     }
     const auto *failed = std::get_if<ConditionFailed>(&result);
     if (failed == nullptr) {
-        return Ambiguous {"the table service does not tell whether the change was committed"};
+        return Ambiguous{"the table service does not tell whether the change was committed"};
     }
     const auto head = headFromRows(failed->rows);
     if (!head) {
         return s_damagedHead;
     }
     if (head->includes(operation)) {
-        return HeadCommitted {};
+        return HeadCommitted{};
     }
     if (head->version == base.version) {
-        return Unavailable {"the table service lost the transaction"};
+        return Unavailable{"the table service lost the transaction"};
     }
-    return HeadLost {*head};
+    return HeadLost{*head};
 }
 
 std::string ConfigurationStore::newOperation()
--- a/Services/trefoilmountd/configurationstore.h
+++ b/Services/trefoilmountd/configurationstore.h
@@ -9,7 +9,8 @@
 #include <variant>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// The row configuration/head.
 struct ConfigurationHead
@@ -21,7 +22,7 @@
     std::string operation;
     /// Operations before it, newest first. A change whose response was lost may be followed by others before its author
     /// looks for it.
-    std::vector<std::string> earlier {};
+    std::vector<std::string> earlier{};
     RowVersion row = 0;
 
     /// True when the change with this id is part of the head's history. Precondition: none. Thread safety: safe for concurrent readers.
--- a/Services/trefoilmountd/controlplane.cpp
+++ b/Services/trefoilmountd/controlplane.cpp
@@ -4,12 +4,14 @@
 
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 /// Expired claims are deleted a page at a time, for one random tenant and service; hosts share the work by chance.
-constexpr std::chrono::seconds s_claimDeletionInterval {60};
+constexpr std::chrono::seconds s_claimDeletionInterval{60};
 
 /// 12 hosts then send at most 300 writes a second, of the several hundred that the table service takes.
 constexpr double s_writesPerSecond = 25;
@@ -146,7 +148,7 @@
     sources.queries.grants = [this](const std::optional<ServiceId> &service) { return grants(service); };
     sources.status = [this] {
         const BootTime now = BootClock::now();
-        return nlohmann::json {{"host", m_settings.host.value()},
+        return nlohmann::json{{"host", m_settings.host.value()},
             {"region", m_settings.region.value()},
             {"zone", m_settings.zone.value()},
             {"leaseValid", m_host.state().lease.isValid(now)},
--- a/Services/trefoilmountd/controlplane.h
+++ b/Services/trefoilmountd/controlplane.h
@@ -12,7 +12,8 @@
 
 #include <memory>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Secrets read from the files that the settings name.
 struct HostSecrets
--- a/Services/trefoilmountd/forwarding.cpp
+++ b/Services/trefoilmountd/forwarding.cpp
@@ -4,9 +4,11 @@
 #include <array>
 #include <fmt/format.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 constexpr std::array<std::string_view, 13> s_hopHeaders = {"Connection",
     "Keep-Alive",
@@ -98,7 +100,7 @@
 
 HttpRequest makeUpstreamRequest(const ClassifiedRequest &request, const HttpRequest &original)
 {
-    HttpRequest upstream {request.parsed.method, request.parsed.upstreamTarget, {}, original.body};
+    HttpRequest upstream{request.parsed.method, request.parsed.upstreamTarget, {}, original.body};
     copyEndToEndHeaders(original.headers, upstream.headers);
     upstream.headers.add("Trefoil-Request-Id", request.id.value());
     if (!request.parsed.key.value().empty()) {
@@ -112,20 +114,20 @@
     if (const auto *failure = std::get_if<CallFailure>(&result)) {
         const std::string detail = fmt::format("{}: {}", toText(failure->kind), failure->message);
         if (failure->anyByteWritten) {
-            return OutcomeUnknown {reasonOf(failure->kind), detail};
+            return OutcomeUnknown{reasonOf(failure->kind), detail};
         }
-        return NotRun {reasonOf(failure->kind), detail};
+        return NotRun{reasonOf(failure->kind), detail};
     }
     HttpResponse &response = std::get<HttpResponse>(result);
     if (response.status == s_serviceUnavailable && response.headers.value("Trefoil-Not-Started") == "1") {
-        return NotRun {"upstream-refused", "the upstream did not start the request"};
+        return NotRun{"upstream-refused", "the upstream did not start the request"};
     }
-    return Answered {std::move(response)};
+    return Answered{std::move(response)};
 }
 
 HttpResponse respond(RequestEnd end, const RequestId &id)
 {
-    HttpResponse response = std::visit(Responder {}, end);
+    HttpResponse response = std::visit(Responder{}, end);
     response.headers.add("Trefoil-Request-Id", id.value());
     return response;
 }
--- a/Services/trefoilmountd/forwarding.h
+++ b/Services/trefoilmountd/forwarding.h
@@ -5,7 +5,8 @@
 
 #include <string>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Copies the headers that concern caller and upstream only: neither those of one connection, nor credentials of this
 /// system, nor its own `Trefoil-` headers. Precondition: none. Thread safety: safe from any thread.
--- a/Services/trefoilmountd/host.cpp
+++ b/Services/trefoilmountd/host.cpp
@@ -7,15 +7,17 @@
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 namespace asio = boost::asio;
 
-namespace {
+namespace
+{
 
-constexpr std::chrono::milliseconds s_drainPoll {5};
+constexpr std::chrono::milliseconds s_drainPoll{5};
 /// Grants that can't be released, because the store is away, are reclaimed by other hosts.
-constexpr std::chrono::seconds s_stopConditionLimit {5};
+constexpr std::chrono::seconds s_stopConditionLimit{5};
 
 } // namespace
 
@@ -33,8 +35,8 @@
 {
     std::unique_ptr<Host> host(new Host(std::move(options), std::move(claims)));
     const HostOptions &own = host->m_options;
-    const RequestPathSettings settings {own.host, own.region, own.incarnation, own.peerSecret, own.sourceAddress};
-    const RequestPathShared shared {host->m_state, host->m_claims, host->m_signal, host->m_retryBudget, host->m_metrics, host->m_inFlight};
+    const RequestPathSettings settings{own.host, own.region, own.incarnation, own.peerSecret, own.sourceAddress};
+    const RequestPathShared shared{host->m_state, host->m_claims, host->m_signal, host->m_retryBudget, host->m_metrics, host->m_inFlight};
     std::string address = own.callerAddress;
     for (int i = 0; i < own.threads; ++i) {
         auto worker = Worker::create(address, settings, shared, static_cast<std::size_t>(i));
@@ -88,7 +90,7 @@
     for (const auto &worker : m_workers) {
         worker->start();
     }
-    writeLog(LogLevel::Info, "serving-callers", {{"address", callerAddress()}, {"threads", std::int64_t {m_options.threads}}});
+    writeLog(LogLevel::Info, "serving-callers", {{"address", callerAddress()}, {"threads", std::int64_t{m_options.threads}}});
 }
 
 void Host::requestStop()
--- a/Services/trefoilmountd/host.h
+++ b/Services/trefoilmountd/host.h
@@ -15,7 +15,8 @@
 #include <string>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 struct HostOptions
 {
@@ -28,9 +29,9 @@
     std::string peerSecret;
     int threads = 2;
     /// Time for which a stopping host serves callers that still know it.
-    std::chrono::milliseconds stopGrace {6000};
+    std::chrono::milliseconds stopGrace{6000};
     /// Longest time for which requests in flight are waited for after that.
-    std::chrono::milliseconds drainLimit {600000};
+    std::chrono::milliseconds drainLimit{600000};
 };
 
 /// One entry host: the workers of the request path and the control io_context, to which control loops are attached.
@@ -88,12 +89,12 @@
     SlotSignal m_signal;
     RetryBudget m_retryBudget;
     RequestMetrics m_metrics;
-    std::atomic<std::int64_t> m_inFlight {0};
+    std::atomic<std::int64_t> m_inFlight{0};
     ClaimAccess m_claims;
     std::function<bool()> m_stopCondition;
-    boost::asio::io_context m_control {1};
+    boost::asio::io_context m_control{1};
     std::vector<std::unique_ptr<Worker>> m_workers;
-    std::atomic<bool> m_stopRequested {false};
+    std::atomic<bool> m_stopRequested{false};
 };
 
 } // namespace Trefoil
--- a/Services/trefoilmountd/hoststate.h
+++ b/Services/trefoilmountd/hoststate.h
@@ -9,7 +9,8 @@
 #include <memory>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Shared by the request path, which reads it, and the control loops, which publish to it from the control thread.
 struct HostState
@@ -19,9 +20,9 @@
     {
     }
 
-    Snapshot<RoutingView> routing {std::make_unique<RoutingView>()};
+    Snapshot<RoutingView> routing{std::make_unique<RoutingView>()};
     LeaseGuard lease;
-    std::atomic<bool> stopping {false};
+    std::atomic<bool> stopping{false};
     /// Used by updateRouting() only.
     RoutingAssembler assembler;
 
--- a/Services/trefoilmountd/lookup.cpp
+++ b/Services/trefoilmountd/lookup.cpp
@@ -4,9 +4,11 @@
 #include <fmt/format.h>
 #include <optional>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 /// Enough hosts of the first region to outlive some failures, and some of other regions in case the whole region fails.
 constexpr std::size_t s_hostsOfFirstRegion = 4;
@@ -55,7 +57,7 @@
     auto entry = view.lookup->find(query.client);
     if (!entry) {
         // A client outside all blocks belongs to the region that it asked.
-        entry = LookupEntry {indexOfRegion(*view.lookup, ownRegion), 0};
+        entry = LookupEntry{indexOfRegion(*view.lookup, ownRegion), 0};
     }
     std::string body;
     body.reserve(1024);
--- a/Services/trefoilmountd/lookup.h
+++ b/Services/trefoilmountd/lookup.h
@@ -6,10 +6,11 @@
 
 #include <chrono>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// How long callers use a look-up response; a stopping host serves for this time and one second more.
-constexpr std::chrono::milliseconds s_lookupLifetime {5000};
+constexpr std::chrono::milliseconds s_lookupLifetime{5000};
 
 /// Answers a look-up: hosts in the order in which the client should try them. When this host is stopping it is left out.
 /// Precondition: none. Thread safety: safe from any thread.
--- a/Services/trefoilmountd/main.cpp
+++ b/Services/trefoilmountd/main.cpp
@@ -11,7 +11,8 @@
 #include <fmt/format.h>
 #include <random>
 
-namespace {
+namespace
+{
 
 using namespace Trefoil;
 
@@ -31,9 +32,9 @@
         }
     }
     if (!findings.empty()) {
-        return Error {ErrorCode::InvalidInput, "invalid settings", std::move(findings)};
+        return Error{ErrorCode::InvalidInput, "invalid settings", std::move(findings)};
     }
-    return HostSecrets {admin.value(), peer.value()};
+    return HostSecrets{admin.value(), peer.value()};
 }
 
 Incarnation drawIncarnation()
--- a/Services/trefoilmountd/membershipservice.cpp
+++ b/Services/trefoilmountd/membershipservice.cpp
@@ -10,17 +10,19 @@
 #include <random>
 #include <set>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-namespace {
+namespace
+{
 
-constexpr milliseconds s_tickInterval {100};
+constexpr milliseconds s_tickInterval{100};
 /// The list is read this often. With the list's own lag and one reading an upstream that leaves is seen within 5 s; an
 /// unchanged list costs only headers.
-constexpr milliseconds s_listInterval {1000};
+constexpr milliseconds s_listInterval{1000};
 constexpr BootClock::duration s_listDeadline = milliseconds(2000);
 /// Look-up responses live for 5 s; the host serves for a second longer.
 constexpr BootClock::duration s_lookupLifetimeAndMargin = std::chrono::seconds(6);
@@ -35,6 +37,9 @@
     return {address, settings.sourceAddress, s_writesPerSecond, s_readsPerSecond};
 }
 
+/// Three heartbeats that did not arrive. A host that died keeps its free slots in the view no longer than this.
+constexpr BootClock::duration s_silenceLimit = milliseconds(1500);
+
 } // namespace
 
 class MembershipService::Implementation : public std::enable_shared_from_this<MembershipService::Implementation>
@@ -68,6 +73,9 @@
 
     void handle(const HostId &from, const PeerMessage &message)
     {
+        if (std::holds_alternative<Heartbeat>(message)) {
+            m_heardAt[from] = BootClock::now();
+        }
         m_member.receive(from, message, BootClock::now());
         carryOut();
     }
@@ -117,7 +125,7 @@
         settings.callerAddress = m_settings.advertisedCallerAddress;
         settings.peerAddress = m_settings.advertisedPeerAddress;
         settings.incarnation = incarnation;
-        settings.seed = (std::uint64_t {std::random_device {}()} << 32U) ^ incarnation.value();
+        settings.seed = (std::uint64_t{std::random_device{}()} << 32U) ^ incarnation.value();
         settings.usage = [this](const ResourceId &resource) { return usage(resource); };
         settings.freeSlots = [this] { return freeSlots(); };
         return settings;
@@ -201,7 +209,9 @@
 
     StoreReply execute(const StoreRequest &request, const asio::yield_context &yield)
     {
-        const auto convert = [](auto result) { return std::visit([](auto &&value) { return StoreReply(std::forward<decltype(value)>(value)); }, std::move(result)); };
+        const auto convert = [](auto result) {
+            return std::visit([](auto &&value) { return StoreReply(std::forward<decltype(value)>(value)); }, std::move(result));
+        };
         if (const auto *read = std::get_if<ReadRows>(&request.operation)) {
             return convert(m_table.read(read->keys, request.deadline, yield));
         }
@@ -263,14 +273,28 @@
         return position == m_publishedLimits.end() ? 0 : position->second;
     }
 
+    /// Hosts that have sent heartbeats before and stopped; they get no relays until they are heard again.
+    std::set<HostId> silentHosts(BootTime now) const
+    {
+        std::set<HostId> silent;
+        for (const auto &[host, heardAt] : m_heardAt) {
+            if (now - heardAt > s_silenceLimit) {
+                silent.insert(host);
+            }
+        }
+        return silent;
+    }
+
     void publishHosts()
     {
         const std::uint64_t revision = m_member.directory().revision();
         const BootTime now = BootClock::now();
-        if (revision == m_publishedRevision || now < m_lastHostsPublished + s_viewInterval) {
+        std::set<HostId> silent = silentHosts(now);
+        if ((revision == m_publishedRevision && silent == m_silentHosts) || now < m_lastHostsPublished + s_viewInterval) {
             return;
         }
         m_publishedRevision = revision;
+        m_silentHosts = std::move(silent);
         m_lastHostsPublished = now;
         std::vector<KnownHost> hosts = {{m_settings.host,
             m_settings.region,
@@ -281,7 +305,13 @@
             freeSlots()}};
         std::vector<PeerEndpoint> endpoints;
         for (const auto &[id, peer] : m_member.directory().peers()) {
-            hosts.push_back({id, peer.row.region, peer.row.zone, peer.row.callerAddress, peer.row.peerAddress, peer.leaving, peer.freeSlots});
+            hosts.push_back({id,
+                peer.row.region,
+                peer.row.zone,
+                peer.row.callerAddress,
+                peer.row.peerAddress,
+                peer.leaving,
+                m_silentHosts.count(id) != 0 ? SlotCount(0) : peer.freeSlots});
             endpoints.push_back({id, peer.row.peerAddress});
         }
         m_links.setPeers(endpoints);
@@ -353,12 +383,14 @@
     asio::steady_timer m_listTimer;
     std::vector<Resource> m_resources;
     std::set<UpstreamId> m_leavingUpstreams;
+    std::map<HostId, BootTime> m_heardAt;
+    std::set<HostId> m_silentHosts;
     BootTime m_stopRequested;
     BootTime m_publishedLease;
     bool m_wasMember = false;
     bool m_stopped = false;
     std::map<ResourceId, std::int64_t> m_publishedLimits;
-    std::uint64_t m_publishedRevision = ~std::uint64_t {0};
+    std::uint64_t m_publishedRevision = ~std::uint64_t{0};
     BootTime m_lastHostsPublished;
 };
 
@@ -371,7 +403,7 @@
     asio::io_context &context, const HostSettings &settings, Incarnation incarnation, HostState &state, MembershipLinks links)
 {
     if (!links.send || !links.setPeers) {
-        return Error {ErrorCode::InvalidInput, "the membership needs links to other hosts"};
+        return Error{ErrorCode::InvalidInput, "the membership needs links to other hosts"};
     }
     auto implementation = std::make_shared<Implementation>(context, settings, incarnation, state, std::move(links));
     return std::unique_ptr<MembershipService>(new MembershipService(std::move(implementation)));
--- a/Services/trefoilmountd/membershipservice.h
+++ b/Services/trefoilmountd/membershipservice.h
@@ -9,7 +9,8 @@
 #include <functional>
 #include <memory>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// How the membership reaches other hosts; usually PeerNetwork::send and PeerNetwork::setPeers.
 struct MembershipLinks
--- a/Services/trefoilmountd/parserequest.cpp
+++ b/Services/trefoilmountd/parserequest.cpp
@@ -11,9 +11,11 @@
 #include <string_view>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view s_requestsPrefix = "/v1/requests/";
 constexpr std::string_view s_keysPrefix = "/v1/keys/";
@@ -82,7 +84,7 @@
     void fail(std::string_view field, std::string message)
     {
         if (!m_fault) {
-            m_fault = BadField {std::string(field), std::move(message)};
+            m_fault = BadField{std::string(field), std::move(message)};
         }
     }
 
@@ -228,7 +230,7 @@
     if (!address) {
         return badInput({"client", "missing, or not an IPv4 number"});
     }
-    return LookupQuery {ServiceId(std::move(*service)), *address};
+    return LookupQuery{ServiceId(std::move(*service)), *address};
 }
 
 ParsedInput parseKeyQuery(const HttpRequest &request)
@@ -242,7 +244,7 @@
     if (second == std::string::npos) {
         return badInput({"path", "not /v1/keys/<service>/<tenant>/<key>"});
     }
-    KeyQuery query {ServiceId(rest.substr(0, first)), TenantId(rest.substr(first + 1, second - first - 1)), RequestKey(rest.substr(second + 1))};
+    KeyQuery query{ServiceId(rest.substr(0, first)), TenantId(rest.substr(first + 1, second - first - 1)), RequestKey(rest.substr(second + 1))};
     if (!isValidName(query.service.value())) {
         return badInput({"service", fmt::format("not a valid name: {}", s_nameHint)});
     }
--- a/Services/trefoilmountd/parserequest.h
+++ b/Services/trefoilmountd/parserequest.h
@@ -4,7 +4,8 @@
 
 #include <string>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// First filter: reads target and headers. Bad input becomes the error response that names the field.
 /// Precondition: callerAddress is an IPv4 number. Thread safety: safe from any thread.
--- a/Services/trefoilmountd/relay.cpp
+++ b/Services/trefoilmountd/relay.cpp
@@ -5,9 +5,11 @@
 #include <charconv>
 #include <fmt/format.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 /// The live host of a region with the most free slots.
 const KnownHost *emptiestHost(const RoutingView &view, const HostId &ownHost, const RegionId &region, const std::set<HostId> &excluded)
@@ -50,7 +52,7 @@
     BootTime now)
 {
     if (const KnownHost *host = emptiestHost(view, ownHost, ownRegion, excluded)) {
-        return RelayTarget {host->id, host->callerAddress};
+        return RelayTarget{host->id, host->callerAddress};
     }
     if (sameRegionOnly) {
         return std::nullopt;
@@ -61,7 +63,7 @@
             continue;
         }
         if (auto reservation = link.budget->tryReserve(estimate, now)) {
-            return RelayTarget {host->id, host->callerAddress, std::move(reservation)};
+            return RelayTarget{host->id, host->callerAddress, std::move(reservation)};
         }
     }
     return std::nullopt;
@@ -70,7 +72,7 @@
 HttpRequest makeRelayRequest(const ClassifiedRequest &request, const HttpRequest &original, const HostId &ownHost, const std::string &secret)
 {
     const ParsedRequest &parsed = request.parsed;
-    HttpRequest relayed {parsed.method, fmt::format("/v1/requests/{}{}", parsed.service.value(), parsed.upstreamTarget), {}, original.body};
+    HttpRequest relayed{parsed.method, fmt::format("/v1/requests/{}{}", parsed.service.value(), parsed.upstreamTarget), {}, original.body};
     copyEndToEndHeaders(original.headers, relayed.headers);
     relayed.headers.add("Authorization", "Bearer " + secret);
     relayed.headers.add("Trefoil-Relay", ownHost.value());
@@ -93,20 +95,20 @@
     if (const auto *failure = std::get_if<CallFailure>(&result)) {
         const std::string detail = fmt::format("relay: {}: {}", toText(failure->kind), failure->message);
         if (failure->anyByteWritten) {
-            return OutcomeUnknown {reasonOf(failure->kind), detail};
+            return OutcomeUnknown{reasonOf(failure->kind), detail};
         }
-        return NotRun {reasonOf(failure->kind), detail};
+        return NotRun{reasonOf(failure->kind), detail};
     }
     HttpResponse &response = std::get<HttpResponse>(result);
     const std::string_view outcome = response.headers.value("Trefoil-Outcome");
     const std::string reason(response.headers.value("Trefoil-Reason"));
     if (outcome == "answered") {
-        return Answered {std::move(response)};
+        return Answered{std::move(response)};
     }
     if (outcome == "not-run") {
-        return NotRun {reason, "relay: refused by the other host", statusOrDefault(response.status, 503)};
+        return NotRun{reason, "relay: refused by the other host", statusOrDefault(response.status, 503)};
     }
-    return OutcomeUnknown {reason.empty() ? "outcome-unknown" : reason, "relay: unknown to the other host", statusOrDefault(response.status, 504)};
+    return OutcomeUnknown{reason.empty() ? "outcome-unknown" : reason, "relay: unknown to the other host", statusOrDefault(response.status, 504)};
 }
 
 bool isFromPeer(const HttpHeaders &headers, const std::string &secret)
--- a/Services/trefoilmountd/relay.h
+++ b/Services/trefoilmountd/relay.h
@@ -8,7 +8,8 @@
 #include <set>
 #include <string>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Another host that gets a request, with the bytes reserved on the link to it.
 struct RelayTarget
@@ -16,7 +17,7 @@
     HostId host;
     std::string address;
     /// Empty inside the own region.
-    std::optional<LinkReservation> link {};
+    std::optional<LinkReservation> link{};
 };
 
 /// Chooses the host with the most free slots: of the own region first, then of the nearest region whose link has room.
--- a/Services/trefoilmountd/requestmodel.h
+++ b/Services/trefoilmountd/requestmodel.h
@@ -11,7 +11,8 @@
 #include <variant>
 
 /// The values that the filters of the request path hand to each other.
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// GET /v1/lookup.
 struct LookupQuery
@@ -38,17 +39,17 @@
     std::string upstreamTarget;
     TenantId tenant;
     ClassId requestClass;
-    std::optional<std::chrono::milliseconds> timeLeft {};
-    std::optional<bool> mayWait {};
-    std::optional<bool> mayRepeat {};
-    RequestKey key {};
+    std::optional<std::chrono::milliseconds> timeLeft{};
+    std::optional<bool> mayWait{};
+    std::optional<bool> mayRepeat{};
+    RequestKey key{};
     /// Client address in host byte order; the caller's own when the request names none.
     std::uint32_t client = 0;
     /// Host that relayed the request; empty for a request of a caller. Trusted only after the secret was checked.
-    HostId relayedBy {};
+    HostId relayedBy{};
     /// Request id and home region of a relayed request.
-    RequestId relayedId {};
-    RegionId relayedHome {};
+    RequestId relayedId{};
+    RegionId relayedHome{};
 };
 
 using ParsedInput = std::variant<LookupQuery, KeyQuery, ParsedRequest, HttpResponse>;
@@ -59,7 +60,7 @@
     ParsedRequest parsed;
     RequestId id;
     BootTime deadline;
-    std::chrono::milliseconds progressTimeout {0};
+    std::chrono::milliseconds progressTimeout{0};
     std::int32_t tenantWeight = 100;
     bool mayWait = false;
     bool mayRepeat = true;
@@ -88,7 +89,7 @@
     /// One of the reasons of the request metrics, such as "no-slot".
     std::string reason;
     /// What exactly happened, for people; may be empty.
-    std::string detail {};
+    std::string detail{};
     /// 429 for a full queue, 503 otherwise.
     int status = 503;
 };
@@ -98,7 +99,7 @@
 {
     /// As for NotRun.
     std::string reason;
-    std::string detail {};
+    std::string detail{};
     /// 409 while the first attempt is in flight, 410 for an expired key, 504 otherwise.
     int status = 504;
 };
--- a/Services/trefoilmountd/requestpath.cpp
+++ b/Services/trefoilmountd/requestpath.cpp
@@ -10,24 +10,26 @@
 #include <fmt/format.h>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 namespace asio = boost::asio;
 
-namespace {
+namespace
+{
 
 /// Attempts of a repeatable request, the first one included.
 constexpr std::uint32_t s_attemptLimit = 3;
 /// How often selection is repeated to find an upstream that was not tried yet.
 constexpr std::size_t s_reselections = 4;
 /// Time in which the cancellation of abandoned work must be confirmed.
-constexpr std::chrono::milliseconds s_cancellationTimeout {500};
+constexpr std::chrono::milliseconds s_cancellationTimeout{500};
 /// An upstream learns the time left, not the time; its clock for a request starts later by the way there.
-constexpr std::chrono::milliseconds s_deadlineAllowance {50};
+constexpr std::chrono::milliseconds s_deadlineAllowance{50};
 /// A relayed request may be tried twice by the other host, each time up to the progress timeout.
 constexpr int s_relayedAttempts = 2;
 /// Longest wait for the table service in a key query.
-constexpr std::chrono::milliseconds s_keyQueryTimeout {2000};
+constexpr std::chrono::milliseconds s_keyQueryTimeout{2000};
 /// Size that a response is expected to have when a request is relayed, until it is known.
 constexpr std::int64_t s_expectedResponseBytes = 4096;
 /// Headers of a relayed request and its response, besides their bodies.
@@ -84,12 +86,6 @@
     return failure && failure->anyByteWritten;
 }
 
-bool isNotRun(const RequestEnd &end, std::string_view reason)
-{
-    const auto *notRun = std::get_if<NotRun>(&end);
-    return notRun && notRun->reason == reason;
-}
-
 NotRun cancelledEnd()
 {
     return {"cancelled", "the caller went away"};
@@ -135,7 +131,7 @@
     if (auto *refusal = std::get_if<HttpResponse>(&classified)) {
         return refuseInput(std::move(*refusal));
     }
-    Journey journey {original, std::move(std::get<ClassifiedRequest>(classified)), caller};
+    Journey journey{original, std::move(std::get<ClassifiedRequest>(classified)), caller};
     const auto series = m_shared.metrics.series(journey.request.parsed.tenant, journey.request.parsed.requestClass);
     series->started();
     RequestEnd end = run(journey, yield);
@@ -235,8 +231,8 @@
     }
     if (auto target = relayTarget(journey, refusal)) {
         RequestEnd end = relay(journey, std::move(*target), yield);
-        const bool isFull = isNotRun(end, "no-slot") || isNotRun(end, "shift-cap") || isNotRun(end, "no-upstream");
-        if (!isFull) {
+        // A request that did not run at the other host can still run here, within its deadline.
+        if (!std::holds_alternative<NotRun>(end)) {
             return end;
         }
     }
@@ -356,7 +352,8 @@
                 options.deadline = BootClock::now() + s_cancellationTimeout;
                 const CallResult result = m_pool.call(ready->route.address, ready->route.connections, {"DELETE", "/v1/work/" + id.value()}, options, yield);
                 const auto *response = std::get_if<HttpResponse>(&result);
-                hasEnded = response && (response->status < 300 || response->status == 404);
+                // 404 proves nothing: the cancellation may overtake its request, which then still begins.
+                hasEnded = response && response->status < 300;
             }
             if (!hasEnded) {
                 boost::system::error_code ignored;
--- a/Services/trefoilmountd/requestpath.h
+++ b/Services/trefoilmountd/requestpath.h
@@ -14,7 +14,8 @@
 #include <set>
 #include <string>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// What the request path knows of its host.
 struct RequestPathSettings
@@ -62,9 +63,9 @@
         const HttpRequest &original;
         ClassifiedRequest request;
         CallerConnection &caller;
-        std::set<UpstreamId> triedUpstreams {};
-        std::set<HostId> triedHosts {};
-        std::chrono::nanoseconds waiting {0};
+        std::set<UpstreamId> triedUpstreams{};
+        std::set<HostId> triedHosts{};
+        std::chrono::nanoseconds waiting{0};
         std::uint32_t attempts = 0;
     };
 
--- a/Services/trefoilmountd/routingassembler.cpp
+++ b/Services/trefoilmountd/routingassembler.cpp
@@ -6,9 +6,11 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 const RegionConfiguration *findRegion(const Configuration &configuration, const RegionId &id)
 {
@@ -26,7 +28,7 @@
     if (upstream.slots.value() <= 0) {
         return ConnectionCount(0);
     }
-    const std::int64_t share = std::int64_t {upstream.connections.value()} * granted.value() / upstream.slots.value();
+    const std::int64_t share = std::int64_t{upstream.connections.value()} * granted.value() / upstream.slots.value();
     return ConnectionCount(static_cast<std::int32_t>(std::min<std::int64_t>(share, upstream.connections.value())));
 }
 
--- a/Services/trefoilmountd/routingassembler.h
+++ b/Services/trefoilmountd/routingassembler.h
@@ -5,7 +5,8 @@
 #include <map>
 #include <string>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Derives from a view what the request path reads, and keeps the parts that must outlive it: health, ramps, shift
 /// windows, link budgets and connection limits. Thread safety: control thread only.
@@ -26,7 +27,7 @@
         std::shared_ptr<UpstreamGroup> group = std::make_shared<UpstreamGroup>();
         std::shared_ptr<UpstreamSlots> regionLimit = UpstreamSlots::create();
         std::shared_ptr<ShiftWindow> shiftWindow;
-        std::chrono::milliseconds shiftInterval {0};
+        std::chrono::milliseconds shiftInterval{0};
     };
 
     /// Parts of one upstream that outlive views.
--- a/Services/trefoilmountd/routingview.h
+++ b/Services/trefoilmountd/routingview.h
@@ -14,7 +14,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Another entry host, or this one, as the look-ups and relays see it.
 struct KnownHost
@@ -62,7 +63,7 @@
 struct LinkRouting
 {
     RegionId to;
-    std::chrono::milliseconds delay {0};
+    std::chrono::milliseconds delay{0};
     std::shared_ptr<LinkBudget> budget;
 };
 
--- a/Services/trefoilmountd/slotsignal.cpp
+++ b/Services/trefoilmountd/slotsignal.cpp
@@ -3,7 +3,8 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 SlotSignal::SlotSignal(std::size_t workers)
 {
--- a/Services/trefoilmountd/slotsignal.h
+++ b/Services/trefoilmountd/slotsignal.h
@@ -7,7 +7,8 @@
 #include <memory>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Tells worker threads with queued requests that a slot became free on another one. Slots are shared by all workers,
 /// queues are not.
@@ -31,13 +32,13 @@
     {
         boost::asio::io_context *context = nullptr;
         std::function<void()> wake;
-        std::atomic<bool> waiting {false};
+        std::atomic<bool> waiting{false};
         /// A wake-up was posted and has not run yet; more would only fill the worker's event queue.
-        std::atomic<bool> wakePending {false};
+        std::atomic<bool> wakePending{false};
     };
 
     std::vector<std::unique_ptr<Worker>> m_workers;
-    std::atomic<std::size_t> m_next {0};
+    std::atomic<std::size_t> m_next{0};
 };
 
 } // namespace Trefoil
--- a/Services/trefoilmountd/worker.cpp
+++ b/Services/trefoilmountd/worker.cpp
@@ -5,14 +5,16 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 namespace asio = boost::asio;
 
-namespace {
+namespace
+{
 
 /// How often idle upstream connections are looked at.
-constexpr std::chrono::seconds s_housekeepingInterval {5};
+constexpr std::chrono::seconds s_housekeepingInterval{5};
 
 } // namespace
 
--- a/Services/trefoilmountd/worker.h
+++ b/Services/trefoilmountd/worker.h
@@ -7,7 +7,8 @@
 #include <memory>
 #include <thread>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// One worker thread: it accepts callers on the shared address and runs their requests.
 /// Thread safety: all methods are called from one thread other than the worker's.
@@ -41,7 +42,7 @@
     Worker(const RequestPathSettings &settings, const RequestPathShared &shared, std::size_t index);
     void run();
 
-    boost::asio::io_context m_context {1};
+    boost::asio::io_context m_context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     RequestPath m_path;
     std::unique_ptr<HttpServer> m_server;
--- a/Tests/Bench/Decisions/decisionrun.cpp
+++ b/Tests/Bench/Decisions/decisionrun.cpp
@@ -3,13 +3,15 @@
 #include <cmath>
 #include <limits>
 
-namespace Trefoil::Bench {
+namespace Trefoil::Bench
+{
 
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
-constexpr BootTime s_start {std::chrono::seconds(1000)};
+constexpr BootTime s_start{std::chrono::seconds(1000)};
 constexpr auto s_measureAfter = 20s;
 constexpr auto s_eventEnd = 60s;
 constexpr auto s_runEnd = 65s;
@@ -31,7 +33,7 @@
 constexpr auto s_progressTimeout = 2s;
 constexpr auto s_leavingLag = 1s;
 constexpr auto s_leavingBound = 5s;
-constexpr Bytes s_requestBytes {20'000};
+constexpr Bytes s_requestBytes{20'000};
 constexpr double s_loadSlowness = 0.25;
 /// Mean of a request's time over that on an idle upstream, at the mean load.
 constexpr double s_meanSlowness = 1.3;
@@ -64,7 +66,8 @@
 
 } // namespace
 
-namespace {
+namespace
+{
 
 std::shared_ptr<RelayCounter> counterOf(std::map<std::size_t, std::shared_ptr<RelayCounter>> &counters, std::size_t target)
 {
@@ -377,7 +380,7 @@
     const Duration wait = seconds(static_cast<double>(service.queue->size() + 1) * service.serviceSeconds / granted);
     const bool open = isRegionOpen(self.region);
     if (!request->relayed && (m_policy.spill || !open)) {
-        const RegionQuestion question {m_regionIds[request->home], false, freeInRegion, ownShiftFull, wait, s_requestBytes};
+        const RegionQuestion question{m_regionIds[request->home], false, freeInRegion, ownShiftFull, wait, s_requestBytes};
         auto decision = service.regions->decide(question, m_time.now());
         if (auto *relay = std::get_if<RelayToRegion>(&decision)) {
             const auto region = static_cast<std::size_t>(std::find(m_regionIds.begin(), m_regionIds.end(), relay->region) - m_regionIds.begin());
@@ -469,7 +472,7 @@
 {
     HostService &service = m_hosts[host].services[request->service];
     service.queue->setServiceTime(seconds(service.serviceSeconds));
-    const QueuedWork work {request->id, TenantId(std::to_string(request->tenant)), 100, request->mayWait, request->deadline};
+    const QueuedWork work{request->id, TenantId(std::to_string(request->tenant)), 100, request->mayWait, request->deadline};
     const PushResult result = service.queue->push(work, m_time.now());
     if (result.outcome != PushOutcome::Queued) {
         end(request, End::NotRun);
@@ -740,7 +743,7 @@
                     counterOf(service.relaysToRegion, region)});
             }
         }
-        const OwnRegion own {m_regionIds[host.region], isRegionOpen(host.region), SlotCount(free[host.region]), SlotCount(slots[host.region])};
+        const OwnRegion own{m_regionIds[host.region], isRegionOpen(host.region), SlotCount(free[host.region]), SlotCount(slots[host.region])};
         service.regions = std::make_unique<RegionSelector>(m_policy.objective, own, std::move(others), service.balance);
     }
 }
@@ -871,7 +874,7 @@
         const bool listedAsDead = m_policy.limits ? m_time.now() - host.lastSeen > s_silentHost : !host.alive && m_time.now() - host.diedAt > s_listLag;
         ranked.push_back({HostId("host" + std::to_string(i)), m_regionIds[host.region], ZoneId(std::to_string(host.zone)), listedAsDead});
     }
-    m_ranking = std::make_unique<HostRanking>(ranked, m_regionIds, std::vector<LinkConfiguration> {});
+    m_ranking = std::make_unique<HostRanking>(ranked, m_regionIds, std::vector<LinkConfiguration>{});
 }
 
 void DecisionRun::sampleHeadroom()
--- a/Tests/Bench/Decisions/decisionrun.h
+++ b/Tests/Bench/Decisions/decisionrun.h
@@ -16,7 +16,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace Trefoil::Bench {
+namespace Trefoil::Bench
+{
 
 /// One request of a caller.
 struct Request
--- a/Tests/Bench/Decisions/deployment.h
+++ b/Tests/Bench/Decisions/deployment.h
@@ -6,7 +6,8 @@
 #include <string>
 #include <vector>
 
-namespace Trefoil::Bench {
+namespace Trefoil::Bench
+{
 
 /// One service of a deployment.
 struct ServiceModel
@@ -15,7 +16,7 @@
     int upstreams = 0;
     int slots = 0;
     /// Mean time of a request on an idle upstream of usual speed.
-    std::chrono::nanoseconds serviceTime {0};
+    std::chrono::nanoseconds serviceTime{0};
 };
 
 /// The sizes of design 1.2.
@@ -24,7 +25,7 @@
     std::string name;
     Objective objective = Objective::Latency;
     std::vector<std::string> regions;
-    std::chrono::nanoseconds regionDelay {0};
+    std::chrono::nanoseconds regionDelay{0};
     std::int64_t linkKilobits = 0;
     std::vector<ServiceModel> services;
 };
@@ -63,10 +64,10 @@
 inline std::vector<Deployment> deployments()
 {
     using std::chrono::milliseconds;
-    const auto service = [](const char *name, int upstreams, int slots, int time) { return ServiceModel {name, upstreams, slots, milliseconds(time)}; };
-    Deployment swim {"swim firm", Objective::Latency, {"bac", "trung", "nam"}, milliseconds(20), 280'000, {}};
+    const auto service = [](const char *name, int upstreams, int slots, int time) { return ServiceModel{name, upstreams, slots, milliseconds(time)}; };
+    Deployment swim{"swim firm", Objective::Latency, {"bac", "trung", "nam"}, milliseconds(20), 280'000, {}};
     swim.services = {service("sheetdesk", 16, 3, 20), service("entrybook", 12, 3, 30), service("seedhall", 12, 3, 40)};
-    Deployment cast {"cast office", Objective::Headroom, {"gulf", "plains", "hill"}, milliseconds(12), 4'000'000, {}};
+    Deployment cast{"cast office", Objective::Headroom, {"gulf", "plains", "hill"}, milliseconds(12), 4'000'000, {}};
     cast.services = {service("catalogue-svc", 14, 4, 20), service("bulkorder-svc", 12, 3, 40), service("moldroom-svc", 12, 4, 30)};
     return {swim, cast};
 }
@@ -102,16 +103,16 @@
 inline std::vector<PolicyModel> policies()
 {
     return {
-        {"product, latency", LatencyPolicy {}, Objective::Latency, true, true, true},
-        {"product, headroom", HeadroomPolicy {}, Objective::Headroom, true, true, true},
-        {"nearest only", NearestOnlyPolicy {}, Objective::Latency, false, false},
-        {"round robin", RoundRobinPolicy {}, Objective::Latency, false, true},
-        {"least reported load", LeastReportedLoadPolicy {}, Objective::Latency, false, true},
-        {"two random choices", TwoRandomChoicesPolicy {}, Objective::Latency, false, true},
-        {"nearest only, within limits", NearestOnlyPolicy {}, Objective::Latency, true, false},
-        {"round robin, within limits", RoundRobinPolicy {}, Objective::Latency, true, true},
-        {"least reported load, within limits", LeastReportedLoadPolicy {}, Objective::Latency, true, true},
-        {"two random choices, within limits", TwoRandomChoicesPolicy {}, Objective::Latency, true, true},
+        {"product, latency", LatencyPolicy{}, Objective::Latency, true, true, true},
+        {"product, headroom", HeadroomPolicy{}, Objective::Headroom, true, true, true},
+        {"nearest only", NearestOnlyPolicy{}, Objective::Latency, false, false},
+        {"round robin", RoundRobinPolicy{}, Objective::Latency, false, true},
+        {"least reported load", LeastReportedLoadPolicy{}, Objective::Latency, false, true},
+        {"two random choices", TwoRandomChoicesPolicy{}, Objective::Latency, false, true},
+        {"nearest only, within limits", NearestOnlyPolicy{}, Objective::Latency, true, false},
+        {"round robin, within limits", RoundRobinPolicy{}, Objective::Latency, true, true},
+        {"least reported load, within limits", LeastReportedLoadPolicy{}, Objective::Latency, true, true},
+        {"two random choices, within limits", TwoRandomChoicesPolicy{}, Objective::Latency, true, true},
     };
 }
 
--- a/Tests/Bench/Decisions/measures.h
+++ b/Tests/Bench/Decisions/measures.h
@@ -8,7 +8,8 @@
 #include <string>
 #include <vector>
 
-namespace Trefoil::Bench {
+namespace Trefoil::Bench
+{
 
 /// What is counted as a broken guarantee, by someone who sees all hosts and upstreams at once.
 struct Violations
@@ -62,23 +63,23 @@
 struct Measures
 {
     /// Of all requests, in milliseconds; one that got no answer counts with its deadline.
-    std::vector<float> latencies {};
+    std::vector<float> latencies{};
     std::uint64_t answered = 0;
     std::uint64_t notRun = 0;
     std::uint64_t unknown = 0;
     /// Lowest share of free slots of each region, as a mean over one second. The slots that requests refused in that second would have
     /// needed count as used, otherwise a policy would gain headroom by refusing work; so the share can be negative.
-    std::vector<double> lowestHeadroom {};
+    std::vector<double> lowestHeadroom{};
     /// The lowest of lowestHeadroom.
     double lowestOfRegions = 0;
     int runs = 1;
     /// The users' measures of each run, in the order of the seeds.
-    std::vector<double> runLatencies {};
-    std::vector<double> runHeadrooms {};
+    std::vector<double> runLatencies{};
+    std::vector<double> runHeadrooms{};
     /// From the drain command until the region was empty; negative when nothing was drained or it never emptied.
     double drainSeconds = -1;
     double largestShiftOfCap = 0;
-    Violations violations {};
+    Violations violations{};
 
     /// Adds another run of the same case. Latencies and counts are pooled, the largest shift and the longest drain are kept, and headroom is
     /// summed, to be divided by the number of runs. Precondition: both have the same regions.
--- a/Tests/Bench/Decisions/virtualtime.h
+++ b/Tests/Bench/Decisions/virtualtime.h
@@ -8,7 +8,8 @@
 #include <utility>
 #include <vector>
 
-namespace Trefoil::Bench {
+namespace Trefoil::Bench
+{
 
 /// Runs actions in the order of their virtual times. Thread safety: one thread.
 class VirtualTime
@@ -29,7 +30,7 @@
     /// Precondition: delay is not negative.
     void after(std::chrono::nanoseconds delay, Action action)
     {
-        m_events.push(Event {m_now + delay, m_sequence++, std::move(action)});
+        m_events.push(Event{m_now + delay, m_sequence++, std::move(action)});
     }
 
     void runUntil(BootTime end)
--- a/Tests/Bench/benchdecisions.cpp
+++ b/Tests/Bench/benchdecisions.cpp
@@ -11,7 +11,8 @@
 
 using namespace Trefoil::Bench;
 
-namespace {
+namespace
+{
 
 constexpr std::uint64_t s_seed = 20260101;
 constexpr std::uint64_t s_seeds = 3;
@@ -23,7 +24,7 @@
     const Deployment *deployment;
     const CaseModel *model;
     const PolicyModel *policy;
-    Measures measures {};
+    Measures measures{};
 };
 
 double headroomPercent(const Measures &measures)
@@ -51,7 +52,7 @@
 
 void measureAll(std::vector<Row> &rows)
 {
-    std::atomic<std::size_t> next {0};
+    std::atomic<std::size_t> next{0};
     std::vector<std::thread> threads;
     threads.reserve(s_threads);
     for (int i = 0; i < s_threads; ++i) {
@@ -239,7 +240,7 @@
     for (const auto &deployment : allDeployments) {
         for (const auto &model : allCases) {
             for (const auto &policy : allPolicies) {
-                const Row row {&deployment, &model, &policy};
+                const Row row{&deployment, &model, &policy};
                 if (isWanted(row, argc, argv)) {
                     rows.push_back(row);
                 }
--- a/Tests/Bench/benchpropagation.cpp
+++ b/Tests/Bench/benchpropagation.cpp
@@ -14,7 +14,8 @@
 
 /// Time from the commit of a version until it is in force at the hosts, and bytes per host, over real links on loopback.
 /// Compares ways of propagation at several sizes and rates of message loss. One thread runs all hosts.
-namespace {
+namespace
+{
 
 using namespace Trefoil;
 using namespace std::chrono_literals;
@@ -24,11 +25,11 @@
 constexpr std::size_t s_hostsPerZone = 5;
 constexpr std::size_t s_guardians = 5;
 constexpr std::size_t s_gossipTargets = 3;
-constexpr std::chrono::milliseconds s_heartbeatInterval {500};
-constexpr std::chrono::milliseconds s_resendAfter {500};
-constexpr std::chrono::milliseconds s_fetchInterval {250};
-constexpr std::chrono::milliseconds s_regionDelay {12};
-constexpr std::chrono::milliseconds s_window {3000};
+constexpr std::chrono::milliseconds s_heartbeatInterval{500};
+constexpr std::chrono::milliseconds s_resendAfter{500};
+constexpr std::chrono::milliseconds s_fetchInterval{250};
+constexpr std::chrono::milliseconds s_regionDelay{12};
+constexpr std::chrono::milliseconds s_window{3000};
 /// JSON text of a configuration with three services and 38 upstreams.
 constexpr std::size_t s_documentBytes = 8000;
 const std::string s_digest(32, 'd');
@@ -69,7 +70,7 @@
     std::size_t region = 0;
     std::size_t zone = 0;
     std::string address;
-    ConfigurationVersion version {1};
+    ConfigurationVersion version{1};
 
 private:
     void receive(const HostId &from, const PeerMessage &message);
@@ -141,7 +142,7 @@
     double bytesDuring(Start start)
     {
         const auto total = [this] {
-            return std::accumulate(hosts.begin(), hosts.end(), std::uint64_t {0}, [](std::uint64_t sum, const auto &host) { return sum + host->bytes(); });
+            return std::accumulate(hosts.begin(), hosts.end(), std::uint64_t{0}, [](std::uint64_t sum, const auto &host) { return sum + host->bytes(); });
         };
         const std::uint64_t before = total();
         start();
@@ -221,7 +222,7 @@
 void BenchHost::heartbeat()
 {
     for (const auto &guardian : m_guardians) {
-        send(guardian, Heartbeat {++m_sequence, Incarnation(1), Epoch(1), version, SlotCount(1), false});
+        send(guardian, Heartbeat{++m_sequence, Incarnation(1), Epoch(1), version, SlotCount(1), false});
     }
     m_heartbeatTimer.expires_after(s_heartbeatInterval);
     m_heartbeatTimer.async_wait([this](const boost::system::error_code & /*error*/) { heartbeat(); });
@@ -259,7 +260,7 @@
 {
     for (std::size_t i = 0; i < s_gossipTargets; ++i) {
         const auto &target = m_bench.hosts[m_bench.random(static_cast<std::uint32_t>(m_bench.hosts.size()))];
-        send(target->id, Commit {version, s_digest, {}});
+        send(target->id, Commit{version, s_digest, {}});
     }
 }
 
@@ -280,12 +281,12 @@
         }
         if (zoneIndex == zone) {
             for (const auto &member : members) {
-                send(member, Commit {version, s_digest, {}});
+                send(member, Commit{version, s_digest, {}});
             }
             continue;
         }
         std::rotate(members.begin(), members.begin() + static_cast<std::ptrdiff_t>(attempt % members.size()), members.end());
-        send(members.front(), Commit {version, s_digest, {members.begin() + 1, members.end()}});
+        send(members.front(), Commit{version, s_digest, {members.begin() + 1, members.end()}});
     }
     if (attempt < 5) {
         m_pushTimer.expires_after(s_resendAfter);
@@ -304,23 +305,23 @@
         return;
     }
     m_lastFetch = now;
-    send(from, FetchConfiguration {version});
+    send(from, FetchConfiguration{version});
 }
 
 void BenchHost::receive(const HostId &from, const PeerMessage &message)
 {
     if (const auto *beat = std::get_if<Heartbeat>(&message)) {
         learnOf(from, beat->configuration);
-        send(from, HeartbeatAck {beat->sequence, Epoch(1), version, true});
+        send(from, HeartbeatAck{beat->sequence, Epoch(1), version, true});
     } else if (const auto *ack = std::get_if<HeartbeatAck>(&message)) {
         learnOf(from, ack->configuration);
     } else if (const auto *pushed = std::get_if<Commit>(&message)) {
         for (const auto &host : pushed->forwardTo) {
-            send(host, Commit {pushed->version, pushed->digest, {}});
+            send(host, Commit{pushed->version, pushed->digest, {}});
         }
         enforce(pushed->version);
         if (m_bench.propagation == Propagation::Tree) {
-            send(from, CommitAck {version});
+            send(from, CommitAck{version});
         }
     } else if (const auto *confirmed = std::get_if<CommitAck>(&message)) {
         if (confirmed->version == version) {
@@ -328,7 +329,7 @@
         }
     } else if (const auto *fetch = std::get_if<FetchConfiguration>(&message)) {
         if (version > fetch->newerThan) {
-            send(from, ConfigurationCopy {version, s_digest, std::string(s_documentBytes, ' ')});
+            send(from, ConfigurationCopy{version, s_digest, std::string(s_documentBytes, ' ')});
         }
     } else if (const auto *copy = std::get_if<ConfigurationCopy>(&message)) {
         enforce(copy->version);
--- a/Tests/Bench/benchrequest.cpp
+++ b/Tests/Bench/benchrequest.cpp
@@ -21,7 +21,8 @@
 using namespace Trefoil;
 namespace asio = boost::asio;
 
-namespace {
+namespace
+{
 
 constexpr double s_medianBoundMilliseconds = 0.3;
 constexpr double s_tailBoundMilliseconds = 2;
@@ -30,7 +31,7 @@
 constexpr int s_slots = 4;
 /// Half of the slots are in use, each by one caller that sends its next request after the response.
 constexpr int s_callers = s_upstreams * s_slots / 2;
-constexpr std::chrono::milliseconds s_serviceTime {5};
+constexpr std::chrono::milliseconds s_serviceTime{5};
 constexpr int s_rounds = 6;
 constexpr int s_requestsPerRound = 250;
 constexpr std::size_t s_blocks = 850'000;
@@ -38,7 +39,7 @@
 constexpr int s_hosts = 1500;
 constexpr int s_lookupThreads = 2;
 constexpr int s_connectionsPerThread = 16;
-constexpr std::chrono::seconds s_lookupTime {4};
+constexpr std::chrono::seconds s_lookupTime{4};
 
 /// Upstreams in a thread of their own.
 struct Upstreams
@@ -64,7 +65,7 @@
     Upstreams(const Upstreams &) = delete;
     Upstreams &operator=(const Upstreams &) = delete;
 
-    asio::io_context context {1};
+    asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> work;
     std::vector<std::unique_ptr<UpstreamStandIn>> all;
     std::thread thread;
@@ -103,7 +104,7 @@
         service.upstreams.push_back(upstream);
         auto slots = UpstreamSlots::create();
         slots->setGranted(upstream.slots);
-        states.push_back(std::make_shared<UpstreamState>(UpstreamState {upstream, service.id, slots, false}));
+        states.push_back(std::make_shared<UpstreamState>(UpstreamState{upstream, service.id, slots, false}));
     }
     configuration.services.push_back(service);
     host.state().updateRouting([&](RoutingView &view) {
@@ -156,9 +157,9 @@
     const auto host = createHost(2);
     publishUpstreams(*host, upstreams);
     host->start();
-    HttpRequest direct {"GET", "/casts/7"};
+    HttpRequest direct{"GET", "/casts/7"};
     direct.headers.add("Trefoil-Deadline-Ms", "5000");
-    HttpRequest steered {"GET", "/v1/requests/catalogue-svc/casts/7"};
+    HttpRequest steered{"GET", "/v1/requests/catalogue-svc/casts/7"};
     steered.headers.add("Trefoil-Tenant", "museum");
     steered.headers.add("Trefoil-Class", "browse");
     std::vector<std::string> addresses;
@@ -224,7 +225,7 @@
             R"({{"id":"{}","address":"{}","region":"{}","zone":"{}"}})", host.id.value(), host.callerAddress, host.region.value(), host.zone.value()));
         view->hosts.push_back(std::move(host));
     }
-    view->ranking = std::make_shared<HostRanking>(ranked, regions, std::vector<LinkConfiguration> {});
+    view->ranking = std::make_shared<HostRanking>(ranked, regions, std::vector<LinkConfiguration>{});
     view->hostTexts = texts;
     view->lookup = std::make_shared<LookupTable>(std::move(blocks), std::move(regions));
     return view;
@@ -232,7 +233,7 @@
 
 double cpuSeconds(clockid_t clock)
 {
-    timespec value {};
+    timespec value{};
     clock_gettime(clock, &value);
     return static_cast<double>(value.tv_sec) + static_cast<double>(value.tv_nsec) * 1e-9;
 }
@@ -247,7 +248,7 @@
             socket.async_connect(parseEndpoint(address).value(), yield);
             socket.set_option(asio::ip::tcp::no_delay(true));
             pcg32 generator(static_cast<std::uint64_t>(i));
-            std::array<char, 4096> buffer {};
+            std::array<char, 4096> buffer{};
             while (std::chrono::steady_clock::now() < end) {
                 const std::uint32_t client = generator();
                 const std::string request = fmt::format("GET /v1/lookup?service=catalogue-svc&client={}.{}.{}.{} HTTP/1.1\r\nHost: a\r\n\r\n",
@@ -274,9 +275,9 @@
     const auto host = createHost(1);
     host->state().routing.publish(fullLookupView());
     host->start();
-    std::array<std::uint64_t, s_lookupThreads> counts {};
-    std::array<std::uint64_t, s_lookupThreads> errors {};
-    std::array<double, s_lookupThreads> clientCpu {};
+    std::array<std::uint64_t, s_lookupThreads> counts{};
+    std::array<std::uint64_t, s_lookupThreads> errors{};
+    std::array<double, s_lookupThreads> clientCpu{};
     std::vector<std::thread> threads;
     threads.reserve(s_lookupThreads);
     const double cpuBefore = cpuSeconds(CLOCK_PROCESS_CPUTIME_ID);
--- a/Tests/Bench/benchsteering.cpp
+++ b/Tests/Bench/benchsteering.cpp
@@ -14,9 +14,10 @@
 
 using namespace Trefoil;
 
-namespace {
+namespace
+{
 
-constexpr BootTime s_start {std::chrono::seconds(100)};
+constexpr BootTime s_start{std::chrono::seconds(100)};
 constexpr double s_decisionBoundNanoseconds = 5000;
 constexpr double s_lookupBoundNanoseconds = 1000;
 constexpr double s_memoryBoundMegabytes = 128;
@@ -95,7 +96,7 @@
             }
         }
     }
-    const RegionQuestion question {RegionId("region0"), false, true, false, std::chrono::milliseconds(0), Bytes(20000)};
+    const RegionQuestion question{RegionId("region0"), false, true, false, std::chrono::milliseconds(0), Bytes(20000)};
     BootTime now = s_start;
     bool moved = false;
     return nanosecondsPerCall(s_decisions, [&] {
@@ -172,7 +173,7 @@
     fmt::print("look-up table: {} blocks, {:.1f} MB, {:.0f}% of the addresses found; host ranking built in {:.0f} ms (checksum {})\n",
         s_blocks,
         static_cast<double>(table.memory().value()) / 1e6,
-        100.0 * static_cast<double>(found) / (double {s_lookups} * s_repeats),
+        100.0 * static_cast<double>(found) / (double{s_lookups} * s_repeats),
         rankingTime.count(),
         sum % 1000);
     const bool fast = reportBound("look-up with host ranking", cost, s_lookupBoundNanoseconds, "ns");
@@ -200,8 +201,8 @@
     bool holds = true;
     for (const std::size_t upstreams : {12, 36, 120, 360}) {
         for (const double busy : {0.0, 0.5, 0.95}) {
-            const double latency = decisionCost(LatencyPolicy {}, upstreams, busy);
-            const double headroom = decisionCost(HeadroomPolicy {}, upstreams, busy);
+            const double latency = decisionCost(LatencyPolicy{}, upstreams, busy);
+            const double headroom = decisionCost(HeadroomPolicy{}, upstreams, busy);
             const std::string what = fmt::format("decision, {} upstreams, {:.0f}% of slots busy", upstreams, busy * 100);
             holds = reportBound(what + ", latency", latency, s_decisionBoundNanoseconds, "ns") && holds;
             holds = reportBound(what + ", headroom", headroom, s_decisionBoundNanoseconds, "ns") && holds;
--- a/Tests/LibCommand/testapply.cpp
+++ b/Tests/LibCommand/testapply.cpp
@@ -9,7 +9,8 @@
 
 using namespace Trefoil;
 
-namespace {
+namespace
+{
 
 const char *const s_base = "declare region gulf; declare zone gulf-a region gulf; declare region plains limit 50%; declare zone plains-a region plains\n"
                            "declare link gulf to plains delay 12ms capacity 4Gbps\n"
--- a/Tests/LibCommand/testfuzz.cpp
+++ b/Tests/LibCommand/testfuzz.cpp
@@ -9,9 +9,10 @@
 
 using namespace Trefoil;
 
-namespace {
+namespace
+{
 
-constexpr std::array<const char *, 56> s_words {"declare",
+constexpr std::array<const char *, 56> s_words{"declare",
     "set",
     "remove",
     "drain",
@@ -69,7 +70,7 @@
     "/s"};
 
 /// Texts that once were, or plausibly are, hard to read.
-const std::array<std::string, 10> s_corpus {"",
+const std::array<std::string, 10> s_corpus{"",
     ";;;\n\n;",
     "#",
     "\r\n\t ;",
--- a/Tests/LibCommand/testparser.cpp
+++ b/Tests/LibCommand/testparser.cpp
@@ -5,7 +5,8 @@
 
 using namespace Trefoil;
 
-namespace {
+namespace
+{
 
 struct FaultCase
 {
