--- a/Tests/LibConfiguration/testconfigurationjson.cpp
+++ b/Tests/LibConfiguration/testconfigurationjson.cpp
@@ -4,7 +4,8 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
-namespace {
+namespace
+{
 
 nlohmann::json soundDocument()
 {
--- a/Tests/LibCore/testfindings.cpp
+++ b/Tests/LibCore/testfindings.cpp
@@ -5,7 +5,8 @@
 
 #include <cstring>
 
-namespace {
+namespace
+{
 
 struct NearestNameCase
 {
--- a/Tests/LibCore/testsnapshot.cpp
+++ b/Tests/LibCore/testsnapshot.cpp
@@ -5,7 +5,8 @@
 #include <array>
 #include <thread>
 
-namespace {
+namespace
+{
 
 struct Pair
 {
@@ -18,9 +19,9 @@
 // Guards against readers that see a half-replaced or freed value while a writer publishes.
 Test(Snapshot, readersSeeWholeValues)
 {
-    Trefoil::Snapshot<Pair> snapshot(std::make_unique<Pair>(Pair {0, 0}));
-    std::atomic<bool> stop {false};
-    std::atomic<int> torn {0};
+    Trefoil::Snapshot<Pair> snapshot(std::make_unique<Pair>(Pair{0, 0}));
+    std::atomic<bool> stop{false};
+    std::atomic<int> torn{0};
     std::array<std::thread, 3> readers;
     for (auto &reader : readers) {
         reader = std::thread([&] {
@@ -31,7 +32,7 @@
         });
     }
     for (int i = 1; i <= 2000; ++i) {
-        snapshot.publish(std::make_unique<Pair>(Pair {i, i}));
+        snapshot.publish(std::make_unique<Pair>(Pair{i, i}));
     }
     stop = true;
     for (auto &reader : readers) {
--- a/Tests/LibHttp/coroutine.h
+++ b/Tests/LibHttp/coroutine.h
@@ -3,7 +3,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Runs function as a coroutine of context and returns at its end; whatever else the context has to do runs meanwhile.
 template<typename Function>
--- a/Tests/LibHttp/testconnectionpool.cpp
+++ b/Tests/LibHttp/testconnectionpool.cpp
@@ -9,9 +9,10 @@
 using namespace Trefoil;
 namespace asio = boost::asio;
 
-namespace {
+namespace
+{
 
-constexpr std::chrono::milliseconds s_progressTimeout {200};
+constexpr std::chrono::milliseconds s_progressTimeout{200};
 
 struct Fixture
 {
@@ -32,12 +33,12 @@
 
     CallResult call(const std::string &id, const asio::yield_context &yield, const std::shared_ptr<ConnectionLimit> &limit = nullptr)
     {
-        HttpRequest request {"POST", "/order", {}, "two casts"};
+        HttpRequest request{"POST", "/order", {}, "two casts"};
         request.headers.add("Trefoil-Request-Id", id);
         return pool.call(upstream->address(), limit, request, options(id), yield);
     }
 
-    asio::io_context context {1};
+    asio::io_context context{1};
     std::unique_ptr<UpstreamStandIn> upstream;
     ConnectionPool pool;
 };
--- a/Tests/LibHttp/testhttpserver.cpp
+++ b/Tests/LibHttp/testhttpserver.cpp
@@ -12,9 +12,10 @@
 using namespace Trefoil;
 namespace asio = boost::asio;
 
-namespace {
+namespace
+{
 
-constexpr std::chrono::milliseconds s_shortTimeout {150};
+constexpr std::chrono::milliseconds s_shortTimeout{150};
 
 HttpServerSettings testSettings()
 {
@@ -156,7 +157,7 @@
         timer.async_wait(yield[error]);
         noticed = caller.cancellation().isRequested();
         context.stop();
-        return HttpResponse {};
+        return HttpResponse{};
     }).value());
     asio::spawn(context, [&](const asio::yield_context &yield) {
         auto socket = connectTo(context, *server, yield);
--- a/Tests/LibIdempotency/testclaimbatch.cpp
+++ b/Tests/LibIdempotency/testclaimbatch.cpp
@@ -9,9 +9,10 @@
 
 using namespace Trefoil;
 
-namespace {
+namespace
+{
 
-const ClaimKey s_key {ServiceId("seedhall"), TenantId("meet"), RequestKey("1800000000-final")};
+const ClaimKey s_key{ServiceId("seedhall"), TenantId("meet"), RequestKey("1800000000-final")};
 constexpr int s_seeds = 3000;
 constexpr int s_attempts = 5;
 constexpr int s_steps = 200;
@@ -29,13 +30,13 @@
     {
         switch (m_random(4)) {
         case 0:
-            return Unavailable {"down"};
+            return Unavailable{"down"};
         case 1:
             m_delayed.push_back(transaction);
-            return Ambiguous {"no response"};
+            return Ambiguous{"no response"};
         case 2:
             commit(transaction);
-            return Ambiguous {"response lost"};
+            return Ambiguous{"response lost"};
         default:
             return commit(transaction);
         }
@@ -65,7 +66,7 @@
             const TableRow *row = find(condition.key);
             const RowVersion version = row ? row->version : 0;
             if (version != condition.version) {
-                failed.rows.push_back(row ? *row : TableRow {condition.key, 0, {}});
+                failed.rows.push_back(row ? *row : TableRow{condition.key, 0, {}});
             }
         }
         if (!failed.rows.empty()) {
@@ -121,7 +122,7 @@
         return ran ? 1 : 0;
     }
     if (ran) {
-        change.puts.push_back({rowKey, toJson(ClaimRow {attempt.decision.claim.claimId, WallTime {}, StoredResponse {200, "", "ok"}, false})});
+        change.puts.push_back({rowKey, toJson(ClaimRow{attempt.decision.claim.claimId, WallTime{}, StoredResponse{200, "", "ok"}, false})});
     } else {
         change.deletes.push_back(rowKey);
     }
@@ -135,8 +136,8 @@
     FakeTable table(random);
     std::vector<Attempt> attempts(s_attempts);
     for (int i = 0; i < s_attempts; ++i) {
-        const PendingClaim claim {s_key, "host/" + std::to_string(i), BootTime(std::chrono::seconds(20 + i * 10)), WallTime {}, false};
-        attempts[static_cast<std::size_t>(i)].batch = std::make_unique<ClaimBatch>(std::vector<PendingClaim> {claim});
+        const PendingClaim claim{s_key, "host/" + std::to_string(i), BootTime(std::chrono::seconds(20 + i * 10)), WallTime{}, false};
+        attempts[static_cast<std::size_t>(i)].batch = std::make_unique<ClaimBatch>(std::vector<PendingClaim>{claim});
     }
     int runs = 0;
     for (int step = 0; step < s_steps; ++step) {
@@ -152,7 +153,7 @@
             continue;
         }
         const auto result = table.transact(attempt.batch->transaction());
-        for (auto &decision : attempt.batch->apply(result, BootTime(std::chrono::seconds(step)), WallTime {})) {
+        for (auto &decision : attempt.batch->apply(result, BootTime(std::chrono::seconds(step)), WallTime{})) {
             attempt.decision = std::move(decision);
             attempt.isDecided = true;
         }
@@ -178,13 +179,13 @@
 // Guards against one taken key that keeps the other keys of its batch from their claims.
 Test(ClaimBatch, otherKeysGoOn)
 {
-    const PendingClaim taken {s_key, "host/1", BootTime(std::chrono::seconds(5)), WallTime {}, false};
+    const PendingClaim taken{s_key, "host/1", BootTime(std::chrono::seconds(5)), WallTime{}, false};
     PendingClaim fresh = taken;
     fresh.key.key = RequestKey("1800000000-heat");
     fresh.claimId = "host/2";
     ClaimBatch batch({taken, fresh});
-    const auto row = toJson(ClaimRow {"other/1", WallTime(std::chrono::seconds(1)), std::nullopt, false});
-    const auto decisions = batch.apply(ConditionFailed {{{rowKeyOf(s_key), 4, row}}}, BootTime {}, WallTime {});
+    const auto row = toJson(ClaimRow{"other/1", WallTime(std::chrono::seconds(1)), std::nullopt, false});
+    const auto decisions = batch.apply(ConditionFailed{{{rowKeyOf(s_key), 4, row}}}, BootTime{}, WallTime{});
     cr_assert_eq(decisions.size(), 1);
     cr_assert(std::holds_alternative<ClaimRunning>(decisions.front().result));
     cr_assert_eq(batch.remaining().size(), 1);
--- a/Tests/LibIdempotency/testclaimkey.cpp
+++ b/Tests/LibIdempotency/testclaimkey.cpp
@@ -6,7 +6,8 @@
 
 using namespace Trefoil;
 
-namespace {
+namespace
+{
 
 constexpr std::int64_t s_now = 1800000000;
 
@@ -41,8 +42,8 @@
 
 ParameterizedTest(KeyCase *testCase, ClaimKey, age)
 {
-    const WallTime now {std::chrono::seconds(s_now)};
-    const RequestKey key {std::string(testCase->key)};
+    const WallTime now{std::chrono::seconds(s_now)};
+    const RequestKey key{std::string(testCase->key)};
     cr_assert(keyAge(key, now) == testCase->age, "%s", testCase->key);
     cr_assert_eq(mayDeleteClaim(key, now), testCase->mayDelete, "%s", testCase->key);
 }
@@ -51,7 +52,7 @@
 Test(ClaimRow, responseRoundTrip)
 {
     const std::string body("\x00\xff{\"a\":1}", 9);
-    const ClaimRow row {"host/1/2", WallTime(std::chrono::seconds(s_now)), StoredResponse {201, "text/plain", body}, false};
+    const ClaimRow row{"host/1/2", WallTime(std::chrono::seconds(s_now)), StoredResponse{201, "text/plain", body}, false};
     const ClaimResult result = interpretClaim(toJson(row), "other", WallTime(std::chrono::seconds(s_now)));
     const auto *answered = std::get_if<ClaimAnswered>(&result);
     cr_assert_not_null(answered);
@@ -63,7 +64,7 @@
 Test(ClaimRow, damagedRowBlocksTheKey)
 {
     for (const char *text : {"{}", "[]", "7", R"({"claim":1,"deadlineMs":2})", R"({"claim":"a","deadlineMs":2,"response":{"status":200,"bodyHex":"x"}})"}) {
-        const ClaimResult result = interpretClaim(nlohmann::json::parse(text), "a", WallTime {});
+        const ClaimResult result = interpretClaim(nlohmann::json::parse(text), "a", WallTime{});
         cr_assert(std::holds_alternative<ClaimOutcomeUnknown>(result), "%s", text);
     }
 }
--- a/Tests/LibMembership/simulation.cpp
+++ b/Tests/LibMembership/simulation.cpp
@@ -2,11 +2,13 @@
 
 #include <fmt/format.h>
 
-namespace Trefoil::Simulation {
+namespace Trefoil::Simulation
+{
 
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 constexpr BootClock::duration s_tickInterval = std::chrono::milliseconds(100);
 constexpr BootClock::duration s_checkInterval = std::chrono::milliseconds(10);
@@ -113,7 +115,7 @@
     MemberSettings settings;
     settings.host = host;
     settings.region = regionId(region);
-    const std::size_t number = std::hash<HostId> {}(host);
+    const std::size_t number = std::hash<HostId>{}(host);
     settings.zone = ZoneId(fmt::format("zone-{}-{}", region, number % m_shape.zonesPerRegion));
     settings.callerAddress = "caller-" + host.value();
     settings.peerAddress = "peer-" + host.value();
@@ -241,7 +243,7 @@
         return rowsFrom(json::parse(reply.body)["rows"]);
     }
     if (!admitWrite()) {
-        return Unavailable {"rate limit"};
+        return Unavailable{"rate limit"};
     }
     const auto &transaction = std::get<Transaction>(request.operation);
     json body = {{"conditions", json::array()}, {"puts", json::array()}, {"deletes", transaction.deletes}};
@@ -254,7 +256,7 @@
     const auto reply = store.transact(json::parse(body.dump()));
     const json result = json::parse(reply.body);
     if (reply.status != 200) {
-        return ConditionFailed {rowsFrom(result["failed"])};
+        return ConditionFailed{rowsFrom(result["failed"])};
     }
     Committed committed;
     for (const auto &[key, version] : result["versions"].items()) {
@@ -271,7 +273,7 @@
                            const StoreReply &result) { run(process, [this, &process, id, result] { process.member->storeReplied(id, result, m_now); }); };
     const auto fail = [this, reply, isWrite, deadline = request.deadline](bool mayHaveEffect) {
         at(std::max(m_now, deadline),
-            [reply, isWrite, mayHaveEffect] { reply(isWrite && mayHaveEffect ? StoreReply(Ambiguous {"lost"}) : StoreReply(Unavailable {"lost"})); });
+            [reply, isWrite, mayHaveEffect] { reply(isWrite && mayHaveEffect ? StoreReply(Ambiguous{"lost"}) : StoreReply(Unavailable{"lost"})); });
     };
     if (process.cutFromStore || storeFaults.down) {
         fail(false);
@@ -289,7 +291,7 @@
         const StoreReply result = execute(request);
         if (late || lost || process.cutFromStore) {
             if (!late && !lost) {
-                at(std::max(m_now, request.deadline), [reply] { reply(Ambiguous {"cut off"}); });
+                at(std::max(m_now, request.deadline), [reply] { reply(Ambiguous{"cut off"}); });
             }
             return;
         }
--- a/Tests/LibMembership/simulation.h
+++ b/Tests/LibMembership/simulation.h
@@ -8,7 +8,8 @@
 #include <queue>
 
 /// Members of several regions, their network and the table service in virtual time, with faults.
-namespace Trefoil::Simulation {
+namespace Trefoil::Simulation
+{
 
 struct Shape
 {
@@ -32,7 +33,7 @@
     /// Share of responses that are lost after the request took effect.
     double loseAnswers = 0;
     /// Longest extra time before a request takes effect; beyond the client's deadline the client sees an ambiguous result.
-    BootClock::duration slow {0};
+    BootClock::duration slow{0};
     bool staleReads = false;
 };
 
@@ -146,7 +147,7 @@
 
     Shape m_shape;
     pcg32 m_random;
-    BootTime m_now {std::chrono::seconds(1000)};
+    BootTime m_now{std::chrono::seconds(1000)};
     std::vector<std::unique_ptr<Process>> m_processes;
     std::map<HostId, Process *> m_current;
     std::map<HostId, std::size_t> m_hosts;
--- a/Tests/LibMembership/testgranttable.cpp
+++ b/Tests/LibMembership/testgranttable.cpp
@@ -10,7 +10,8 @@
 
 using namespace Trefoil;
 
-namespace {
+namespace
+{
 
 HostId host(std::size_t number)
 {
@@ -68,7 +69,7 @@
         }
         for (int i = 0; i < 100; ++i) {
             const HostId holder = host(static_cast<std::size_t>(pick(0, 5)));
-            const Resource resource {ResourceId("r"), {}, pick(1, 60)};
+            const Resource resource{ResourceId("r"), {}, pick(1, 60)};
             const std::int64_t own = table.grant(holder, resource.id).usable(resource.total);
             table.release(holder, resource, pick(0, own));
             table.take(holder, resource, pick(0, 20));
--- a/Tests/LibMembership/testlease.cpp
+++ b/Tests/LibMembership/testlease.cpp
@@ -8,9 +8,10 @@
 
 using namespace Trefoil;
 
-namespace {
+namespace
+{
 
-constexpr BootTime s_start {std::chrono::seconds(100)};
+constexpr BootTime s_start{std::chrono::seconds(100)};
 const HostId s_a("a");
 const HostId s_b("b");
 const HostId s_c("c");
@@ -96,7 +97,7 @@
         const std::string region = "region-" + std::to_string(i % 4);
         candidates.push_back({HostId("host-" + std::to_string(i)), RegionId(region), ZoneId(region + "-" + std::to_string(i / 4 % 3))});
     }
-    const GuardianCandidate self {HostId("self"), RegionId("region-0"), ZoneId("region-0-0")};
+    const GuardianCandidate self{HostId("self"), RegionId("region-0"), ZoneId("region-0-0")};
     const auto chosen = chooseGuardians(self, candidates);
     cr_assert_eq(chosen.size(), 5);
     std::set<std::string> zones;
--- a/Tests/LibMembership/testmembership.cpp
+++ b/Tests/LibMembership/testmembership.cpp
@@ -13,7 +13,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-namespace {
+namespace
+{
 
 std::vector<Resource> resources(std::int64_t percent = 100)
 {
--- a/Tests/LibPeer/testcodec.cpp
+++ b/Tests/LibPeer/testcodec.cpp
@@ -9,23 +9,24 @@
 using nlohmann::json;
 using namespace Trefoil;
 
-namespace {
+namespace
+{
 
 const std::string s_digest = "0123456789abcdef0123456789abcdef";
 
 std::vector<PeerMessage> oneOfEach()
 {
-    return {Hello {HostId("gulf-a-1"), Incarnation(7), "secret"},
-        Heartbeat {9, Incarnation(7), Epoch(3), ConfigurationVersion(12), SlotCount(4), true},
-        HeartbeatAck {9, Epoch(3), ConfigurationVersion(12), true},
-        Prepare {"operation-1", ConfigurationVersion(13), s_digest, "drain zone gulf-a"},
-        PrepareAck {"operation-1", ConfigurationVersion(13), false, "unsound"},
-        Commit {ConfigurationVersion(13), s_digest, {HostId("gulf-a-2"), HostId("gulf-a-3")}},
-        CommitAck {ConfigurationVersion(13)},
-        FetchConfiguration {ConfigurationVersion(12)},
-        ConfigurationCopy {ConfigurationVersion(13), s_digest, "{}"},
-        ReclaimVoteRequest {HostId("gulf-a-2"), Epoch(4), 1},
-        ReclaimVote {HostId("gulf-a-2"), Epoch(4), 1, true}};
+    return {Hello{HostId("gulf-a-1"), Incarnation(7), "secret"},
+        Heartbeat{9, Incarnation(7), Epoch(3), ConfigurationVersion(12), SlotCount(4), true},
+        HeartbeatAck{9, Epoch(3), ConfigurationVersion(12), true},
+        Prepare{"operation-1", ConfigurationVersion(13), s_digest, "drain zone gulf-a"},
+        PrepareAck{"operation-1", ConfigurationVersion(13), false, "unsound"},
+        Commit{ConfigurationVersion(13), s_digest, {HostId("gulf-a-2"), HostId("gulf-a-3")}},
+        CommitAck{ConfigurationVersion(13)},
+        FetchConfiguration{ConfigurationVersion(12)},
+        ConfigurationCopy{ConfigurationVersion(13), s_digest, "{}"},
+        ReclaimVoteRequest{HostId("gulf-a-2"), Epoch(4), 1},
+        ReclaimVote{HostId("gulf-a-2"), Epoch(4), 1, true}};
 }
 
 std::string cbor(const json &value)
@@ -62,8 +63,8 @@
 Test(PeerCodec, heartbeatsAreSmall)
 {
     constexpr std::uint64_t large = std::numeric_limits<std::uint64_t>::max();
-    const PeerMessage heartbeat = Heartbeat {100000, Incarnation(large), Epoch(1000), ConfigurationVersion(100000), SlotCount(1000), false};
-    const PeerMessage ack = HeartbeatAck {100000, Epoch(1000), ConfigurationVersion(100000), true};
+    const PeerMessage heartbeat = Heartbeat{100000, Incarnation(large), Epoch(1000), ConfigurationVersion(100000), SlotCount(1000), false};
+    const PeerMessage ack = HeartbeatAck{100000, Epoch(1000), ConfigurationVersion(100000), true};
     constexpr std::size_t websocketHeaders = 4;
     cr_assert_lt(20 * (encodePeerMessage(heartbeat).size() + encodePeerMessage(ack).size() + 2 * websocketHeaders), 2000);
 }
--- a/Tests/LibPeer/testpeernetwork.cpp
+++ b/Tests/LibPeer/testpeernetwork.cpp
@@ -11,7 +11,8 @@
 using namespace Trefoil;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 const char *const s_ip = "127.0.0.1";
 
@@ -35,11 +36,11 @@
         : id(name)
         , address(std::move(listenAddress))
     {
-        PeerNetworkSettings settings {id, Incarnation(1), address, s_ip, secret};
+        PeerNetworkSettings settings{id, Incarnation(1), address, s_ip, secret};
         auto result = PeerNetwork::create(context, settings, [this](const HostId &from, const PeerMessage &message) {
             received.emplace_back(from, message);
             if (const auto *heartbeat = std::get_if<Heartbeat>(&message)) {
-                network->send(from, HeartbeatAck {heartbeat->sequence, heartbeat->epoch, heartbeat->configuration, true});
+                network->send(from, HeartbeatAck{heartbeat->sequence, heartbeat->epoch, heartbeat->configuration, true});
             }
         });
         cr_assert(result.has_value());
@@ -93,8 +94,8 @@
         }
         tcp::socket caller;
         tcp::socket target;
-        std::array<char, 4096> toTarget {};
-        std::array<char, 4096> toCaller {};
+        std::array<char, 4096> toTarget{};
+        std::array<char, 4096> toCaller{};
         bool silent = false;
     };
 
@@ -133,7 +134,7 @@
 
 PeerMessage heartbeat(std::uint64_t sequence)
 {
-    return Heartbeat {sequence, Incarnation(1), Epoch(1), ConfigurationVersion(1), SlotCount(1), false};
+    return Heartbeat{sequence, Incarnation(1), Epoch(1), ConfigurationVersion(1), SlotCount(1), false};
 }
 
 /// Runs the context until the condition holds; false when it does not within the limit.
@@ -156,7 +157,7 @@
     Host first(context, "first", freeAddress());
     Host second(context, "second", freeAddress());
     Host third(context, "third", freeAddress());
-    const std::vector<PeerEndpoint> peers {{first.id, first.address}, {second.id, second.address}, {third.id, third.address}};
+    const std::vector<PeerEndpoint> peers{{first.id, first.address}, {second.id, second.address}, {third.id, third.address}};
     for (auto *host : {&first, &second, &third}) {
         host->network->setPeers(peers);
     }
@@ -223,11 +224,11 @@
     Host host(context, "host", freeAddress());
     Host peer(context, "peer", freeAddress());
     host.network->setPeers({{peer.id, peer.address}});
-    host.network->send(peer.id, CommitAck {ConfigurationVersion(1)});
+    host.network->send(peer.id, CommitAck{ConfigurationVersion(1)});
     cr_assert(runUntil(context, 2s, [&] { return peer.received.size() == 1; }));
     context.run_for(2600ms);
     // The peer does not know the host and can answer only over the host's link.
-    peer.network->send(host.id, CommitAck {ConfigurationVersion(2)});
+    peer.network->send(host.id, CommitAck{ConfigurationVersion(2)});
     cr_assert(runUntil(context, 1s, [&] { return host.received.size() == 1; }));
 }
 
@@ -302,7 +303,7 @@
     }));
     const std::string commands(1U << 20U, 'x');
     for (int i = 0; i < 100; ++i) {
-        host.network->send(frozen.id, Prepare {"operation", ConfigurationVersion(1), std::string(32, '0'), commands});
+        host.network->send(frozen.id, Prepare{"operation", ConfigurationVersion(1), std::string(32, '0'), commands});
         context.run_for(1ms);
     }
     frozenContext.restart();
--- a/Tests/LibSettings/testhostsettings.cpp
+++ b/Tests/LibSettings/testhostsettings.cpp
@@ -9,7 +9,8 @@
 using Trefoil::HostSettings;
 using Trefoil::TextRequested;
 
-namespace {
+namespace
+{
 
 constexpr const char *s_sound = "--host-id h1 --region gulf --zone gulf-a --caller-address 127.0.0.1:8001 --peer-address 127.0.0.1:8002 "
                                 "--admin-address 127.0.0.1:8003 --table-address 127.0.0.1:9001 --object-address 127.0.0.1:9002 "
--- a/Tests/LibSettings/testsecretfile.cpp
+++ b/Tests/LibSettings/testsecretfile.cpp
@@ -7,7 +7,8 @@
 #include <fstream>
 #include <unistd.h>
 
-namespace {
+namespace
+{
 
 struct SecretCase
 {
--- a/Tests/LibSteering/testadmissionqueue.cpp
+++ b/Tests/LibSteering/testadmissionqueue.cpp
@@ -9,14 +9,15 @@
 using namespace Trefoil;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
-constexpr BootTime s_start {std::chrono::seconds(100)};
+constexpr BootTime s_start{std::chrono::seconds(100)};
 constexpr unsigned s_seeds = 200;
 
 QueuedWork work(std::uint64_t ticket, const std::string &tenant, bool mayWait, BootTime deadline, std::int32_t weight = 100)
 {
-    return QueuedWork {ticket, TenantId(tenant), weight, mayWait, deadline};
+    return QueuedWork{ticket, TenantId(tenant), weight, mayWait, deadline};
 }
 
 } // namespace
--- a/Tests/LibSteering/testcaps.cpp
+++ b/Tests/LibSteering/testcaps.cpp
@@ -13,9 +13,10 @@
 using namespace Trefoil;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
-constexpr BootTime s_start {std::chrono::seconds(100)};
+constexpr BootTime s_start{std::chrono::seconds(100)};
 constexpr unsigned s_seeds = 200;
 
 /// Moves parts of a total between hosts as the grant table does: lowered first, then taken from the free remainder.
@@ -93,8 +94,8 @@
     constexpr int milliseconds = 400;
     ShiftWindow window(20ms);
     window.setGranted(RequestCount(granted), s_start);
-    std::array<std::atomic<int>, milliseconds> taken {};
-    std::atomic<int> arrived {0};
+    std::array<std::atomic<int>, milliseconds> taken{};
+    std::atomic<int> arrived{0};
     std::array<std::thread, 4> threads;
     for (auto &thread : threads) {
         thread = std::thread([&] {
--- a/Tests/LibSteering/testhealth.cpp
+++ b/Tests/LibSteering/testhealth.cpp
@@ -9,9 +9,10 @@
 using namespace Trefoil;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
-constexpr BootTime s_start {std::chrono::seconds(100)};
+constexpr BootTime s_start{std::chrono::seconds(100)};
 constexpr unsigned s_seeds = 100;
 
 /// Upstreams of one region with one host's view of them.
@@ -38,8 +39,8 @@
     }
 };
 
-const std::vector<SelectionPolicy> s_policies {
-    LatencyPolicy {}, HeadroomPolicy {}, NearestOnlyPolicy {}, RoundRobinPolicy {}, LeastReportedLoadPolicy {}, TwoRandomChoicesPolicy {}};
+const std::vector<SelectionPolicy> s_policies{
+    LatencyPolicy{}, HeadroomPolicy{}, NearestOnlyPolicy{}, RoundRobinPolicy{}, LeastReportedLoadPolicy{}, TwoRandomChoicesPolicy{}};
 
 } // namespace
 
@@ -51,7 +52,7 @@
         pcg32 generator(seed);
         const int count = 1 + static_cast<int>(generator(14));
         Region region(count, 3);
-        auto selector = region.selector(LatencyPolicy {});
+        auto selector = region.selector(LatencyPolicy{});
         BootTime now = s_start;
         std::deque<Selection> open;
         std::uint32_t failing = generator();
@@ -95,7 +96,7 @@
     cr_assert_eq(region.group->ejected(), 4);
     region.group->setUpstreamCount(4);
     region.upstreams.resize(4);
-    region.selector(LatencyPolicy {});
+    region.selector(LatencyPolicy{});
     cr_assert_eq(region.group->ejected(), 2);
 }
 
@@ -111,7 +112,7 @@
     for (int i = 0; i < 4; ++i) {
         region.upstreams[0]->record(UpstreamOutcome::Error, 1ms, s_start);
     }
-    auto selector = region.selector(LatencyPolicy {});
+    auto selector = region.selector(LatencyPolicy{});
     pcg32 generator(1);
     int bad = 0;
     for (int i = 0; i < 100; ++i) {
@@ -240,10 +241,10 @@
         region.upstreams[static_cast<std::size_t>(other)]->health().recordReport(0.5F, s_start);
     }
     const auto first = [&](SelectionPolicy policy) { return region.selector(policy)->select(false, region.lease, generator, s_start)->upstream->id().value(); };
-    cr_assert_eq(first(NearestOnlyPolicy {}), "0");
-    cr_assert_eq(first(RoundRobinPolicy {}), "0");
-    cr_assert_eq(first(LeastReportedLoadPolicy {}), "2");
-    cr_assert_eq(first(HeadroomPolicy {}), "2");
+    cr_assert_eq(first(NearestOnlyPolicy{}), "0");
+    cr_assert_eq(first(RoundRobinPolicy{}), "0");
+    cr_assert_eq(first(LeastReportedLoadPolicy{}), "2");
+    cr_assert_eq(first(HeadroomPolicy{}), "2");
     for (const auto &policy : s_policies) {
         auto selector = region.selector(policy);
         std::vector<Selection> open;
--- a/Tests/LibSteering/testlookup.cpp
+++ b/Tests/LibSteering/testlookup.cpp
@@ -10,7 +10,8 @@
 
 using namespace Trefoil;
 
-namespace {
+namespace
+{
 
 std::vector<RegionId> regionNames(int count)
 {
@@ -24,7 +25,7 @@
 
 std::uint32_t maskOf(unsigned prefixLength)
 {
-    return prefixLength == 0 ? 0 : ~std::uint32_t {0} << (32 - prefixLength);
+    return prefixLength == 0 ? 0 : ~std::uint32_t{0} << (32 - prefixLength);
 }
 
 /// The longest prefix that holds the address, found by looking at all blocks.
--- a/Tests/LibSteering/testregions.cpp
+++ b/Tests/LibSteering/testregions.cpp
@@ -12,9 +12,10 @@
 using namespace Trefoil;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
-constexpr BootTime s_start {std::chrono::seconds(100)};
+constexpr BootTime s_start{std::chrono::seconds(100)};
 constexpr unsigned s_seeds = 200;
 
 /// Criterion copies parameters into another process, so texts are stored in place.
@@ -121,12 +122,12 @@
     }
     // Several rounds of equal reports, so that the balance has settled at its largest share, every fourth request.
     const auto balance = std::make_shared<RegionBalance>();
-    const OwnRegion own {RegionId("own"), param->ownOpen, SlotCount(param->ownFree), SlotCount(10)};
+    const OwnRegion own{RegionId("own"), param->ownOpen, SlotCount(param->ownFree), SlotCount(10)};
     for (int round = 0; round < 20; ++round) {
         RegionSelector(param->objective, own, others, balance);
     }
     const RegionSelector selector(param->objective, own, others, balance);
-    const RegionQuestion question {RegionId("own"), param->relayed, param->ownSlotFree, param->ownShiftFull, Milliseconds(param->expectedWait), Bytes(100)};
+    const RegionQuestion question{RegionId("own"), param->relayed, param->ownSlotFree, param->ownShiftFull, Milliseconds(param->expectedWait), Bytes(100)};
     for (int i = 0; i < 3; ++i) {
         selector.decide(question, s_start + 1s);
     }
@@ -147,7 +148,7 @@
             {{RegionId("near"), 10ms, true, SlotCount(3), SlotCount(10), link, relays}},
             std::make_shared<RegionBalance>());
     };
-    const RegionQuestion question {RegionId("own"), false, false, false, 0ms, Bytes(10)};
+    const RegionQuestion question{RegionId("own"), false, false, false, 0ms, Bytes(10)};
     const auto first = selector();
     std::list<RegionDecision> open;
     for (int i = 0; i < 5; ++i) {
@@ -198,7 +199,7 @@
     }
     const RelayTargets relayTargets(targets);
     pcg32 generator(3);
-    std::array<int, 4> chosen {};
+    std::array<int, 4> chosen{};
     for (int i = 0; i < 600; ++i) {
         ++chosen[relayTargets.choose(generator)->index];
     }
@@ -230,7 +231,7 @@
             for (int warm = 0; warm < 64; ++warm) {
                 tracker->record(UpstreamOutcome::Success, 1ms, s_start);
             }
-            auto selector = std::make_shared<UpstreamSelector>(LatencyPolicy {}, std::vector {tracker}, host->group);
+            auto selector = std::make_shared<UpstreamSelector>(LatencyPolicy{}, std::vector{tracker}, host->group);
             host->gate = std::make_unique<DispatchGate>(host->limit, std::make_shared<ShiftWindow>(1s), selector);
             hosts.push_back(std::move(host));
         }
@@ -313,7 +314,7 @@
     limit->setGranted(SlotCount(1));
     auto tracker = std::make_shared<UpstreamTracker>(UpstreamId("u"), true, slots, group);
     auto window = std::make_shared<ShiftWindow>(1s);
-    DispatchGate gate(limit, window, std::make_shared<UpstreamSelector>(LatencyPolicy {}, std::vector {tracker}, group));
+    DispatchGate gate(limit, window, std::make_shared<UpstreamSelector>(LatencyPolicy{}, std::vector{tracker}, group));
     LeaseGuard lease;
     lease.extend(s_start + 1h);
     pcg32 generator(1);
--- a/Tests/LibSteering/testupstreamslots.cpp
+++ b/Tests/LibSteering/testupstreamslots.cpp
@@ -10,9 +10,10 @@
 using Trefoil::SlotCount;
 using Trefoil::UpstreamSlots;
 
-namespace {
+namespace
+{
 
-constexpr BootTime s_start {std::chrono::seconds(100)};
+constexpr BootTime s_start{std::chrono::seconds(100)};
 
 }
 
@@ -40,8 +41,8 @@
     slots->setGranted(SlotCount(granted));
     LeaseGuard lease;
     lease.extend(s_start + std::chrono::seconds(1));
-    std::atomic<int> running {0};
-    std::atomic<int> highest {0};
+    std::atomic<int> running{0};
+    std::atomic<int> highest{0};
     std::array<std::thread, 6> threads;
     for (auto &thread : threads) {
         thread = std::thread([&] {
--- a/Tests/LibStore/testrequestrate.cpp
+++ b/Tests/LibStore/testrequestrate.cpp
@@ -6,7 +6,7 @@
 Test(RequestRate, boundsEverySecond)
 {
     Trefoil::RequestRate rate(10);
-    const Trefoil::BootTime start {std::chrono::seconds(1000)};
+    const Trefoil::BootTime start{std::chrono::seconds(1000)};
     Trefoil::BootTime now = start;
     int inFirstSecond = 0;
     int inTenSeconds = 0;
--- a/Tests/LibStore/teststore.cpp
+++ b/Tests/LibStore/teststore.cpp
@@ -12,7 +12,8 @@
 using boost::asio::yield_context;
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 /// The platform's stand-ins and a client of each, all on one thread.
 struct Platform
@@ -48,12 +49,12 @@
     StandIns::TableStore tableStore;
     StandIns::ObjectStore objectStore;
     StandIns::HostList hostList;
-    StandIns::PlatformServer tableServer {context, "127.0.0.1:0", StandIns::tableService(tableStore)};
-    StandIns::PlatformServer objectServer {context, "127.0.0.1:0", StandIns::objectService(objectStore)};
-    StandIns::PlatformServer hostListServer {context, "127.0.0.1:0", StandIns::hostListService(hostList)};
-    TableClient table {context, {tableServer.address(), "127.0.0.1", 50, 100, std::chrono::milliseconds(200)}};
-    ObjectClient objects {context, {objectServer.address()}};
-    HostListClient hosts {context, {hostListServer.address()}};
+    StandIns::PlatformServer tableServer{context, "127.0.0.1:0", StandIns::tableService(tableStore)};
+    StandIns::PlatformServer objectServer{context, "127.0.0.1:0", StandIns::objectService(objectStore)};
+    StandIns::PlatformServer hostListServer{context, "127.0.0.1:0", StandIns::hostListService(hostList)};
+    TableClient table{context, {tableServer.address(), "127.0.0.1", 50, 100, std::chrono::milliseconds(200)}};
+    ObjectClient objects{context, {objectServer.address()}};
+    HostListClient hosts{context, {hostListServer.address()}};
 };
 
 Transaction putAbsent(const std::string &key)
@@ -127,7 +128,7 @@
     Platform platform;
     platform.run([&](const yield_context &yield) {
         const auto first = platform.table.transact(putAbsent("a"), platform.deadline(1000), yield);
-        const Transaction deletion {{}, {{"a", std::get<Committed>(first).versions.at("a")}, {"missing", 7}}, {}, {"a"}};
+        const Transaction deletion{{}, {{"a", std::get<Committed>(first).versions.at("a")}, {"missing", 7}}, {}, {"a"}};
         platform.control(platform.tableServer.address(), {{"mode", "down"}, {"count", 1}}, yield);
         const auto result = platform.table.transact(deletion, platform.deadline(1000), yield);
         cr_assert(!std::holds_alternative<Committed>(result));
--- a/Tests/LibTelemetry/testfloodlimiter.cpp
+++ b/Tests/LibTelemetry/testfloodlimiter.cpp
@@ -5,9 +5,10 @@
 using Trefoil::BootTime;
 using Trefoil::FloodLimiter;
 
-namespace {
+namespace
+{
 
-constexpr BootTime s_start {std::chrono::seconds(100)};
+constexpr BootTime s_start{std::chrono::seconds(100)};
 
 }
 
--- a/Tests/LibTelemetry/testrequestmetrics.cpp
+++ b/Tests/LibTelemetry/testrequestmetrics.cpp
@@ -13,7 +13,8 @@
 using Trefoil::SnapshotReaderThread;
 using Trefoil::TenantId;
 
-namespace {
+namespace
+{
 
 std::string scrape(const RequestMetrics &metrics)
 {
--- a/Tests/Load/callerclient.cpp
+++ b/Tests/Load/callerclient.cpp
@@ -4,14 +4,16 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-namespace Trefoil::Load {
+namespace Trefoil::Load
+{
 
-namespace {
+namespace
+{
 
 namespace Http = boost::beast::http;
 using Tcp = boost::asio::ip::tcp;
 
-constexpr std::chrono::milliseconds connectLimit {1000};
+constexpr std::chrono::milliseconds connectLimit{1000};
 
 /// Whether the peer has closed an idle connection or sent bytes that nobody asked for.
 bool isStale(Tcp::socket &socket)
@@ -46,7 +48,7 @@
     const auto colon = key.first.rfind(':');
     const auto ip = boost::asio::ip::make_address_v4(key.first.substr(0, colon), error);
     if (error || colon == std::string::npos) {
-        return NotSent {"\"" + key.first + "\" is not IP:port"};
+        return NotSent{"\"" + key.first + "\" is not IP:port"};
     }
     const auto port = static_cast<unsigned short>(std::stoi(key.first.substr(colon + 1)));
     if (!key.second.empty()) {
@@ -55,7 +57,7 @@
     }
     stream.async_connect(Tcp::endpoint(ip, port), yield[error]);
     if (error) {
-        return NotSent {"connect: " + error.message()};
+        return NotSent{"connect: " + error.message()};
     }
     stream.socket().set_option(Tcp::no_delay(true), error);
     return stream;
@@ -67,7 +69,7 @@
     std::chrono::milliseconds limit,
     const boost::asio::yield_context &yield)
 {
-    const Key key {address, sourceAddress};
+    const Key key{address, sourceAddress};
     auto connected = connect(key, limit, yield);
     if (std::holds_alternative<NotSent>(connected)) {
         return std::get<NotSent>(connected);
@@ -77,13 +79,13 @@
     boost::system::error_code error;
     Http::async_write(stream, request, yield[error]);
     if (error) {
-        return NoResponse {"write: " + error.message()};
+        return NoResponse{"write: " + error.message()};
     }
     boost::beast::flat_buffer buffer;
     Http::response_parser<Http::string_body> parser;
     Http::async_read(stream, buffer, parser, yield[error]);
     if (error) {
-        return NoResponse {"read: " + error.message()};
+        return NoResponse{"read: " + error.message()};
     }
     HttpResponse response = parser.release();
     if (response.keep_alive() && buffer.size() == 0) {
--- a/Tests/Load/callerclient.h
+++ b/Tests/Load/callerclient.h
@@ -11,7 +11,8 @@
 #include <variant>
 #include <vector>
 
-namespace Trefoil::Load {
+namespace Trefoil::Load
+{
 
 using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 using HttpResponse = boost::beast::http::response<boost::beast::http::string_body>;
--- a/Tests/Load/loadplan.cpp
+++ b/Tests/Load/loadplan.cpp
@@ -1,8 +1,10 @@
 #include "loadplan.h"
 
-namespace Trefoil::Load {
+namespace Trefoil::Load
+{
 
-namespace {
+namespace
+{
 
 Stream streamFromJson(const nlohmann::json &item)
 {
@@ -36,10 +38,10 @@
             plan.streams.push_back(streamFromJson(item));
         }
     } catch (const nlohmann::json::exception &error) {
-        return Error {ErrorCode::InvalidInput, error.what()};
+        return Error{ErrorCode::InvalidInput, error.what()};
     }
     if (plan.hosts.empty()) {
-        return Error {ErrorCode::InvalidInput, "\"hosts\" is empty"};
+        return Error{ErrorCode::InvalidInput, "\"hosts\" is empty"};
     }
     return plan;
 }
--- a/Tests/Load/loadplan.h
+++ b/Tests/Load/loadplan.h
@@ -8,7 +8,8 @@
 #include <string>
 #include <vector>
 
-namespace Trefoil::Load {
+namespace Trefoil::Load
+{
 
 /// One stream of equal requests, as one kind of caller sends them.
 struct Stream
@@ -23,7 +24,7 @@
     /// Non-repeatable requests carry a key and are sent again under the same key only.
     bool isRepeatable = true;
     bool mayWait = false;
-    std::chrono::milliseconds deadline {3000};
+    std::chrono::milliseconds deadline{3000};
     std::size_t bodyBytes = 64;
     /// Client address of the look-up; it determines the home region.
     std::string client;
@@ -35,7 +36,7 @@
 struct LoadPlan
 {
     std::uint64_t seed = 1;
-    std::chrono::milliseconds duration {10000};
+    std::chrono::milliseconds duration{10000};
     /// Hosts asked for the first look-up, in this order.
     std::vector<std::string> hosts;
     std::vector<Stream> streams;
--- a/Tests/Load/loadrun.cpp
+++ b/Tests/Load/loadrun.cpp
@@ -5,9 +5,11 @@
 #include <fmt/format.h>
 #include <random>
 
-namespace Trefoil::Load {
+namespace Trefoil::Load
+{
 
-namespace {
+namespace
+{
 
 namespace Http = boost::beast::http;
 using SteadyClock = std::chrono::steady_clock;
@@ -15,8 +17,8 @@
 /// Hosts tried for one request, each once.
 constexpr std::size_t maximumAttempts = 4;
 /// A host may answer this much after the deadline that it was given, for the way back.
-constexpr std::chrono::milliseconds responseGrace {500};
-constexpr std::chrono::milliseconds endPollInterval {10};
+constexpr std::chrono::milliseconds responseGrace{500};
+constexpr std::chrono::milliseconds endPollInterval{10};
 
 std::string header(const HttpResponse &response, const char *name)
 {
@@ -89,7 +91,7 @@
         }
         const std::string key = stream.isRepeatable ? std::string() : makeKey(nonce);
         // The latency counts from the planned arrival, so that a stalled load tool does not hide a stalled system.
-        Request request {stream, nonce, key, next};
+        Request request{stream, nonce, key, next};
         ++m_inFlight;
         boost::asio::spawn(m_context, [this, request = std::move(request)](const boost::asio::yield_context &inner) { runRequest(request, inner); });
     }
@@ -109,7 +111,7 @@
     if (!lookup) {
         return {CallerOutcome::NotSent, "no look-up"};
     }
-    Verdict verdict {CallerOutcome::NotSent, "no host in the look-up"};
+    Verdict verdict{CallerOutcome::NotSent, "no host in the look-up"};
     std::size_t attempt = 0;
     for (const auto &host : lookup->hosts) {
         const auto left = timeLeft(request);
--- a/Tests/Load/loadrun.h
+++ b/Tests/Load/loadrun.h
@@ -6,7 +6,8 @@
 
 #include <pcg_random.hpp>
 
-namespace Trefoil::Load {
+namespace Trefoil::Load
+{
 
 /// Sends the requests of a plan and checks their responses.
 /// Thread safety: the thread that runs the io_context.
--- a/Tests/Load/lookupcache.cpp
+++ b/Tests/Load/lookupcache.cpp
@@ -2,13 +2,15 @@
 
 #include <nlohmann/json.hpp>
 
-namespace Trefoil::Load {
+namespace Trefoil::Load
+{
 
-namespace {
+namespace
+{
 
 namespace Http = boost::beast::http;
 
-constexpr std::chrono::milliseconds lookupLimit {1000};
+constexpr std::chrono::milliseconds lookupLimit{1000};
 
 } // namespace
 
@@ -26,7 +28,7 @@
     if (known != m_known.end() && std::chrono::steady_clock::now() < known->second.validUntil) {
         return known->second;
     }
-    std::vector<std::string> order = known == m_known.end() ? std::vector<std::string> {} : known->second.hosts;
+    std::vector<std::string> order = known == m_known.end() ? std::vector<std::string>{} : known->second.hosts;
     order.insert(order.end(), m_hosts.begin(), m_hosts.end());
     for (const auto &host : order) {
         auto lookup = ask(host, target, sourceAddress, yield);
--- a/Tests/Load/lookupcache.h
+++ b/Tests/Load/lookupcache.h
@@ -4,7 +4,8 @@
 
 #include <optional>
 
-namespace Trefoil::Load {
+namespace Trefoil::Load
+{
 
 /// Where requests of a service from a client address go, as the system said.
 struct Lookup
--- a/Tests/Load/outcomes.cpp
+++ b/Tests/Load/outcomes.cpp
@@ -4,9 +4,11 @@
 #include <cmath>
 #include <fmt/format.h>
 
-namespace Trefoil::Load {
+namespace Trefoil::Load
+{
 
-namespace {
+namespace
+{
 
 constexpr std::array<const char *, 6> outcomeNames = {"answered", "not-run", "unknown", "not-sent", "lost", "wrong"};
 /// Different texts kept; a fault that puts numbers into its text must not fill the memory.
--- a/Tests/Load/outcomes.h
+++ b/Tests/Load/outcomes.h
@@ -8,7 +8,8 @@
 #include <string>
 #include <vector>
 
-namespace Trefoil::Load {
+namespace Trefoil::Load
+{
 
 /// How a request ended for its caller.
 enum class CallerOutcome {
@@ -44,7 +45,7 @@
 private:
     struct ClassOutcomes
     {
-        std::array<std::uint64_t, 6> counts {};
+        std::array<std::uint64_t, 6> counts{};
         std::uint64_t retries = 0;
         std::vector<double> milliseconds;
     };
--- a/Tests/Load/testloadrun.cpp
+++ b/Tests/Load/testloadrun.cpp
@@ -10,7 +10,8 @@
 using Trefoil::Load::HttpRequest;
 using Trefoil::Load::HttpResponse;
 
-namespace {
+namespace
+{
 
 namespace Http = boost::beast::http;
 using Tcp = boost::asio::ip::tcp;
--- a/Tests/Scenarios/httpcall.cpp
+++ b/Tests/Scenarios/httpcall.cpp
@@ -5,9 +5,11 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-namespace Trefoil::Scenarios {
+namespace Trefoil::Scenarios
+{
 
-namespace {
+namespace
+{
 
 namespace Http = boost::beast::http;
 using Tcp = boost::asio::ip::tcp;
--- a/Tests/Scenarios/httpcall.h
+++ b/Tests/Scenarios/httpcall.h
@@ -5,7 +5,8 @@
 #include <string>
 #include <vector>
 
-namespace Trefoil::Scenarios {
+namespace Trefoil::Scenarios
+{
 
 /// One HTTP request of a scenario, on a connection of its own.
 struct HttpCall
@@ -16,7 +17,7 @@
     std::string target = "/";
     std::map<std::string, std::string> headers;
     std::string body;
-    std::chrono::milliseconds timeout {5000};
+    std::chrono::milliseconds timeout{5000};
     /// Local IP number, by which the link proxy knows the caller; empty leaves the choice to the system.
     std::string sourceAddress;
 };
@@ -28,7 +29,7 @@
     std::string body;
     std::map<std::string, std::string> headers;
     std::string error;
-    std::chrono::microseconds duration {0};
+    std::chrono::microseconds duration{0};
 };
 
 /// Sends all calls at once and waits for all replies, in the order of the calls.
--- a/Tests/Scenarios/linkproxy/linktable.cpp
+++ b/Tests/Scenarios/linkproxy/linktable.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <fmt/format.h>
 
-namespace Trefoil::LinkProxy {
+namespace Trefoil::LinkProxy
+{
 
-namespace {
+namespace
+{
 
 bool contains(const std::vector<EndpointIndex> &list, EndpointIndex index)
 {
@@ -17,7 +19,7 @@
 LinkTable::LinkTable(std::vector<Endpoint> endpoints)
     : m_endpoints(std::move(endpoints))
 {
-    m_endpoints.insert(m_endpoints.begin(), Endpoint {"outside", "", {}});
+    m_endpoints.insert(m_endpoints.begin(), Endpoint{"outside", "", {}});
     for (EndpointIndex i = 0; i < m_endpoints.size(); ++i) {
         m_byAddress.emplace(m_endpoints[i].ip, i);
     }
@@ -52,7 +54,7 @@
 {
     static const std::vector<std::pair<std::string, LinkMode>> modes = {{"normal", LinkMode::Normal}, {"cut", LinkMode::Cut}, {"silent", LinkMode::Silent}};
     if (!document.is_object()) {
-        return Error {ErrorCode::InvalidInput, "must be an object"};
+        return Error{ErrorCode::InvalidInput, "must be an object"};
     }
     LinkChange change;
     try {
@@ -61,16 +63,16 @@
         const auto name = document.value("mode", "normal");
         const auto mode = std::find_if(modes.begin(), modes.end(), [&name](const auto &entry) { return entry.first == name; });
         if (mode == modes.end()) {
-            return Error {ErrorCode::InvalidInput, fmt::format("unknown mode \"{}\"", name)};
+            return Error{ErrorCode::InvalidInput, fmt::format("unknown mode \"{}\"", name)};
         }
         change.link = {mode->second, std::chrono::milliseconds(document.value("delayMs", 0))};
         change.bothWays = !document.value("oneWay", false);
         change.existingOnly = document.value("existingOnly", false);
     } catch (const nlohmann::json::exception &error) {
-        return Error {ErrorCode::InvalidInput, error.what()};
+        return Error{ErrorCode::InvalidInput, error.what()};
     }
     if (change.from.empty() || change.to.empty()) {
-        return Error {ErrorCode::InvalidInput, "no endpoint has the name in \"from\" or \"to\""};
+        return Error{ErrorCode::InvalidInput, "no endpoint has the name in \"from\" or \"to\""};
     }
     return change;
 }
--- a/Tests/Scenarios/linkproxy/linktable.h
+++ b/Tests/Scenarios/linkproxy/linktable.h
@@ -9,7 +9,8 @@
 #include <vector>
 
 /// Which links between processes are slow, cut or silent.
-namespace Trefoil::LinkProxy {
+namespace Trefoil::LinkProxy
+{
 
 enum class LinkMode {
     Normal,
@@ -23,7 +24,7 @@
 struct Link
 {
     LinkMode mode = LinkMode::Normal;
-    std::chrono::milliseconds delay {0};
+    std::chrono::milliseconds delay{0};
 };
 
 /// One process with its IP number and the groups it belongs to, for example its zone and region.
--- a/Tests/Scenarios/linkproxy/proxy.cpp
+++ b/Tests/Scenarios/linkproxy/proxy.cpp
@@ -4,9 +4,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-namespace Trefoil::LinkProxy {
+namespace Trefoil::LinkProxy
+{
 
-namespace {
+namespace
+{
 
 namespace Http = boost::beast::http;
 
@@ -37,7 +39,7 @@
             configuration.listeners.push_back({endpointFrom(item.at("listen").get<std::string>()), endpointFrom(item.at("target").get<std::string>())});
         }
     } catch (const std::exception &error) {
-        return Error {ErrorCode::InvalidInput, error.what()};
+        return Error{ErrorCode::InvalidInput, error.what()};
     }
     return configuration;
 }
@@ -120,7 +122,7 @@
     response.keep_alive(request.keep_alive());
     response.set(Http::field::content_type, "application/json");
     if (request.method() == Http::verb::get) {
-        response.body() = nlohmann::json {{"openConnections", openRelays().size()}}.dump();
+        response.body() = nlohmann::json{{"openConnections", openRelays().size()}}.dump();
     } else {
         const auto document = nlohmann::json::parse(request.body(), nullptr, false);
         const auto change = m_links.parse(document);
@@ -129,7 +131,7 @@
             response.body() = "{}";
         } else {
             response.result(Http::status::bad_request);
-            response.body() = nlohmann::json {{"error", "bad-input"}, {"message", change.error().message}}.dump();
+            response.body() = nlohmann::json{{"error", "bad-input"}, {"message", change.error().message}}.dump();
         }
     }
     response.prepare_payload();
--- a/Tests/Scenarios/linkproxy/proxy.h
+++ b/Tests/Scenarios/linkproxy/proxy.h
@@ -5,7 +5,8 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-namespace Trefoil::LinkProxy {
+namespace Trefoil::LinkProxy
+{
 
 /// An address that others are told, and the process behind it.
 struct Listener
--- a/Tests/Scenarios/linkproxy/relay.cpp
+++ b/Tests/Scenarios/linkproxy/relay.cpp
@@ -2,14 +2,16 @@
 
 #include <boost/asio/write.hpp>
 
-namespace Trefoil::LinkProxy {
+namespace Trefoil::LinkProxy
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t chunkSize = 16384;
 /// Chunks on the way in one direction; a full link stops the sender, as a full socket buffer does.
 constexpr std::size_t maximumChunks = 256;
-constexpr std::chrono::milliseconds silencePollInterval {5};
+constexpr std::chrono::milliseconds silencePollInterval{5};
 
 void closeAbruptly(boost::asio::ip::tcp::socket &socket)
 {
--- a/Tests/Scenarios/linkproxy/relay.h
+++ b/Tests/Scenarios/linkproxy/relay.h
@@ -9,7 +9,8 @@
 #include <deque>
 #include <memory>
 
-namespace Trefoil::LinkProxy {
+namespace Trefoil::LinkProxy
+{
 
 /// One relayed connection. Thread safety: not safe; the proxy has one thread.
 class Relay : public std::enable_shared_from_this<Relay>
--- a/Tests/Scenarios/luajson.cpp
+++ b/Tests/Scenarios/luajson.cpp
@@ -2,9 +2,11 @@
 
 #include <stdexcept>
 
-namespace Trefoil::Scenarios {
+namespace Trefoil::Scenarios
+{
 
-namespace {
+namespace
+{
 
 constexpr int maximumDepth = 32;
 
--- a/Tests/Scenarios/prelude.lua
+++ b/Tests/Scenarios/prelude.lua
@@ -71,8 +71,10 @@
     end
 end
 
+-- Returns when the processes have ended, so that they can be started again.
 function kill(names)
     for_each(names, function(name) native.signal({ name = name, signal = "KILL" }) end)
+    for_each(names, function(name) native.waitForExit({ name = name, limitMs = 5000 }) end)
 end
 
 function stop(names)
--- a/Tests/Scenarios/process.cpp
+++ b/Tests/Scenarios/process.cpp
@@ -10,11 +10,13 @@
 #include <thread>
 #include <unistd.h>
 
-namespace Trefoil::Scenarios {
+namespace Trefoil::Scenarios
+{
 
-namespace {
+namespace
+{
 
-constexpr std::chrono::milliseconds exitPollInterval {2};
+constexpr std::chrono::milliseconds exitPollInterval{2};
 constexpr int cannotExecuteCode = 127;
 
 /// Runs in the child between fork and exec; only calls that are safe there.
@@ -41,10 +43,10 @@
 Result<pid_t> Processes::start(const ProcessStart &description)
 {
     if (isRunning(description.name)) {
-        return Error {ErrorCode::Conflict, fmt::format("{} runs already", description.name)};
+        return Error{ErrorCode::Conflict, fmt::format("{} runs already", description.name)};
     }
     if (access(description.program.c_str(), X_OK) != 0) {
-        return Error {ErrorCode::NotFound, fmt::format("cannot execute {}", description.program)};
+        return Error{ErrorCode::NotFound, fmt::format("cannot execute {}", description.program)};
     }
     std::vector<std::string> words = {description.program};
     words.insert(words.end(), description.arguments.begin(), description.arguments.end());
@@ -56,7 +58,7 @@
     argv.push_back(nullptr);
     const int log = open(description.logPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     if (log < 0) {
-        return Error {ErrorCode::Unavailable, fmt::format("cannot open {}: {}", description.logPath, std::strerror(errno))};
+        return Error{ErrorCode::Unavailable, fmt::format("cannot open {}: {}", description.logPath, std::strerror(errno))};
     }
     const pid_t parent = getpid();
     const pid_t pid = fork();
@@ -65,7 +67,7 @@
     }
     close(log);
     if (pid < 0) {
-        return Error {ErrorCode::Unavailable, fmt::format("cannot fork: {}", std::strerror(errno))};
+        return Error{ErrorCode::Unavailable, fmt::format("cannot fork: {}", std::strerror(errno))};
     }
     m_processes[description.name] = {pid, std::nullopt};
     return pid;
@@ -74,7 +76,7 @@
 Result<void> Processes::signal(const std::string &name, int number)
 {
     if (!isRunning(name)) {
-        return Error {ErrorCode::NotFound, fmt::format("{} does not run", name)};
+        return Error{ErrorCode::NotFound, fmt::format("{} does not run", name)};
     }
     kill(m_processes.at(name).pid, number);
     return boost::outcome_v2::success();
--- a/Tests/Scenarios/process.h
+++ b/Tests/Scenarios/process.h
@@ -9,7 +9,8 @@
 #include <sys/types.h>
 #include <vector>
 
-namespace Trefoil::Scenarios {
+namespace Trefoil::Scenarios
+{
 
 /// What to start, and where its output goes.
 struct ProcessStart
--- a/Tests/Scenarios/programs.h
+++ b/Tests/Scenarios/programs.h
@@ -4,7 +4,8 @@
 
 #include <string>
 
-namespace Trefoil::Scenarios {
+namespace Trefoil::Scenarios
+{
 
 /// Paths of this build's programs, with the given folder for the run's files. The compile definitions come from CMake.
 inline RunnerPaths builtPaths(const std::string &folder)
--- a/Tests/Scenarios/runner.cpp
+++ b/Tests/Scenarios/runner.cpp
@@ -17,11 +17,13 @@
 #include <thread>
 #include <unistd.h>
 
-namespace Trefoil::Scenarios {
+namespace Trefoil::Scenarios
+{
 
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 /// Below the range from which the kernel takes the ports of outgoing connections.
 constexpr int firstPort = 20000;
@@ -36,7 +38,7 @@
 bool isFree(const std::string &ip, int port)
 {
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address {};
+    sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
--- a/Tests/Scenarios/runner.h
+++ b/Tests/Scenarios/runner.h
@@ -9,7 +9,8 @@
 
 struct lua_State;
 
-namespace Trefoil::Scenarios {
+namespace Trefoil::Scenarios
+{
 
 /// Where the runner finds programs and keeps files.
 struct RunnerPaths
@@ -81,7 +82,7 @@
     Processes m_processes;
     ScenarioResult m_result;
     std::chrono::steady_clock::time_point m_start;
-    std::chrono::seconds m_limit {60};
+    std::chrono::seconds m_limit{60};
     int m_nextPort;
 };
 
--- a/Tests/Scenarios/statichost/main.cpp
+++ b/Tests/Scenarios/statichost/main.cpp
@@ -10,12 +10,13 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 
-namespace {
+namespace
+{
 
 using namespace Trefoil;
 
-constexpr std::chrono::seconds s_leaseTime {3};
-constexpr std::chrono::milliseconds s_confirmationInterval {500};
+constexpr std::chrono::seconds s_leaseTime{3};
+constexpr std::chrono::milliseconds s_confirmationInterval{500};
 
 HostOptions optionsFrom(const nlohmann::json &plan)
 {
@@ -63,7 +64,7 @@
                 }
                 auto granted = UpstreamSlots::create();
                 granted->setGranted(SlotCount(upstream.slots.value() / static_cast<std::int32_t>(members)));
-                view.upstreams.push_back(std::make_shared<UpstreamState>(UpstreamState {upstream, service.id, granted, false}));
+                view.upstreams.push_back(std::make_shared<UpstreamState>(UpstreamState{upstream, service.id, granted, false}));
             }
         }
     });
@@ -95,7 +96,7 @@
     std::ifstream file(argv[1]);
     const auto plan = nlohmann::json::parse(file);
     const auto commands = parseCommands(plan.at("commands").get<std::string>());
-    const auto applied = commands.has_value() ? applyCommands(Configuration {}, commands.value()) : Result<Configuration>(commands.error());
+    const auto applied = commands.has_value() ? applyCommands(Configuration{}, commands.value()) : Result<Configuration>(commands.error());
     if (applied.has_error()) {
         fmt::print(stderr, "{}", toText(applied.error().findings));
         return 2;
--- a/Tests/Scenarios/testscenarios.cpp
+++ b/Tests/Scenarios/testscenarios.cpp
@@ -9,7 +9,8 @@
 #include <filesystem>
 #include <fstream>
 
-namespace {
+namespace
+{
 
 /// A scenario that must fail, with a part of the failure's text.
 struct FailingCase
--- a/Tests/StandIns/faults.cpp
+++ b/Tests/StandIns/faults.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <map>
 
-namespace Trefoil::StandIns {
+namespace Trefoil::StandIns
+{
 
-namespace {
+namespace
+{
 
 const std::map<std::string, FaultMode> &modes()
 {
@@ -61,7 +63,7 @@
     }
     m_readsOnly = only == "reads";
     m_writesOnly = only == "writes";
-    m_remaining = request.value("count", std::int64_t {0});
+    m_remaining = request.value("count", std::int64_t{0});
     m_decision = {position->second, std::chrono::milliseconds(request.value("delayMs", 0))};
     if (m_decision.mode == FaultMode::SilentConnections) {
         ++m_silencedConnections;
--- a/Tests/StandIns/faults.h
+++ b/Tests/StandIns/faults.h
@@ -6,7 +6,8 @@
 #include <string>
 
 /// Faults and counters that all stand-ins of the platform share, set and read over /control.
-namespace Trefoil::StandIns {
+namespace Trefoil::StandIns
+{
 
 enum class FaultMode {
     Normal,
@@ -28,7 +29,7 @@
 struct FaultDecision
 {
     FaultMode mode = FaultMode::Normal;
-    std::chrono::milliseconds delay {0};
+    std::chrono::milliseconds delay{0};
 };
 
 enum class Access {
--- a/Tests/StandIns/hostlist.cpp
+++ b/Tests/StandIns/hostlist.cpp
@@ -3,11 +3,13 @@
 #include <algorithm>
 #include <functional>
 
-namespace Trefoil::StandIns {
+namespace Trefoil::StandIns
+{
 
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 void putEntry(json &entries, const json &entry)
 {
@@ -28,7 +30,7 @@
 
 std::string entityTagOf(const std::string &body)
 {
-    return '"' + std::to_string(std::hash<std::string> {}(body)) + '"';
+    return '"' + std::to_string(std::hash<std::string>{}(body)) + '"';
 }
 
 } // namespace
--- a/Tests/StandIns/hostlist.h
+++ b/Tests/StandIns/hostlist.h
@@ -5,7 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-namespace Trefoil::StandIns {
+namespace Trefoil::StandIns
+{
 
 /// The platform's list of hosts and upstreams: GET /v1/hosts, with an entity tag. The list is set with
 /// POST /control {"list": {"hosts": [...], "upstreams": [...]}}, and single entries with
@@ -38,7 +39,7 @@
     nlohmann::json m_visible = m_newest;
     nlohmann::json m_remembered = m_newest;
     std::vector<PendingChange> m_pending;
-    std::chrono::milliseconds m_lag {0};
+    std::chrono::milliseconds m_lag{0};
 };
 
 /// The host list's service; the list must outlive the server.
--- a/Tests/StandIns/main.cpp
+++ b/Tests/StandIns/main.cpp
@@ -4,7 +4,8 @@
 #include <cstdio>
 #include <string_view>
 
-namespace {
+namespace
+{
 
 struct Subcommand
 {
--- a/Tests/StandIns/objectstore.cpp
+++ b/Tests/StandIns/objectstore.cpp
@@ -1,8 +1,10 @@
 #include <StandIns/objectstore.h>
 
-namespace Trefoil::StandIns {
+namespace Trefoil::StandIns
+{
 
-namespace {
+namespace
+{
 
 const std::string s_path = "/v1/objects/";
 
@@ -17,7 +19,7 @@
     if (request.method == "PUT") {
         const auto [position, inserted] = m_objects.emplace(name, request.body);
         const bool same = inserted || position->second == request.body;
-        return same ? ServiceReply {200, "{}"} : ServiceReply {409, R"({"error": "exists"})"};
+        return same ? ServiceReply{200, "{}"} : ServiceReply{409, R"({"error": "exists"})"};
     }
     const auto &source = staleRead ? m_remembered : m_objects;
     const auto position = source.find(name);
--- a/Tests/StandIns/objectstore.h
+++ b/Tests/StandIns/objectstore.h
@@ -5,7 +5,8 @@
 #include <map>
 #include <string>
 
-namespace Trefoil::StandIns {
+namespace Trefoil::StandIns
+{
 
 /// The object store: PUT and GET /v1/objects/<name>. A name that exists keeps its first body; another body is answered with 409.
 /// Thread safety: one thread at a time.
--- a/Tests/StandIns/platform.cpp
+++ b/Tests/StandIns/platform.cpp
@@ -11,9 +11,11 @@
 #include <fmt/format.h>
 #include <string_view>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 struct Platform
 {
--- a/Tests/StandIns/platformserver.cpp
+++ b/Tests/StandIns/platformserver.cpp
@@ -6,7 +6,8 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-namespace Trefoil::StandIns {
+namespace Trefoil::StandIns
+{
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -50,13 +51,13 @@
         for (;;) {
             boost::system::error_code error;
             http::request_parser<http::string_body> parser;
-            parser.body_limit(std::uint64_t {64} * 1024 * 1024);
+            parser.body_limit(std::uint64_t{64} * 1024 * 1024);
             http::async_read(socket, buffer, parser, yield[error]);
             if (error) {
                 return;
             }
             const auto message = parser.release();
-            const ServiceRequest request {
+            const ServiceRequest request{
                 std::string(message.method_string()), std::string(message.target()), message.body(), std::string(message[http::field::if_none_match])};
             const auto answer = reply(request, openedAt, yield);
             if (!answer || !write(socket, *answer, message.keep_alive(), yield)) {
@@ -116,7 +117,7 @@
             return std::nullopt;
         }
         if (!faults.admit(access, std::chrono::steady_clock::now())) {
-            return ServiceReply {429, R"({"error": "rate-limit"})"};
+            return ServiceReply{429, R"({"error": "rate-limit"})"};
         }
         if (fault.mode == FaultMode::Slow) {
             sleep(fault.delay, yield);
@@ -136,7 +137,7 @@
         const auto body = nlohmann::json::parse(request.body, nullptr, false);
         const std::string fault = faults.control(body);
         if (!fault.empty()) {
-            return {400, nlohmann::json {{"error", "invalid-control"}, {"message", fault}}.dump()};
+            return {400, nlohmann::json{{"error", "invalid-control"}, {"message", fault}}.dump()};
         }
         service.rememberState();
         if (service.control) {
@@ -152,7 +153,8 @@
     bool closed = false;
 };
 
-namespace {
+namespace
+{
 
 tcp::endpoint endpointOf(const std::string &address)
 {
--- a/Tests/StandIns/platformserver.h
+++ b/Tests/StandIns/platformserver.h
@@ -8,7 +8,8 @@
 #include <optional>
 #include <string>
 
-namespace Trefoil::StandIns {
+namespace Trefoil::StandIns
+{
 
 struct ServiceRequest
 {
@@ -22,7 +23,7 @@
 {
     int status = 200;
     std::string body;
-    std::string entityTag {};
+    std::string entityTag{};
 };
 
 /// What distinguishes one stand-in from another.
--- a/Tests/StandIns/tablestore.cpp
+++ b/Tests/StandIns/tablestore.cpp
@@ -1,10 +1,12 @@
 #include <StandIns/tablestore.h>
 
-namespace Trefoil::StandIns {
+namespace Trefoil::StandIns
+{
 
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 constexpr std::size_t s_largestScan = 10000;
 
@@ -15,7 +17,7 @@
 
 ServiceReply badRequest(const std::string &message)
 {
-    return {400, json {{"error", "invalid-request"}, {"message", message}}.dump()};
+    return {400, json{{"error", "invalid-request"}, {"message", message}}.dump()};
 }
 
 bool startsWith(const std::string &text, const std::string &prefix)
@@ -66,7 +68,7 @@
         if (present == condition["version"].get<std::uint64_t>()) {
             continue;
         }
-        failed.push_back(position == m_rows.end() ? json {{"key", key}, {"version", 0U}, {"value", nullptr}} : rowToJson(key, position->second));
+        failed.push_back(position == m_rows.end() ? json{{"key", key}, {"version", 0U}, {"value", nullptr}} : rowToJson(key, position->second));
     }
     return failed;
 }
@@ -79,7 +81,7 @@
     }
     const json failed = failedConditions(list(request, "conditions"));
     if (!failed.empty()) {
-        return {409, json {{"failed", failed}}.dump()};
+        return {409, json{{"failed", failed}}.dump()};
     }
     json versions = json::object();
     for (const auto &put : list(request, "puts")) {
@@ -90,7 +92,7 @@
     for (const auto &key : list(request, "deletes")) {
         m_rows.erase(key.get<std::string>());
     }
-    return {200, json {{"versions", versions}}.dump()};
+    return {200, json{{"versions", versions}}.dump()};
 }
 
 ServiceReply TableStore::read(const json &request, bool stale) const
@@ -103,7 +105,7 @@
             rows.push_back(rowToJson(position->first, position->second));
         }
     }
-    return {200, json {{"rows", std::move(rows)}}.dump()};
+    return {200, json{{"rows", std::move(rows)}}.dump()};
 }
 
 ServiceReply TableStore::scan(const json &request, bool stale) const
@@ -120,7 +122,7 @@
     for (; position != source.end() && rows.size() < limit && startsWith(position->first, prefix); ++position) {
         rows.push_back(rowToJson(position->first, position->second));
     }
-    return {200, json {{"rows", std::move(rows)}}.dump()};
+    return {200, json{{"rows", std::move(rows)}}.dump()};
 }
 
 void TableStore::rememberState()
--- a/Tests/StandIns/tablestore.h
+++ b/Tests/StandIns/tablestore.h
@@ -7,7 +7,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-namespace Trefoil::StandIns {
+namespace Trefoil::StandIns
+{
 
 /// Rows of the transactional table service, without the network, so that tests in virtual time can use it too.
 /// Versions come from one counter for all rows and never repeat, also when a row is deleted and created again.
--- a/Tests/StandIns/upstream.cpp
+++ b/Tests/StandIns/upstream.cpp
@@ -20,7 +20,8 @@
 #include <optional>
 #include <unordered_map>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -28,7 +29,8 @@
 using tcp = asio::ip::tcp;
 using Request = http::request<http::string_body>;
 
-namespace {
+namespace
+{
 
 enum class Fault {
     Normal,
@@ -89,9 +91,9 @@
 }
 
 /// A silent connection is held open for this long, which is longer than any test.
-constexpr std::chrono::seconds s_silence {300};
+constexpr std::chrono::seconds s_silence{300};
 /// Load history kept for a lagging load endpoint.
-constexpr std::chrono::seconds s_loadHistory {30};
+constexpr std::chrono::seconds s_loadHistory{30};
 
 struct LoadSample
 {
@@ -171,14 +173,14 @@
     Fault m_fault = Fault::Normal;
     /// Requests to which the fault still applies; 0 means all.
     std::uint64_t m_faultCount = 0;
-    std::chrono::milliseconds m_faultDelay {0};
-    std::chrono::milliseconds m_loadLag {0};
+    std::chrono::milliseconds m_faultDelay{0};
+    std::chrono::milliseconds m_loadLag{0};
     nlohmann::json m_loadLie;
     std::deque<LoadSample> m_loadSamples;
 
     /// Used on the context's thread only.
     std::unordered_map<std::string, asio::steady_timer *> m_work;
-    Answer m_previousAnswer {200, "none-yet", "{}", false};
+    Answer m_previousAnswer{200, "none-yet", "{}", false};
 };
 
 class UpstreamStandIn::State::Connection
@@ -349,7 +351,7 @@
     {
         const auto &settings = m_state->m_settings;
         std::uint64_t begun = 0;
-        std::chrono::milliseconds extra {0};
+        std::chrono::milliseconds extra{0};
         {
             const std::lock_guard lock(m_state->m_mutex);
             begun = m_state->m_counts.begun;
@@ -479,7 +481,7 @@
         m_acceptor.listen(tcp::acceptor::max_listen_connections, error);
     }
     if (error) {
-        return Error {ErrorCode::Unavailable, fmt::format("cannot listen on {}: {}", m_settings.address, error.message())};
+        return Error{ErrorCode::Unavailable, fmt::format("cannot listen on {}: {}", m_settings.address, error.message())};
     }
     m_address = fmt::format("{}:{}", endpoint.value().address().to_string(), m_acceptor.local_endpoint().port());
     return boost::outcome_v2::success();
@@ -511,16 +513,16 @@
 Result<void> UpstreamStandIn::State::control(const nlohmann::json &command)
 {
     if (!command.is_object()) {
-        return Error {ErrorCode::InvalidInput, "the command is not a JSON object"};
+        return Error{ErrorCode::InvalidInput, "the command is not a JSON object"};
     }
     const std::lock_guard lock(m_mutex);
     if (command.contains("mode")) {
         const auto fault = faultNamed(command.value("mode", ""));
         if (!fault) {
-            return Error {ErrorCode::InvalidInput, "unknown mode"};
+            return Error{ErrorCode::InvalidInput, "unknown mode"};
         }
         m_fault = *fault;
-        m_faultCount = command.value("count", std::uint64_t {0});
+        m_faultCount = command.value("count", std::uint64_t{0});
         m_faultDelay = std::chrono::milliseconds(command.value("delayMs", 0));
     }
     if (command.contains("loadLagMs")) {
--- a/Tests/StandIns/upstream.h
+++ b/Tests/StandIns/upstream.h
@@ -11,7 +11,8 @@
 #include <string>
 
 /// Stand-in for an upstream of a service. It speaks the upstream interface of the design and can be told to misbehave.
-namespace Trefoil {
+namespace Trefoil
+{
 
 struct UpstreamStandInSettings
 {
@@ -20,9 +21,9 @@
     std::string address = "127.0.0.1:0";
     int slots = 4;
     int connections = 360;
-    std::chrono::microseconds serviceTime {1000};
+    std::chrono::microseconds serviceTime{1000};
     /// Delay before the first request of a new connection is read.
-    std::chrono::microseconds connectCost {1000};
+    std::chrono::microseconds connectCost{1000};
     /// The first requests take coldFactor times the service time.
     int coldRequests = 0;
     int coldFactor = 5;
--- a/Tests/Stress/stressrequestpath.cpp
+++ b/Tests/Stress/stressrequestpath.cpp
@@ -8,12 +8,13 @@
 #include <functional>
 #include <thread>
 
-namespace {
+namespace
+{
 
 using namespace Trefoil;
 
 constexpr int s_rounds = 20000;
-constexpr BootTime s_start {std::chrono::seconds(100)};
+constexpr BootTime s_start{std::chrono::seconds(100)};
 
 void runInThreads(const std::function<void()> &body)
 {
@@ -35,11 +36,11 @@
 // Guards against a reader that sees a half-replaced or freed view while the control thread publishes.
 int checkSnapshot()
 {
-    Snapshot<View> snapshot(std::make_unique<View>(View {0, 0}));
-    std::atomic<int> torn {0};
+    Snapshot<View> snapshot(std::make_unique<View>(View{0, 0}));
+    std::atomic<int> torn{0};
     std::thread publisher([&snapshot] {
         for (int i = 1; i <= s_rounds; ++i) {
-            snapshot.publish(std::make_unique<View>(View {i, i}));
+            snapshot.publish(std::make_unique<View>(View{i, i}));
         }
     });
     runInThreads([&] {
@@ -58,9 +59,9 @@
     constexpr int highestGrant = 3;
     const auto slots = UpstreamSlots::create();
     LeaseGuard lease;
-    std::atomic<int> running {0};
-    std::atomic<int> violations {0};
-    std::atomic<bool> stop {false};
+    std::atomic<int> running{0};
+    std::atomic<int> violations{0};
+    std::atomic<bool> stop{false};
     std::thread control([&] {
         while (!stop.load()) {
             lease.extend(s_start + std::chrono::seconds(3));
--- a/Tests/trefoilctl/testtrefoilctl.cpp
+++ b/Tests/trefoilctl/testtrefoilctl.cpp
@@ -10,7 +10,8 @@
 using namespace Trefoil;
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 struct SettingsCase
 {
@@ -79,11 +80,11 @@
 ParameterizedTest(ExitCase *testCase, Trefoilctl, exitCodes)
 {
     for (const bool asJson : {true, false}) {
-        cr_assert(makeReport(AdministrationResponse {testCase->status, json {{"message", "x"}}}, asJson).exit == testCase->exit);
+        cr_assert(makeReport(AdministrationResponse{testCase->status, json{{"message", "x"}}}, asJson).exit == testCase->exit);
     }
-    cr_assert(makeReport(NoHostReachable {"x"}, false).exit == ToolExit::Unreachable);
-    cr_assert(makeReport(ChangeOutcomeUnknown {"x"}, false).exit == ToolExit::OutcomeOpen);
-    cr_assert(makeReport(Error {ErrorCode::InvalidInput, "x"}, true).exit == ToolExit::BadInput);
+    cr_assert(makeReport(NoHostReachable{"x"}, false).exit == ToolExit::Unreachable);
+    cr_assert(makeReport(ChangeOutcomeUnknown{"x"}, false).exit == ToolExit::OutcomeOpen);
+    cr_assert(makeReport(Error{ErrorCode::InvalidInput, "x"}, true).exit == ToolExit::BadInput);
 }
 
 // Guards against tables whose columns do not line up, and rows without some members.
--- a/Tests/trefoilmountd/adminfixture.h
+++ b/Tests/trefoilmountd/adminfixture.h
@@ -3,7 +3,8 @@
 #include "configurationcluster.h"
 #include <Services/trefoilmountd/adminserver.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 inline const char *const s_secret = "administration-secret";
 
@@ -14,7 +15,7 @@
     {
         AdminServerSources sources;
         sources.metrics = [] { return std::string("trefoil_up 1\n"); };
-        sources.status = [] { return nlohmann::json {{"host", "gulf-a"}}; };
+        sources.status = [] { return nlohmann::json{{"host", "gulf-a"}}; };
         sources.queries.why = [](const WhyCommand &query) { return nlohmann::json::array({{{"tenant", query.entity.name.text}, {"reason", "home region"}}}); };
         auto result = AdminServer::create(cluster.context, {"127.0.0.1:0", s_secret}, *cluster.hosts[0]->service, cluster.hosts[0]->state, sources);
         cr_assert(result.has_value());
--- a/Tests/trefoilmountd/configurationcluster.h
+++ b/Tests/trefoilmountd/configurationcluster.h
@@ -11,7 +11,8 @@
 #include <criterion/criterion.h>
 #include <map>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Regions gulf, plains and hill, with two availability zones each.
 inline const char *const s_threeRegions =
@@ -46,7 +47,7 @@
         }
 
         HostId id;
-        HostState state {HostId("host"), RegionId("gulf"), ZoneId("gulf-a")};
+        HostState state{HostId("host"), RegionId("gulf"), ZoneId("gulf-a")};
         TableClient table;
         ObjectClient objects;
         std::unique_ptr<ConfigurationService> service;
@@ -133,7 +134,7 @@
         for (const auto &from : hosts) {
             for (const auto &to : hosts) {
                 if (from && to && from != to) {
-                    deliver(from->id, to->id, Heartbeat {1, Incarnation(1), Epoch(1), from->service->configuration()->version, SlotCount(0), false});
+                    deliver(from->id, to->id, Heartbeat{1, Incarnation(1), Epoch(1), from->service->configuration()->version, SlotCount(0), false});
                 }
             }
         }
@@ -161,8 +162,8 @@
     SnapshotReaderThread readerThread;
     StandIns::TableStore tableStore;
     StandIns::ObjectStore objectStore;
-    StandIns::PlatformServer tableServer {context, "127.0.0.1:0", StandIns::tableService(tableStore)};
-    StandIns::PlatformServer objectServer {context, "127.0.0.1:0", StandIns::objectService(objectStore)};
+    StandIns::PlatformServer tableServer{context, "127.0.0.1:0", StandIns::tableService(tableStore)};
+    StandIns::PlatformServer objectServer{context, "127.0.0.1:0", StandIns::objectService(objectStore)};
     /// Killed hosts; their coroutines may still use their clients.
     std::vector<std::unique_ptr<Host>> former;
     std::vector<KnownHost> members;
--- a/Tests/trefoilmountd/testadminserver.cpp
+++ b/Tests/trefoilmountd/testadminserver.cpp
@@ -5,7 +5,8 @@
 using namespace Trefoil;
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 struct RequestCase
 {
--- a/Tests/trefoilmountd/testconfigurationservice.cpp
+++ b/Tests/trefoilmountd/testconfigurationservice.cpp
@@ -7,7 +7,8 @@
 
 using namespace Trefoil;
 
-namespace {
+namespace
+{
 
 struct FaultMode
 {
@@ -89,14 +90,14 @@
     boost::asio::spawn(cluster.context, [&](const boost::asio::yield_context &yield) {
         const auto deadline = BootClock::now() + std::chrono::seconds(2);
         const auto base = std::get<ConfigurationHead>(store.readHead(deadline, yield));
-        const ConfigurationHead first {ConfigurationVersion(1), std::string(32, 'a'), "first", "operation-1"};
+        const ConfigurationHead first{ConfigurationVersion(1), std::string(32, 'a'), "first", "operation-1"};
         cr_assert(std::holds_alternative<HeadCommitted>(store.commit(base, first, "{}", deadline, yield)));
         const auto next = std::get<ConfigurationHead>(store.readHead(deadline, yield));
-        const ConfigurationHead second {ConfigurationVersion(2), std::string(32, 'b'), "second", "operation-2"};
+        const ConfigurationHead second{ConfigurationVersion(2), std::string(32, 'b'), "second", "operation-2"};
         cr_assert(std::holds_alternative<HeadCommitted>(store.commit(next, second, "{}", deadline, yield)));
         // The first operator's host, still without a response, tries again.
         cr_assert(std::holds_alternative<HeadCommitted>(store.commit(base, first, "{}", deadline, yield)));
-        const ConfigurationHead other {ConfigurationVersion(1), std::string(32, 'c'), "other", "operation-3"};
+        const ConfigurationHead other{ConfigurationVersion(1), std::string(32, 'c'), "other", "operation-3"};
         cr_assert(std::holds_alternative<HeadLost>(store.commit(base, other, "{}", deadline, yield)));
         done = true;
     });
@@ -112,8 +113,8 @@
     cluster.control(cluster.tableServer.address(), {{"mode", "frozen"}, {"only", "writes"}, {"count", 4}});
     std::optional<HeadCommitResult> result;
     boost::asio::spawn(cluster.context, [&](const boost::asio::yield_context &yield) {
-        const ConfigurationHead next {ConfigurationVersion(1), std::string(32, 'a'), "author", "operation-1"};
-        result = store.commit(ConfigurationHead {}, next, "{}", BootClock::now() + std::chrono::milliseconds(600), yield);
+        const ConfigurationHead next{ConfigurationVersion(1), std::string(32, 'a'), "author", "operation-1"};
+        result = store.commit(ConfigurationHead{}, next, "{}", BootClock::now() + std::chrono::milliseconds(600), yield);
     });
     cr_assert(cluster.runUntil([&] { return result.has_value(); }, 5000));
     cr_assert(std::holds_alternative<Unavailable>(*result), "alternative %zu", result->index());
@@ -265,7 +266,7 @@
     ConfigurationCluster cluster;
     cluster.control(cluster.tableServer.address(), {{"mode", "down"}});
     auto &service = *cluster.hosts[0]->service;
-    service.handle(HostId("gulf-b"), HeartbeatAck {1, Epoch(1), ConfigurationVersion(2), true});
+    service.handle(HostId("gulf-b"), HeartbeatAck{1, Epoch(1), ConfigurationVersion(2), true});
     cr_assert(service.isCurrent(BootClock::now() + std::chrono::milliseconds(1900)));
     cr_assert_not(service.isCurrent(BootClock::now() + std::chrono::milliseconds(2000)));
 }
@@ -279,14 +280,14 @@
     next.version = ConfigurationVersion(5);
     next.tenants[0].weight = 55;
     const std::string document = toJson(next).dump();
-    service.handle(HostId("gulf-b"), ConfigurationCopy {next.version, std::string(32, '0'), document});
-    service.handle(HostId("gulf-b"), ConfigurationCopy {ConfigurationVersion(6), digest(next), document});
-    service.handle(HostId("gulf-b"), ConfigurationCopy {next.version, digest(next), "{"});
+    service.handle(HostId("gulf-b"), ConfigurationCopy{next.version, std::string(32, '0'), document});
+    service.handle(HostId("gulf-b"), ConfigurationCopy{ConfigurationVersion(6), digest(next), document});
+    service.handle(HostId("gulf-b"), ConfigurationCopy{next.version, digest(next), "{"});
     cr_assert_eq(service.configuration()->version.value(), 1);
-    service.handle(HostId("gulf-b"), ConfigurationCopy {next.version, digest(next), document});
+    service.handle(HostId("gulf-b"), ConfigurationCopy{next.version, digest(next), document});
     cr_assert_eq(service.configuration()->version.value(), 5);
     next.version = ConfigurationVersion(4);
-    service.handle(HostId("gulf-b"), ConfigurationCopy {next.version, digest(next), toJson(next).dump()});
+    service.handle(HostId("gulf-b"), ConfigurationCopy{next.version, digest(next), toJson(next).dump()});
     cr_assert_eq(service.configuration()->version.value(), 5);
 }
 
--- a/Tests/trefoilmountd/testplannedstop.cpp
+++ b/Tests/trefoilmountd/testplannedstop.cpp
@@ -4,12 +4,13 @@
 
 using namespace Trefoil;
 
-namespace {
+namespace
+{
 
 constexpr int s_callers = 6;
-constexpr std::chrono::milliseconds s_beforeStop {150};
+constexpr std::chrono::milliseconds s_beforeStop{150};
 /// Callers use a host for this long after it was taken out of the look-ups; the host's grace period is longer.
-constexpr std::chrono::milliseconds s_afterStop {200};
+constexpr std::chrono::milliseconds s_afterStop{200};
 
 } // namespace
 
@@ -23,8 +24,8 @@
     TestHost host(testHostOptions("host-1", "gulf"), claims.access(), &upstreams, 4);
     const std::string address = host.address();
     const auto end = std::chrono::steady_clock::now() + s_beforeStop + s_afterStop;
-    std::atomic<int> answered {0};
-    std::atomic<int> others {0};
+    std::atomic<int> answered{0};
+    std::atomic<int> others{0};
     std::vector<std::thread> callers;
     callers.reserve(s_callers);
     for (int i = 0; i < s_callers; ++i) {
--- a/Tests/trefoilmountd/testrequestinput.cpp
+++ b/Tests/trefoilmountd/testrequestinput.cpp
@@ -8,7 +8,8 @@
 
 using namespace Trefoil;
 
-namespace {
+namespace
+{
 
 struct InputCase
 {
@@ -23,7 +24,7 @@
 
 HttpRequest requestOf(const InputCase &testCase)
 {
-    HttpRequest request {testCase.method, testCase.target};
+    HttpRequest request{testCase.method, testCase.target};
     const std::pair<const char *, const char *> defaults[] = {{"Trefoil-Tenant", "museum"}, {"Trefoil-Class", "browse"}};
     for (const auto &[name, value] : defaults) {
         if (!isSameHeaderName(name, testCase.header)) {
@@ -91,7 +92,7 @@
 // Guards against a repeated header of which two hosts could read different values.
 Test(RequestInput, repeatedHeaderIsRefused)
 {
-    HttpRequest request {"GET", "/v1/requests/catalogue-svc/a"};
+    HttpRequest request{"GET", "/v1/requests/catalogue-svc/a"};
     request.headers.add("Trefoil-Tenant", "museum");
     request.headers.add("Trefoil-Class", "browse");
     request.headers.add("Trefoil-Repeat", "safe");
--- a/Tests/trefoilmountd/testrequestpath.cpp
+++ b/Tests/trefoilmountd/testrequestpath.cpp
@@ -5,7 +5,8 @@
 
 using namespace Trefoil;
 
-namespace {
+namespace
+{
 
 UpstreamStandInSettings slowUpstream(std::chrono::milliseconds serviceTime)
 {
@@ -64,7 +65,7 @@
     TestHost host(testHostOptions("host-1", "gulf"), {}, &upstreams, 2);
     std::vector<std::thread> callers;
     callers.reserve(8);
-    std::atomic<int> answered {0};
+    std::atomic<int> answered{0};
     for (int i = 0; i < 8; ++i) {
         callers.emplace_back([&] {
             TestCaller caller;
@@ -167,11 +168,11 @@
 {
     TestUpstreams upstreams(1, {});
     TestHost host(testHostOptions("host-1", "gulf"), {}, &upstreams);
-    KnownHost leaving {HostId("host-2"), RegionId("gulf"), ZoneId("gulf-a"), "127.0.0.1:2", "127.0.0.1:3", true, SlotCount(1)};
-    KnownHost far {HostId("host-3"), RegionId("plains"), ZoneId("plains-a"), "127.0.0.1:4", "127.0.0.1:5", false, SlotCount(1)};
+    KnownHost leaving{HostId("host-2"), RegionId("gulf"), ZoneId("gulf-a"), "127.0.0.1:2", "127.0.0.1:3", true, SlotCount(1)};
+    KnownHost far{HostId("host-3"), RegionId("plains"), ZoneId("plains-a"), "127.0.0.1:4", "127.0.0.1:5", false, SlotCount(1)};
     host.setHosts({leaving, far, host.known()});
     TestCaller caller;
-    const HttpRequest lookup {"GET", "/v1/lookup?service=catalogue-svc&client=127.0.0.9"};
+    const HttpRequest lookup{"GET", "/v1/lookup?service=catalogue-svc&client=127.0.0.9"};
     const auto hostsOf = [](const CallResult &result) {
         std::string ids;
         const auto body = nlohmann::json::parse(std::get<HttpResponse>(result).body);
@@ -192,7 +193,7 @@
     MemoryClaims claims;
     TestHost host(testHostOptions("host-1", "gulf"), claims.access(), &upstreams);
     TestCaller caller;
-    const HttpRequest query {"GET", "/v1/keys/catalogue-svc/museum/1800000000-key-1"};
+    const HttpRequest query{"GET", "/v1/keys/catalogue-svc/museum/1800000000-key-1"};
     cr_assert_eq(summaryOf(caller.call(host.address(), query)), "404 ");
     cr_assert_eq(summaryOf(caller.call(host.address(), testRequest("order", "1800000000-key-1"))), "200 answered");
     const CallResult answered = caller.call(host.address(), query);
--- a/Tests/trefoilmountd/testsite.cpp
+++ b/Tests/trefoilmountd/testsite.cpp
@@ -7,13 +7,15 @@
 #include <criterion/criterion.h>
 #include <fmt/format.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 namespace asio = boost::asio;
 
-namespace {
+namespace
+{
 
-constexpr std::chrono::hours s_longLease {1};
+constexpr std::chrono::hours s_longLease{1};
 
 std::string textOf(const ClaimKey &key)
 {
@@ -26,12 +28,12 @@
 {
     const auto found = m_rows.find(key);
     if (found == m_rows.end()) {
-        return ClaimNotFound {};
+        return ClaimNotFound{};
     }
     if (found->second.hasResponse) {
-        return ClaimAnswered {found->second.response};
+        return ClaimAnswered{found->second.response};
     }
-    return found->second.running ? ClaimResult(ClaimRunning {}) : ClaimResult(ClaimOutcomeUnknown {});
+    return found->second.running ? ClaimResult(ClaimRunning{}) : ClaimResult(ClaimOutcomeUnknown{});
 }
 
 ClaimAccess MemoryClaims::access()
@@ -44,7 +46,7 @@
             return state;
         }
         m_rows[textOf(key)] = {};
-        return ClaimGranted {"claim-1"};
+        return ClaimGranted{"claim-1"};
     };
     access.status = [this](const ClaimKey &key, BootTime, const asio::yield_context &) {
         const std::lock_guard lock(m_mutex);
@@ -128,7 +130,7 @@
     options.host = HostId(id);
     options.region = RegionId(region);
     options.zone = ZoneId(region + "-a");
-    options.incarnation = Incarnation(std::hash<std::string> {}(id));
+    options.incarnation = Incarnation(std::hash<std::string>{}(id));
     options.callerAddress = "127.0.0.1:0";
     options.peerSecret = "test secret";
     options.stopGrace = std::chrono::milliseconds(300);
@@ -164,7 +166,7 @@
         for (const auto &configuration : view.configuration->services[0].upstreams) {
             auto granted = UpstreamSlots::create();
             granted->setGranted(configuration.slots);
-            view.upstreams.push_back(std::make_shared<UpstreamState>(UpstreamState {configuration, ServiceId("catalogue-svc"), granted, false}));
+            view.upstreams.push_back(std::make_shared<UpstreamState>(UpstreamState{configuration, ServiceId("catalogue-svc"), granted, false}));
         }
     });
 }
@@ -225,7 +227,7 @@
 
 HttpRequest testRequest(const std::string &requestClass, const std::string &key)
 {
-    HttpRequest request {"POST", "/v1/requests/catalogue-svc/casts/7", {}, "two casts"};
+    HttpRequest request{"POST", "/v1/requests/catalogue-svc/casts/7", {}, "two casts"};
     request.headers.add("Trefoil-Tenant", "museum");
     request.headers.add("Trefoil-Class", requestClass);
     if (!key.empty()) {
--- a/Tests/trefoilmountd/testsite.h
+++ b/Tests/trefoilmountd/testsite.h
@@ -13,7 +13,8 @@
 #include <thread>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// Claims in memory, with the answers of the table service's claims.
 class MemoryClaims
@@ -51,7 +52,7 @@
     std::uint64_t begun() const;
 
 private:
-    boost::asio::io_context m_context {1};
+    boost::asio::io_context m_context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     std::vector<std::unique_ptr<UpstreamStandIn>> m_upstreams;
     std::thread m_thread;
@@ -96,8 +97,8 @@
     CallResult call(const std::string &address, const HttpRequest &request, std::chrono::milliseconds timeout = std::chrono::seconds(5));
 
 private:
-    boost::asio::io_context m_context {1};
-    ConnectionPool m_pool {m_context, {}};
+    boost::asio::io_context m_context{1};
+    ConnectionPool m_pool{m_context, {}};
 };
 
 /// A request of tenant museum in the given class.
--- a/Utilities/trefoilctl/administrationclient.h
+++ b/Utilities/trefoilctl/administrationclient.h
@@ -10,7 +10,8 @@
 #include <variant>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// A host's response to commands.
 struct AdministrationResponse
--- a/Utilities/trefoilctl/main.cpp
+++ b/Utilities/trefoilctl/main.cpp
@@ -10,7 +10,8 @@
 #include <sstream>
 #include <unistd.h>
 
-namespace {
+namespace
+{
 
 using namespace Trefoil;
 
@@ -72,7 +73,7 @@
     if (!settings.file.empty() && settings.file != "-") {
         std::ifstream file(settings.file);
         if (!file) {
-            const Error error {ErrorCode::InvalidInput, "the file cannot be read", {{"--file", "cannot be read", {}}}};
+            const Error error{ErrorCode::InvalidInput, "the file cannot be read", {{"--file", "cannot be read", {}}}};
             print(makeReport(error, settings.json), settings.json);
             return ToolExit::BadInput;
         }
--- a/Utilities/trefoilctl/report.cpp
+++ b/Utilities/trefoilctl/report.cpp
@@ -4,14 +4,16 @@
 #include <array>
 #include <fmt/format.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 /// Columns that name what a row is about, in the order in which they lead a table.
-constexpr std::array<const char *, 7> s_leadingColumns {"action", "subject", "upstream", "host", "tenant", "service", "region"};
+constexpr std::array<const char *, 7> s_leadingColumns{"action", "subject", "upstream", "host", "tenant", "service", "region"};
 
 std::string cell(const json &row, const std::string &column)
 {
@@ -106,7 +108,7 @@
 Report failure(const char *status, const std::string &message, ToolExit exit, bool asJson)
 {
     if (asJson) {
-        return {json {{"status", status}, {"message", message}}.dump(2, ' ', false, json::error_handler_t::replace) + "\n", exit};
+        return {json{{"status", status}, {"message", message}}.dump(2, ' ', false, json::error_handler_t::replace) + "\n", exit};
     }
     return {fmt::format("{}: {}\n", status, message), exit};
 }
--- a/Utilities/trefoilctl/report.h
+++ b/Utilities/trefoilctl/report.h
@@ -6,7 +6,8 @@
 
 #include <string>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 enum class ToolExit {
     Done = 0,
--- a/Utilities/trefoilctl/settings.cpp
+++ b/Utilities/trefoilctl/settings.cpp
@@ -7,9 +7,11 @@
 #include <cstdlib>
 #include <fmt/format.h>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
-namespace {
+namespace
+{
 
 const char *const s_footer = "Environment: TREFOIL_ADMIN_HOSTS (comma-separated), TREFOIL_ADMIN_SECRET_FILE, TREFOIL_ADMIN_SECRET.\n"
                              "Exit codes: 0 done, 1 refused or conflict, 2 bad input, 3 no host reachable,\n"
@@ -70,7 +72,7 @@
     int timeoutSeconds = static_cast<int>(settings.timeout.count());
     settings.author = environment("USER");
 
-    CLI::App app {"Changes and queries trefoilmount. Without a command and file, commands are read from standard input.", "trefoilctl"};
+    CLI::App app{"Changes and queries trefoilmount. Without a command and file, commands are read from standard input.", "trefoilctl"};
     app.footer(s_footer);
     app.add_option("command", words, "One command, or several separated by ';'");
     app.add_option("--host", settings.hosts, "Administration address, IP:port; several are tried in turn")
@@ -88,9 +90,9 @@
     try {
         app.parse(argc, argv);
     } catch (const CLI::CallForHelp &) {
-        return std::variant<ToolSettings, ToolHelp>(ToolHelp {app.help()});
+        return std::variant<ToolSettings, ToolHelp>(ToolHelp{app.help()});
     } catch (const CLI::ParseError &error) {
-        return Error {ErrorCode::InvalidInput, "the settings are invalid", {{"command line", error.what(), "see --help"}}};
+        return Error{ErrorCode::InvalidInput, "the settings are invalid", {{"command line", error.what(), "see --help"}}};
     }
 
     Findings findings;
@@ -105,7 +107,7 @@
     }
     settings.timeout = std::chrono::seconds(timeoutSeconds);
     if (!findings.empty()) {
-        return Error {ErrorCode::InvalidInput, "the settings are invalid", std::move(findings)};
+        return Error{ErrorCode::InvalidInput, "the settings are invalid", std::move(findings)};
     }
     return std::variant<ToolSettings, ToolHelp>(std::move(settings));
 }
--- a/Utilities/trefoilctl/settings.h
+++ b/Utilities/trefoilctl/settings.h
@@ -9,7 +9,8 @@
 #include <variant>
 #include <vector>
 
-namespace Trefoil {
+namespace Trefoil
+{
 
 /// What one run of trefoilctl does.
 struct ToolSettings
@@ -27,7 +28,7 @@
     std::optional<std::uint64_t> baseVersion;
     bool dryRun = false;
     bool json = false;
-    std::chrono::seconds timeout {20};
+    std::chrono::seconds timeout{20};
 };
 
 /// Help text that was asked for.
