Scenarios: Run the whole-system scenarios in CTest, and count refusals by cause

Cause: upstream stand-ins counted requests that came too late for their deadline as refused for lack of slots, so p2-overload-while-hosts-die failed with up to 67 of them while no upstream had more work than slots. A host without configuration answers 503 not-ready instead of 404 unknown service.

--- a/Services/trefoilmountd/classifyrequest.cpp
+++ b/Services/trefoilmountd/classifyrequest.cpp
@@ -31,6 +31,10 @@
 ClassifiedInput classifyRequest(ParsedRequest parsed, const RoutingView &view, const RegionId &ownRegion, RequestId freshId, BootTime now)
 {
     const Configuration &configuration = *view.configuration;
+    if (configuration.services.empty()) {
+        // A host that has just started knows no configuration yet; its callers use the next host.
+        return errorResponse(503, "not-ready", "", "this host has no configuration yet");
+    }
     if (!findById(configuration.services, parsed.service)) {
         return errorResponse(404, "unknown-service", "service", fmt::format("no service \"{}\"", parsed.service.value()));
     }
--- a/Tests/Scenarios/testscenarios.cpp
+++ b/Tests/Scenarios/testscenarios.cpp
@@ -120,3 +120,15 @@
 {
     run(testCase->path);
 }
+
+// Whole deployments: hosts with all control loops, the platform's stand-ins and upstreams.
+ParameterizedTestParameters(Scenarios, wholeSystem)
+{
+    static auto cases = scenariosIn("cases");
+    return cr_make_param_array(ScenarioCase, cases.data(), cases.size());
+}
+
+ParameterizedTest(ScenarioCase *testCase, Scenarios, wholeSystem, .timeout = 120)
+{
+    run(testCase->path);
+}
--- a/Tests/StandIns/upstream.cpp
+++ b/Tests/StandIns/upstream.cpp
@@ -300,8 +300,11 @@
     {
         Answer answer;
         answer.requestId = std::string(request["Trefoil-Request-Id"]);
-        if (m_fault == Fault::Shed || m_fault == Fault::Draining || missesDeadline(request) || !m_state->beginWork(std::string(request["Idempotency-Key"]))) {
-            return shed(answer, yield);
+        if (missesDeadline(request)) {
+            return refuse(m_state->m_counts.refusedForDeadline, answer, yield);
+        }
+        if (m_fault == Fault::Shed || m_fault == Fault::Draining || !m_state->beginWork(std::string(request["Idempotency-Key"]))) {
+            return refuse(m_state->m_counts.shed, answer, yield);
         }
         if (m_fault == Fault::ResetAfterRead) {
             m_state->endWork(true);
@@ -334,11 +337,11 @@
         return std::chrono::milliseconds(left) < m_state->m_settings.serviceTime;
     }
 
-    bool shed(Answer &answer, const asio::yield_context &yield)
+    bool refuse(std::uint64_t &counter, Answer &answer, const asio::yield_context &yield)
     {
         {
             const std::lock_guard lock(m_state->m_mutex);
-            ++m_state->m_counts.shed;
+            ++counter;
         }
         answer.status = 503;
         answer.notStarted = true;
@@ -557,6 +560,7 @@
                                       {"finished", now.finished},
                                       {"cancelled", now.cancelled},
                                       {"shed", now.shed},
+                                      {"refusedForDeadline", now.refusedForDeadline},
                                       {"inFlight", now.inFlight},
                                       {"highestConcurrency", now.highestConcurrency},
                                       {"connectionsOpened", now.connectionsOpened},
--- a/Tests/StandIns/upstream.h
+++ b/Tests/StandIns/upstream.h
@@ -36,7 +36,10 @@
     std::uint64_t begun = 0;
     std::uint64_t finished = 0;
     std::uint64_t cancelled = 0;
+    /// Refused for lack of a slot, or by the fault of that name.
     std::uint64_t shed = 0;
+    /// Refused because the time left was shorter than the service time.
+    std::uint64_t refusedForDeadline = 0;
     std::uint64_t connectionsOpened = 0;
     std::uint64_t connectionsRefused = 0;
     int openConnections = 0;
