--- a/Services/trefoilmountd/claimwriter.cpp
+++ b/Services/trefoilmountd/claimwriter.cpp
@@ -1,6 +1,7 @@
 #include <Services/trefoilmountd/claimwriter.h>
 
 #include <LibTelemetry/log.h>
+#include <Services/trefoilmountd/coroutine.h>
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -55,7 +56,7 @@
         return;
     }
     ++m_batches;
-    asio::spawn(m_context, [self = shared_from_this()](const asio::yield_context &yield) {
+    startCoroutine(m_context, [self = shared_from_this()](const asio::yield_context &yield) {
         self->wait(s_gatherTime, yield);
         self->runBatch(yield);
         --self->m_batches;
@@ -151,7 +152,7 @@
         return;
     }
     m_writesOutcomes = true;
-    asio::spawn(m_context, [self = shared_from_this()](const asio::yield_context &yield) {
+    startCoroutine(m_context, [self = shared_from_this()](const asio::yield_context &yield) {
         self->runOutcomes(yield);
         self->m_writesOutcomes = false;
     });
@@ -234,7 +235,7 @@
 void ClaimWriter::deleteExpired(const ServiceId &service, const TenantId &tenant)
 {
     const std::string prefix = fmt::format("claims/{}/{}/", service.value(), tenant.value());
-    asio::spawn(m_context, [self = shared_from_this(), prefix](const asio::yield_context &yield) { self->deletePage(prefix, yield); });
+    startCoroutine(m_context, [self = shared_from_this(), prefix](const asio::yield_context &yield) { self->deletePage(prefix, yield); });
 }
 
 void ClaimWriter::deletePage(const std::string &prefix, const asio::yield_context &yield)
--- a/Services/trefoilmountd/requestpath.cpp
+++ b/Services/trefoilmountd/requestpath.cpp
@@ -93,10 +93,10 @@
 
 } // namespace
 
-RequestPath::RequestPath(asio::io_context &context, RequestPathSettings settings, RequestPathShared shared, std::size_t worker)
+RequestPath::RequestPath(asio::io_context &context, RequestPathSettings settings, const RequestPathShared &shared, std::size_t worker)
     : m_context(context)
     , m_settings(std::move(settings))
-    , m_shared(std::move(shared))
+    , m_shared(shared)
     , m_worker(worker)
     , m_pool(context, {m_settings.sourceAddress})
     , m_admission(context, m_shared.state, m_shared.signal, worker)
--- a/Services/trefoilmountd/requestpath.h
+++ b/Services/trefoilmountd/requestpath.h
@@ -48,7 +48,7 @@
 {
 public:
     /// Precondition: one thread runs context; everything in shared outlives the object.
-    RequestPath(boost::asio::io_context &context, RequestPathSettings settings, RequestPathShared shared, std::size_t worker);
+    RequestPath(boost::asio::io_context &context, RequestPathSettings settings, const RequestPathShared &shared, std::size_t worker);
 
     /// Handles one request of a caller or of another host.
     HttpResponse handle(HttpRequest &request, CallerConnection &caller, const boost::asio::yield_context &yield);
