trefoilmountd: Compare the peer secret with the shared constant-time function

Cause: relay.cpp wrote LibCore's equalInConstantTime again, as a loop of its own. Change: it calls the function; an empty secret still admits nobody. Measured: TestRequestPath passes 66 of 66, with the peer secret's case; formatter clean.

--- a/Services/trefoilmountd/relay.cpp
+++ b/Services/trefoilmountd/relay.cpp
@@ -1,5 +1,6 @@
 #include <Services/trefoilmountd/relay.h>
 
+#include <LibCore/constanttime.h>
 #include <Services/trefoilmountd/forwarding.h>
 
 #include <charconv>
@@ -113,15 +114,7 @@
 
 bool isFromPeer(const HttpHeaders &headers, const std::string &secret)
 {
-    const std::string expected = "Bearer " + secret;
-    const std::string_view given = headers.value("Authorization");
-    // The time must not depend on how many bytes agree; the length is no secret.
-    unsigned difference = given.size() == expected.size() ? 0 : 1;
-    for (std::size_t i = 0; i < expected.size(); ++i) {
-        const char other = i < given.size() ? given[i] : '\0';
-        difference |= static_cast<unsigned char>(expected[i] ^ other);
-    }
-    return difference == 0 && !secret.empty();
+    return !secret.empty() && equalInConstantTime(headers.value("Authorization"), "Bearer " + secret);
 }
 
 } // namespace Trefoil
