platform: Run as a gateway on the operators' platform

Cause: nothing spoke the operators' platform. The adapter in platform/ decodes its store, settings and calls; LibRouting, LibGateway and new decisions in LibSteering serve requests. Not done yet: tests, the shift limit, waiting at the host.

--- /dev/null
+++ b/Libraries/LibGateway/attempt.cpp
@@ -0,0 +1,73 @@
+#include <LibGateway/attempt.h>
+
+namespace Trefoil
+{
+
+namespace
+{
+
+constexpr int s_misdirected = 421;
+constexpr int s_firstServerError = 500;
+
+AttemptEnd endOfFailure(const CallFailure &failure)
+{
+    AttemptEnd end;
+    end.reason = toText(failure.kind);
+    end.execution = failure.anyByteWritten ? Execution::Possible : Execution::NotRun;
+    switch (failure.kind) {
+    case CallFailureKind::Cancelled:
+        end.outcome = AttemptOutcome::Cancelled;
+        break;
+    case CallFailureKind::NoConnection:
+    case CallFailureKind::ConnectFailed:
+    case CallFailureKind::ConnectTimeout:
+        end.outcome = AttemptOutcome::Unreachable;
+        break;
+    case CallFailureKind::DeadlineExceeded:
+    case CallFailureKind::Stalled:
+        end.outcome = AttemptOutcome::Broken;
+        end.timedOut = true;
+        break;
+    default:
+        end.outcome = AttemptOutcome::Broken;
+        break;
+    }
+    return end;
+}
+
+} // namespace
+
+AttemptEnd classifyCall(CallResult result, const GatewayHeaders &headers)
+{
+    if (const auto *failure = std::get_if<CallFailure>(&result)) {
+        return endOfFailure(*failure);
+    }
+    HttpResponse &response = std::get<HttpResponse>(result);
+    AttemptEnd end;
+    end.load = parseLoadReport(response.headers.value(headers.load));
+    if (response.status == s_misdirected) {
+        end.outcome = AttemptOutcome::Shed;
+        end.execution = Execution::NotRun;
+        end.reason = "misdirected";
+        end.isElsewhere = true;
+        return end;
+    }
+    if (response.headers.find(headers.notRun)) {
+        end.outcome = AttemptOutcome::Shed;
+        end.execution = Execution::NotRun;
+        end.reason = "shed";
+        return end;
+    }
+    if (response.headers.find("Content-Encoding")) {
+        // No encoding was asked for, so the body can't be the upstream's own.
+        end.outcome = AttemptOutcome::Broken;
+        end.reason = "unexpected-encoding";
+        return end;
+    }
+    end.outcome = response.status >= s_firstServerError ? AttemptOutcome::Failed : AttemptOutcome::Success;
+    end.reason = response.status >= s_firstServerError ? "upstream-error" : "";
+    end.response = std::move(response);
+    return end;
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibGateway/gatewayheaders.cpp
@@ -0,0 +1,102 @@
+#include <LibGateway/gatewayheaders.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <limits>
+
+namespace Trefoil
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 11> s_connectionHeaders = {"Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+    "Expect",
+    "Content-Length"};
+
+std::string_view trimmed(std::string_view text)
+{
+    const auto first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+/// Splits at commas and trims each part.
+std::vector<std::string_view> listOf(std::string_view text)
+{
+    std::vector<std::string_view> parts;
+    while (!text.empty()) {
+        const auto comma = std::min(text.find(','), text.size());
+        parts.push_back(trimmed(text.substr(0, comma)));
+        text.remove_prefix(std::min(comma + 1, text.size()));
+    }
+    return parts;
+}
+
+template<typename Number>
+std::optional<Number> parseNumber(std::string_view text)
+{
+    Number number{};
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (result.ec != std::errc{} || result.ptr != text.data() + text.size() || number < 0) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+} // namespace
+
+bool isConnectionHeader(std::string_view name)
+{
+    return std::any_of(s_connectionHeaders.begin(), s_connectionHeaders.end(), [name](std::string_view header) { return isSameHeaderName(name, header); });
+}
+
+void copyEndToEndFields(const HttpHeaders &from, HttpHeaders &to)
+{
+    const auto named = listOf(from.value("Connection"));
+    for (const auto &field : from.all()) {
+        const auto isNamed = [&field](std::string_view name) { return isSameHeaderName(field.name, name); };
+        if (isConnectionHeader(field.name) || std::any_of(named.begin(), named.end(), isNamed)) {
+            continue;
+        }
+        to.add(field.name, field.value);
+    }
+}
+
+std::optional<LoadReport> parseLoadReport(std::string_view text)
+{
+    const auto parts = listOf(text);
+    if (parts.size() != 3) {
+        return std::nullopt;
+    }
+    const auto running = parseNumber<std::int32_t>(parts[0]);
+    const auto waiting = parseNumber<std::int32_t>(parts[1]);
+    if (!running || !waiting) {
+        return std::nullopt;
+    }
+    return LoadReport{*running, *waiting};
+}
+
+std::optional<std::chrono::milliseconds> parseMilliseconds(std::string_view text)
+{
+    const auto number = parseNumber<std::int64_t>(trimmed(text));
+    // Longer than any caller waits, and far from an overflow of the clock's nanoseconds.
+    constexpr std::int64_t longest = 24LL * 3600 * 1000;
+    if (!number || *number > longest) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(*number);
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -0,0 +1,182 @@
+#include <LibGateway/gatewaystate.h>
+
+#include <LibSteering/affinityranking.h>
+
+#include <algorithm>
+
+namespace Trefoil
+{
+
+namespace
+{
+
+/// Hosts that send to one cold upstream. More would need smaller parts of its rate; fewer would leave it unused when one dies.
+constexpr std::size_t s_warmUpOwners = 2;
+/// Part of a cold upstream's tolerated rate that the owners use together. Hosts that see different hosts alive may
+/// double the number of owners.
+constexpr double s_coldUsedPart = 0.5;
+/// Weight of one new sample of the time that a slot is held.
+constexpr double s_slotTimeWeight = 0.05;
+
+} // namespace
+
+GatewayState::GatewayState(GatewayStateSettings settings)
+    : m_settings(std::move(settings))
+    , m_directory(m_settings.directory)
+{
+}
+
+bool GatewayState::setConfiguration(RoutingConfiguration configuration)
+{
+    if (m_routes && configuration.version <= m_routes->configuration().version) {
+        return false;
+    }
+    m_routes = std::make_shared<const RouteTable>(std::move(configuration));
+    return true;
+}
+
+void GatewayState::upstreamStarted(const UpstreamRegistration &registration, BootTime now)
+{
+    const auto region = m_settings.regions.find(registration.zone);
+    const RegionId regionId = region == m_settings.regions.end() ? RegionId() : region->second;
+    UpstreamIdentity identity{
+        registration.id, registration.service, registration.address, registration.zone, regionId, registration.slots, registration.startedAt};
+    upstreamGone(registration.id);
+    auto upstream = std::make_shared<Upstream>(std::move(identity));
+    m_upstreams.emplace(registration.id, upstream);
+    knowledge(registration.service).upstreams.push_back(std::move(upstream));
+    upstreamUpdated(registration, now);
+}
+
+void GatewayState::upstreamUpdated(const UpstreamRegistration &registration, BootTime now)
+{
+    const auto found = m_upstreams.find(registration.id);
+    if (found == m_upstreams.end()) {
+        return;
+    }
+    const UpstreamIdentity &known = found->second->model.identity();
+    const bool hasMoved =
+        known.address != registration.address || known.service != registration.service || known.zone != registration.zone || known.slots != registration.slots;
+    if (hasMoved) {
+        upstreamStarted(registration, now);
+        return;
+    }
+    UpstreamModel &model = found->second->model;
+    model.isLeaving = model.isLeaving || registration.leaving;
+    if (registration.coldRemaining.count() > 0) {
+        model.setColdUntil(now + registration.coldRemaining);
+    }
+}
+
+void GatewayState::upstreamGone(const UpstreamId &id)
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end()) {
+        return;
+    }
+    auto &upstreams = knowledge(found->second->model.identity().service).upstreams;
+    upstreams.erase(std::remove(upstreams.begin(), upstreams.end(), found->second), upstreams.end());
+    found->second->model.isLeaving = true;
+    m_upstreams.erase(found);
+}
+
+void GatewayState::setEvacuated(const std::set<ZoneId> &zones, BootTime now)
+{
+    for (auto &[id, upstream] : m_upstreams) {
+        const UpstreamIdentity &identity = upstream->model.identity();
+        const bool isTakenBack = m_evacuated.count(identity.zone) > 0 && zones.count(identity.zone) == 0;
+        const ServicePolicy *policy = policyOf(identity.service);
+        if (isTakenBack && policy) {
+            upstream->model.setColdUntil(now + policy->coldStart);
+        }
+    }
+    m_evacuated = zones;
+}
+
+ServiceId GatewayState::nextService(const Route &route)
+{
+    if (route.services.size() == 1) {
+        return route.services.front().service;
+    }
+    std::vector<std::int32_t> weights;
+    for (const WeightedService &part : route.services) {
+        weights.push_back(part.weight);
+    }
+    RouteKnowledge &known = knowledge(route);
+    if (!known.split || known.weights != weights) {
+        known.split = std::make_unique<TrafficSplit>(weights);
+        known.weights = std::move(weights);
+    }
+    return route.services[known.split->next()].service;
+}
+
+std::vector<std::shared_ptr<Upstream>> GatewayState::usableUpstreams(
+    const ServiceId &service, const Route &route, const std::set<UpstreamId> &excluded, BootTime now)
+{
+    std::vector<std::shared_ptr<Upstream>> usable;
+    for (const auto &upstream : knowledge(service).upstreams) {
+        const UpstreamIdentity &identity = upstream->model.identity();
+        if (upstream->model.isLeaving || excluded.count(identity.id) > 0 || m_evacuated.count(identity.zone) > 0) {
+            continue;
+        }
+        const auto &allowed = route.allowedRegions;
+        if (!allowed.empty() && std::find(allowed.begin(), allowed.end(), identity.region) == allowed.end()) {
+            continue;
+        }
+        if (upstream->model.isCold(now) && !isWarmUpOwner(*upstream)) {
+            continue;
+        }
+        usable.push_back(upstream);
+    }
+    return usable;
+}
+
+bool GatewayState::isWarmUpOwner(const Upstream &upstream) const
+{
+    if (coldRate(upstream.model.identity().service) <= 0) {
+        return true;
+    }
+    std::vector<std::uint64_t> hosts;
+    for (const HostId &host : m_directory.liveHosts()) {
+        hosts.push_back(stableHash(host.value()));
+    }
+    return mayWarmUp(upstream.model.hash(), stableHash(m_settings.host.value()), hosts, s_warmUpOwners);
+}
+
+bool GatewayState::takeColdPlace(Upstream &upstream, BootTime now)
+{
+    const double rate = coldRate(upstream.model.identity().service);
+    if (!upstream.model.isCold(now) || rate <= 0) {
+        return true;
+    }
+    const double ownRate = (rate * m_settings.coldFactor + m_settings.coldSlack) * s_coldUsedPart / static_cast<double>(s_warmUpOwners);
+    return upstream.pacer.tryTake(now, std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(1 / ownRate)));
+}
+
+RouteKnowledge &GatewayState::knowledge(const Route &route)
+{
+    return m_routeKnowledge.try_emplace(route.id, Milliseconds(std::max(route.targetLatency, std::chrono::milliseconds(1)))).first->second;
+}
+
+ServiceKnowledge &GatewayState::knowledge(const ServiceId &service)
+{
+    return m_serviceKnowledge.try_emplace(service, m_settings.retries).first->second;
+}
+
+const ServicePolicy *GatewayState::policyOf(const ServiceId &service) const
+{
+    return m_routes ? m_routes->service(service) : nullptr;
+}
+
+double GatewayState::coldRate(const ServiceId &service) const
+{
+    const ServicePolicy *policy = policyOf(service);
+    return policy ? policy->coldRequestsPerSecond : 0;
+}
+
+void recordSlotTime(ServiceKnowledge &service, Milliseconds time)
+{
+    service.slotTime += (time - service.slotTime) * (service.slotTime.count() <= 0 ? 1.0 : s_slotTimeWeight);
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <LibGateway/hostdirectory.h>
+#include <LibRouting/routetable.h>
+#include <LibRouting/upstreamcatalog.h>
+#include <LibSteering/coldpacer.h>
+#include <LibSteering/placement.h>
+#include <LibSteering/retryallowance.h>
+#include <LibSteering/trafficsplit.h>
+
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace Trefoil
+{
+
+struct GatewayStateSettings
+{
+    HostId host;
+    PlacementSettings placement;
+    /// Region of each availability zone.
+    std::map<ZoneId, RegionId> regions;
+    RetryAllowanceSettings retries;
+    /// Factor and addend on a cold upstream's rate that bound the requests of all hosts in one second.
+    double coldFactor = 1.0;
+    double coldSlack = 0;
+    HostDirectorySettings directory;
+};
+
+/// One upstream with what paces its first requests.
+struct Upstream
+{
+    explicit Upstream(UpstreamIdentity identity)
+        : model(std::move(identity))
+    {
+    }
+
+    UpstreamModel model;
+    ColdPacer pacer;
+};
+
+/// What is learned about the requests of one route; it outlives changes of the configuration.
+struct RouteKnowledge
+{
+    explicit RouteKnowledge(Milliseconds targetLatency)
+        : work(targetLatency)
+    {
+    }
+
+    WorkEstimate work;
+    std::unique_ptr<TrafficSplit> split;
+    std::vector<std::int32_t> weights;
+};
+
+/// What is learned about one service.
+struct ServiceKnowledge
+{
+    explicit ServiceKnowledge(RetryAllowanceSettings settings)
+        : retries(settings)
+    {
+    }
+
+    RetryAllowance retries;
+    /// Usual time that a request holds a slot.
+    Milliseconds slotTime{0};
+    std::vector<std::shared_ptr<Upstream>> upstreams;
+};
+
+/// Takes the time that one request held a slot. Precondition: none. Thread safety: one thread at a time.
+void recordSlotTime(ServiceKnowledge &service, Milliseconds time);
+
+/// Everything one host knows: configuration, upstreams, evacuated availability zones, other hosts.
+/// Thread safety: one thread at a time.
+class GatewayState
+{
+public:
+    explicit GatewayState(GatewayStateSettings settings);
+
+    /// Puts a configuration in force unless a later one is. False when it is older. Precondition: none.
+    bool setConfiguration(RoutingConfiguration configuration);
+
+    /// The configuration in force; null before the first one. Precondition: none.
+    std::shared_ptr<const RouteTable> routes() const
+    {
+        return m_routes;
+    }
+
+    /// Takes the change that the catalog reported for an upstream. Precondition: registration is the catalog's.
+    void upstreamStarted(const UpstreamRegistration &registration, BootTime now);
+    void upstreamUpdated(const UpstreamRegistration &registration, BootTime now);
+    void upstreamGone(const UpstreamId &id);
+
+    /// Sets the availability zones that get no requests. Upstreams of a zone that is taken back count as cold for their
+    /// service's cold start, since they lost what they held. Precondition: none.
+    void setEvacuated(const std::set<ZoneId> &zones, BootTime now);
+
+    /// The part of the route's split that takes the next request. Precondition: the route has a service.
+    ServiceId nextService(const Route &route);
+
+    /// Upstreams of a service that a request may be sent to now. Precondition: none.
+    std::vector<std::shared_ptr<Upstream>> usableUpstreams(const ServiceId &service, const Route &route, const std::set<UpstreamId> &excluded, BootTime now);
+
+    /// True when the cold upstream's pace allows one request now, which is thereby taken. True for every warm one.
+    bool takeColdPlace(Upstream &upstream, BootTime now);
+
+    /// Precondition: none.
+    RouteKnowledge &knowledge(const Route &route);
+    ServiceKnowledge &knowledge(const ServiceId &service);
+
+    /// Precondition: none.
+    HostDirectory &directory()
+    {
+        return m_directory;
+    }
+    const GatewayStateSettings &settings() const
+    {
+        return m_settings;
+    }
+    const std::set<ZoneId> &evacuated() const
+    {
+        return m_evacuated;
+    }
+    std::size_t upstreamCount() const
+    {
+        return m_upstreams.size();
+    }
+
+private:
+    const ServicePolicy *policyOf(const ServiceId &service) const;
+    double coldRate(const ServiceId &service) const;
+    bool isWarmUpOwner(const Upstream &upstream) const;
+
+    GatewayStateSettings m_settings;
+    std::shared_ptr<const RouteTable> m_routes;
+    std::unordered_map<UpstreamId, std::shared_ptr<Upstream>> m_upstreams;
+    std::unordered_map<RouteId, RouteKnowledge> m_routeKnowledge;
+    std::unordered_map<ServiceId, ServiceKnowledge> m_serviceKnowledge;
+    std::set<ZoneId> m_evacuated;
+    HostDirectory m_directory;
+};
+
+} // namespace Trefoil
--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/connectionpool.h>
 
 #include <LibHttp/endpoint.h>
+#include <LibHttp/silence.h>
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
@@ -24,6 +25,8 @@
 
 constexpr std::uint32_t s_headerLimit = 16 * 1024;
 constexpr std::size_t s_bufferLimit = std::size_t{64} * 1024;
+/// A connection that its other end announced to close is not used in the last second, as a request may cross the close.
+constexpr std::chrono::milliseconds s_keepAliveMargin{1000};
 
 struct PooledConnection
 {
@@ -39,6 +42,8 @@
     std::optional<ConnectionPermit> permit;
     BootTime openedAt = BootClock::now();
     BootTime idleSince{};
+    /// Announced by the upstream; it closes the connection after being idle for this long.
+    std::optional<std::chrono::seconds> keepAlive{};
     bool reused = false;
 };
 
@@ -84,7 +89,9 @@
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
-    message.set(http::field::host, address);
+    if (!request.headers.find("Host")) {
+        message.set(http::field::host, address);
+    }
     for (const auto &field : request.headers.all()) {
         message.insert(field.name, field.value);
     }
@@ -112,6 +119,18 @@
     return parser.chunked() || parser.content_length().has_value() || status == 204 || status == 304;
 }
 
+/// The time of "Keep-Alive: timeout=<seconds>".
+std::optional<std::chrono::seconds> announcedKeepAlive(std::string_view value)
+{
+    static constexpr std::string_view name = "timeout=";
+    const auto start = value.find(name);
+    if (start == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string digits(value.substr(start + name.size(), 9));
+    return std::chrono::seconds(std::strtol(digits.c_str(), nullptr, 10));
+}
+
 /// One request on one connection.
 class Exchange
 {
@@ -152,8 +171,16 @@
             if (isInterim) {
                 continue;
             }
-            m_reusable = parser.keep_alive() && m_connection.buffer.size() == 0;
-            return checkId(toResponse(parser.release()));
+            m_reusable = !m_skipped && parser.keep_alive() && m_connection.buffer.size() == 0;
+            m_connection.keepAlive = announcedKeepAlive(std::string_view(parser.get()[http::field::keep_alive]));
+            const bool mayFollow = parser.keep_alive();
+            CallResult result = checkId(toResponse(parser.release()));
+            const auto *failed = std::get_if<CallFailure>(&result);
+            if (failed && m_options.skipsForeignResponses && mayFollow) {
+                m_skipped = true;
+                continue;
+            }
+            return result;
         }
     }
 
@@ -171,7 +198,12 @@
             http::async_read_some(m_connection.stream, m_connection.buffer, parser, yield[error]);
             // Checked before the error: without a declared length, the end of the connection looks like the end of the body.
             if (parser.is_header_done() && parser.get().result_int() >= 200 && !declaresLength(parser)) {
-                return CallFailure{CallFailureKind::LengthUndeclared, true, "the response declares no length"};
+                if (!m_options.acceptsUndeclaredLength) {
+                    return CallFailure{CallFailureKind::LengthUndeclared, true, "the response declares no length"};
+                }
+                if (error == http::error::end_of_stream) {
+                    error = {};
+                }
             }
             if (error) {
                 return failure(parser.got_some() ? CallFailureKind::Truncated : CallFailureKind::ConnectionLost, error);
@@ -182,7 +214,7 @@
 
     CallResult checkId(HttpResponse response)
     {
-        if (m_options.requestId.empty() || response.headers.value("Trefoil-Request-Id") == m_options.requestId) {
+        if (m_options.requestId.empty() || response.headers.value(m_options.requestIdHeader) == m_options.requestId) {
             return response;
         }
         m_reusable = false;
@@ -221,6 +253,7 @@
     const CallOptions &m_options;
     bool m_anyByteWritten = false;
     bool m_reusable = false;
+    bool m_skipped = false;
 };
 
 } // namespace
@@ -322,7 +355,7 @@
 
     Obtained connection(const std::string &address, const std::shared_ptr<ConnectionLimit> &limit, const CallOptions &options, const asio::yield_context &yield)
     {
-        if (auto idle = takeIdle(address)) {
+        if (auto idle = takeIdle(address, options.maximumIdle)) {
             return idle;
         }
         std::optional<ConnectionPermit> permit = limit ? limit->tryAcquire() : std::nullopt;
@@ -333,13 +366,16 @@
     }
 
     /// The connection used last, since the others can then expire together.
-    ConnectionPointer takeIdle(const std::string &address)
+    ConnectionPointer takeIdle(const std::string &address, std::chrono::milliseconds maximumIdle)
     {
         auto &idle = m_idle[address];
-        while (!idle.empty()) {
+        const BootTime now = BootClock::now();
+        // The last one was idle for the shortest time.
+        while (!idle.empty() && now - idle.back()->idleSince <= maximumIdle) {
             ConnectionPointer connection = std::move(idle.back());
             idle.pop_back();
-            if (isQuiet(*connection)) {
+            const bool closesSoon = connection->keepAlive && now - connection->idleSince + s_keepAliveMargin >= *connection->keepAlive;
+            if (!closesSoon && isQuiet(*connection)) {
                 connection->reused = true;
                 return connection;
             }
@@ -391,6 +427,7 @@
             return CallFailure{connectFailureKind(options, error), false, error.message()};
         }
         fresh->stream.socket().set_option(tcp::no_delay(true), error);
+        detectSilence(fresh->stream.socket(), m_settings.unacknowledgedTimeout);
         ++m_opened;
         return fresh;
     }
--- a/Libraries/LibHttp/connectionpool.h
+++ b/Libraries/LibHttp/connectionpool.h
@@ -60,8 +60,16 @@
     BootTime deadline;
     /// Longest silence while the response is awaited or read, and while the request is written.
     std::chrono::milliseconds progressTimeout{2000};
-    /// Required value of Trefoil-Request-Id in the response; empty accepts every response.
+    /// Required value of the request id's header in the response; empty accepts every response.
     std::string requestId{};
+    std::string requestIdHeader = "Trefoil-Request-Id";
+    /// A response with another id is discarded and the next one awaited, instead of ending the call. The connection is
+    /// not used again in either case.
+    bool skipsForeignResponses = false;
+    /// Takes a response without a declared length as complete when the upstream closes the connection in order.
+    bool acceptsUndeclaredLength = false;
+    /// A connection that was idle for longer is not used for this call, since its other end may have forgotten it.
+    std::chrono::milliseconds maximumIdle = std::chrono::hours(1);
     std::size_t responseLimit = std::size_t{16} * 1024 * 1024;
     /// Ends the call early; may be null.
     Cancellation *cancellation = nullptr;
@@ -78,6 +86,9 @@
     /// A new connection costs the upstream about 1 ms, so warm ones are kept through ordinary pauses.
     std::chrono::seconds idleTimeout{60};
     std::size_t idleLimitPerAddress = 64;
+    /// Sent bytes that stay unacknowledged for this long end the connection, as does an idle peer that answers no
+    /// keep-alive probes; 0 leaves both to the system.
+    std::chrono::milliseconds unacknowledgedTimeout{0};
 };
 
 /// Keep-alive connections to upstreams and other hosts, for one worker thread.
--- a/Libraries/LibHttp/jsonclient.cpp
+++ b/Libraries/LibHttp/jsonclient.cpp
@@ -1,5 +1,7 @@
 #include <LibHttp/jsonclient.h>
 
+#include <LibHttp/silence.h>
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -99,6 +101,7 @@
         return RequestNotSent{"cannot connect to " + m_settings.address + ": " + error.message()};
     }
     stream.socket().set_option(tcp::no_delay(true), error);
+    detectSilence(stream.socket(), m_settings.unacknowledgedTimeout);
     return stream;
 }
 
--- a/Libraries/LibHttp/jsonclient.h
+++ b/Libraries/LibHttp/jsonclient.h
@@ -24,6 +24,8 @@
     std::string authorization{};
     std::size_t maximumBodyBytes = std::size_t{64} * 1024 * 1024;
     std::size_t maximumIdleConnections = 8;
+    /// As in ConnectionPoolSettings.
+    std::chrono::milliseconds unacknowledgedTimeout{0};
 };
 
 struct JsonRequest
--- /dev/null
+++ b/Libraries/LibRouting/routetable.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <LibRouting/routingconfiguration.h>
+
+#include <map>
+#include <string_view>
+#include <unordered_map>
+
+namespace Trefoil
+{
+
+/// Finds routes and services of one configuration. Immutable. Thread safety: safe for concurrent readers.
+class RouteTable
+{
+public:
+    /// Precondition: none; of two routes with the same host and prefix the first one is kept.
+    explicit RouteTable(RoutingConfiguration configuration);
+    RouteTable(const RouteTable &) = delete;
+    RouteTable &operator=(const RouteTable &) = delete;
+
+    /// The route of that host whose prefix is the longest one that begins the path; null when none does.
+    /// A port in the host name and a query behind the path are left out. Precondition: none.
+    const Route *match(std::string_view host, std::string_view target) const;
+
+    /// The policy of a service; null when the configuration doesn't name it. Precondition: none.
+    const ServicePolicy *service(const ServiceId &id) const;
+
+    /// Precondition: none.
+    const RoutingConfiguration &configuration() const
+    {
+        return m_configuration;
+    }
+
+private:
+    using RoutesByPrefix = std::map<std::string, const Route *, std::less<>>;
+
+    RoutingConfiguration m_configuration;
+    std::unordered_map<std::string, RoutesByPrefix> m_routesByHost;
+    std::unordered_map<ServiceId, const ServicePolicy *> m_services;
+};
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibSettings/gatewaysettings.cpp
@@ -0,0 +1,150 @@
+#include <LibSettings/gatewaysettings.h>
+
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace Trefoil
+{
+
+namespace
+{
+
+using Json = nlohmann::json;
+
+/// Reads values by JSON pointer and collects what is wrong with them.
+class Reader
+{
+public:
+    explicit Reader(const Json &document)
+        : m_document(document)
+    {
+    }
+
+    std::string text(const std::string &place)
+    {
+        const Json *value = find(place);
+        if (!value || !value->is_string() || value->get_ref<const std::string &>().empty()) {
+            m_findings.push_back({place, "a text is required", ""});
+            return {};
+        }
+        return value->get<std::string>();
+    }
+
+    double number(const std::string &place, double fallback)
+    {
+        const Json *value = find(place);
+        if (!value) {
+            return fallback;
+        }
+        if (!value->is_number() || value->get<double>() < 0) {
+            m_findings.push_back({place, "a number of at least 0 is required", ""});
+            return fallback;
+        }
+        return value->get<double>();
+    }
+
+    std::chrono::milliseconds duration(const std::string &place, std::chrono::milliseconds fallback)
+    {
+        const Json *value = find(place);
+        if (!value) {
+            return fallback;
+        }
+        const auto time = value->is_string() ? parseDuration(value->get_ref<const std::string &>()) : std::nullopt;
+        if (!time) {
+            m_findings.push_back({place, "a time such as \"1500ms\" or \"2.5s\" is required", ""});
+            return fallback;
+        }
+        return *time;
+    }
+
+    std::map<ZoneId, RegionId> regionsOfZones(const std::string &place)
+    {
+        std::map<ZoneId, RegionId> regions;
+        const Json *value = find(place);
+        if (!value || !value->is_object() || value->empty()) {
+            m_findings.push_back({place, "an object with the region of each availability zone is required", ""});
+            return regions;
+        }
+        for (const auto &[zone, region] : value->items()) {
+            if (!region.is_string()) {
+                m_findings.push_back({place + "/" + zone, "the name of a region is required", ""});
+                continue;
+            }
+            regions.emplace(ZoneId(zone), RegionId(region.get<std::string>()));
+        }
+        return regions;
+    }
+
+    Findings takeFindings()
+    {
+        return std::move(m_findings);
+    }
+
+private:
+    /// Null for a value that is absent or null.
+    const Json *find(const std::string &place) const
+    {
+        const Json::json_pointer pointer(place);
+        if (!m_document.contains(pointer) || m_document.at(pointer).is_null()) {
+            return nullptr;
+        }
+        return &m_document.at(pointer);
+    }
+
+    const Json &m_document;
+    Findings m_findings;
+};
+
+} // namespace
+
+std::optional<std::chrono::milliseconds> parseDuration(std::string_view text)
+{
+    const auto unit = text.find_first_not_of("0123456789.");
+    if (unit == std::string_view::npos || unit == 0) {
+        return std::nullopt;
+    }
+    const std::string digits(text.substr(0, unit));
+    char *end = nullptr;
+    const double number = std::strtod(digits.c_str(), &end);
+    const double factor = text.substr(unit) == "ms" ? 1 : text.substr(unit) == "s" ? 1000 : 0;
+    constexpr double longest = 1e12;
+    if (*end != '\0' || factor <= 0 || number * factor > longest) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(std::llround(number * factor));
+}
+
+Result<PlatformHostSettings> parseGatewaySettings(const std::string &text)
+{
+    const Json document = Json::parse(text, nullptr, false);
+    if (document.is_discarded() || !document.is_object()) {
+        return Error{ErrorCode::InvalidInput, "invalid settings", {{"/", "the settings are not a JSON object", ""}}};
+    }
+    Reader reader(document);
+    PlatformHostSettings settings;
+    settings.host = HostId(reader.text("/host"));
+    settings.zone = ZoneId(reader.text("/zone"));
+    settings.region = RegionId(reader.text("/region"));
+    settings.sourceAddress = reader.text("/sourceAddress");
+    settings.callerAddress = reader.text("/callerAddress");
+    settings.readinessAddress = reader.text("/readinessAddress");
+    settings.lookupAddress = reader.text("/lookupAddress");
+    settings.zones = reader.regionsOfZones("/zones");
+    settings.storeAddress = reader.text("/store/address");
+    settings.storeWritesPerSecond = reader.number("/store/writesPerSecond", settings.storeWritesPerSecond);
+    GatewayLimits &limits = settings.limits;
+    limits.stopGrace = reader.duration("/limits/stopGrace", limits.stopGrace);
+    limits.lookupLifetime = reader.duration("/limits/lookupLifetime", limits.lookupLifetime);
+    limits.retryRatio = reader.number("/limits/retryRatio", limits.retryRatio);
+    limits.retryWindow = reader.duration("/limits/retryWindow", limits.retryWindow);
+    limits.retrySlack = reader.number("/limits/retrySlack", limits.retrySlack);
+    limits.coldFactor = reader.number("/limits/coldFactor", limits.coldFactor);
+    limits.coldSlack = reader.number("/limits/coldSlack", limits.coldSlack);
+    Findings findings = reader.takeFindings();
+    if (!findings.empty()) {
+        return Error{ErrorCode::InvalidInput, "invalid settings", std::move(findings)};
+    }
+    return settings;
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibSettings/gatewaysettings.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <LibCore/result.h>
+#include <LibCore/strongid.h>
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Trefoil
+{
+
+/// Limits that operators set for a gateway host.
+struct GatewayLimits
+{
+    /// From the signal to stop until the process is killed.
+    std::chrono::milliseconds stopGrace{6000};
+    /// Longest lifetime of a look-up.
+    std::chrono::milliseconds lookupLifetime{5000};
+    /// Retries of all hosts: this share of the requests of a service, and this many more, in each window.
+    double retryRatio = 0.2;
+    std::chrono::milliseconds retryWindow{10000};
+    double retrySlack = 0;
+    /// Requests of all hosts to a cold upstream in one second: its rate times the factor, and this many more.
+    double coldFactor = 1;
+    double coldSlack = 0;
+};
+
+/// Settings of a host that runs as a gateway on the operators' platform.
+struct PlatformHostSettings
+{
+    HostId host;
+    ZoneId zone;
+    RegionId region;
+    /// Local IP of outgoing connections.
+    std::string sourceAddress;
+    /// Listening IP:port for requests, for the readiness check and for look-ups.
+    std::string callerAddress;
+    std::string readinessAddress;
+    std::string lookupAddress;
+    /// Region of each availability zone.
+    std::map<ZoneId, RegionId> zones;
+    /// IP:port of the platform's store.
+    std::string storeAddress;
+    /// Writes per second that the store takes from all hosts together.
+    double storeWritesPerSecond = 100;
+    GatewayLimits limits;
+};
+
+/// Reads the settings file of a gateway host. All findings are reported together, each with its JSON pointer.
+/// Precondition: none. Thread safety: safe from any thread.
+Result<PlatformHostSettings> parseGatewaySettings(const std::string &text);
+
+/// Reads a time such as "1500ms" or "2.5s"; nothing when it has another form or is negative.
+/// Precondition: none. Thread safety: safe from any thread.
+std::optional<std::chrono::milliseconds> parseDuration(std::string_view text);
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibSteering/affinityranking.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace Trefoil
+{
+
+/// Position of an upstream for a key by rendezvous hashing: the highest value is preferred. All hosts compute the same order
+/// without messages, and an upstream that joins or leaves moves only its own keys.
+/// Answers many small caches under one load: each key warms few upstreams, not all of them.
+/// Precondition: weight is positive. Thread safety: safe from any thread.
+double affinityScore(std::uint64_t keyHash, std::uint64_t upstreamHash, double weight);
+
+/// Hash of a key or id, the same on all hosts. Precondition: none. Thread safety: safe from any thread.
+std::uint64_t stableHash(std::string_view text);
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibSteering/coldpacer.cpp
@@ -0,0 +1,26 @@
+#include <LibSteering/coldpacer.h>
+
+#include <LibSteering/affinityranking.h>
+
+#include <algorithm>
+
+namespace Trefoil
+{
+
+bool mayWarmUp(std::uint64_t upstreamHash, std::uint64_t ownHash, const std::vector<std::uint64_t> &liveHosts, std::size_t owners)
+{
+    const double own = affinityScore(upstreamHash, ownHash, 1);
+    const auto isAhead = [upstreamHash, own](std::uint64_t host) { return affinityScore(upstreamHash, host, 1) > own; };
+    return static_cast<std::size_t>(std::count_if(liveHosts.begin(), liveHosts.end(), isAhead)) < owners;
+}
+
+bool ColdPacer::tryTake(BootTime now, std::chrono::nanoseconds interval)
+{
+    if (now < m_next) {
+        return false;
+    }
+    m_next = now + interval;
+    return true;
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibSteering/placement.cpp
@@ -0,0 +1,136 @@
+#include <LibSteering/placement.h>
+
+#include <LibSteering/affinityranking.h>
+
+#include <algorithm>
+#include <map>
+
+namespace Trefoil
+{
+
+namespace
+{
+
+/// Weight of one new sample of work time.
+constexpr double s_workWeight = 0.1;
+/// Expected work before any sample, relative to the target latency, by cache state.
+constexpr double s_priorUnlikely = 1.2;
+constexpr double s_priorLikely = 0.8;
+constexpr double s_priorKnown = 0.5;
+/// Value lost between an immediate response and one exactly at the target.
+constexpr double s_haste = 0.25;
+/// A prediction this close to the target may as well miss it.
+constexpr double s_safeTarget = 0.85;
+constexpr double s_lostTarget = 1.1;
+/// Value of a late response.
+constexpr double s_lateValue = 0.2;
+/// Longest queue at an upstream that a request joins, in parts of its target latency.
+constexpr double s_longestWait = 0.7;
+/// Requests per slot, in work and waiting, beyond which an upstream sheds.
+constexpr double s_fullOccupancy = 3.0;
+
+std::size_t indexOf(CacheState state)
+{
+    return static_cast<std::size_t>(state);
+}
+
+/// Best candidate of each availability zone for the key; keys are spread so that each zone warms few upstreams for a key.
+std::map<ZoneId, std::pair<double, std::size_t>> preferredByZone(const std::vector<UpstreamModel *> &candidates, std::uint64_t keyHash)
+{
+    std::map<ZoneId, std::pair<double, std::size_t>> preferred;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const double score = affinityScore(keyHash, candidates[i]->hash(), candidates[i]->identity().slots.value());
+        auto &best = preferred[candidates[i]->identity().zone];
+        if (score > best.first) {
+            best = {score, i};
+        }
+    }
+    return preferred;
+}
+
+Milliseconds waitAt(const UpstreamModel &upstream, const PlacementQuery &query)
+{
+    const double slots = std::max(1, upstream.identity().slots.value());
+    const double ahead = upstream.occupancy(query.now) + 1 - slots;
+    return ahead <= 0 ? Milliseconds(0) : query.slotTime * (ahead / slots) * upstream.slowness(query.now);
+}
+
+} // namespace
+
+WorkEstimate::WorkEstimate(Milliseconds targetLatency)
+    : m_expected{targetLatency * s_priorUnlikely, targetLatency * s_priorLikely, targetLatency * s_priorKnown}
+{
+}
+
+Milliseconds WorkEstimate::expected(CacheState state) const
+{
+    return m_expected[indexOf(state)];
+}
+
+void WorkEstimate::record(CacheState state, Milliseconds time)
+{
+    Milliseconds &current = m_expected[indexOf(state)];
+    current += (time - current) * s_workWeight;
+}
+
+double valueAt(Milliseconds time, Milliseconds target, Milliseconds limit)
+{
+    if (time >= limit) {
+        return 0;
+    }
+    const double part = time / target;
+    if (part <= s_safeTarget) {
+        return 1 - s_haste * part;
+    }
+    const double atSafe = 1 - s_haste * s_safeTarget;
+    if (part >= s_lostTarget) {
+        // Between two late responses the earlier one is better.
+        return s_lateValue * (1 - 0.5 * (time / limit));
+    }
+    return atSafe + (s_lateValue - atSafe) * (part - s_safeTarget) / (s_lostTarget - s_safeTarget);
+}
+
+PlacementResult place(const std::vector<UpstreamModel *> &candidates, const PlacementQuery &query, const PlacementSettings &settings)
+{
+    if (candidates.empty()) {
+        return NoUpstream{};
+    }
+    const auto preferred = query.keyHash == 0 ? std::map<ZoneId, std::pair<double, std::size_t>>{} : preferredByZone(candidates, query.keyHash);
+    const Milliseconds limit = query.elapsed + query.timeLeft;
+    std::optional<Placed> best;
+    double bestValue = 0;
+    Milliseconds shortestWait = query.timeLeft;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const UpstreamModel &upstream = *candidates[i];
+        const UpstreamIdentity &identity = upstream.identity();
+        CacheState cache = CacheState::Unlikely;
+        if (query.keyHash != 0 && upstream.hasSeen(query.keyHash)) {
+            cache = CacheState::Known;
+        } else if (query.keyHash == 0 || preferred.at(identity.zone).second == i) {
+            cache = CacheState::Likely;
+        }
+        const bool isSameRegion = identity.region == settings.region;
+        const bool isSameZone = identity.zone == settings.zone;
+        const Milliseconds roundTrip = isSameRegion ? settings.zoneRoundTrip : settings.regionRoundTrip;
+        const double distanceCost = isSameZone ? 0 : isSameRegion ? settings.zoneCost : settings.regionCost;
+        const Milliseconds wait = waitAt(upstream, query);
+        const Milliseconds work = query.work->expected(cache) * upstream.slowness(query.now);
+        shortestWait = std::min(shortestWait, wait);
+        const bool isFull = upstream.occupancy(query.now) >= s_fullOccupancy * identity.slots.value();
+        if (isFull || wait > query.targetLatency * s_longestWait) {
+            continue;
+        }
+        const Milliseconds total = query.elapsed + roundTrip + wait + work;
+        const double value = (1 - upstream.failureRate(query.now)) * valueAt(total, query.targetLatency, limit) - distanceCost;
+        if (!best || value > bestValue) {
+            best = Placed{i, cache, work, wait};
+            bestValue = value;
+        }
+    }
+    if (!best) {
+        return NoRoom{shortestWait};
+    }
+    return *best;
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibSteering/upstreammodel.cpp
@@ -0,0 +1,123 @@
+#include <LibSteering/upstreammodel.h>
+
+#include <LibSteering/affinityranking.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Trefoil
+{
+
+namespace
+{
+
+using Seconds = std::chrono::duration<double>;
+
+/// Half of what others had at an upstream has ended after this time, about one request of the slower kinds.
+constexpr Seconds s_othersHalfLife{1.0};
+/// After this time half of the distrust is gone; a failed upstream is tried again within seconds.
+constexpr Seconds s_failureHalfLife{4.0};
+/// As for failures; a slow phase lasts for seconds.
+constexpr Seconds s_slownessHalfLife{4.0};
+/// Weights of one new sample.
+constexpr double s_failureWeight = 0.25;
+constexpr double s_unreachableWeight = 0.6;
+constexpr double s_slownessWeight = 0.25;
+constexpr double s_reportWeight = 0.6;
+/// Bounds of one sample of slowness, so that a single outlier can't rule an upstream out.
+constexpr double s_leastSlowness = 0.3;
+constexpr double s_mostSlowness = 12;
+
+double decay(BootTime since, BootTime now, Seconds halfLife)
+{
+    const double age = std::max(0.0, Seconds(now - since).count());
+    return std::exp2(-age / halfLife.count());
+}
+
+} // namespace
+
+UpstreamModel::UpstreamModel(UpstreamIdentity identity)
+    : m_identity(std::move(identity))
+    , m_hash(stableHash(m_identity.id.value()))
+{
+}
+
+void UpstreamModel::recordStart()
+{
+    ++m_inFlight;
+}
+
+void UpstreamModel::recordEnd(AttemptOutcome outcome, double slownessOfRequest, const std::optional<LoadReport> &report, BootTime now)
+{
+    --m_inFlight;
+    if (report) {
+        const double others = std::max(0, report->running + report->waiting - m_inFlight - 1);
+        m_others = occupancy(now) - m_inFlight;
+        m_others += s_reportWeight * (others - m_others);
+        m_othersAt = now;
+    }
+    const double rate = failureRate(now);
+    const double usual = slowness(now);
+    switch (outcome) {
+    case AttemptOutcome::Success:
+        m_failureRate = rate * (1 - s_failureWeight);
+        m_failureRateAt = now;
+        m_slowness = usual + s_slownessWeight * (std::clamp(slownessOfRequest, s_leastSlowness, s_mostSlowness) - usual);
+        m_slownessAt = now;
+        break;
+    case AttemptOutcome::Failed:
+    case AttemptOutcome::Broken:
+        m_failureRate = rate + s_failureWeight * (1 - rate);
+        m_failureRateAt = now;
+        break;
+    case AttemptOutcome::Unreachable:
+        m_failureRate = rate + s_unreachableWeight * (1 - rate);
+        m_failureRateAt = now;
+        break;
+    case AttemptOutcome::Shed:
+        m_failureRate = rate + s_failureWeight * (1 - rate);
+        m_failureRateAt = now;
+        // A full upstream has all of its slots in use, whoever uses them.
+        m_others = std::max(occupancy(now) - m_inFlight, static_cast<double>(m_identity.slots.value() - m_inFlight));
+        m_othersAt = now;
+        break;
+    case AttemptOutcome::Cancelled:
+        break;
+    }
+}
+
+void UpstreamModel::recordKey(std::uint64_t keyHash, BootTime now)
+{
+    if (m_keys.size() >= s_maximumKeys && m_keys.count(keyHash) == 0) {
+        const auto oldest = std::min_element(m_keys.begin(), m_keys.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
+        m_keys.erase(oldest);
+    }
+    m_keys[keyHash] = now;
+}
+
+double UpstreamModel::occupancy(BootTime now) const
+{
+    return m_inFlight + m_others * decay(m_othersAt, now, s_othersHalfLife);
+}
+
+double UpstreamModel::failureRate(BootTime now) const
+{
+    return m_failureRate * decay(m_failureRateAt, now, s_failureHalfLife);
+}
+
+double UpstreamModel::slowness(BootTime now) const
+{
+    return 1 + (m_slowness - 1) * decay(m_slownessAt, now, s_slownessHalfLife);
+}
+
+bool UpstreamModel::hasSeen(std::uint64_t keyHash) const
+{
+    return m_keys.count(keyHash) > 0;
+}
+
+void UpstreamModel::setColdUntil(BootTime until)
+{
+    m_coldUntil = std::max(m_coldUntil, until);
+}
+
+} // namespace Trefoil
--- a/Libraries/LibTelemetry/log.cpp
+++ b/Libraries/LibTelemetry/log.cpp
@@ -71,7 +71,8 @@
     static std::mutex mutex;
     const std::lock_guard lock(mutex);
     // Invalid UTF-8 from outside is replaced, so that a line is always valid JSON.
-    fmt::print(stderr, "{}\n", line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
+    fmt::print(stdout, "{}\n", line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
+    std::fflush(stdout);
 }
 
 } // namespace
--- a/Libraries/LibTelemetry/log.h
+++ b/Libraries/LibTelemetry/log.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <variant>
 
-/// Structured log: one JSON object a line on standard error.
+/// Structured log: one JSON object a line on standard output.
 namespace Trefoil
 {
 
--- a/Services/trefoilmountd/main.cpp
+++ b/Services/trefoilmountd/main.cpp
@@ -4,6 +4,7 @@
 #include <LibTelemetry/log.h>
 #include <Services/trefoilmountd/controlplane.h>
 #include <Services/trefoilmountd/host.h>
+#include <platform/platformhost.h>
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -92,6 +93,10 @@
 
 int main(int argc, char **argv)
 {
+    // A gateway host takes its settings from the platform's file, not from flags.
+    if (argc == 2 && std::string_view(argv[1]) == "--gateway") {
+        return Platform::runPlatformHost();
+    }
     auto parsed = parseHostSettings(argc, argv);
     if (parsed.has_error()) {
         return fail(parsed.error(), s_exitInvalidSettings);
