--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -65,6 +65,8 @@
     ServiceId service{};
     std::string id{};
     std::uint64_t keyHash = 0;
+    /// Decides whether the request leaves the region; the key's, or that of the request when it has none.
+    std::uint64_t positionHash = 0;
     BootTime arrivedAt{};
     BootTime deadline{};
     std::set<UpstreamId> tried{};
@@ -116,6 +118,7 @@
     exchange.deadline = exchange.arrivedAt + std::min(wanted.value_or(route.timeout), route.timeout);
     const std::string_view key = exchange.request.headers.value(m_settings.headers.affinityKey);
     exchange.keyHash = route.hasAffinity && !key.empty() ? stableHash(fmt::format("{}/{}", route.id.value(), key)) : 0;
+    exchange.positionHash = exchange.keyHash != 0 ? exchange.keyHash : stableHash(exchange.id);
     exchange.service = m_state.nextService(route);
     m_state.knowledge(exchange.service).retries.recordRequest(exchange.arrivedAt);
     while (true) {
@@ -136,7 +139,8 @@
     const BootTime now = BootClock::now();
     const Route &route = *exchange.route;
     while (true) {
-        const auto usable = m_state.usableUpstreams(exchange.service, route, exchange.tried, now);
+        const auto everywhere = m_state.usableUpstreams(exchange.service, route, exchange.tried, now);
+        const auto usable = m_state.inChosenRegion(exchange.service, everywhere, exchange.positionHash, now);
         std::vector<UpstreamModel *> models;
         for (const auto &upstream : usable) {
             models.push_back(&upstream->model);
--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -131,6 +131,59 @@
     return usable;
 }
 
+SpillShare &GatewayState::observedSpill(ServiceKnowledge &service, BootTime now)
+{
+    SpillShare::Observation observation;
+    std::set<RegionId> regions;
+    for (const auto &[zone, region] : m_settings.regions) {
+        regions.insert(region);
+    }
+    for (const auto &upstream : service.upstreams) {
+        const UpstreamIdentity &identity = upstream->model.identity();
+        if (upstream->model.isLeaving || m_evacuated.count(identity.zone) > 0) {
+            continue;
+        }
+        if (identity.region != m_settings.placement.region) {
+            observation.otherSlots += identity.slots.value();
+            continue;
+        }
+        observation.slots += identity.slots.value();
+        observation.occupancy += upstream->model.occupancy(now);
+    }
+    if (!service.spill) {
+        service.spill.emplace(observation, regions.size(), now);
+    }
+    service.spill->observe(observation, now);
+    return *service.spill;
+}
+
+std::vector<std::shared_ptr<Upstream>> GatewayState::inChosenRegion(
+    const ServiceId &service, const std::vector<std::shared_ptr<Upstream>> &usable, std::uint64_t positionHash, BootTime now)
+{
+    SpillShare &spill = observedSpill(knowledge(service), now);
+    const double position = static_cast<double>(positionHash >> 11U) / 9007199254740992.0;
+    std::map<RegionId, std::pair<double, std::vector<std::shared_ptr<Upstream>>>> byRegion;
+    for (const auto &upstream : usable) {
+        auto &[slots, upstreams] = byRegion[upstream->model.identity().region];
+        slots += upstream->model.identity().slots.value();
+        upstreams.push_back(upstream);
+    }
+    const auto own = byRegion.find(m_settings.placement.region);
+    if (own != byRegion.end() && (byRegion.size() == 1 || !spill.isSpilled(position))) {
+        return own->second.second;
+    }
+    std::vector<std::shared_ptr<Upstream>> chosen;
+    double best = -1;
+    for (const auto &[region, group] : byRegion) {
+        const double score = affinityScore(positionHash, stableHash(region.value()), group.first);
+        if (region != m_settings.placement.region && score > best) {
+            best = score;
+            chosen = group.second;
+        }
+    }
+    return chosen;
+}
+
 bool GatewayState::isWarmUpOwner(const Upstream &upstream) const
 {
     if (coldRate(upstream.model.identity().service) <= 0) {
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -6,6 +6,7 @@
 #include <LibSteering/coldpacer.h>
 #include <LibSteering/placement.h>
 #include <LibSteering/retryallowance.h>
+#include <LibSteering/spillshare.h>
 #include <LibSteering/trafficsplit.h>
 
 #include <memory>
@@ -65,6 +66,8 @@
     /// Usual time that a request holds a slot.
     Milliseconds slotTime{0};
     std::vector<std::shared_ptr<Upstream>> upstreams;
+    /// Set with the first request.
+    std::optional<SpillShare> spill;
 };
 
 /// Takes the time that one request held a slot. Precondition: none. Thread safety: one thread at a time.
@@ -101,6 +104,11 @@
     /// Upstreams of a service that a request may be sent to now. Precondition: none.
     std::vector<std::shared_ptr<Upstream>> usableUpstreams(const ServiceId &service, const Route &route, const std::set<UpstreamId> &excluded, BootTime now);
 
+    /// Of the usable upstreams, those of the region that the request's key belongs to now; all when that region has none.
+    /// Precondition: usable are upstreams of the service.
+    std::vector<std::shared_ptr<Upstream>> inChosenRegion(
+        const ServiceId &service, const std::vector<std::shared_ptr<Upstream>> &usable, std::uint64_t positionHash, BootTime now);
+
     /// True when the cold upstream's pace allows one request now, which is thereby taken. True for every warm one.
     bool takeColdPlace(Upstream &upstream, BootTime now);
 
@@ -127,6 +135,7 @@
     }
 
 private:
+    SpillShare &observedSpill(ServiceKnowledge &service, BootTime now);
     const ServicePolicy *policyOf(const ServiceId &service) const;
     double coldRate(const ServiceId &service) const;
     bool isWarmUpOwner(const Upstream &upstream) const;
--- a/Libraries/LibSteering/placement.cpp
+++ b/Libraries/LibSteering/placement.cpp
@@ -3,7 +3,6 @@
 #include <LibSteering/affinityranking.h>
 
 #include <algorithm>
-#include <map>
 
 namespace Trefoil
 {
@@ -24,6 +23,8 @@
 constexpr double s_lostTarget = 1.1;
 /// Value of a late response.
 constexpr double s_lateValue = 0.2;
+/// Value given up for each place in a key's order of upstreams, so that hosts that leave the first one meet at the second.
+constexpr double s_rankCost = 0.02;
 /// Longest queue at an upstream that a request joins, in parts of its target latency.
 constexpr double s_longestWait = 0.7;
 /// Requests per slot, in work and waiting, beyond which an upstream sheds.
@@ -34,18 +35,19 @@
     return static_cast<std::size_t>(state);
 }
 
-/// Best candidate of each availability zone for the key; keys are spread so that each zone warms few upstreams for a key.
-std::map<ZoneId, std::pair<double, std::size_t>> preferredByZone(const std::vector<UpstreamModel *> &candidates, std::uint64_t keyHash)
+/// Positions of the candidates in the rendezvous order of the key, the preferred one first.
+std::vector<std::size_t> ranksFor(const std::vector<UpstreamModel *> &candidates, std::uint64_t keyHash)
 {
-    std::map<ZoneId, std::pair<double, std::size_t>> preferred;
+    std::vector<std::pair<double, std::size_t>> scores;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const double score = affinityScore(keyHash, candidates[i]->hash(), candidates[i]->identity().slots.value());
-        auto &best = preferred[candidates[i]->identity().zone];
-        if (score > best.first) {
-            best = {score, i};
-        }
+        scores.emplace_back(-affinityScore(keyHash, candidates[i]->hash(), candidates[i]->identity().slots.value()), i);
+    }
+    std::sort(scores.begin(), scores.end());
+    std::vector<std::size_t> ranks(candidates.size());
+    for (std::size_t position = 0; position < scores.size(); ++position) {
+        ranks[scores[position].second] = position;
     }
-    return preferred;
+    return ranks;
 }
 
 Milliseconds waitAt(const UpstreamModel &upstream, const PlacementQuery &query)
@@ -95,7 +97,7 @@
     if (candidates.empty()) {
         return NoUpstream{};
     }
-    const auto preferred = query.keyHash == 0 ? std::map<ZoneId, std::pair<double, std::size_t>>{} : preferredByZone(candidates, query.keyHash);
+    const std::vector<std::size_t> ranks = query.keyHash == 0 ? std::vector<std::size_t>(candidates.size(), 0) : ranksFor(candidates, query.keyHash);
     const Milliseconds limit = query.elapsed + query.timeLeft;
     std::optional<Placed> best;
     double bestValue = 0;
@@ -106,7 +108,7 @@
         CacheState cache = CacheState::Unlikely;
         if (query.keyHash != 0 && upstream.hasSeen(query.keyHash)) {
             cache = CacheState::Known;
-        } else if (query.keyHash == 0 || preferred.at(identity.zone).second == i) {
+        } else if (ranks[i] == 0) {
             cache = CacheState::Likely;
         }
         const bool isSameRegion = identity.region == settings.region;
@@ -121,7 +123,8 @@
             continue;
         }
         const Milliseconds total = query.elapsed + roundTrip + wait + work;
-        const double value = (1 - upstream.failureRate(query.now)) * valueAt(total, query.targetLatency, limit) - distanceCost;
+        const double value =
+            (1 - upstream.failureRate(query.now)) * valueAt(total, query.targetLatency, limit) - distanceCost - s_rankCost * static_cast<double>(ranks[i]);
         if (!best || value > bestValue) {
             best = Placed{i, cache, work, wait};
             bestValue = value;
