platform: Give up a connection to the store early

Cause: DRAIN and CONFIG broke 3 s after a partition healed: a new connection to the store waited for the second SYN, which the system sends only after seconds, within a deadline of 12 s. Ruled out: the feed's version, by the log of the hosts.

--- a/Libraries/LibHttp/jsonclient.cpp
+++ b/Libraries/LibHttp/jsonclient.cpp
@@ -95,7 +95,7 @@
     if (error) {
         return RequestNotSent{"cannot open a socket: " + error.message()};
     }
-    stream.expires_after(std::max(deadline - BootClock::now(), BootClock::duration(0)));
+    stream.expires_after(std::clamp<BootClock::duration>(deadline - BootClock::now(), BootClock::duration(0), m_settings.connectTimeout));
     stream.async_connect(endpointOf(m_settings.address), yield[error]);
     if (error) {
         return RequestNotSent{"cannot connect to " + m_settings.address + ": " + error.message()};
--- a/Libraries/LibHttp/jsonclient.h
+++ b/Libraries/LibHttp/jsonclient.h
@@ -26,6 +26,9 @@
     std::size_t maximumIdleConnections = 8;
     /// As in ConnectionPoolSettings.
     std::chrono::milliseconds unacknowledgedTimeout{0};
+    /// Longest wait for a connection, within the deadline of the request. A lost first packet is sent again only after
+    /// seconds, so that a new connection gets through earlier.
+    std::chrono::milliseconds connectTimeout = std::chrono::hours(1);
 };
 
 struct JsonRequest
