LibGateway: Find live hosts by beacons, and learn slowness from sure samples only

Warm-up work was taken for slow upstreams, so that keys wandered to cold ones; the spill share rose with the cold start of every region.

--- /dev/null
+++ b/Libraries/LibGateway/beacon.cpp
@@ -0,0 +1,104 @@
+#include <LibGateway/beacon.h>
+
+#include <LibHttp/endpoint.h>
+#include <LibTelemetry/log.h>
+
+#include <boost/asio/buffer.hpp>
+#include <nlohmann/json.hpp>
+
+namespace Trefoil
+{
+
+namespace asio = boost::asio;
+using udp = asio::ip::udp;
+
+std::string encodeBeacon(const Beacon &beacon)
+{
+    const auto bytes = nlohmann::json::to_cbor({{"from", beacon.from.value()}, {"leaving", beacon.isLeaving}, {"reply", beacon.wantsReply}});
+    return {bytes.begin(), bytes.end()};
+}
+
+std::optional<Beacon> decodeBeacon(std::string_view bytes)
+{
+    const auto document = nlohmann::json::from_cbor(bytes, true, false);
+    if (document.is_discarded() || !document.is_object()) {
+        return std::nullopt;
+    }
+    try {
+        return Beacon{HostId(document.at("from").get<std::string>()), document.at("leaving").get<bool>(), document.at("reply").get<bool>()};
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
+BeaconSocket::BeaconSocket(asio::io_context &context, HostId self, HostDirectory &directory)
+    : m_socket(context)
+    , m_self(std::move(self))
+    , m_directory(directory)
+{
+}
+
+Result<std::unique_ptr<BeaconSocket>> BeaconSocket::create(asio::io_context &context, const std::string &address, HostId self, HostDirectory &directory)
+{
+    const auto endpoint = parseEndpoint(address);
+    if (endpoint.has_error()) {
+        return endpoint.error();
+    }
+    std::unique_ptr<BeaconSocket> beacons(new BeaconSocket(context, std::move(self), directory));
+    boost::system::error_code error;
+    beacons->m_socket.open(udp::v4(), error);
+    if (!error) {
+        beacons->m_socket.bind(udp::endpoint(endpoint.value().address(), endpoint.value().port()), error);
+    }
+    if (!error) {
+        beacons->m_socket.non_blocking(true, error);
+    }
+    if (error) {
+        return Error{ErrorCode::Unavailable, "cannot receive beacons on " + address + ": " + error.message()};
+    }
+    beacons->receive();
+    return beacons;
+}
+
+void BeaconSocket::sendAll(bool isLeaving)
+{
+    m_isLeaving = isLeaving;
+    const std::string bytes = encodeBeacon({m_self, isLeaving, true});
+    for (const HostReport &target : m_directory.beaconTargets(BootClock::now())) {
+        const auto endpoint = parseEndpoint(target.peerAddress);
+        if (endpoint.has_error()) {
+            writeLog(LogLevel::Warning, "peer-address-unreadable", {{"peer", target.id.value()}, {"address", target.peerAddress}});
+            continue;
+        }
+        send(bytes, udp::endpoint(endpoint.value().address(), endpoint.value().port()));
+    }
+}
+
+void BeaconSocket::send(const std::string &bytes, const udp::endpoint &to)
+{
+    boost::system::error_code error;
+    m_socket.send_to(asio::buffer(bytes), to, 0, error);
+    if (error) {
+        writeLog(LogLevel::Warning, "beacon-not-sent", {{"to", to.address().to_string()}, {"reason", error.message()}});
+    }
+}
+
+void BeaconSocket::receive()
+{
+    m_socket.async_receive_from(asio::buffer(m_buffer), m_sender, [this](const boost::system::error_code &error, std::size_t size) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        const auto beacon = error ? std::nullopt : decodeBeacon(std::string_view(m_buffer.data(), size));
+        if (beacon) {
+            m_directory.heard(beacon->from, beacon->isLeaving, BootClock::now());
+            // Hosts of one zone send each other beacons anyway; a reply is for those that don't hear this host otherwise.
+            if (beacon->wantsReply) {
+                send(encodeBeacon({m_self, m_isLeaving, false}), m_sender);
+            }
+        }
+        receive();
+    });
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibGateway/beacon.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <LibCore/result.h>
+#include <LibGateway/hostdirectory.h>
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <memory>
+#include <optional>
+
+namespace Trefoil
+{
+
+/// What a host tells another one by a datagram, in CBOR.
+struct Beacon
+{
+    HostId from;
+    /// The host takes no new callers.
+    bool isLeaving = false;
+    /// The sender wants a beacon back.
+    bool wantsReply = false;
+};
+
+/// Precondition: none. Thread safety: safe from any thread.
+std::string encodeBeacon(const Beacon &beacon);
+
+/// Nothing for bytes of another form. Precondition: none. Thread safety: safe from any thread.
+std::optional<Beacon> decodeBeacon(std::string_view bytes);
+
+/// Sends and receives beacons. A datagram that is lost is made good by the next one.
+/// Thread safety: all calls on the thread that runs the context.
+class BeaconSocket
+{
+public:
+    /// Binds the address and starts to receive. Precondition: context and directory outlive the socket.
+    static Result<std::unique_ptr<BeaconSocket>> create(boost::asio::io_context &context, const std::string &address, HostId self, HostDirectory &directory);
+
+    /// Sends a beacon to all hosts that are to hear one now. Precondition: none.
+    void sendAll(bool isLeaving);
+
+private:
+    BeaconSocket(boost::asio::io_context &context, HostId self, HostDirectory &directory);
+    void receive();
+    void send(const std::string &bytes, const boost::asio::ip::udp::endpoint &to);
+
+    boost::asio::ip::udp::socket m_socket;
+    HostId m_self;
+    HostDirectory &m_directory;
+    std::array<char, 512> m_buffer{};
+    boost::asio::ip::udp::endpoint m_sender;
+    bool m_isLeaving = false;
+};
+
+} // namespace Trefoil
--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -24,8 +24,10 @@
 constexpr std::chrono::milliseconds s_leastTimeLeft{5};
 /// Retry-After while this host has no configuration yet.
 constexpr Milliseconds s_startRetryAfter{500};
+/// Retry-After when upstreams refuse although they seem to have room: another attempt may well succeed.
+constexpr Milliseconds s_shedRetryAfter{20};
 /// Least and most of a Retry-After for lack of room. Callers that come back sooner find the same queue.
-constexpr Milliseconds s_leastRetryAfter{100};
+constexpr Milliseconds s_leastRetryAfter{20};
 constexpr Milliseconds s_mostRetryAfter{2000};
 
 /// Counts a request while it is in work.
@@ -240,7 +242,7 @@
     WorkEstimate &work = m_state.knowledge(*exchange.route).work;
     const Milliseconds atUpstream = std::max(duration - roundTrip, Milliseconds(1));
     const Milliseconds usual = work.expected(exchange.placed.cache);
-    const double slowness = std::max(atUpstream - exchange.placed.expectedWait, usual * 0.1) / usual;
+    const auto slowness = work.slowness(exchange.placed.cache, std::max(atUpstream - exchange.placed.expectedWait, Milliseconds(1)));
     const bool wasServed = end.outcome == AttemptOutcome::Success;
     upstream.model.recordEnd(end.timedOut && duration < usual ? AttemptOutcome::Cancelled : end.outcome, slowness, end.load, now);
     if (end.isElsewhere) {
@@ -273,7 +275,7 @@
     if (exchange.sent == 0) {
         return exchange.unsent <= s_maximumUnsent;
     }
-    return m_state.knowledge(exchange.service).retries.tryTake(now, m_state.directory().liveHosts().size());
+    return m_state.knowledge(exchange.service).retries.tryTake(now, m_state.directory().registeredCount());
 }
 
 HttpResponse Gateway::answer(Exchange &exchange, AttemptEnd end)
@@ -286,7 +288,7 @@
         return response;
     }
     if (!exchange.mayHaveRun) {
-        return reject(exchange, end.reason, m_state.knowledge(exchange.service).slotTime);
+        return reject(exchange, end.reason, s_shedRetryAfter);
     }
     if (end.timedOut) {
         return errorResponse(s_gatewayTimeout, "timeout", "", "the upstream gave no response in time");
--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -123,7 +123,7 @@
         if (!allowed.empty() && std::find(allowed.begin(), allowed.end(), identity.region) == allowed.end()) {
             continue;
         }
-        if (upstream->model.isCold(now) && !isWarmUpOwner(*upstream)) {
+        if (upstream->model.isCold(now) && !isWarmUpOwner(*upstream, now)) {
             continue;
         }
         usable.push_back(upstream);
@@ -184,15 +184,26 @@
     return chosen;
 }
 
-bool GatewayState::isWarmUpOwner(const Upstream &upstream) const
+bool GatewayState::isWarmUpOwner(const Upstream &upstream, BootTime now) const
 {
     if (coldRate(upstream.model.identity().service) <= 0) {
         return true;
     }
     std::vector<std::uint64_t> hosts;
-    for (const HostId &host : m_directory.liveHosts()) {
+    // Hosts of the upstream's own availability zone know which of them live. A zone without hosts leaves it to all others.
+    auto owners = m_directory.hostsOf(upstream.model.identity().zone, now);
+    if (owners.empty()) {
+        for (const auto &[zone, region] : m_settings.regions) {
+            const auto more = m_directory.hostsOf(zone, now);
+            owners.insert(owners.end(), more.begin(), more.end());
+        }
+    }
+    for (const HostId &host : owners) {
         hosts.push_back(stableHash(host.value()));
     }
+    if (std::find(owners.begin(), owners.end(), m_settings.host) == owners.end()) {
+        return false;
+    }
     return mayWarmUp(upstream.model.hash(), stableHash(m_settings.host.value()), hosts, s_warmUpOwners);
 }
 
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -138,7 +138,7 @@
     SpillShare &observedSpill(ServiceKnowledge &service, BootTime now);
     const ServicePolicy *policyOf(const ServiceId &service) const;
     double coldRate(const ServiceId &service) const;
-    bool isWarmUpOwner(const Upstream &upstream) const;
+    bool isWarmUpOwner(const Upstream &upstream, BootTime now) const;
 
     GatewayStateSettings m_settings;
     std::shared_ptr<const RouteTable> m_routes;
--- a/Libraries/LibGateway/hostdirectory.cpp
+++ b/Libraries/LibGateway/hostdirectory.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/hostdirectory.h>
 
 #include <algorithm>
+#include <set>
 
 namespace Trefoil
 {
@@ -10,82 +11,117 @@
 {
 }
 
-void HostDirectory::apply(const std::vector<HostReport> &reports, BootTime now)
+void HostDirectory::setRegistered(const std::vector<HostReport> &reports)
 {
     std::set<HostId> present{m_settings.self};
+    m_isSelfRegistered = false;
     for (const HostReport &report : reports) {
-        if (report.id == m_settings.self) {
-            continue;
-        }
         present.insert(report.id);
-        const auto inserted = m_hosts.try_emplace(report.id, Known{report, now, true});
-        Known &known = inserted.first->second;
-        const bool hasChanged = known.report.incarnation != report.incarnation || known.report.number != report.number;
-        if (hasChanged && !inserted.second) {
-            known.changedAt = now;
-        }
-        known.report = report;
-        known.isAlive = now - known.changedAt < m_settings.silenceLimit;
+        add(report);
     }
     for (auto it = m_hosts.begin(); it != m_hosts.end();) {
         it = present.count(it->first) > 0 ? std::next(it) : m_hosts.erase(it);
     }
 }
 
-void HostDirectory::noteOutage(BootTime now)
+void HostDirectory::add(const HostReport &report)
 {
-    for (auto &entry : m_hosts) {
-        if (entry.second.isAlive) {
-            entry.second.changedAt = now;
-        }
+    if (report.id == m_settings.self) {
+        m_isSelfRegistered = m_hosts.count(report.id) > 0 && m_hosts.at(report.id).report.incarnation == report.incarnation;
+        return;
+    }
+    Known &known = m_hosts[report.id];
+    if (known.report.incarnation != report.incarnation) {
+        known.isLeaving = false;
+    }
+    known.report = report;
+}
+
+void HostDirectory::remove(const HostId &id)
+{
+    if (id == m_settings.self) {
+        m_isSelfRegistered = false;
+        return;
+    }
+    m_hosts.erase(id);
+}
+
+void HostDirectory::heard(const HostId &id, bool isLeaving, BootTime now)
+{
+    const auto found = m_hosts.find(id);
+    if (found == m_hosts.end()) {
+        return;
     }
+    found->second.heardAt = now;
+    found->second.isLeaving = isLeaving;
 }
 
-void HostDirectory::setSelf(HostReport report)
+void HostDirectory::setSelf(const HostReport &report, bool takesCallers)
 {
-    const HostId id = report.id;
-    m_hosts.insert_or_assign(id, Known{std::move(report), BootTime{}, true});
+    m_hosts[report.id].report = report;
+    m_takesCallers = takesCallers;
 }
 
-bool HostDirectory::isUsable(const Known &known) const
+bool HostDirectory::isLive(const Known &known, BootTime now) const
 {
-    return known.isAlive && !known.report.leaving;
+    if (known.report.id == m_settings.self) {
+        return m_takesCallers;
+    }
+    return !known.isLeaving && known.heardAt != BootTime{} && now - known.heardAt < m_settings.silenceLimit;
 }
 
-std::vector<std::string> HostDirectory::addressesFor(const RegionId &region, const ZoneId &zone) const
+std::vector<std::string> HostDirectory::addressesFor(const RegionId &region, const ZoneId &zone, BootTime now)
 {
+    m_askedAt[zone] = now;
     std::vector<std::string> inZone;
     std::vector<std::string> inRegion;
-    std::vector<std::string> everywhere;
+    std::vector<std::string> inOwnZone;
     for (const auto &[id, known] : m_hosts) {
-        if (!isUsable(known)) {
-            continue;
-        }
-        everywhere.push_back(known.report.address);
-        if (known.report.region != region) {
+        if (!isLive(known, now)) {
             continue;
         }
-        inRegion.push_back(known.report.address);
         if (known.report.zone == zone) {
             inZone.push_back(known.report.address);
         }
+        if (known.report.region == region) {
+            inRegion.push_back(known.report.address);
+        }
+        if (known.report.zone == m_settings.zone) {
+            inOwnZone.push_back(known.report.address);
+        }
     }
-    auto &chosen = !inZone.empty() ? inZone : !inRegion.empty() ? inRegion : everywhere;
+    auto &chosen = !inZone.empty() ? inZone : !inRegion.empty() ? inRegion : inOwnZone;
     if (chosen.size() > m_settings.maximumAddresses) {
         chosen.resize(m_settings.maximumAddresses);
     }
     return std::move(chosen);
 }
 
-std::vector<HostId> HostDirectory::liveHosts() const
+std::vector<HostReport> HostDirectory::beaconTargets(BootTime now) const
+{
+    std::vector<HostReport> targets;
+    for (const auto &[id, known] : m_hosts) {
+        if (id == m_settings.self) {
+            continue;
+        }
+        const auto asked = m_askedAt.find(known.report.zone);
+        const bool isAskedFor = asked != m_askedAt.end() && now - asked->second < m_settings.interestTime;
+        if (known.report.zone == m_settings.zone || isAskedFor) {
+            targets.push_back(known.report);
+        }
+    }
+    return targets;
+}
+
+std::vector<HostId> HostDirectory::hostsOf(const ZoneId &zone, BootTime now) const
 {
-    std::vector<HostId> live;
+    std::vector<HostId> hosts;
     for (const auto &[id, known] : m_hosts) {
-        if (isUsable(known)) {
-            live.push_back(id);
+        if (known.report.zone == zone && (zone != m_settings.zone || id == m_settings.self || isLive(known, now))) {
+            hosts.push_back(id);
         }
     }
-    return live;
+    return hosts;
 }
 
 } // namespace Trefoil
--- a/Libraries/LibGateway/hostdirectory.h
+++ b/Libraries/LibGateway/hostdirectory.h
@@ -5,73 +5,100 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace Trefoil
 {
 
-/// What a host says of itself in its row.
+/// What a host says of itself in its row in the store. The row lasts until the host leaves; it doesn't tell whether it lives.
 struct HostReport
 {
     HostId id;
     /// Address for callers, IP:port.
     std::string address;
+    /// Address for beacons of other hosts, IP:port.
+    std::string peerAddress;
     ZoneId zone;
     RegionId region;
     /// Random number of the process.
     std::uint64_t incarnation = 0;
-    /// Grows with each report of one process.
-    std::uint64_t number = 0;
-    /// The host takes no new callers.
-    bool leaving = false;
 };
 
 struct HostDirectorySettings
 {
     HostId self;
-    /// A host whose report has not changed for this long is taken for dead.
-    std::chrono::milliseconds silenceLimit{4000};
+    ZoneId zone;
+    RegionId region;
+    /// A host that was not heard for this long is taken for dead: three beacons that came in vain or not at all.
+    std::chrono::milliseconds silenceLimit{3200};
+    /// After a look-up for another availability zone, its hosts are asked for beacons for this long.
+    std::chrono::milliseconds interestTime{10000};
     /// Most addresses of one answer.
     std::size_t maximumAddresses = 16;
 };
 
-/// The hosts that callers may be sent to, from reports read from time to time.
-/// Silence counts only while reports can be read: an outage of the store says nothing about the hosts.
+/// The hosts that callers may be sent to. Rows in the store say which hosts there are, beacons say which of them live. Hosts of
+/// one availability zone send each other beacons all the time, others only while callers ask for them, so that neither the
+/// store nor the links between zones carry a load that grows with the number of hosts.
 /// Thread safety: one thread at a time.
 class HostDirectory
 {
 public:
     explicit HostDirectory(HostDirectorySettings settings);
 
-    /// Takes all reports that stand in the store now. Precondition: now does not go back.
-    void apply(const std::vector<HostReport> &reports, BootTime now);
+    /// Replaces all rows by those that stand in the store. Precondition: none.
+    void setRegistered(const std::vector<HostReport> &reports);
+
+    /// Takes one row that was written. Precondition: none.
+    void add(const HostReport &report);
+
+    /// Takes that a row was removed. Precondition: none.
+    void remove(const HostId &id);
+
+    /// Notes a beacon of a host. Precondition: now does not go back.
+    void heard(const HostId &id, bool isLeaving, BootTime now);
 
-    /// Notes that reports could not be read, so that no host's silence counts until the limit has passed again.
-    void noteOutage(BootTime now);
+    /// Sets whether this host takes new callers. Precondition: none.
+    void setSelf(const HostReport &report, bool takesCallers);
 
-    /// Takes this host's own report, which needs no store. Precondition: its id is that of the settings.
-    void setSelf(HostReport report);
+    /// Addresses for callers of an availability zone: its live hosts, else live ones of its region, else those of this host's
+    /// own zone. Precondition: now does not go back.
+    std::vector<std::string> addressesFor(const RegionId &region, const ZoneId &zone, BootTime now);
 
-    /// Addresses for callers of an availability zone: its hosts, else those of the region, else all. Precondition: none.
-    std::vector<std::string> addressesFor(const RegionId &region, const ZoneId &zone) const;
+    /// Hosts to send a beacon to now: those of the own zone, and those of zones that callers asked for. Precondition: none.
+    std::vector<HostReport> beaconTargets(BootTime now) const;
 
-    /// Ids of the live hosts, this one included. Precondition: none.
-    std::vector<HostId> liveHosts() const;
+    /// Live hosts of an availability zone, this one included; all registered ones for another zone. Precondition: none.
+    std::vector<HostId> hostsOf(const ZoneId &zone, BootTime now) const;
+
+    /// Hosts that are registered, this one included, whether they live or not. Precondition: none.
+    std::size_t registeredCount() const
+    {
+        return m_hosts.size();
+    }
+
+    /// Whether this host's own row was seen in the store. Precondition: none.
+    bool isSelfRegistered() const
+    {
+        return m_isSelfRegistered;
+    }
 
 private:
     struct Known
     {
         HostReport report;
-        BootTime changedAt;
-        bool isAlive = true;
+        BootTime heardAt{};
+        bool isLeaving = false;
     };
 
-    bool isUsable(const Known &known) const;
+    bool isLive(const Known &known, BootTime now) const;
 
     HostDirectorySettings m_settings;
     std::map<HostId, Known> m_hosts;
+    std::map<ZoneId, BootTime> m_askedAt;
+    bool m_takesCallers = false;
+    bool m_isSelfRegistered = false;
 };
 
 } // namespace Trefoil
--- a/Libraries/LibSettings/gatewaysettings.h
+++ b/Libraries/LibSettings/gatewaysettings.h
@@ -40,6 +40,8 @@
     std::string callerAddress;
     std::string readinessAddress;
     std::string lookupAddress;
+    /// IP:port for datagrams of other hosts.
+    std::string peerAddress;
     /// Region of each availability zone.
     std::map<ZoneId, RegionId> zones;
     /// IP:port of the platform's store.
--- a/Libraries/LibSteering/placement.cpp
+++ b/Libraries/LibSteering/placement.cpp
@@ -12,6 +12,8 @@
 
 /// Weight of one new sample of work time.
 constexpr double s_workWeight = 0.1;
+/// An attempt this much longer than usual work without a cache was slow whatever the upstream held.
+constexpr double s_surelySlow = 1.6;
 /// Expected work before any sample, relative to the target latency, by cache state.
 constexpr double s_priorUnlikely = 1.2;
 constexpr double s_priorLikely = 0.8;
@@ -75,6 +77,20 @@
     current += (time - current) * s_workWeight;
 }
 
+std::optional<double> WorkEstimate::slowness(CacheState state, Milliseconds time) const
+{
+    const double ofUnlikely = time / expected(CacheState::Unlikely);
+    if (state == CacheState::Known || ofUnlikely >= s_surelySlow) {
+        return time / expected(state);
+    }
+    if (state == CacheState::Unlikely) {
+        return ofUnlikely;
+    }
+    // As fast as with the key in the cache: surely not slow.
+    const double ofKnown = time / expected(CacheState::Known);
+    return ofKnown <= s_surelySlow ? std::optional(std::min(ofKnown, 1.0)) : std::nullopt;
+}
+
 double valueAt(Milliseconds time, Milliseconds target, Milliseconds limit)
 {
     if (time >= limit) {
--- a/Libraries/LibSteering/placement.h
+++ b/Libraries/LibSteering/placement.h
@@ -27,6 +27,10 @@
     /// Precondition: none.
     Milliseconds expected(CacheState state) const;
 
+    /// How much slower than usual one successful attempt was. Nothing when its time fits both a usual upstream that didn't hold
+    /// the key and a slow one that did. Precondition: none.
+    std::optional<double> slowness(CacheState state, Milliseconds time) const;
+
     /// Takes the time of one successful attempt that did not wait at the upstream. Precondition: none.
     void record(CacheState state, Milliseconds time);
 
--- a/Libraries/LibSteering/spillshare.h
+++ b/Libraries/LibSteering/spillshare.h
@@ -51,8 +51,9 @@
     }
 
 private:
-    double m_share = 0;
-    double m_load = 0;
+    std::size_t m_regions;
+    double m_share;
+    double m_load;
     BootTime m_observedAt;
     SlidingWindowCounter m_requests;
     SlidingWindowCounter m_extra;
--- a/Libraries/LibSteering/upstreammodel.cpp
+++ b/Libraries/LibSteering/upstreammodel.cpp
@@ -47,7 +47,7 @@
     ++m_inFlight;
 }
 
-void UpstreamModel::recordEnd(AttemptOutcome outcome, double slownessOfRequest, const std::optional<LoadReport> &report, BootTime now)
+void UpstreamModel::recordEnd(AttemptOutcome outcome, std::optional<double> slownessOfRequest, const std::optional<LoadReport> &report, BootTime now)
 {
     --m_inFlight;
     if (report) {
@@ -62,8 +62,10 @@
     case AttemptOutcome::Success:
         m_failureRate = rate * (1 - s_failureWeight);
         m_failureRateAt = now;
-        m_slowness = usual + s_slownessWeight * (std::clamp(slownessOfRequest, s_leastSlowness, s_mostSlowness) - usual);
-        m_slownessAt = now;
+        if (slownessOfRequest) {
+            m_slowness = usual + s_slownessWeight * (std::clamp(*slownessOfRequest, s_leastSlowness, s_mostSlowness) - usual);
+            m_slownessAt = now;
+        }
         break;
     case AttemptOutcome::Failed:
     case AttemptOutcome::Broken:
--- a/Libraries/LibSteering/upstreammodel.h
+++ b/Libraries/LibSteering/upstreammodel.h
@@ -76,9 +76,10 @@
     /// Counts a request that is about to be sent. Precondition: recordEnd() follows once.
     void recordStart();
 
-    /// Takes how a request ended. slowness is the time it took relative to the time expected; it counts only for successes.
+    /// Takes how a request ended. slowness is the time it took relative to the time expected, if that is known; it counts only
+    /// for successes.
     /// Precondition: recordStart() was called for the request.
-    void recordEnd(AttemptOutcome outcome, double slowness, const std::optional<LoadReport> &report, BootTime now);
+    void recordEnd(AttemptOutcome outcome, std::optional<double> slowness, const std::optional<LoadReport> &report, BootTime now);
 
     /// Notes that the upstream has handled a key. Precondition: none.
     void recordKey(std::uint64_t keyHash, BootTime now);
