--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -155,6 +155,7 @@
         query.isIdempotent = route.kind == RequestKind::Idempotent;
         query.priority = route.priority;
         query.work = &m_state.knowledge(route).work;
+        query.usualLoad = usable.empty() ? 0 : m_state.knowledge(exchange.service).load[usable.front()->model.identity().region];
         query.slotTime = m_state.knowledge(exchange.service).slotTime;
         query.now = now;
         const PlacementResult result = place(models, query, m_state.settings().placement);
@@ -230,7 +231,7 @@
             {"expectedWorkMs", wholeMilliseconds(exchange.placed.expectedWork)},
             {"expectedWaitMs", wholeMilliseconds(exchange.placed.expectedWait)},
             {"cache", std::int64_t{static_cast<int>(exchange.placed.cache)}},
-            {"occupancy", upstream.model.occupancy(now)},
+            {"load", m_state.knowledge(exchange.service).load[identity.region]},
             {"failureRate", upstream.model.failureRate(now)}});
     return end;
 }
@@ -245,6 +246,9 @@
     const auto slowness = work.slowness(exchange.placed.cache, std::max(atUpstream - exchange.placed.expectedWait, Milliseconds(1)));
     const bool wasServed = end.outcome == AttemptOutcome::Success;
     upstream.model.recordEnd(end.timedOut && duration < usual ? AttemptOutcome::Cancelled : end.outcome, slowness, end.load, now);
+    if (end.load) {
+        recordLoad(m_state.knowledge(exchange.service), upstream.model.identity(), *end.load);
+    }
     if (end.isElsewhere) {
         m_state.upstreamGone(upstream.model.identity().id);
     }
--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -15,6 +15,8 @@
 /// Part of a cold upstream's tolerated rate that the owners use together. Hosts that see different hosts alive may
 /// double the number of owners.
 constexpr double s_coldUsedPart = 0.5;
+/// Weight of one new report in the load of a region; a host sees some ten a second.
+constexpr double s_loadWeight = 0.1;
 /// Weight of one new sample of the time that a slot is held.
 constexpr double s_slotTimeWeight = 0.05;
 
@@ -148,7 +150,7 @@
             continue;
         }
         observation.slots += identity.slots.value();
-        observation.occupancy += upstream->model.occupancy(now);
+        observation.occupancy += upstream->model.occupancy(now, service.load[identity.region]);
     }
     if (!service.spill) {
         service.spill.emplace(observation, regions.size(), now);
@@ -238,6 +240,14 @@
     return policy ? policy->coldRequestsPerSecond : 0;
 }
 
+void recordLoad(ServiceKnowledge &service, const UpstreamIdentity &upstream, const LoadReport &report)
+{
+    // The request that was just answered is still counted in the report.
+    const double others = std::max(0, report.running + report.waiting - 1);
+    double &load = service.load[upstream.region];
+    load += s_loadWeight * (others / std::max(1, upstream.slots.value()) - load);
+}
+
 void recordSlotTime(ServiceKnowledge &service, Milliseconds time)
 {
     service.slotTime += (time - service.slotTime) * (service.slotTime.count() <= 0 ? 1.0 : s_slotTimeWeight);
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -68,11 +68,16 @@
     std::vector<std::shared_ptr<Upstream>> upstreams;
     /// Set with the first request.
     std::optional<SpillShare> spill;
+    /// Requests in work or waiting for each slot, by the latest reports of the upstreams of a region.
+    std::map<RegionId, double> load;
 };
 
 /// Takes the time that one request held a slot. Precondition: none. Thread safety: one thread at a time.
 void recordSlotTime(ServiceKnowledge &service, Milliseconds time);
 
+/// Takes the load that an upstream reported. Precondition: none. Thread safety: one thread at a time.
+void recordLoad(ServiceKnowledge &service, const UpstreamIdentity &upstream, const LoadReport &report);
+
 /// Everything one host knows: configuration, upstreams, evacuated availability zones, other hosts.
 /// Thread safety: one thread at a time.
 class GatewayState
--- a/Libraries/LibSteering/placement.cpp
+++ b/Libraries/LibSteering/placement.cpp
@@ -27,6 +27,14 @@
 constexpr double s_lateValue = 0.2;
 /// Value given up for each place in a key's order of upstreams, so that hosts that leave the first one meet at the second.
 constexpr double s_rankCost = 0.02;
+constexpr double s_mostRanks = 5;
+/// Load per slot from which slots have a price, and at which the price is full.
+constexpr double s_pricedLoad = 0.6;
+constexpr double s_fullPriceLoad = 1.2;
+/// Full price of work as long as the target latency, for the most urgent requests, and what each rank below adds.
+constexpr double s_slotPrice = 0.3;
+constexpr double s_slotPricePerPriority = 0.2;
+constexpr std::int32_t s_leastUrgent = 4;
 /// Longest queue at an upstream that a request joins, in parts of its target latency.
 constexpr double s_longestWait = 0.7;
 /// Requests per slot, in work and waiting, beyond which an upstream sheds.
@@ -52,10 +60,17 @@
     return ranks;
 }
 
+/// Value lost to others by work as long as the target latency.
+double slotPrice(const PlacementQuery &query)
+{
+    const double part = std::clamp((query.usualLoad - s_pricedLoad) / (s_fullPriceLoad - s_pricedLoad), 0.0, 1.0);
+    return part * (s_slotPrice + s_slotPricePerPriority * std::clamp(query.priority, 0, s_leastUrgent));
+}
+
 Milliseconds waitAt(const UpstreamModel &upstream, const PlacementQuery &query)
 {
     const double slots = std::max(1, upstream.identity().slots.value());
-    const double ahead = upstream.occupancy(query.now) + 1 - slots;
+    const double ahead = upstream.occupancy(query.now, query.usualLoad) + 1 - slots;
     return ahead <= 0 ? Milliseconds(0) : query.slotTime * (ahead / slots) * upstream.slowness(query.now);
 }
 
@@ -134,20 +149,20 @@
         const Milliseconds wait = waitAt(upstream, query);
         const Milliseconds work = query.work->expected(cache) * upstream.slowness(query.now);
         shortestWait = std::min(shortestWait, wait);
-        const bool isFull = upstream.occupancy(query.now) >= s_fullOccupancy * identity.slots.value();
+        const bool isFull = upstream.occupancy(query.now, query.usualLoad) >= s_fullOccupancy * identity.slots.value();
         if (isFull || wait > query.targetLatency * s_longestWait) {
             continue;
         }
         const Milliseconds total = query.elapsed + roundTrip + wait + work;
-        const double value =
-            (1 - upstream.failureRate(query.now)) * valueAt(total, query.targetLatency, limit) - distanceCost - s_rankCost * static_cast<double>(ranks[i]);
+        const double value = (1 - upstream.failureRate(query.now)) * valueAt(total, query.targetLatency, limit) - distanceCost
+            - s_rankCost * std::min(static_cast<double>(ranks[i]), s_mostRanks) - slotPrice(query) * (work / query.targetLatency);
         if (!best || value > bestValue) {
             best = Placed{i, cache, work, wait};
             bestValue = value;
         }
     }
-    if (!best) {
-        return NoRoom{shortestWait};
+    if (!best || bestValue <= 0) {
+        return NoRoom{std::max(shortestWait, query.slotTime * std::max(0.0, query.usualLoad - 1))};
     }
     return *best;
 }
--- a/Libraries/LibSteering/placement.h
+++ b/Libraries/LibSteering/placement.h
@@ -67,6 +67,8 @@
     const WorkEstimate *work = nullptr;
     /// Usual time that any request holds a slot of the service.
     Milliseconds slotTime{0};
+    /// Requests in work or waiting for each slot of the candidates, as reported lately.
+    double usualLoad = 0;
     BootTime now;
 };
 
@@ -95,8 +97,10 @@
 using PlacementResult = std::variant<Placed, NoRoom, NoUpstream>;
 
 /// Chooses the upstream with the highest expected value: the probability of success, times the value of a response at the
-/// expected time, less the cost of distance. Waiting at a warm upstream competes with cold work at an idle one.
-/// Answers load between half and twice the slots, with warm caches, slow and failing upstreams.
+/// expected time, less the cost of distance and of the slots that the work takes from others. Waiting at a warm upstream
+/// competes with cold work at an idle one; the busier the slots, the more cold work costs, and the sooner what is less urgent.
+/// Answers load between half and twice the slots, with warm caches, slow and failing upstreams: without the cost of slots,
+/// overload drives keys to cold upstreams, whose longer work keeps the overload up.
 /// Precondition: the query's work estimate is set; candidates belong to one service and may be used by the request.
 /// Thread safety: safe from any thread while the models don't change.
 PlacementResult place(const std::vector<UpstreamModel *> &candidates, const PlacementQuery &query, const PlacementSettings &settings);
--- a/Libraries/LibSteering/upstreammodel.cpp
+++ b/Libraries/LibSteering/upstreammodel.cpp
@@ -52,8 +52,8 @@
     --m_inFlight;
     if (report) {
         const double others = std::max(0, report->running + report->waiting - m_inFlight - 1);
-        m_others = occupancy(now) - m_inFlight;
-        m_others += s_reportWeight * (others - m_others);
+        const double weight = 1 - (1 - s_reportWeight) * decay(m_othersAt, now, s_othersHalfLife);
+        m_others += weight * (others - m_others);
         m_othersAt = now;
     }
     const double rate = failureRate(now);
@@ -79,9 +79,11 @@
     case AttemptOutcome::Shed:
         m_failureRate = rate + s_failureWeight * (1 - rate);
         m_failureRateAt = now;
-        // A full upstream has all of its slots in use, whoever uses them.
-        m_others = std::max(occupancy(now) - m_inFlight, static_cast<double>(m_identity.slots.value() - m_inFlight));
-        m_othersAt = now;
+        if (!report) {
+            // A full upstream has all of its slots in use, whoever uses them.
+            m_others = std::max(m_others, static_cast<double>(m_identity.slots.value() - m_inFlight));
+            m_othersAt = now;
+        }
         break;
     case AttemptOutcome::Cancelled:
         break;
@@ -97,9 +99,10 @@
     m_keys[keyHash] = now;
 }
 
-double UpstreamModel::occupancy(BootTime now) const
+double UpstreamModel::occupancy(BootTime now, double usualPerSlot) const
 {
-    return m_inFlight + m_others * decay(m_othersAt, now, s_othersHalfLife);
+    const double trust = decay(m_othersAt, now, s_othersHalfLife);
+    return m_inFlight + m_others * trust + usualPerSlot * m_identity.slots.value() * (1 - trust);
 }
 
 double UpstreamModel::failureRate(BootTime now) const
--- a/Libraries/LibSteering/upstreammodel.h
+++ b/Libraries/LibSteering/upstreammodel.h
@@ -84,8 +84,9 @@
     /// Notes that the upstream has handled a key. Precondition: none.
     void recordKey(std::uint64_t keyHash, BootTime now);
 
-    /// Requests that run or wait at the upstream: this host's own, and others' by the last reports, which lose weight as they age.
-    double occupancy(BootTime now) const;
+    /// Requests that run or wait at the upstream: this host's own, and others' by the last reports. As those age, what is usual
+    /// for each slot of the service takes their place. Precondition: usualPerSlot is not negative.
+    double occupancy(BootTime now, double usualPerSlot) const;
 
     /// Expected share of requests that fail, from 0 to 1. It falls with time, so that an upstream that was given up is tried again.
     double failureRate(BootTime now) const;
