--- a/Libraries/LibSteering/placement.cpp
+++ b/Libraries/LibSteering/placement.cpp
@@ -148,6 +148,8 @@
         const double distanceCost = isSameZone ? 0 : isSameRegion ? settings.zoneCost : settings.regionCost;
         const Milliseconds wait = waitAt(upstream, query);
         const Milliseconds work = query.work->expected(cache) * upstream.slowness(query.now);
+        // Work that warms the upstream where the key belongs pays for itself with the next requests.
+        const Milliseconds pricedWork = ranks[i] == 0 ? query.work->expected(CacheState::Known) : work;
         shortestWait = std::min(shortestWait, wait);
         const bool isFull = upstream.occupancy(query.now, query.usualLoad) >= s_fullOccupancy * identity.slots.value();
         if (isFull || wait > query.targetLatency * s_longestWait) {
@@ -155,7 +157,7 @@
         }
         const Milliseconds total = query.elapsed + roundTrip + wait + work;
         const double value = (1 - upstream.failureRate(query.now)) * valueAt(total, query.targetLatency, limit) - distanceCost
-            - s_rankCost * std::min(static_cast<double>(ranks[i]), s_mostRanks) - slotPrice(query) * (work / query.targetLatency);
+            - s_rankCost * std::min(static_cast<double>(ranks[i]), s_mostRanks) - slotPrice(query) * (pricedWork / query.targetLatency);
         if (!best || value > bestValue) {
             best = Placed{i, cache, work, wait};
             bestValue = value;
