--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -79,6 +79,8 @@
     /// An attempt may have run.
     bool mayHaveRun = false;
     Placed placed{};
+    /// Load per slot of the upstreams among which the request was placed last.
+    double load = 0;
 };
 
 Gateway::Gateway(asio::io_context &context, GatewaySettings settings, GatewayState &state)
@@ -156,6 +158,7 @@
         query.priority = route.priority;
         query.work = &m_state.knowledge(route).work;
         query.usualLoad = usable.empty() ? 0 : m_state.knowledge(exchange.service).load[usable.front()->model.identity().region];
+        exchange.load = query.usualLoad;
         query.slotTime = m_state.knowledge(exchange.service).slotTime;
         query.now = now;
         const PlacementResult result = place(models, query, m_state.settings().placement);
@@ -312,6 +315,7 @@
         {{"request", exchange.id},
             {"route", exchange.route ? exchange.route->id.value() : std::string()},
             {"reason", std::string(reason)},
+            {"load", exchange.load},
             {"retryAfterMs", wholeMilliseconds(wait)},
             {"configuration", exchange.routes ? static_cast<std::int64_t>(exchange.routes->configuration().version.value()) : std::int64_t{0}}});
     return response;
--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -16,7 +16,9 @@
 /// double the number of owners.
 constexpr double s_coldUsedPart = 0.5;
 /// Weight of one new report in the load of a region; a host sees some ten a second.
-constexpr double s_loadWeight = 0.1;
+constexpr double s_loadWeight = 0.04;
+/// Most load per slot that one upstream adds: its long queue doesn't say that the others are full.
+constexpr double s_mostLoadOfOne = 1.5;
 /// Weight of one new sample of the time that a slot is held.
 constexpr double s_slotTimeWeight = 0.05;
 
@@ -245,7 +247,8 @@
     // The request that was just answered is still counted in the report.
     const double others = std::max(0, report.running + report.waiting - 1);
     double &load = service.load[upstream.region];
-    load += s_loadWeight * (others / std::max(1, upstream.slots.value()) - load);
+    const double perSlot = std::min(others / std::max(1, upstream.slots.value()), s_mostLoadOfOne);
+    load += s_loadWeight * (perSlot - load);
 }
 
 void recordSlotTime(ServiceKnowledge &service, Milliseconds time)
--- a/Libraries/LibSteering/placement.cpp
+++ b/Libraries/LibSteering/placement.cpp
@@ -28,12 +28,14 @@
 /// Value given up for each place in a key's order of upstreams, so that hosts that leave the first one meet at the second.
 constexpr double s_rankCost = 0.02;
 constexpr double s_mostRanks = 5;
+/// Upstreams where a key belongs: with two to choose from, few upstreams have more keys than they can serve.
+constexpr std::size_t s_homeRanks = 2;
 /// Load per slot from which slots have a price, and at which the price is full.
-constexpr double s_pricedLoad = 0.6;
-constexpr double s_fullPriceLoad = 1.2;
+constexpr double s_pricedLoad = 0.7;
+constexpr double s_fullPriceLoad = 1.15;
 /// Full price of work as long as the target latency, for the most urgent requests, and what each rank below adds.
-constexpr double s_slotPrice = 0.3;
-constexpr double s_slotPricePerPriority = 0.2;
+constexpr double s_slotPrice = 0.2;
+constexpr double s_slotPricePerPriority = 0.1;
 constexpr std::int32_t s_leastUrgent = 4;
 /// Longest queue at an upstream that a request joins, in parts of its target latency.
 constexpr double s_longestWait = 0.7;
@@ -148,8 +150,8 @@
         const double distanceCost = isSameZone ? 0 : isSameRegion ? settings.zoneCost : settings.regionCost;
         const Milliseconds wait = waitAt(upstream, query);
         const Milliseconds work = query.work->expected(cache) * upstream.slowness(query.now);
-        // Work that warms the upstream where the key belongs pays for itself with the next requests.
-        const Milliseconds pricedWork = ranks[i] == 0 ? query.work->expected(CacheState::Known) : work;
+        // Work that warms an upstream where the key belongs pays for itself with the next requests.
+        const Milliseconds pricedWork = ranks[i] < s_homeRanks ? query.work->expected(CacheState::Known) : work;
         shortestWait = std::min(shortestWait, wait);
         const bool isFull = upstream.occupancy(query.now, query.usualLoad) >= s_fullOccupancy * identity.slots.value();
         if (isFull || wait > query.targetLatency * s_longestWait) {
--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -19,7 +19,7 @@
     Fixture()
         : store(context)
         , client(context, store.address(), "127.0.0.1")
-        , watch(context, client, "things", handlers())
+        , watch(context, client, "things", 50ms, handlers())
     {
     }
 
