--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -79,13 +79,17 @@
     /// An attempt may have run.
     bool mayHaveRun = false;
     Placed placed{};
+    /// How the request ended so far, for the metrics.
+    RequestOutcome outcome = RequestOutcome::Answered;
+    std::string reason{};
     /// Load per slot of the upstreams among which the request was placed last.
     double load = 0;
 };
 
-Gateway::Gateway(asio::io_context &context, GatewaySettings settings, GatewayState &state)
+Gateway::Gateway(asio::io_context &context, GatewaySettings settings, GatewayState &state, GatewayMetrics &metrics)
     : m_settings(std::move(settings))
     , m_state(state)
+    , m_metrics(metrics)
     , m_pool(context, {m_settings.sourceAddress, m_settings.connectTimeout, std::chrono::seconds(60), 64, m_settings.silenceTimeout})
     , m_random(std::random_device{}())
 {
@@ -103,12 +107,19 @@
     exchange.arrivedAt = BootClock::now();
     exchange.id = request.headers.value(m_settings.headers.requestId);
     HttpResponse response;
+    if (exchange.routes) {
+        exchange.route = exchange.routes->match(request.headers.value("Host"), request.target);
+    }
+    const auto series = m_metrics.start(exchange.route);
     if (!exchange.routes) {
         response = reject(exchange, "no-configuration", s_startRetryAfter);
+    } else if (!exchange.route) {
+        response = fail(exchange, RequestOutcome::NotRun, s_notFound, "no-route", "no route matches this host and path");
     } else {
-        exchange.route = exchange.routes->match(request.headers.value("Host"), request.target);
-        response = exchange.route ? forward(exchange, yield) : errorResponse(s_notFound, "no-route", "path", "no route matches this host and path");
+        response = forward(exchange, yield);
     }
+    const auto retries = static_cast<std::uint32_t>(std::max(0, exchange.sent - 1));
+    series->finished({exchange.outcome, exchange.reason, BootClock::now() - exchange.arrivedAt, std::chrono::nanoseconds(0), retries});
     if (!exchange.id.empty() && !response.headers.find(m_settings.headers.requestId)) {
         response.headers.add(m_settings.headers.requestId, exchange.id);
     }
@@ -166,7 +177,7 @@
         if (!placed) {
             const auto *noRoom = std::get_if<NoRoom>(&result);
             const Milliseconds retryAfter = noRoom ? noRoom->retryAfter : s_startRetryAfter;
-            return exchange.mayHaveRun ? errorResponse(s_badGateway, "upstream-failed", "", "the upstream gave no complete response")
+            return exchange.mayHaveRun ? fail(exchange, RequestOutcome::Unknown, s_badGateway, "upstream-error", "the upstream gave no complete response")
                                        : reject(exchange, noRoom ? "no-room" : "no-upstream", retryAfter);
         }
         const auto &upstream = usable[placed->candidate];
@@ -221,6 +232,7 @@
     } else {
         ++exchange.sent;
     }
+    m_metrics.countAttempt(identity.id, end.outcome);
     exchange.mayHaveRun = exchange.mayHaveRun || end.execution == Execution::Possible;
     writeLog(LogLevel::Info,
         "attempt-ended",
@@ -298,17 +310,34 @@
         return reject(exchange, end.reason, s_shedRetryAfter);
     }
     if (end.timedOut) {
-        return errorResponse(s_gatewayTimeout, "timeout", "", "the upstream gave no response in time");
+        return fail(exchange, RequestOutcome::Unknown, s_gatewayTimeout, "timeout", "the upstream gave no response in time");
     }
-    return errorResponse(s_badGateway, "upstream-failed", "", "the upstream gave no complete response");
+    return fail(exchange, RequestOutcome::Unknown, s_badGateway, "upstream-error", "the upstream gave no complete response");
+}
+
+HttpResponse Gateway::fail(Exchange &exchange, RequestOutcome outcome, int status, std::string_view reason, std::string_view message)
+{
+    exchange.outcome = outcome;
+    exchange.reason = reason;
+    writeLog(LogLevel::Info,
+        "request-failed",
+        {{"request", exchange.id},
+            {"route", exchange.route ? exchange.route->id.value() : std::string()},
+            {"reason", std::string(reason)},
+            {"status", std::int64_t{status}},
+            {"attempts", std::int64_t{exchange.sent}},
+            {"elapsedMs", wholeMilliseconds(BootClock::now() - exchange.arrivedAt)}});
+    return errorResponse(status, reason, "", message);
 }
 
-HttpResponse Gateway::reject(const Exchange &exchange, std::string_view reason, Milliseconds retryAfter)
+HttpResponse Gateway::reject(Exchange &exchange, std::string_view reason, Milliseconds retryAfter)
 {
     // Spread, so that callers that were rejected together don't come back together.
     const double spread = std::uniform_real_distribution<double>(1.0, 2.0)(m_random);
     const Milliseconds wait = std::clamp(retryAfter, s_leastRetryAfter, s_mostRetryAfter) * spread;
     HttpResponse response = errorResponse(s_unavailable, "rejected", "", fmt::format("the request did not run: {}", reason));
+    exchange.outcome = RequestOutcome::NotRun;
+    exchange.reason = reason;
     response.headers.add("Retry-After", fmt::format("{:.2f}", wait.count() / 1000));
     writeLog(LogLevel::Info,
         "request-rejected",
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <LibGateway/attempt.h>
-#include <LibGateway/gatewaystate.h>
+#include <LibGateway/gatewaymetrics.h>
 #include <LibHttp/httpserver.h>
 
 #include <random>
@@ -28,8 +28,8 @@
 class Gateway
 {
 public:
-    /// Precondition: context and state outlive the gateway.
-    Gateway(boost::asio::io_context &context, GatewaySettings settings, GatewayState &state);
+    /// Precondition: context, state and metrics outlive the gateway.
+    Gateway(boost::asio::io_context &context, GatewaySettings settings, GatewayState &state, GatewayMetrics &metrics);
 
     /// Answers one request of a caller. Precondition: runs in a coroutine of the context.
     HttpResponse handle(HttpRequest &request, CallerConnection &caller, const boost::asio::yield_context &yield);
@@ -51,11 +51,13 @@
     AttemptEnd attempt(Exchange &exchange, Upstream &upstream, const boost::asio::yield_context &yield);
     void learn(Exchange &exchange, Upstream &upstream, const AttemptEnd &end, Milliseconds duration, BootTime now);
     bool mayTryAgain(const Exchange &exchange, const AttemptEnd &end, BootTime now);
+    HttpResponse fail(Exchange &exchange, RequestOutcome outcome, int status, std::string_view reason, std::string_view message);
     HttpResponse answer(Exchange &exchange, AttemptEnd end);
-    HttpResponse reject(const Exchange &exchange, std::string_view reason, Milliseconds retryAfter);
+    HttpResponse reject(Exchange &exchange, std::string_view reason, Milliseconds retryAfter);
 
     GatewaySettings m_settings;
     GatewayState &m_state;
+    GatewayMetrics &m_metrics;
     ConnectionPool m_pool;
     std::int64_t m_inFlight = 0;
     std::minstd_rand m_random;
--- /dev/null
+++ b/Libraries/LibGateway/gatewaymetrics.cpp
@@ -0,0 +1,73 @@
+#include <LibGateway/gatewaymetrics.h>
+
+#include <set>
+
+namespace Trefoil
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 6> s_outcomeNames = {"success", "failed", "broken", "shed", "unreachable", "cancelled"};
+
+double secondsSince(BootTime since, BootTime now)
+{
+    return since == BootTime{} ? -1 : std::chrono::duration<double>(now - since).count();
+}
+
+} // namespace
+
+GatewayMetrics::GatewayMetrics() = default;
+
+void GatewayMetrics::declare(const RoutingConfiguration &configuration, BootTime now)
+{
+    std::set<TenantId> hosts;
+    std::set<ClassId> routes;
+    for (const Route &route : configuration.routes) {
+        hosts.insert(TenantId(route.host));
+        routes.insert(ClassId(route.id.value()));
+    }
+    m_requests.declare({hosts.begin(), hosts.end()}, {routes.begin(), routes.end()});
+    m_configurationAt = now;
+}
+
+std::shared_ptr<RequestSeries> GatewayMetrics::start(const Route *route) const
+{
+    auto series = route ? m_requests.series(TenantId(route->host), ClassId(route->id.value())) : m_requests.series(TenantId(), ClassId());
+    series->started();
+    return series;
+}
+
+void GatewayMetrics::countAttempt(const UpstreamId &upstream, AttemptOutcome outcome)
+{
+    const bool hasOwn = m_attempts.count(upstream) > 0 || m_attempts.size() < s_maximumUpstreams;
+    ++m_attempts[hasOwn ? upstream : UpstreamId("other")][static_cast<std::size_t>(outcome)];
+}
+
+void GatewayMetrics::writeTo(ScrapeWriter &writer, const GatewayState &state, BootTime now) const
+{
+    m_requests.writeTo(writer);
+    writer.begin("trefoil_attempts_total", "counter", "Attempts at upstreams by how they ended.");
+    for (const auto &[upstream, counts] : m_attempts) {
+        for (std::size_t i = 0; i < counts.size(); ++i) {
+            if (counts[i] > 0) {
+                writer.sample("", {{"upstream", upstream.value()}, {"outcome", s_outcomeNames[i]}}, static_cast<double>(counts[i]));
+            }
+        }
+    }
+    const auto routes = state.routes();
+    writer.begin("trefoil_configuration_version", "gauge", "Version of the configuration in force; 0 before the first one.");
+    writer.sample("", {}, routes ? static_cast<double>(routes->configuration().version.value()) : 0);
+    writer.begin("trefoil_configuration_age_seconds", "gauge", "Time since the configuration came in force; -1 before the first one.");
+    writer.sample("", {}, secondsSince(m_configurationAt, now));
+    writer.begin("trefoil_discovery_age_seconds", "gauge", "Time since the store last confirmed the list of upstreams; -1 before the first time.");
+    writer.sample("", {}, secondsSince(m_discoveryAt, now));
+    writer.begin("trefoil_upstreams", "gauge", "Upstreams that are registered.");
+    writer.sample("", {}, static_cast<double>(state.upstreamCount()));
+    writer.begin("trefoil_evacuated_zones", "gauge", "Availability zones that get no requests.");
+    writer.sample("", {}, static_cast<double>(state.evacuated().size()));
+    writer.begin("trefoil_registered_hosts", "gauge", "Entry hosts that are registered, whether they live or not.");
+    writer.sample("", {}, static_cast<double>(state.registeredHosts()));
+}
+
+} // namespace Trefoil
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -134,6 +134,10 @@
     {
         return m_evacuated;
     }
+    std::size_t registeredHosts() const
+    {
+        return m_directory.registeredCount();
+    }
     std::size_t upstreamCount() const
     {
         return m_upstreams.size();
--- a/Libraries/LibSettings/gatewaysettings.cpp
+++ b/Libraries/LibSettings/gatewaysettings.cpp
@@ -130,6 +130,7 @@
     settings.readinessAddress = reader.text("/readinessAddress");
     settings.lookupAddress = reader.text("/lookupAddress");
     settings.peerAddress = reader.text("/peerAddress");
+    settings.metricsAddress = reader.text("/metricsAddress");
     settings.zones = reader.regionsOfZones("/zones");
     settings.storeAddress = reader.text("/store/address");
     settings.storeWritesPerSecond = reader.number("/store/writesPerSecond", settings.storeWritesPerSecond);
--- a/Libraries/LibSettings/gatewaysettings.h
+++ b/Libraries/LibSettings/gatewaysettings.h
@@ -42,6 +42,8 @@
     std::string lookupAddress;
     /// IP:port for datagrams of other hosts.
     std::string peerAddress;
+    /// Listening IP:port for scrapes of the metrics.
+    std::string metricsAddress;
     /// Region of each availability zone.
     std::map<ZoneId, RegionId> zones;
     /// IP:port of the platform's store.
--- a/Tests/LibGateway/testgateway.cpp
+++ b/Tests/LibGateway/testgateway.cpp
@@ -36,7 +36,7 @@
 {
     explicit Fixture(int upstreamCount, std::chrono::microseconds serviceTime = 1000us)
         : state(settings())
-        , gateway(context, {}, state)
+        , gateway(context, {}, state, metrics)
     {
         state.setConfiguration(configuration());
         state.directory().setSelf({HostId("self"), "a:1", "a:2", ZoneId("zone"), RegionId("region"), 1}, true);
@@ -112,7 +112,9 @@
     }
 
     asio::io_context context{1};
+    const SnapshotReaderThread reader;
     GatewayState state;
+    GatewayMetrics metrics;
     Gateway gateway;
     TestCaller caller;
     std::vector<std::unique_ptr<UpstreamStandIn>> upstreams;
@@ -251,7 +253,7 @@
     fixture.run([&](const asio::yield_context &yield) {
         cr_assert_eq(fixture.send("/elsewhere/1", yield).status, 404);
         GatewayState empty(Fixture::settings());
-        Gateway gateway(fixture.context, {}, empty);
+        Gateway gateway(fixture.context, {}, empty, fixture.metrics);
         HttpRequest request{"GET", "/read/1", {}, {}};
         request.headers.add("Host", "a.example");
         const HttpResponse response = gateway.handle(request, fixture.caller, yield);
--- a/Tests/LibSettings/testgatewaysettings.cpp
+++ b/Tests/LibSettings/testgatewaysettings.cpp
@@ -20,6 +20,7 @@
         {"readinessAddress", "10.0.0.1:81"},
         {"lookupAddress", "10.0.0.1:82"},
         {"peerAddress", "10.0.0.1:83"},
+        {"metricsAddress", "10.0.0.1:84"},
         {"zones", {{"gulf-a", "gulf"}, {"hill-a", "hill"}}},
         {"store", {{"address", "10.0.0.9:90"}}},
         {"limits", {{"stopGrace", "6s"}, {"retryRatio", 0.2}}}};
