--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -157,6 +157,7 @@
         const auto everywhere = m_state.usableUpstreams(exchange.service, route, exchange.tried, now);
         const auto usable = m_state.inChosenRegion(exchange.service, everywhere, exchange.positionHash, now);
         std::vector<UpstreamModel *> models;
+        models.reserve(usable.size());
         for (const auto &upstream : usable) {
             models.push_back(&upstream->model);
         }
@@ -165,7 +166,6 @@
         query.targetLatency = route.targetLatency;
         query.elapsed = now - exchange.arrivedAt;
         query.timeLeft = exchange.deadline - now;
-        query.isIdempotent = route.kind == RequestKind::Idempotent;
         query.priority = route.priority;
         query.work = &m_state.knowledge(route).work;
         query.usualLoad = usable.empty() ? 0 : m_state.knowledge(exchange.service).load[usable.front()->model.identity().region];
--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -202,6 +202,7 @@
             owners.insert(owners.end(), more.begin(), more.end());
         }
     }
+    hosts.reserve(owners.size());
     for (const HostId &host : owners) {
         hosts.push_back(stableHash(host.value()));
     }
--- a/Libraries/LibSettings/gatewaysettings.cpp
+++ b/Libraries/LibSettings/gatewaysettings.cpp
@@ -67,7 +67,8 @@
         }
         for (const auto &[zone, region] : value->items()) {
             if (!region.is_string()) {
-                m_findings.push_back({place + "/" + zone, "the name of a region is required", ""});
+                std::string placeOfZone = place;
+                m_findings.push_back({placeOfZone.append("/").append(zone), "the name of a region is required", ""});
                 continue;
             }
             regions.emplace(ZoneId(zone), RegionId(region.get<std::string>()));
@@ -133,7 +134,6 @@
     settings.metricsAddress = reader.text("/metricsAddress");
     settings.zones = reader.regionsOfZones("/zones");
     settings.storeAddress = reader.text("/store/address");
-    settings.storeWritesPerSecond = reader.number("/store/writesPerSecond", settings.storeWritesPerSecond);
     GatewayLimits &limits = settings.limits;
     limits.stopGrace = reader.duration("/limits/stopGrace", limits.stopGrace);
     limits.lookupLifetime = reader.duration("/limits/lookupLifetime", limits.lookupLifetime);
--- a/Libraries/LibSettings/gatewaysettings.h
+++ b/Libraries/LibSettings/gatewaysettings.h
@@ -48,8 +48,6 @@
     std::map<ZoneId, RegionId> zones;
     /// IP:port of the platform's store.
     std::string storeAddress;
-    /// Writes per second that the store takes from all hosts together.
-    double storeWritesPerSecond = 100;
     GatewayLimits limits;
 };
 
--- a/Libraries/LibSteering/placement.h
+++ b/Libraries/LibSteering/placement.h
@@ -61,7 +61,6 @@
     Milliseconds elapsed{0};
     /// Until the caller or the operator no longer wants the response.
     Milliseconds timeLeft{0};
-    bool isIdempotent = false;
     /// 0 is the most urgent.
     std::int32_t priority = 0;
     const WorkEstimate *work = nullptr;
--- a/Libraries/LibSteering/spillshare.cpp
+++ b/Libraries/LibSteering/spillshare.cpp
@@ -22,10 +22,6 @@
 constexpr double s_lowLoad = 0.3;
 /// The load is averaged over about this time.
 constexpr Seconds s_loadTime{1.0};
-/// Requests that move beside the share, of those in the same window.
-constexpr double s_extraPart = 0.04;
-constexpr std::chrono::seconds s_extraWindow{2};
-
 double fairShare(const SpillShare::Observation &observation, std::size_t regions)
 {
     const double fairSlots = (observation.slots + observation.otherSlots) / static_cast<double>(std::max<std::size_t>(regions, 1));
@@ -39,8 +35,6 @@
     , m_share(fairShare(start, regions))
     , m_load((s_highLoad + s_lowLoad) / 2)
     , m_observedAt(now)
-    , m_requests(s_extraWindow)
-    , m_extra(s_extraWindow)
 {
 }
 
@@ -58,14 +52,4 @@
     m_share = std::clamp(wanted, m_share - s_returnPerSecond * duration, m_share + s_changePerSecond * duration);
 }
 
-bool SpillShare::tryTakeExtra(BootTime now)
-{
-    return m_extra.tryAdd(static_cast<std::int64_t>(s_extraPart * static_cast<double>(m_requests.count(now))), now);
-}
-
-void SpillShare::recordRequest(BootTime now)
-{
-    m_requests.add(now);
-}
-
 } // namespace Trefoil
--- a/Libraries/LibSteering/spillshare.h
+++ b/Libraries/LibSteering/spillshare.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include <LibCore/bootclock.h>
-#include <LibSteering/slidingwindowcounter.h>
 
-#include <cstdint>
+#include <cstddef>
 
 namespace Trefoil
 {
@@ -38,12 +37,6 @@
         return position < m_share;
     }
 
-    /// Takes one request that leaves the region beside the share, or enters beside it; at most a small part of the requests.
-    bool tryTakeExtra(BootTime now);
-
-    /// Counts a request. Precondition: none.
-    void recordRequest(BootTime now);
-
     /// From 0 to 1. Precondition: none.
     double share() const
     {
@@ -55,8 +48,6 @@
     double m_share;
     double m_load;
     BootTime m_observedAt;
-    SlidingWindowCounter m_requests;
-    SlidingWindowCounter m_extra;
 };
 
 } // namespace Trefoil
--- a/Tests/LibHttp/testconnectionpool.cpp
+++ b/Tests/LibHttp/testconnectionpool.cpp
@@ -127,6 +127,42 @@
     cr_assert_eq(fixture.upstream->counts().connectionsOpened, 1);
 }
 
+// Guards against a response that ends with its connection and is thrown away although the caller of the pool takes those.
+Test(ConnectionPool, undeclaredLengthCanBeAccepted)
+{
+    Fixture fixture;
+    cr_assert(fixture.upstream->control({{"mode", "no-length"}, {"count", 1}}).has_value());
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        CallOptions options = fixture.options("first");
+        options.acceptsUndeclaredLength = true;
+        HttpRequest request{"POST", "/order", {}, "two casts"};
+        request.headers.add("Trefoil-Request-Id", "first");
+        const CallResult result = fixture.pool.call(fixture.upstream->address(), nullptr, request, options, yield);
+        cr_assert_eq(textOf(result), "200");
+        cr_assert_eq(textOf(fixture.call("second", yield)), "200");
+        cr_assert_eq(fixture.pool.opened(), 2);
+    });
+}
+
+// Guards against a request that may run once only on a connection that the upstream may have forgotten.
+Test(ConnectionPool, longIdleConnectionIsNotTrusted)
+{
+    Fixture fixture;
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        cr_assert_eq(textOf(fixture.call("first", yield)), "200");
+        asio::steady_timer timer(fixture.context, std::chrono::milliseconds(30));
+        timer.async_wait(yield);
+        CallOptions options = fixture.options("second");
+        options.maximumIdle = std::chrono::milliseconds(10);
+        HttpRequest request{"POST", "/order", {}, "two casts"};
+        request.headers.add("Trefoil-Request-Id", "second");
+        cr_assert_eq(textOf(fixture.pool.call(fixture.upstream->address(), nullptr, request, options, yield)), "200");
+        cr_assert_eq(fixture.pool.opened(), 2);
+        cr_assert_eq(textOf(fixture.call("third", yield)), "200");
+        cr_assert_eq(fixture.pool.opened(), 2);
+    });
+}
+
 // Guards against more connections than granted, and against permits that leak with closed connections.
 Test(ConnectionPool, connectionLimitHolds)
 {
--- a/Tests/LibRouting/testupstreamcatalog.cpp
+++ b/Tests/LibRouting/testupstreamcatalog.cpp
@@ -21,7 +21,7 @@
 struct SequenceCase
 {
     char name[48];
-    int count;
+    std::int64_t count;
     Report reports[4];
     /// The state after all reports.
     bool isThere;
@@ -77,10 +77,10 @@
 ParameterizedTest(SequenceCase *testCase, UpstreamCatalog, reportsInAnyOrder)
 {
     UpstreamCatalog catalog;
-    for (int i = 0; i < testCase->count; ++i) {
+    for (std::int64_t i = 0; i < testCase->count; ++i) {
         const Report &report = testCase->reports[i];
         const RegistrationChange change = report.removed ? catalog.remove(UpstreamId("u1")) : catalog.apply(registration(report));
-        cr_assert_eq(static_cast<int>(change), static_cast<int>(report.expected), "%s: report %d", testCase->name, i);
+        cr_assert_eq(static_cast<int>(change), static_cast<int>(report.expected), "%s: report %ld", testCase->name, static_cast<long>(i));
     }
     const auto found = catalog.all().find(UpstreamId("u1"));
     cr_assert_eq(found != catalog.all().end(), testCase->isThere, "%s", testCase->name);
--- a/Tests/LibSteering/testplacement.cpp
+++ b/Tests/LibSteering/testplacement.cpp
@@ -130,6 +130,7 @@
     constexpr double rate = 3.2 * 1.5 + 5;
     constexpr std::size_t owners = 2;
     std::vector<std::uint64_t> hosts;
+    hosts.reserve(12);
     for (int i = 0; i < 12; ++i) {
         hosts.push_back(stableHash("host" + std::to_string(i)));
     }
--- a/Utilities/trefoilctl/main.cpp
+++ b/Utilities/trefoilctl/main.cpp
@@ -1,4 +1,5 @@
 #include "administrationclient.h"
+#include "explain.h"
 #include "report.h"
 #include "settings.h"
 
@@ -89,6 +90,10 @@
 
 int main(int argc, char **argv)
 {
+    // Logs are read without a host, so that the settings of the tool aren't needed.
+    if (argc > 1 && std::string_view(argv[1]) == "explain") {
+        return runExplain(argc - 1, argv + 1);
+    }
     const auto parsed = parseToolSettings(argc, argv);
     if (parsed.has_error()) {
         std::cerr << toText(parsed.error().findings);
