--- a/Tests/LibSteering/testplacement.cpp
+++ b/Tests/LibSteering/testplacement.cpp
@@ -286,6 +286,24 @@
     cr_assert_eq(static_cast<int>(got), static_cast<int>(testCase->expected), "%s: %d", testCase->name, static_cast<int>(got));
 }
 
+// Load pattern: the first requests for a key, when all upstreams are idle, cold and in another region. Guards against a refusal
+// while slots are free.
+Test(Placement, idleUpstreamsServeAlsoLateAndFarAway)
+{
+    WorkEstimate work(600ms);
+    for (int i = 0; i < 100; ++i) {
+        work.record(CacheState::Likely, 880ms);
+        work.record(CacheState::Unlikely, 880ms);
+    }
+    UpstreamModel far(identity("far", "hill-a", "hill"));
+    for (const double load : {0.0, 0.5}) {
+        PlacementQuery asked = query(work, stableHash("key"), s_start);
+        asked.usualLoad = load;
+        asked.priority = 2;
+        cr_assert(std::holds_alternative<Placed>(place({&far}, asked, settings())), "load %f", load);
+    }
+}
+
 namespace
 {
 
