LibTelemetry: Never block on standard output; split the gateway's longer functions

Cause: a reader of the log that stands still would have stopped the host. Lines wait in a bounded buffer now, and those that don't fit are counted.

--- a/Libraries/LibGateway/attempt.cpp
+++ b/Libraries/LibGateway/attempt.cpp
@@ -14,6 +14,7 @@
     AttemptEnd end;
     end.reason = toText(failure.kind);
     end.execution = failure.anyByteWritten ? Execution::Possible : Execution::NotRun;
+    end.wasSent = failure.anyByteWritten;
     switch (failure.kind) {
     case CallFailureKind::Cancelled:
         end.outcome = AttemptOutcome::Cancelled;
--- a/Libraries/LibGateway/attempt.h
+++ b/Libraries/LibGateway/attempt.h
@@ -24,6 +24,8 @@
     std::optional<LoadReport> load{};
     /// One word for logs, such as "shed".
     std::string reason{};
+    /// Bytes of the request have reached, or may have reached, the upstream.
+    bool wasSent = true;
     /// The attempt lasted as long as the response was awaited.
     bool timedOut = false;
     /// Another upstream has the address.
--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -149,36 +149,39 @@
     }
 }
 
+PlacementQuery Gateway::placementQuery(Exchange &exchange, const std::vector<std::shared_ptr<Upstream>> &usable, BootTime now)
+{
+    const Route &route = *exchange.route;
+    ServiceKnowledge &service = m_state.knowledge(exchange.service);
+    exchange.load = usable.empty() ? 0 : service.load[usable.front()->model.identity().region];
+    PlacementQuery query;
+    query.keyHash = exchange.keyHash;
+    query.targetLatency = route.targetLatency;
+    query.elapsed = now - exchange.arrivedAt;
+    query.timeLeft = exchange.deadline - now;
+    query.priority = route.priority;
+    query.work = &m_state.knowledge(route).work;
+    query.usualLoad = exchange.load;
+    query.slotTime = service.slotTime;
+    query.now = now;
+    return query;
+}
+
 std::variant<std::shared_ptr<Upstream>, HttpResponse> Gateway::choose(Exchange &exchange)
 {
     const BootTime now = BootClock::now();
-    const Route &route = *exchange.route;
     while (true) {
-        const auto everywhere = m_state.usableUpstreams(exchange.service, route, exchange.tried, now);
+        const auto everywhere = m_state.usableUpstreams(exchange.service, *exchange.route, exchange.tried, now);
         const auto usable = m_state.inChosenRegion(exchange.service, everywhere, exchange.positionHash, now);
         std::vector<UpstreamModel *> models;
         models.reserve(usable.size());
         for (const auto &upstream : usable) {
             models.push_back(&upstream->model);
         }
-        PlacementQuery query;
-        query.keyHash = exchange.keyHash;
-        query.targetLatency = route.targetLatency;
-        query.elapsed = now - exchange.arrivedAt;
-        query.timeLeft = exchange.deadline - now;
-        query.priority = route.priority;
-        query.work = &m_state.knowledge(route).work;
-        query.usualLoad = usable.empty() ? 0 : m_state.knowledge(exchange.service).load[usable.front()->model.identity().region];
-        exchange.load = query.usualLoad;
-        query.slotTime = m_state.knowledge(exchange.service).slotTime;
-        query.now = now;
-        const PlacementResult result = place(models, query, m_state.settings().placement);
+        const PlacementResult result = place(models, placementQuery(exchange, usable, now), m_state.settings().placement);
         const auto *placed = std::get_if<Placed>(&result);
         if (!placed) {
-            const auto *noRoom = std::get_if<NoRoom>(&result);
-            const Milliseconds retryAfter = noRoom ? noRoom->retryAfter : s_startRetryAfter;
-            return exchange.mayHaveRun ? fail(exchange, RequestOutcome::Unknown, s_badGateway, "upstream-error", "the upstream gave no complete response")
-                                       : reject(exchange, noRoom ? "no-room" : "no-upstream", retryAfter);
+            return answerUnplaced(exchange, std::get_if<NoRoom>(&result));
         }
         const auto &upstream = usable[placed->candidate];
         if (!m_state.takeColdPlace(*upstream, now)) {
@@ -190,65 +193,85 @@
     }
 }
 
-AttemptEnd Gateway::attempt(Exchange &exchange, Upstream &upstream, const asio::yield_context &yield)
+HttpResponse Gateway::answerUnplaced(Exchange &exchange, const NoRoom *noRoom)
+{
+    if (exchange.mayHaveRun) {
+        return fail(exchange, RequestOutcome::Unknown, s_badGateway, "upstream-error", "the upstream gave no complete response");
+    }
+    return noRoom ? reject(exchange, "no-room", noRoom->retryAfter) : reject(exchange, "no-upstream", s_startRetryAfter);
+}
+
+HttpRequest Gateway::upstreamRequest(const Exchange &exchange, const UpstreamIdentity &upstream) const
 {
-    const UpstreamIdentity &identity = upstream.model.identity();
     const GatewayHeaders &names = m_settings.headers;
-    exchange.tried.insert(identity.id);
-    HttpRequest outgoing{exchange.request.method, exchange.request.target, {}, exchange.request.body};
-    copyEndToEndFields(exchange.request.headers, outgoing.headers);
-    HttpHeaders passed;
-    for (const HttpHeader &field : outgoing.headers.all()) {
+    HttpHeaders endToEnd;
+    copyEndToEndFields(exchange.request.headers, endToEnd);
+    HttpRequest request{exchange.request.method, exchange.request.target, {}, exchange.request.body};
+    for (const HttpHeader &field : endToEnd.all()) {
+        // The gateway sets both itself.
         if (!isSameHeaderName(field.name, names.timeLeft) && !isSameHeaderName(field.name, names.expectedUpstream)) {
-            passed.add(field.name, field.value);
+            request.headers.add(field.name, field.value);
         }
     }
-    outgoing.headers = std::move(passed);
-    outgoing.headers.add(names.expectedUpstream, identity.id.value());
+    request.headers.add(names.expectedUpstream, upstream.id.value());
+    return request;
+}
 
+CallOptions Gateway::callOptions(Exchange &exchange, const Upstream &upstream) const
+{
     CallOptions options;
     options.deadline = exchange.deadline;
+    // An upstream that works sends nothing until it is done; the deadline alone ends the wait.
     options.progressTimeout = std::chrono::duration_cast<std::chrono::milliseconds>(exchange.deadline - exchange.arrivedAt) + std::chrono::seconds(1);
     options.requestId = exchange.id;
-    options.requestIdHeader = names.requestId;
+    options.requestIdHeader = m_settings.headers.requestId;
     options.skipsForeignResponses = true;
     options.acceptsUndeclaredLength = true;
     if (exchange.route->kind == RequestKind::NonIdempotent) {
         options.maximumIdle = m_settings.trustedIdle;
     }
     options.cancellation = &exchange.caller.cancellation();
-    options.prepare = [&exchange, &upstream, &names](HttpRequest &request) {
+    options.prepare = [&exchange, &upstream, &names = m_settings.headers](HttpRequest &request) {
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(exchange.deadline - BootClock::now());
         request.headers.add(names.timeLeft, fmt::to_string(std::max<std::int64_t>(left.count(), 1)));
         return !upstream.model.isLeaving && left >= s_leastTimeLeft;
     };
+    return options;
+}
+
+AttemptEnd Gateway::attempt(Exchange &exchange, Upstream &upstream, const asio::yield_context &yield)
+{
+    const UpstreamIdentity &identity = upstream.model.identity();
+    exchange.tried.insert(identity.id);
+    const CallOptions options = callOptions(exchange, upstream);
     upstream.model.recordStart();
     const BootTime start = BootClock::now();
-    AttemptEnd end = classifyCall(m_pool.call(identity.address, nullptr, std::move(outgoing), options, yield), names);
+    AttemptEnd end = classifyCall(m_pool.call(identity.address, nullptr, upstreamRequest(exchange, identity), options, yield), m_settings.headers);
     const BootTime now = BootClock::now();
     learn(exchange, upstream, end, now - start, now);
-    if (end.execution == Execution::NotRun && !end.isElsewhere && end.reason != "shed") {
-        ++exchange.unsent;
-    } else {
-        ++exchange.sent;
-    }
     m_metrics.countAttempt(identity.id, end.outcome);
+    ++(end.wasSent ? exchange.sent : exchange.unsent);
     exchange.mayHaveRun = exchange.mayHaveRun || end.execution == Execution::Possible;
+    logAttempt(exchange, upstream, end, now - start, now);
+    return end;
+}
+
+void Gateway::logAttempt(const Exchange &exchange, const Upstream &upstream, const AttemptEnd &end, Milliseconds duration, BootTime now) const
+{
     writeLog(LogLevel::Info,
         "attempt-ended",
         {{"request", exchange.id},
-            {"key", std::string(exchange.request.headers.value(names.affinityKey))},
+            {"key", std::string(exchange.request.headers.value(m_settings.headers.affinityKey))},
             {"route", exchange.route->id.value()},
-            {"upstream", identity.id.value()},
+            {"upstream", upstream.model.identity().id.value()},
             {"reason", end.reason},
             {"status", std::int64_t{end.response ? end.response->status : 0}},
-            {"durationMs", wholeMilliseconds(now - start)},
+            {"durationMs", wholeMilliseconds(duration)},
             {"expectedWorkMs", wholeMilliseconds(exchange.placed.expectedWork)},
             {"expectedWaitMs", wholeMilliseconds(exchange.placed.expectedWait)},
             {"cache", std::int64_t{static_cast<int>(exchange.placed.cache)}},
-            {"load", m_state.knowledge(exchange.service).load[identity.region]},
+            {"load", exchange.load},
             {"failureRate", upstream.model.failureRate(now)}});
-    return end;
 }
 
 void Gateway::learn(Exchange &exchange, Upstream &upstream, const AttemptEnd &end, Milliseconds duration, BootTime now)
--- a/Libraries/LibTelemetry/log.h
+++ b/Libraries/LibTelemetry/log.h
@@ -31,7 +31,9 @@
 void configureLog(LogLevel lowest, const HostId &host, const ZoneId &zone);
 
 /// Writes one line: time, level, host, availability zone, event name, then the fields. Of one event 20 lines are
-/// written in a second; the rest is counted and reported by one line "log-lines-suppressed" after that second.
+/// written in a second; the rest is counted and reported by one line "log-lines-suppressed" after that second. It never
+/// blocks: while nobody reads standard output, lines wait in a bounded buffer, and those that don't fit are counted and
+/// reported by "log-lines-dropped".
 /// Precondition: event is a constant name such as "lease-expired". Thread safety: safe from any thread.
 void writeLog(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
