LibHttp: Keep one list of the headers of a connection

Cause: the gateway wrote the list of forwarding.cpp again. Host and Authorization, which only that path leaves out, stay there. Behaviour is as before: TestGateway, TestHttp and TestRequestPath were run; the rest of the tests and the linter were not.

--- a/Libraries/LibGateway/gatewayheaders.cpp
+++ b/Libraries/LibGateway/gatewayheaders.cpp
@@ -1,9 +1,7 @@
 #include <LibGateway/gatewayheaders.h>
 
 #include <algorithm>
-#include <array>
 #include <charconv>
-#include <limits>
 
 namespace Trefoil
 {
@@ -11,18 +9,6 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 11> s_connectionHeaders = {"Connection",
-    "Keep-Alive",
-    "Proxy-Connection",
-    "Proxy-Authenticate",
-    "Proxy-Authorization",
-    "TE",
-    "Trailer",
-    "Transfer-Encoding",
-    "Upgrade",
-    "Expect",
-    "Content-Length"};
-
 std::string_view trimmed(std::string_view text)
 {
     const auto first = text.find_first_not_of(" \t");
@@ -57,11 +43,6 @@
 
 } // namespace
 
-bool isConnectionHeader(std::string_view name)
-{
-    return std::any_of(s_connectionHeaders.begin(), s_connectionHeaders.end(), [name](std::string_view header) { return isSameHeaderName(name, header); });
-}
-
 void copyEndToEndFields(const HttpHeaders &from, HttpHeaders &to)
 {
     const auto named = listOf(from.value("Connection"));
--- a/Libraries/LibGateway/gatewayheaders.h
+++ b/Libraries/LibGateway/gatewayheaders.h
@@ -26,9 +26,6 @@
     std::string load = "Trefoil-Load";
 };
 
-/// True for a header that concerns one connection only and is not passed on. Precondition: none. Thread safety: safe from any thread.
-bool isConnectionHeader(std::string_view name);
-
 /// Copies the headers that concern more than one connection, also leaving out those that the Connection header names.
 /// Precondition: none. Thread safety: one thread at a time.
 void copyEndToEndFields(const HttpHeaders &from, HttpHeaders &to);
--- a/Libraries/LibHttp/message.cpp
+++ b/Libraries/LibHttp/message.cpp
@@ -1,11 +1,24 @@
 #include <LibHttp/message.h>
 
 #include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 
 namespace Trefoil
 {
 
+constexpr std::array<std::string_view, 11> s_connectionHeaders = {"Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+    "Expect",
+    "Content-Length"};
+
 static char toLower(char character)
 {
     return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
@@ -16,6 +29,11 @@
     return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) { return toLower(x) == toLower(y); });
 }
 
+bool isConnectionHeader(std::string_view name)
+{
+    return std::any_of(s_connectionHeaders.begin(), s_connectionHeaders.end(), [name](std::string_view header) { return isSameHeaderName(name, header); });
+}
+
 const std::string *HttpHeaders::find(std::string_view name) const
 {
     for (const auto &field : m_fields) {
--- a/Libraries/LibHttp/message.h
+++ b/Libraries/LibHttp/message.h
@@ -64,6 +64,9 @@
 /// A response with the given JSON text as its body. Precondition: status is an HTTP status. Thread safety: safe from any thread.
 HttpResponse jsonResponse(int status, std::string body);
 
+/// True for a header that concerns one connection only and is not passed on. Precondition: none. Thread safety: safe from any thread.
+bool isConnectionHeader(std::string_view name);
+
 /// True when two header names are equal without regard to case. Precondition: none. Thread safety: safe from any thread.
 bool isSameHeaderName(std::string_view a, std::string_view b);
 
--- a/Services/trefoilmountd/forwarding.cpp
+++ b/Services/trefoilmountd/forwarding.cpp
@@ -1,7 +1,6 @@
 #include <Services/trefoilmountd/forwarding.h>
 
 #include <algorithm>
-#include <array>
 #include <fmt/format.h>
 
 namespace Trefoil
@@ -10,19 +9,6 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 13> s_hopHeaders = {"Connection",
-    "Keep-Alive",
-    "Proxy-Connection",
-    "Proxy-Authenticate",
-    "Proxy-Authorization",
-    "TE",
-    "Trailer",
-    "Transfer-Encoding",
-    "Upgrade",
-    "Content-Length",
-    "Host",
-    "Expect",
-    "Authorization"};
 constexpr std::string_view s_ownPrefix = "Trefoil-";
 constexpr int s_serviceUnavailable = 503;
 
@@ -31,7 +17,8 @@
     if (isSameHeaderName(name.substr(0, s_ownPrefix.size()), s_ownPrefix) || isSameHeaderName(name, "Idempotency-Key")) {
         return false;
     }
-    return std::none_of(s_hopHeaders.begin(), s_hopHeaders.end(), [name](std::string_view hop) { return isSameHeaderName(name, hop); });
+    // Each hop names the host it addresses, and credentials of this system stay in it.
+    return !isConnectionHeader(name) && !isSameHeaderName(name, "Host") && !isSameHeaderName(name, "Authorization");
 }
 
 /// Builds the response for each end of a request.
