LibMembership: Find the guardians of a new host within a second

Each host of the cut-off region lost its lease 3 s after the cut and got none until the store was back.

Cause: a host that joins before its neighbours asks for their rows once and again only 3 s later, revises its guardians every 2 s (the first time after up to 2 s) and writes them at most once a second. Until then it has fewer guardians in its region than a majority needs.

--- a/Libraries/LibMembership/guardians.cpp
+++ b/Libraries/LibMembership/guardians.cpp
@@ -13,7 +13,7 @@
 {
 
 constexpr std::size_t s_guardiansInRegion = 3;
-constexpr std::size_t s_guardiansOutside = 2;
+constexpr std::size_t s_guardiansOutside = s_wantedGuardians - s_guardiansInRegion;
 
 std::uint64_t rank(const HostId &self, const HostId &candidate)
 {
--- a/Libraries/LibMembership/guardians.h
+++ b/Libraries/LibMembership/guardians.h
@@ -2,11 +2,15 @@
 
 #include <LibCore/strongid.h>
 
+#include <cstddef>
 #include <vector>
 
 namespace Trefoil
 {
 
+/// Number of guardians of a host in a deployment that is large enough.
+constexpr std::size_t s_wantedGuardians = 5;
+
 struct GuardianCandidate
 {
     HostId id;
--- a/Libraries/LibMembership/member.cpp
+++ b/Libraries/LibMembership/member.cpp
@@ -23,6 +23,8 @@
 constexpr BootClock::duration s_shortestPollInterval = seconds(1);
 constexpr std::int64_t s_pollsPerSecond = 500;
 constexpr BootClock::duration s_revisionInterval = seconds(2);
+/// A host with too few guardians loses its lease when its region is cut off; it looks for more with every heartbeat.
+constexpr BootClock::duration s_incompleteRevisionInterval = s_heartbeatInterval;
 /// A guardian that stays silent for this long is replaced.
 constexpr BootClock::duration s_silentGuardian = seconds(10);
 /// Silence after which a guardian starts to observe the host's row.
@@ -224,7 +226,7 @@
     m_lastRenewal = now;
     m_renewSoon = m_lease.validUntil() == BootTime();
     m_nextUpdate = now;
-    m_nextRevision = now + jitter(s_revisionInterval);
+    m_nextRevision = now + jitter(s_incompleteRevisionInterval);
 }
 
 void Member::fenced(BootTime now)
@@ -404,7 +406,7 @@
     if (now < m_nextRevision || m_proposedGuardians) {
         return;
     }
-    m_nextRevision = now + s_revisionInterval;
+    m_nextRevision = now + (m_lease.guardians().size() < s_wantedGuardians ? s_incompleteRevisionInterval : s_revisionInterval);
     std::vector<HostId> working;
     for (const HostId &guardian : m_lease.guardians()) {
         const auto heard = m_lastHeardGuardian.find(guardian);
@@ -445,6 +447,9 @@
 
 BootClock::duration Member::renewalInterval(BootTime now)
 {
+    if (m_renewSoon && m_proposedGuardians && m_lease.guardians().size() < s_wantedGuardians) {
+        return s_incompleteRevisionInterval;
+    }
     if (now - m_lease.lastGuardianConfirmation() < s_confirmedFor) {
         return m_renewSoon || m_leaving != m_leavingWritten ? s_unconfirmedRenewalInterval : s_renewalInterval - m_renewalJitter;
     }
--- a/Libraries/LibMembership/peerdirectory.cpp
+++ b/Libraries/LibMembership/peerdirectory.cpp
@@ -10,7 +10,8 @@
 
 constexpr std::size_t s_rowsPerRead = 200;
 constexpr BootClock::duration s_readInterval = std::chrono::milliseconds(500);
-/// A host on the list that has no row yet is looked up again after this time.
+/// A host that is on the list for long and has no row is looked up again after this time. One that was listed a moment ago is about
+/// to join: others need its row to choose it as a guardian, and look it up with each read.
 constexpr BootClock::duration s_missingInterval = std::chrono::seconds(3);
 constexpr BootClock::duration s_readDeadline = std::chrono::seconds(2);
 /// Hosts that start together count in each other's fair shares for this long, so that the first ones don't take everything.
@@ -120,7 +121,7 @@
         if (position->second > now) {
             continue;
         }
-        position->second = now + s_missingInterval;
+        position->second = now + (isExpected(position->first, now) ? s_readInterval : s_missingInterval);
         keys.push_back(hostRowKey(position->first));
     }
     // Hosts that are neither listed nor found are not looked up again until somebody names them.
@@ -143,6 +144,12 @@
         [this](BootTime) { m_reading = false; });
 }
 
+bool PeerDirectory::isExpected(const HostId &host, BootTime now) const
+{
+    const auto listed = m_listed.find(host);
+    return listed != m_listed.end() && now - listed->second.firstSeen < s_expectedFor;
+}
+
 std::vector<GuardianCandidate> PeerDirectory::candidates() const
 {
     std::vector<GuardianCandidate> candidates;
--- a/Libraries/LibMembership/peerdirectory.h
+++ b/Libraries/LibMembership/peerdirectory.h
@@ -63,6 +63,9 @@
     }
 
 private:
+    /// True for hosts that were put on the list a moment ago.
+    bool isExpected(const HostId &host, BootTime now) const;
+
     struct Listed
     {
         ListedHost host;
--- a/Tests/LibMembership/testmembership.cpp
+++ b/Tests/LibMembership/testmembership.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <fmt/format.h>
 
@@ -249,3 +250,32 @@
     }
     cr_assert(world.processes().front()->member->grants().toJson() == before);
 }
+
+// Guards against a region that stops serving when it is cut off soon after its hosts joined: its hosts need enough guardians
+// within the region by then.
+Test(Membership, regionCutOffSoonAfterJoiningKeepsItsLeases)
+{
+    for (std::uint64_t seed = 1000; seed < 1100; ++seed) {
+        Shape shape;
+        shape.resources = resources();
+        shape.startSpread = milliseconds(300);
+        World world(shape, seed);
+        const auto isMember = [](const auto &process) { return process->member && process->member->isMember(); };
+        while (world.processes().size() < shape.regions * shape.hostsPerRegion
+            || !std::all_of(world.processes().begin(), world.processes().end(), isMember)) {
+            world.runUntil(world.now() + milliseconds(10));
+        }
+        world.runUntil(world.now() + seconds(2));
+        world.storeFaults.down = true;
+        for (const auto &process : world.processes()) {
+            process->cutFromPeers = process->region != 0;
+        }
+        for (int second = 1; second <= 12; ++second) {
+            world.runUntil(world.now() + seconds(1));
+            for (const auto &process : world.processes()) {
+                cr_assert(process->region != 0 || world.now() < process->member->leaseValidUntil(),
+                    "seed %lu: %s has no lease %d s after the cut", seed, process->host.value().c_str(), second);
+            }
+        }
+    }
+}
