LibGateway: Spread look-ups over large zones, divide connections

Read as a newcomer would, four things were wrong or stood twice.

- A look-up named the first 16 live hosts of a zone, always the same ones; in a zone of 250 hosts the others got no callers.
Answers now take turns.
- Connections to an upstream had no limit of their own.
Each host now takes an equal part of what the upstream accepts; the limit's failure is "no room", not a failing upstream.
- Hosts of one zone sent each other two datagrams a second; a reply is now asked only of hosts that are not heard.
- The 502 for a lost response and the parsing of IP:port stood twice; the queue's occupancy and the number of regions were computed per candidate.

--- a/Libraries/LibGateway/attempt.cpp
+++ b/Libraries/LibGateway/attempt.cpp
@@ -20,6 +20,9 @@
         end.outcome = AttemptOutcome::Cancelled;
         break;
     case CallFailureKind::NoConnection:
+        // This host's own limit; it says nothing bad about the upstream.
+        end.outcome = AttemptOutcome::Shed;
+        break;
     case CallFailureKind::ConnectFailed:
     case CallFailureKind::ConnectTimeout:
         end.outcome = AttemptOutcome::Unreachable;
--- a/Libraries/LibGateway/beacon.cpp
+++ b/Libraries/LibGateway/beacon.cpp
@@ -64,14 +64,15 @@
 void BeaconSocket::sendAll(bool isLeaving)
 {
     m_isLeaving = isLeaving;
-    const std::string bytes = encodeBeacon({m_self, isLeaving, true});
-    for (const HostReport &target : m_directory.beaconTargets(BootClock::now())) {
-        const auto endpoint = parseEndpoint(target.peerAddress);
+    const std::string asking = encodeBeacon({m_self, isLeaving, true});
+    const std::string telling = encodeBeacon({m_self, isLeaving, false});
+    for (const BeaconTarget &target : m_directory.beaconTargets(BootClock::now())) {
+        const auto endpoint = parseEndpoint(target.report.peerAddress);
         if (endpoint.has_error()) {
-            writeLog(LogLevel::Warning, "peer-address-unreadable", {{"peer", target.id.value()}, {"address", target.peerAddress}});
+            writeLog(LogLevel::Warning, "peer-address-unreadable", {{"peer", target.report.id.value()}, {"address", target.report.peerAddress}});
             continue;
         }
-        send(bytes, udp::endpoint(endpoint.value().address(), endpoint.value().port()));
+        send(target.wantsReply ? asking : telling, udp::endpoint(endpoint.value().address(), endpoint.value().port()));
     }
 }
 
@@ -93,7 +94,6 @@
         const auto beacon = error ? std::nullopt : decodeBeacon(std::string_view(m_buffer.data(), size));
         if (beacon) {
             m_directory.heard(beacon->from, beacon->isLeaving, BootClock::now());
-            // Hosts of one zone send each other beacons anyway; a reply is for those that don't hear this host otherwise.
             if (beacon->wantsReply) {
                 send(encodeBeacon({m_self, m_isLeaving, false}), m_sender);
             }
--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -196,7 +196,7 @@
 HttpResponse Gateway::answerUnplaced(Exchange &exchange, const NoRoom *noRoom)
 {
     if (exchange.mayHaveRun) {
-        return fail(exchange, RequestOutcome::Unknown, s_badGateway, "upstream-error", "the upstream gave no complete response");
+        return failIncomplete(exchange);
     }
     return noRoom ? reject(exchange, "no-room", noRoom->retryAfter) : reject(exchange, "no-upstream", s_startRetryAfter);
 }
@@ -246,7 +246,8 @@
     const CallOptions options = callOptions(exchange, upstream);
     upstream.model.recordStart();
     const BootTime start = BootClock::now();
-    AttemptEnd end = classifyCall(m_pool.call(identity.address, nullptr, upstreamRequest(exchange, identity), options, yield), m_settings.headers);
+    AttemptEnd end =
+        classifyCall(m_pool.call(identity.address, m_state.connectionLimit(upstream), upstreamRequest(exchange, identity), options, yield), m_settings.headers);
     const BootTime now = BootClock::now();
     learn(exchange, upstream, end, now - start, now);
     m_metrics.countAttempt(identity.id, end.outcome);
@@ -335,6 +336,11 @@
     if (end.timedOut) {
         return fail(exchange, RequestOutcome::Unknown, s_gatewayTimeout, "timeout", "the upstream gave no response in time");
     }
+    return failIncomplete(exchange);
+}
+
+HttpResponse Gateway::failIncomplete(Exchange &exchange)
+{
     return fail(exchange, RequestOutcome::Unknown, s_badGateway, "upstream-error", "the upstream gave no complete response");
 }
 
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -57,6 +57,7 @@
     void learn(Exchange &exchange, Upstream &upstream, const AttemptEnd &end, Milliseconds duration, BootTime now);
     bool mayTryAgain(const Exchange &exchange, const AttemptEnd &end, BootTime now);
     HttpResponse fail(Exchange &exchange, RequestOutcome outcome, int status, std::string_view reason, std::string_view message);
+    HttpResponse failIncomplete(Exchange &exchange);
     HttpResponse answer(Exchange &exchange, AttemptEnd end);
     HttpResponse reject(Exchange &exchange, std::string_view reason, Milliseconds retryAfter);
 
--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -28,6 +28,11 @@
     : m_settings(std::move(settings))
     , m_directory(m_settings.directory)
 {
+    std::set<RegionId> regions;
+    for (const auto &[zone, region] : m_settings.regions) {
+        regions.insert(region);
+    }
+    m_regionCount = regions.size();
 }
 
 bool GatewayState::setConfiguration(RoutingConfiguration configuration)
@@ -138,10 +143,6 @@
 SpillShare &GatewayState::observedSpill(ServiceKnowledge &service, BootTime now)
 {
     SpillShare::Observation observation;
-    std::set<RegionId> regions;
-    for (const auto &[zone, region] : m_settings.regions) {
-        regions.insert(region);
-    }
     for (const auto &upstream : service.upstreams) {
         const UpstreamIdentity &identity = upstream->model.identity();
         if (upstream->model.isLeaving || m_evacuated.count(identity.zone) > 0) {
@@ -155,7 +156,7 @@
         observation.occupancy += upstream->model.occupancy(now, service.load[identity.region]);
     }
     if (!service.spill) {
-        service.spill.emplace(observation, regions.size(), now);
+        service.spill.emplace(observation, m_regionCount, now);
     }
     service.spill->observe(observation, now);
     return *service.spill;
@@ -222,6 +223,17 @@
     return upstream.pacer.tryTake(now, std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(1 / ownRate)));
 }
 
+std::shared_ptr<ConnectionLimit> GatewayState::connectionLimit(const Upstream &upstream) const
+{
+    const ServicePolicy *policy = policyOf(upstream.model.identity().service);
+    if (!policy || policy->maximumConnections.value() <= 0) {
+        return nullptr;
+    }
+    const auto hosts = static_cast<std::int32_t>(std::max<std::size_t>(m_directory.registeredCount(), 1));
+    upstream.connections->setGranted(ConnectionCount(std::max(policy->maximumConnections.value() / hosts, 1)));
+    return upstream.connections;
+}
+
 RouteKnowledge &GatewayState::knowledge(const Route &route)
 {
     return m_routeKnowledge.try_emplace(route.id, Milliseconds(std::max(route.targetLatency, std::chrono::milliseconds(1)))).first->second;
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibGateway/hostdirectory.h>
+#include <LibHttp/connectionlimit.h>
 #include <LibRouting/routetable.h>
 #include <LibRouting/upstreamcatalog.h>
 #include <LibSteering/coldpacer.h>
@@ -39,6 +40,8 @@
 
     UpstreamModel model;
     ColdPacer pacer;
+    /// This host's part of the connections that the upstream accepts.
+    std::shared_ptr<ConnectionLimit> connections = ConnectionLimit::create(ConnectionCount(1));
 };
 
 /// What is learned about the requests of one route; it outlives changes of the configuration.
@@ -109,7 +112,8 @@
     /// Upstreams of a service that a request may be sent to now. Precondition: none.
     std::vector<std::shared_ptr<Upstream>> usableUpstreams(const ServiceId &service, const Route &route, const std::set<UpstreamId> &excluded, BootTime now);
 
-    /// Of the usable upstreams, those of the region that the request's key belongs to now; all when that region has none.
+    /// Of the usable upstreams, those of the own region, or of the one to which the share of keys that leave it belongs. A region
+    /// without usable upstreams sends all its keys to others.
     /// Precondition: usable are upstreams of the service.
     std::vector<std::shared_ptr<Upstream>> inChosenRegion(
         const ServiceId &service, const std::vector<std::shared_ptr<Upstream>> &usable, std::uint64_t positionHash, BootTime now);
@@ -117,6 +121,10 @@
     /// True when the cold upstream's pace allows one request now, which is thereby taken. True for every warm one.
     bool takeColdPlace(Upstream &upstream, BootTime now);
 
+    /// This host's limit on connections to the upstream: an equal part of what the upstream accepts of all registered hosts. Null
+    /// when operators set none. Precondition: none.
+    std::shared_ptr<ConnectionLimit> connectionLimit(const Upstream &upstream) const;
+
     /// Precondition: none.
     RouteKnowledge &knowledge(const Route &route);
     ServiceKnowledge &knowledge(const ServiceId &service);
@@ -150,6 +158,7 @@
     bool isWarmUpOwner(const Upstream &upstream, BootTime now) const;
 
     GatewayStateSettings m_settings;
+    std::size_t m_regionCount = 0;
     std::shared_ptr<const RouteTable> m_routes;
     std::unordered_map<UpstreamId, std::shared_ptr<Upstream>> m_upstreams;
     std::unordered_map<RouteId, RouteKnowledge> m_routeKnowledge;
--- a/Libraries/LibGateway/hostdirectory.cpp
+++ b/Libraries/LibGateway/hostdirectory.cpp
@@ -92,14 +92,18 @@
     }
     auto &chosen = !inZone.empty() ? inZone : !inRegion.empty() ? inRegion : inOwnZone;
     if (chosen.size() > m_settings.maximumAddresses) {
+        // Each answer begins where the last one ended, so that callers spread over all hosts of a large zone.
+        m_nextAddress %= chosen.size();
+        std::rotate(chosen.begin(), chosen.begin() + static_cast<std::ptrdiff_t>(m_nextAddress), chosen.end());
+        m_nextAddress += m_settings.maximumAddresses;
         chosen.resize(m_settings.maximumAddresses);
     }
     return std::move(chosen);
 }
 
-std::vector<HostReport> HostDirectory::beaconTargets(BootTime now) const
+std::vector<BeaconTarget> HostDirectory::beaconTargets(BootTime now) const
 {
-    std::vector<HostReport> targets;
+    std::vector<BeaconTarget> targets;
     for (const auto &[id, known] : m_hosts) {
         if (id == m_settings.self) {
             continue;
@@ -107,7 +111,9 @@
         const auto asked = m_askedAt.find(known.report.zone);
         const bool isAskedFor = asked != m_askedAt.end() && now - asked->second < m_settings.interestTime;
         if (known.report.zone == m_settings.zone || isAskedFor) {
-            targets.push_back(known.report);
+            // Hosts of one zone send each other beacons anyway, once they know each other.
+            const bool wantsReply = known.report.zone != m_settings.zone || !isLive(known, now);
+            targets.push_back({known.report, wantsReply});
         }
     }
     return targets;
--- a/Libraries/LibGateway/hostdirectory.h
+++ b/Libraries/LibGateway/hostdirectory.h
@@ -25,6 +25,14 @@
     std::uint64_t incarnation = 0;
 };
 
+/// A host that is to hear a beacon.
+struct BeaconTarget
+{
+    HostReport report;
+    /// This host hears nothing of the other one unless it asks.
+    bool wantsReply = false;
+};
+
 struct HostDirectorySettings
 {
     HostId self;
@@ -67,7 +75,7 @@
     std::vector<std::string> addressesFor(const RegionId &region, const ZoneId &zone, BootTime now);
 
     /// Hosts to send a beacon to now: those of the own zone, and those of zones that callers asked for. Precondition: none.
-    std::vector<HostReport> beaconTargets(BootTime now) const;
+    std::vector<BeaconTarget> beaconTargets(BootTime now) const;
 
     /// Live hosts of an availability zone, this one included; all registered ones for another zone. Precondition: none.
     std::vector<HostId> hostsOf(const ZoneId &zone, BootTime now) const;
@@ -97,6 +105,8 @@
     HostDirectorySettings m_settings;
     std::map<HostId, Known> m_hosts;
     std::map<ZoneId, BootTime> m_askedAt;
+    /// Where the next answer begins in a list that is too long for one.
+    std::size_t m_nextAddress = 0;
     bool m_takesCallers = false;
     bool m_isSelfRegistered = false;
 };
--- a/Libraries/LibHttp/jsonclient.cpp
+++ b/Libraries/LibHttp/jsonclient.cpp
@@ -1,5 +1,6 @@
 #include <LibHttp/jsonclient.h>
 
+#include <LibHttp/endpoint.h>
 #include <LibHttp/silence.h>
 
 #include <algorithm>
@@ -19,17 +20,6 @@
 namespace
 {
 
-tcp::endpoint endpointOf(const std::string &address)
-{
-    const auto colon = address.rfind(':');
-    boost::system::error_code error;
-    const auto number = asio::ip::make_address(address.substr(0, colon), error);
-    if (error || colon == std::string::npos) {
-        return {};
-    }
-    return {number, static_cast<std::uint16_t>(std::strtoul(address.c_str() + colon + 1, nullptr, 10))};
-}
-
 /// True when the server has closed the idle connection, or sent bytes that nobody asked for.
 bool isSpent(beast::tcp_stream &stream)
 {
@@ -95,8 +85,12 @@
     if (error) {
         return RequestNotSent{"cannot open a socket: " + error.message()};
     }
+    const auto endpoint = parseEndpoint(m_settings.address);
+    if (endpoint.has_error()) {
+        return RequestNotSent{endpoint.error().message};
+    }
     stream.expires_after(std::clamp<BootClock::duration>(deadline - BootClock::now(), BootClock::duration(0), m_settings.connectTimeout));
-    stream.async_connect(endpointOf(m_settings.address), yield[error]);
+    stream.async_connect(endpoint.value(), yield[error]);
     if (error) {
         return RequestNotSent{"cannot connect to " + m_settings.address + ": " + error.message()};
     }
--- a/Libraries/LibSteering/placement.cpp
+++ b/Libraries/LibSteering/placement.cpp
@@ -69,10 +69,11 @@
     return part * (s_slotPrice + s_slotPricePerPriority * std::clamp(query.priority, 0, s_leastUrgent));
 }
 
-Milliseconds waitAt(const UpstreamModel &upstream, const PlacementQuery &query)
+/// Time in the queue of an upstream whose slots are occupied by that many requests, in work or waiting.
+Milliseconds waitAt(const UpstreamModel &upstream, double occupancy, const PlacementQuery &query)
 {
     const double slots = std::max(1, upstream.identity().slots.value());
-    const double ahead = upstream.occupancy(query.now, query.usualLoad) + 1 - slots;
+    const double ahead = occupancy + 1 - slots;
     return ahead <= 0 ? Milliseconds(0) : query.slotTime * (ahead / slots) * upstream.slowness(query.now);
 }
 
@@ -148,12 +149,13 @@
         const bool isSameZone = identity.zone == settings.zone;
         const Milliseconds roundTrip = isSameRegion ? settings.zoneRoundTrip : settings.regionRoundTrip;
         const double distanceCost = isSameZone ? 0 : isSameRegion ? settings.zoneCost : settings.regionCost;
-        const Milliseconds wait = waitAt(upstream, query);
+        const double occupancy = upstream.occupancy(query.now, query.usualLoad);
+        const Milliseconds wait = waitAt(upstream, occupancy, query);
         const Milliseconds work = query.work->expected(cache) * upstream.slowness(query.now);
         // Work that warms an upstream where the key belongs pays for itself with the next requests.
         const Milliseconds pricedWork = ranks[i] < s_homeRanks ? query.work->expected(CacheState::Known) : work;
         shortestWait = std::min(shortestWait, wait);
-        const bool isFull = upstream.occupancy(query.now, query.usualLoad) >= s_fullOccupancy * identity.slots.value();
+        const bool isFull = occupancy >= s_fullOccupancy * identity.slots.value();
         if (isFull || wait > query.targetLatency * s_longestWait) {
             continue;
         }
--- a/Libraries/LibSteering/placement.h
+++ b/Libraries/LibSteering/placement.h
@@ -3,8 +3,6 @@
 #include <LibSteering/upstreammodel.h>
 
 #include <array>
-#include <functional>
-#include <memory>
 #include <variant>
 #include <vector>
 
--- a/Tests/LibGateway/testgatewayparts.cpp
+++ b/Tests/LibGateway/testgatewayparts.cpp
@@ -240,3 +240,31 @@
     cr_assert_eq(usable(state, route, s_start), 0);
     cr_assert_eq(usable(state, route, s_start + 3s), 1);
 }
+
+// Guards against connections of all hosts together beyond what an upstream accepts, which it resets.
+Test(GatewayState, connectionsAreDividedAmongTheHosts)
+{
+    GatewayState state(stateSettings());
+    state.setConfiguration(configuration(1));
+    UpstreamRegistration registration;
+    registration.id = UpstreamId("u");
+    registration.service = ServiceId("service");
+    registration.address = "127.0.0.1:1";
+    registration.zone = ZoneId("gulf-a");
+    registration.slots = SlotCount(4);
+    state.upstreamStarted(registration, s_start);
+    const auto &upstream = *state.knowledge(ServiceId("service")).upstreams.front();
+    const HostReport self{HostId("self"), "a:1", "a:2", ZoneId("gulf-a"), RegionId("gulf"), 1};
+    state.directory().setSelf(self, true);
+    cr_assert_eq(state.connectionLimit(upstream)->granted().value(), 10);
+    for (int i = 0; i < 2; ++i) {
+        HostReport other = self;
+        other.id = HostId("other-" + std::to_string(i));
+        state.directory().add(other);
+    }
+    cr_assert_eq(state.connectionLimit(upstream)->granted().value(), 3);
+    registration.id = UpstreamId("v");
+    registration.service = ServiceId("unlimited");
+    state.upstreamStarted(registration, s_start);
+    cr_assert_null(state.connectionLimit(*state.knowledge(ServiceId("unlimited")).upstreams.front()).get());
+}
--- a/Tests/LibGateway/testhostdirectory.cpp
+++ b/Tests/LibGateway/testhostdirectory.cpp
@@ -102,6 +102,45 @@
     cr_assert_eq(hosts.beaconTargets(s_start + 11s).size(), 1);
 }
 
+// Guards against two datagrams a second between hosts that hear each other anyway, and against a host that starts and hears nobody.
+Test(HostDirectory, repliesAreAskedOfHostsThatAreNotHeard)
+{
+    HostDirectory hosts = directory();
+    cr_assert(hosts.beaconTargets(s_start).front().wantsReply);
+    hosts.heard(HostId("peer"), false, s_start);
+    cr_assert_not(hosts.beaconTargets(s_start + 1s).front().wantsReply);
+    cr_assert(hosts.beaconTargets(s_start + 5s).front().wantsReply);
+    hosts.heard(HostId("far"), false, s_start);
+    hosts.addressesFor(RegionId("hill"), ZoneId("hill-a"), s_start);
+    for (const BeaconTarget &target : hosts.beaconTargets(s_start + 1s)) {
+        cr_assert_eq(target.wantsReply, target.report.id == HostId("far"));
+    }
+}
+
+// Guards against callers of a large zone that are all sent to its first hosts.
+Test(HostDirectory, lookupsSpreadOverALargeZone)
+{
+    HostDirectory hosts = directory();
+    constexpr int count = 50;
+    for (int i = 0; i < count; ++i) {
+        const std::string id = "p" + std::to_string(i);
+        hosts.add(report(id, "gulf-a", "gulf"));
+        hosts.heard(HostId(id), false, s_start);
+    }
+    std::map<std::string, int> answers;
+    for (int i = 0; i < count; ++i) {
+        const auto addresses = hosts.addressesFor(RegionId("gulf"), ZoneId("gulf-a"), s_start);
+        cr_assert_eq(addresses.size(), 16);
+        for (const std::string &address : addresses) {
+            ++answers[address];
+        }
+    }
+    cr_assert_eq(answers.size(), count + 1);
+    for (const auto &[address, times] : answers) {
+        cr_assert(times >= 14 && times <= 18, "%s is in %d of %d answers", address.c_str(), times, count);
+    }
+}
+
 // Guards against a host that is missing from the store and doesn't notice.
 Test(HostDirectory, ownRowIsMissed)
 {
--- a/Tests/LibMembership/testmembership.cpp
+++ b/Tests/LibMembership/testmembership.cpp
@@ -261,8 +261,7 @@
         shape.startSpread = milliseconds(300);
         World world(shape, seed);
         const auto isMember = [](const auto &process) { return process->member && process->member->isMember(); };
-        while (world.processes().size() < shape.regions * shape.hostsPerRegion
-            || !std::all_of(world.processes().begin(), world.processes().end(), isMember)) {
+        while (world.processes().size() < shape.regions * shape.hostsPerRegion || !std::all_of(world.processes().begin(), world.processes().end(), isMember)) {
             world.runUntil(world.now() + milliseconds(10));
         }
         world.runUntil(world.now() + seconds(2));
@@ -274,7 +273,10 @@
             world.runUntil(world.now() + seconds(1));
             for (const auto &process : world.processes()) {
                 cr_assert(process->region != 0 || world.now() < process->member->leaseValidUntil(),
-                    "seed %lu: %s has no lease %d s after the cut", seed, process->host.value().c_str(), second);
+                    "seed %lu: %s has no lease %d s after the cut",
+                    seed,
+                    process->host.value().c_str(),
+                    second);
             }
         }
     }
