--- a/Tests/Platform/storestandin.cpp
+++ b/Tests/Platform/storestandin.cpp
@@ -13,7 +13,7 @@
 using Json = nlohmann::json;
 
 constexpr std::chrono::milliseconds s_feedPoll{5};
-constexpr std::chrono::milliseconds s_feedWait{200};
+constexpr std::chrono::milliseconds s_lostAnswer{60000};
 
 std::string parameter(const std::string &target, const std::string &name)
 {
@@ -88,6 +88,17 @@
     if (isDown) {
         return errorResponse(503, "down", "", "");
     }
+    sleep(delay, yield);
+    HttpResponse response = dispatch(request, yield);
+    if (losesAnswers) {
+        // Longer than any client waits.
+        sleep(s_lostAnswer, yield);
+    }
+    return response;
+}
+
+HttpResponse StoreStandIn::dispatch(const HttpRequest &request, const boost::asio::yield_context &yield)
+{
     const std::string path = request.target.substr(0, request.target.find('?'));
     const std::string table = parameter(request.target, "table");
     if (path == "/api/rows-get") {
@@ -96,11 +107,19 @@
     }
     if (path == "/api/rows-feed") {
         ++feeds;
-        return answerFeed(table, std::stoull(parameter(request.target, "after")), yield);
+        return answerFeed(
+            table, std::stoull(parameter(request.target, "after")), std::chrono::milliseconds(std::stoul(parameter(request.target, "wait_ms"))), yield);
     }
     return answerTransaction(request.body);
 }
 
+void StoreStandIn::sleep(std::chrono::milliseconds time, const boost::asio::yield_context &yield)
+{
+    boost::asio::steady_timer timer(m_context, time);
+    boost::system::error_code ignored;
+    timer.async_wait(yield[ignored]);
+}
+
 HttpResponse StoreStandIn::answerRead(const std::string &table, const std::string &from, std::size_t limit)
 {
     Json rows = Json::array();
@@ -113,9 +132,9 @@
     return jsonResponse(200, Json{{"rows", rows}, {"has_more", it != all.end()}, {"ver", version}, {"now", "1ms"}}.dump());
 }
 
-HttpResponse StoreStandIn::answerFeed(const std::string &table, StoreVersion after, const boost::asio::yield_context &yield)
+HttpResponse StoreStandIn::answerFeed(const std::string &table, StoreVersion after, std::chrono::milliseconds wait, const boost::asio::yield_context &yield)
 {
-    const BootTime end = BootClock::now() + s_feedWait;
+    const BootTime end = BootClock::now() + wait;
     while (BootClock::now() < end && !isDown) {
         if (after < m_oldestHistory) {
             return errorResponse(410, "history-lost", "", "");
@@ -129,9 +148,7 @@
         if (!rows.empty()) {
             return jsonResponse(200, Json{{"rows", rows}, {"ver", m_version}, {"now", "1ms"}}.dump());
         }
-        boost::asio::steady_timer timer(m_context, s_feedPoll);
-        boost::system::error_code ignored;
-        timer.async_wait(yield[ignored]);
+        sleep(s_feedPoll, yield);
     }
     return isDown ? errorResponse(503, "down", "", "") : jsonResponse(200, Json{{"rows", Json::array()}, {"ver", m_version}, {"now", "1ms"}}.dump());
 }
--- a/Tests/Platform/storestandin.h
+++ b/Tests/Platform/storestandin.h
@@ -33,6 +33,10 @@
 
     /// All calls are answered with 503.
     bool isDown = false;
+    /// Calls take effect, and their answers are lost.
+    bool losesAnswers = false;
+    /// Extra time of each call.
+    std::chrono::milliseconds delay{0};
     int reads = 0;
     int feeds = 0;
 
@@ -45,8 +49,10 @@
     using Tables = std::map<std::string, std::map<std::string, StoreRow>>;
 
     HttpResponse answer(const HttpRequest &request, const boost::asio::yield_context &yield);
+    HttpResponse dispatch(const HttpRequest &request, const boost::asio::yield_context &yield);
+    void sleep(std::chrono::milliseconds time, const boost::asio::yield_context &yield);
     HttpResponse answerRead(const std::string &table, const std::string &from, std::size_t limit);
-    HttpResponse answerFeed(const std::string &table, StoreVersion after, const boost::asio::yield_context &yield);
+    HttpResponse answerFeed(const std::string &table, StoreVersion after, std::chrono::milliseconds wait, const boost::asio::yield_context &yield);
     HttpResponse answerTransaction(const std::string &body);
 
     boost::asio::io_context &m_context;
--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -19,7 +19,7 @@
     Fixture()
         : store(context)
         , client(context, store.address(), "127.0.0.1")
-        , watch(context, client, "things", 50ms, handlers())
+        , watch(context, client, "things", {50ms, 300ms}, handlers())
     {
     }
 
@@ -144,6 +144,21 @@
     });
 }
 
+// Guards against a change that stays unknown because the answer that told it was lost on the way.
+Test(TableWatch, lostAnswer)
+{
+    Fixture fixture;
+    fixture.run([&](const asio::yield_context &yield) {
+        cr_assert(fixture.await([&] { return fixture.replacements == 1; }, yield));
+        fixture.store.losesAnswers = true;
+        fixture.store.set("things", "a", "1");
+        fixture.sleep(200ms, yield);
+        fixture.store.losesAnswers = false;
+        fixture.sleep(2000ms, yield);
+        cr_assert(fixture.await([&] { return fixture.known.count("a") == 1; }, yield));
+    });
+}
+
 // Guards against writes that don't arrive as they were meant.
 Test(MetadataStore, putAndRemove)
 {
--- a/Tests/Scenarios/linkproxy/proxy.cpp
+++ b/Tests/Scenarios/linkproxy/proxy.cpp
@@ -116,6 +116,16 @@
     }
 }
 
+Result<void> Proxy::change(const nlohmann::json &document)
+{
+    const auto change = m_links.parse(document);
+    if (change.has_error()) {
+        return change.error();
+    }
+    apply(change.value());
+    return boost::outcome_v2::success();
+}
+
 Proxy::Response Proxy::answer(const Request &request)
 {
     Response response(Http::status::ok, request.version());
@@ -125,13 +135,12 @@
         response.body() = nlohmann::json{{"openConnections", openRelays().size()}}.dump();
     } else {
         const auto document = nlohmann::json::parse(request.body(), nullptr, false);
-        const auto change = m_links.parse(document);
-        if (change.has_value()) {
-            apply(change.value());
+        const auto changed = change(document);
+        if (changed.has_value()) {
             response.body() = "{}";
         } else {
             response.result(Http::status::bad_request);
-            response.body() = nlohmann::json{{"error", "bad-input"}, {"message", change.error().message}}.dump();
+            response.body() = nlohmann::json{{"error", "bad-input"}, {"message", changed.error().message}}.dump();
         }
     }
     response.prepare_payload();
--- a/Tests/Scenarios/linkproxy/proxy.h
+++ b/Tests/Scenarios/linkproxy/proxy.h
@@ -36,6 +36,9 @@
     /// Starts accepting. Precondition: the proxy outlives the run of the context.
     void start();
 
+    /// Changes links as a body of POST /control does. Reports unknown names.
+    Result<void> change(const nlohmann::json &document);
+
 private:
     using Tcp = boost::asio::ip::tcp;
     using Request = boost::beast::http::request<boost::beast::http::string_body>;
--- a/Tests/Scenarios/process.cpp
+++ b/Tests/Scenarios/process.cpp
@@ -29,6 +29,8 @@
     }
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
+    // Sockets of the parent that stay open here would never look closed to their other end.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(argv[0], argv);
     _exit(cannotExecuteCode);
 }
--- /dev/null
+++ b/Tests/Soak/main.cpp
@@ -0,0 +1,53 @@
+#include <Soak/soakrun.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fmt/format.h>
+
+/// Plays seeded faults against the host's program and checks the promises. Exit code 1 when one was broken.
+int main(int argc, char **argv)
+{
+    using namespace Trefoil::Soak;
+    SoakSettings settings;
+    settings.program = TREFOIL_BUILD_FOLDER "/Services/trefoilmountd/trefoilmountd";
+    std::uint64_t firstSeed = 1;
+    std::uint64_t runs = 1;
+    int seconds = 20;
+    int gap = 700;
+    std::string folder = TREFOIL_BUILD_FOLDER "/soak";
+    CLI::App application("Plays seeded faults against trefoilmountd and checks its promises.");
+    application.add_option("--seed", firstSeed, "seed of the first run");
+    application.add_option("--runs", runs, "number of runs, with seeds that follow each other")->check(CLI::PositiveNumber);
+    application.add_option("--seconds", seconds, "time with faults, s")->check(CLI::Range(1, 3600));
+    application.add_option("--gap", gap, "mean time between the starts of two faults, ms")->check(CLI::Range(10, 100000));
+    application.add_option("--hosts", settings.hosts, "number of hosts")->check(CLI::Range(1, 200));
+    application.add_option("--upstreams", settings.upstreams, "number of upstreams")->check(CLI::Range(2, 200));
+    application.add_option("--rate", settings.requestRate, "requests a second")->check(CLI::PositiveNumber);
+    application.add_option("--program", settings.program, "program of the host");
+    application.add_option("--network", settings.network, "first two numbers of the loopback addresses");
+    application.add_option("--folder", folder, "where logs and settings go");
+    application.add_flag("--verbose", settings.isVerbose, "shows the faults as they happen");
+    CLI11_PARSE(application, argc, argv);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    settings.plan.length = std::chrono::seconds(seconds);
+    settings.plan.meanGap = std::chrono::milliseconds(gap);
+    bool isBroken = false;
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + runs; ++seed) {
+        settings.plan.seed = seed;
+        settings.folder = fmt::format("{}/{}", folder, seed);
+        std::filesystem::remove_all(settings.folder);
+        std::filesystem::create_directories(settings.folder);
+        const SoakResult result = SoakRun(settings).run();
+        fmt::print("seed {}: {} broken; {}\n", seed, result.violations.size(), result.summary);
+        constexpr std::size_t shown = 20;
+        for (std::size_t i = 0; i < std::min(result.violations.size(), shown); ++i) {
+            fmt::print("  {}\n", result.violations[i]);
+        }
+        std::fflush(stdout);
+        isBroken = isBroken || !result.violations.empty();
+    }
+    return isBroken ? 1 : 0;
+}
--- /dev/null
+++ b/Tests/Soak/promises.cpp
@@ -0,0 +1,190 @@
+#include <Soak/promises.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace Trefoil::Soak
+{
+
+namespace
+{
+
+/// An idempotent request goes to two upstreams at most.
+constexpr std::size_t s_idempotentExecutions = 2;
+
+bool overlaps(const Disturbance &disturbance, BootTime from, BootTime until)
+{
+    return disturbance.from <= until && from <= disturbance.until;
+}
+
+bool anyOverlaps(const std::vector<Disturbance> &disturbances, BootTime from, BootTime until)
+{
+    return std::any_of(disturbances.begin(), disturbances.end(), [&](const Disturbance &disturbance) { return overlaps(disturbance, from, until); });
+}
+
+} // namespace
+
+void Promises::ended(const CallerRequest &request)
+{
+    m_requests.push_back(request);
+}
+
+void Promises::began(const Execution &execution)
+{
+    m_executions.emplace(execution.id, execution);
+}
+
+void Promises::hostDisturbed(std::size_t host, Disturbance disturbance)
+{
+    m_hosts[host].push_back(disturbance);
+}
+
+void Promises::linkDisturbed(const std::string &upstream, Disturbance disturbance)
+{
+    m_links[upstream].push_back(disturbance);
+}
+
+void Promises::storeDisturbed(Disturbance disturbance)
+{
+    m_store.push_back(disturbance);
+}
+
+void Promises::routeChanged(const std::string &route, RouteChange change)
+{
+    m_routes[route].push_back(std::move(change));
+}
+
+void Promises::upstreamBanned(const std::string &upstream, Disturbance ban)
+{
+    m_bans.emplace(upstream, ban);
+}
+
+void Promises::note(const std::string &violation)
+{
+    m_notes.push_back(violation);
+}
+
+bool Promises::isCalm(std::size_t host, BootTime from, BootTime until) const
+{
+    const auto disturbances = m_hosts.find(host);
+    return disturbances == m_hosts.end() || !anyOverlaps(disturbances->second, from, until);
+}
+
+bool Promises::knowsChanges(std::size_t host, BootTime from, BootTime until) const
+{
+    return isCalm(host, from, until) && !anyOverlaps(m_store, from, until);
+}
+
+std::set<std::string> Promises::allowedServices(const std::string &route, BootTime from, BootTime until) const
+{
+    std::set<std::string> allowed;
+    const auto changes = m_routes.find(route);
+    if (changes == m_routes.end()) {
+        return allowed;
+    }
+    for (const RouteChange &change : changes->second) {
+        if (change.at > until) {
+            break;
+        }
+        if (change.at <= from) {
+            allowed.clear();
+        }
+        allowed.insert(change.service);
+    }
+    return allowed;
+}
+
+void Promises::checkCount(const CallerRequest &request, std::size_t executions, std::vector<std::string> &found) const
+{
+    const std::size_t most = request.isIdempotent ? s_idempotentExecutions : 1;
+    if (executions > most) {
+        found.push_back(fmt::format("{}: ran {} times, {} at most", request.id, executions, most));
+    }
+    if (request.end == ResponseKind::Rejected && executions > 0) {
+        found.push_back(fmt::format("{}: told that it did not run, but ran", request.id));
+    }
+    if (request.end == ResponseKind::Served && executions == 0) {
+        found.push_back(fmt::format("{}: served without an execution", request.id));
+    }
+}
+
+void Promises::checkEnd(const CallerRequest &request, std::vector<std::string> &found) const
+{
+    if (request.end == ResponseKind::Served && request.body != request.id) {
+        found.push_back(fmt::format("{}: got the response of {}", request.id, request.body));
+    }
+    if (!isCalm(request.host, request.sentAt, request.endedAt)) {
+        return;
+    }
+    if (request.end == ResponseKind::ConnectionLost) {
+        found.push_back(fmt::format("{}: host {} lost the connection", request.id, request.host));
+    }
+    if (request.endedAt - request.sentAt > request.timeout + s_tolerance) {
+        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(request.endedAt - request.sentAt);
+        found.push_back(fmt::format("{}: held for {} ms, its time is {} ms", request.id, took.count(), request.timeout.count()));
+    }
+}
+
+void Promises::checkExecution(const CallerRequest &request, const Execution &execution, std::vector<std::string> &found) const
+{
+    const auto links = m_links.find(execution.upstream);
+    const bool arrivedAtOnce = links == m_links.end() || !anyOverlaps(links->second, request.sentAt, execution.begunAt);
+    if (!execution.timeLeft) {
+        found.push_back(fmt::format("{}: reached {} without its time left", request.id, execution.upstream));
+    } else if (arrivedAtOnce && isCalm(request.host, request.sentAt, execution.begunAt)
+        && *execution.timeLeft > request.timeout - (execution.begunAt - request.sentAt) + s_tolerance) {
+        found.push_back(fmt::format("{}: its time left grew to {} ms", request.id, execution.timeLeft->count()));
+    }
+    const BootTime settled = request.sentAt - s_changeBound - s_tolerance;
+    if (!knowsChanges(request.host, settled, execution.begunAt)) {
+        return;
+    }
+    const auto allowed = allowedServices(request.route, settled, execution.begunAt);
+    if (!allowed.empty() && allowed.count(execution.service) == 0) {
+        found.push_back(fmt::format("{}: went to {} after the configuration had changed", request.id, execution.service));
+    }
+    const auto bans = m_bans.equal_range(execution.upstream);
+    for (auto ban = bans.first; ban != bans.second; ++ban) {
+        if (ban->second.from <= settled && execution.begunAt < ban->second.until) {
+            found.push_back(fmt::format("{}: reached {} after it had left", request.id, execution.upstream));
+        }
+    }
+}
+
+std::vector<std::string> Promises::violations() const
+{
+    std::vector<std::string> found = m_notes;
+    for (const CallerRequest &request : m_requests) {
+        const auto executions = m_executions.equal_range(request.id);
+        checkCount(request, static_cast<std::size_t>(std::distance(executions.first, executions.second)), found);
+        checkEnd(request, found);
+        for (auto execution = executions.first; execution != executions.second; ++execution) {
+            checkExecution(request, execution->second, found);
+        }
+    }
+    return found;
+}
+
+std::size_t Promises::served() const
+{
+    const auto isServed = [](const CallerRequest &request) { return request.end == ResponseKind::Served; };
+    return static_cast<std::size_t>(std::count_if(m_requests.begin(), m_requests.end(), isServed));
+}
+
+std::string Promises::summary() const
+{
+    std::map<ResponseKind, std::size_t> counts;
+    for (const CallerRequest &request : m_requests) {
+        ++counts[request.end];
+    }
+    return fmt::format("requests {}, served {}, rejected {}, failed {}, lost {}, held {}, executions {}",
+        m_requests.size(),
+        counts[ResponseKind::Served],
+        counts[ResponseKind::Rejected],
+        counts[ResponseKind::Failed],
+        counts[ResponseKind::ConnectionLost],
+        counts[ResponseKind::Held],
+        m_executions.size());
+}
+
+} // namespace Trefoil::Soak
--- /dev/null
+++ b/Tests/Soak/soakplan.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Trefoil::Soak
+{
+
+/// What goes wrong.
+enum class FaultKind {
+    HostPaused,
+    HostKilled,
+    AllHostsKilled,
+    HostStopped,
+    HostHangup,
+    StoreDown,
+    StoreSilent,
+    StoreSlow,
+    StoreAnswersLost,
+    StoreHistoryLost,
+    StoreReadsOld,
+    StoreCutFromHost,
+    UpstreamReset,
+    UpstreamSilent,
+    /// Only what the upstream sends is held back.
+    UpstreamMute,
+    UpstreamConnectionsForgotten,
+    UpstreamDelayed,
+    UpstreamFails,
+    UpstreamSheds,
+    UpstreamSlow,
+    /// The process dies; another upstream takes its address.
+    UpstreamReplaced,
+    UpstreamLeaves,
+    Configuration,
+    ConfigurationUnreadable,
+    ZoneEvacuated,
+};
+
+/// All kinds in the order of their names. Thread safety: safe from any thread.
+const std::vector<FaultKind> &allFaultKinds();
+
+/// Name of a kind in reports, such as "host-paused". Thread safety: safe from any thread.
+std::string_view toText(FaultKind kind);
+
+struct Fault
+{
+    FaultKind kind = FaultKind::HostPaused;
+    /// From the start of the callers.
+    std::chrono::milliseconds at{0};
+    /// How long it lasts; for kills, the time until the restart.
+    std::chrono::milliseconds duration{0};
+    /// Which host, upstream or zone, modulo their number.
+    std::size_t target = 0;
+};
+
+struct PlanSettings
+{
+    std::uint64_t seed = 1;
+    /// Time with faults.
+    std::chrono::milliseconds length{20000};
+    /// Mean time between the starts of two faults.
+    std::chrono::milliseconds meanGap{700};
+};
+
+/// Draws the faults of one run, in the order of their times. Faults overlap; one in four repeats its predecessor's target.
+/// Precondition: length and meanGap are positive. Thread safety: safe from any thread.
+std::vector<Fault> planFaults(const PlanSettings &settings);
+
+} // namespace Trefoil::Soak
--- /dev/null
+++ b/Tests/Soak/soakrun.cpp
@@ -0,0 +1,600 @@
+#include <Soak/soakrun.h>
+
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <csignal>
+#include <fmt/format.h>
+#include <fstream>
+#include <random>
+#include <stdexcept>
+
+namespace Trefoil::Soak
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+constexpr int s_callerPort = 8080;
+constexpr int s_readinessPort = 8081;
+constexpr int s_lookupPort = 8082;
+constexpr int s_peerPort = 8083;
+constexpr int s_metricsPort = 9464;
+constexpr int s_upstreamPort = 9000;
+/// The proxy's listeners stand before upstreams and store at this port.
+constexpr int s_proxyPort = 9100;
+constexpr int s_controlPort = 9101;
+
+/// Zones and their regions; hosts and upstreams take turns.
+const std::vector<std::pair<std::string, std::string>> s_zones = {{"east-a", "east"}, {"east-b", "east"}, {"west-a", "west"}};
+const std::vector<std::string> s_services = {"alpha", "beta"};
+
+constexpr std::chrono::milliseconds s_requestTimeout{1500};
+/// Callers wait this much longer than the request may take, to see whether it is held.
+constexpr std::chrono::milliseconds s_callerPatience{3000};
+constexpr std::chrono::milliseconds s_stopGrace{6000};
+/// A stopping host takes connections for at least this long.
+constexpr std::chrono::milliseconds s_acceptsWhileStopping{2000};
+/// A host waits this long for an answer of the store that was lost: the wait for changes, and the timeout of a call.
+constexpr std::chrono::milliseconds s_lostAnswer{7000};
+/// After the last fault the system has this long until everything is served again.
+constexpr std::chrono::milliseconds s_recovery = s_lostAnswer + s_changeBound;
+constexpr std::chrono::milliseconds s_calmEnd{3000};
+/// Share of the requests of the calm end that are served.
+constexpr double s_calmServed = 0.95;
+
+std::string endpoint(const std::string &ip, int port)
+{
+    return fmt::format("{}:{}", ip, port);
+}
+
+Json routeDocument(const std::string &name, const std::string &kind, const std::string &service)
+{
+    return {{"name", name},
+        {"host", "soak.example"},
+        {"prefix", "/" + name + "/"},
+        {"kind", kind},
+        {"timeout", fmt::format("{}ms", s_requestTimeout.count())},
+        {"target_latency", "500ms"},
+        {"priority", 1},
+        {"service", service},
+        {"max_attempts", 2},
+        {"session_affinity", name == "read"}};
+}
+
+ResponseKind kindOf(const CallResult &result)
+{
+    if (const auto *failure = std::get_if<CallFailure>(&result)) {
+        return failure->kind == CallFailureKind::DeadlineExceeded || failure->kind == CallFailureKind::Stalled ? ResponseKind::Held
+                                                                                                               : ResponseKind::ConnectionLost;
+    }
+    const HttpResponse &response = std::get<HttpResponse>(result);
+    if (response.status == 200) {
+        return ResponseKind::Served;
+    }
+    return response.status == 503 ? ResponseKind::Rejected : ResponseKind::Failed;
+}
+
+} // namespace
+
+SoakRun::SoakRun(SoakSettings settings)
+    : m_settings(std::move(settings))
+    , m_random(m_settings.plan.seed)
+    , m_store(m_context)
+    , m_pool(m_context, {})
+{
+    createPlaces();
+    createProxy();
+}
+
+void SoakRun::createPlaces()
+{
+    for (std::size_t i = 0; i < m_settings.hosts; ++i) {
+        m_hosts.push_back({fmt::format("host-{}", i), s_zones[i % s_zones.size()].first, fmt::format("{}.1.{}", m_settings.network, i + 1)});
+    }
+    for (std::size_t i = 0; i < m_settings.upstreams; ++i) {
+        UpstreamPlace place;
+        place.zone = s_zones[i / s_services.size() % s_zones.size()].first;
+        place.ip = fmt::format("{}.2.{}", m_settings.network, i + 1);
+        place.upstream = std::make_unique<SoakUpstream>(m_context, m_promises, s_services[i % s_services.size()], endpoint(place.ip, s_upstreamPort));
+        m_upstreams.push_back(std::move(place));
+    }
+}
+
+void SoakRun::createProxy()
+{
+    Json endpoints = Json::array({{{"name", "store"}, {"ip", "127.0.0.1"}}});
+    const std::string storeIp = m_settings.network + ".3.1";
+    Json listeners = Json::array({{{"listen", endpoint(storeIp, s_proxyPort)}, {"target", m_store.address()}}});
+    for (const Host &host : m_hosts) {
+        endpoints.push_back({{"name", host.name}, {"ip", host.ip}, {"groups", {"hosts"}}});
+    }
+    for (std::size_t i = 0; i < m_upstreams.size(); ++i) {
+        const std::string &ip = m_upstreams[i].ip;
+        endpoints.push_back({{"name", ip}, {"ip", ip}, {"groups", {"upstreams"}}});
+        listeners.push_back({{"listen", endpoint(ip, s_proxyPort)}, {"target", endpoint(ip, s_upstreamPort)}});
+    }
+    const Json document = {{"control", endpoint(storeIp, s_controlPort)}, {"endpoints", endpoints}, {"listeners", listeners}};
+    const auto configuration = LinkProxy::proxyConfigurationFromJson(document);
+    m_proxy = std::make_unique<LinkProxy::Proxy>(m_context, configuration.value());
+    m_proxy->start();
+}
+
+void SoakRun::link(const std::string &from, const std::string &to, const std::string &mode, const Json &more)
+{
+    Json change = {{"from", from}, {"to", to}, {"mode", mode}};
+    if (more.is_object()) {
+        change.update(more);
+    }
+    const auto changed = m_proxy->change(change);
+    if (changed.has_error()) {
+        throw std::logic_error(changed.error().message);
+    }
+}
+
+void SoakRun::sleep(std::chrono::milliseconds time, const boost::asio::yield_context &yield)
+{
+    boost::asio::steady_timer timer(m_context, time);
+    boost::system::error_code ignored;
+    timer.async_wait(yield[ignored]);
+}
+
+void SoakRun::spawn(std::function<void(const boost::asio::yield_context &yield)> body)
+{
+    ++m_open;
+    boost::asio::spawn(m_context, [this, body = std::move(body)](const boost::asio::yield_context &yield) {
+        body(yield);
+        --m_open;
+    });
+}
+
+void SoakRun::say(const std::string &text) const
+{
+    if (m_settings.isVerbose) {
+        const auto at = std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - m_start);
+        fmt::print("{:6.2f} s {}\n", static_cast<double>(at.count()) / 1000, text);
+        std::fflush(stdout);
+    }
+}
+
+void SoakRun::writeSettings(const Host &host) const
+{
+    Json zones;
+    for (const auto &[zone, region] : s_zones) {
+        zones[zone] = region;
+    }
+    const Json document = {{"host", host.name},
+        {"zone", host.zone},
+        {"region", zones[host.zone]},
+        {"sourceAddress", host.ip},
+        {"callerAddress", endpoint(host.ip, s_callerPort)},
+        {"readinessAddress", endpoint(host.ip, s_readinessPort)},
+        {"lookupAddress", endpoint(host.ip, s_lookupPort)},
+        {"peerAddress", endpoint(host.ip, s_peerPort)},
+        {"metricsAddress", endpoint(host.ip, s_metricsPort)},
+        {"zones", zones},
+        {"store", {{"address", endpoint(m_settings.network + ".3.1", s_proxyPort)}}},
+        {"limits", {{"stopGrace", fmt::format("{}ms", s_stopGrace.count())}}}};
+    std::ofstream(m_settings.folder + "/" + host.name + ".json") << document.dump(1) << "\n";
+}
+
+void SoakRun::startHost(std::size_t index, const boost::asio::yield_context &yield)
+{
+    const Host &host = m_hosts[index];
+    writeSettings(host);
+    const std::string settings = "TREFOILMOUNT_SETTINGS=" + m_settings.folder + "/" + host.name + ".json";
+    // env replaces itself by the program, so that the process id stays.
+    const auto started =
+        m_processes.start({host.name, "/usr/bin/env", {settings, m_settings.program, "--gateway"}, m_settings.folder + "/" + host.name + ".log"});
+    if (started.has_error()) {
+        throw std::runtime_error(started.error().message);
+    }
+    awaitReady(index, yield);
+}
+
+bool SoakRun::isReady(const Host &host, const boost::asio::yield_context &yield)
+{
+    CallOptions options;
+    options.deadline = BootClock::now() + 500ms;
+    HttpRequest request{"GET", "/api/ready", {}, {}};
+    request.headers.add("Host", host.name);
+    const auto result = m_pool.call(endpoint(host.ip, s_readinessPort), nullptr, request, options, yield);
+    const auto *response = std::get_if<HttpResponse>(&result);
+    return response && response->status == 200;
+}
+
+void SoakRun::awaitReady(std::size_t index, const boost::asio::yield_context &yield)
+{
+    const Host &host = m_hosts[index];
+    // A host that starts without the store has no configuration and can't be ready.
+    while (m_processes.isRunning(host.name)) {
+        if (isReady(host, yield)) {
+            return;
+        }
+        sleep(20ms, yield);
+    }
+    m_promises.note(host.name + " ended while it started");
+}
+
+void SoakRun::registerUpstream(UpstreamPlace &place, const std::string &state)
+{
+    place.registered = state.empty() ? "" : place.upstream->id();
+    if (state.empty()) {
+        m_store.remove("servers", place.upstream->id());
+        return;
+    }
+    const Json row = {{"service", place.upstream->service()},
+        {"address", endpoint(place.ip, s_proxyPort)},
+        {"zone", place.zone},
+        {"max_concurrency", 8},
+        {"state", state},
+        {"cold_remaining", "0ms"},
+        {"seq_no", ++place.report}};
+    m_store.set("servers", place.upstream->id(), row.dump());
+}
+
+void SoakRun::writeConfiguration()
+{
+    ++m_version;
+    const std::string moving = s_services[static_cast<std::size_t>(m_version) % s_services.size()];
+    Json services = Json::array();
+    for (const std::string &service : s_services) {
+        services.push_back({{"name", service}});
+    }
+    const Json document = {{"version", fmt::format("r{}", m_version)},
+        {"routes", {routeDocument("read", "safe", "alpha"), routeDocument("write", "unsafe", "beta"), routeDocument("moving", "safe", moving)}},
+        {"services", services},
+        {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 1048576}, {"header_timeout", "3000ms"}, {"idle_timeout", "15000ms"}}}};
+    m_store.set("op", "config", document.dump());
+    m_promises.routeChanged("moving", {BootClock::now(), moving});
+}
+
+void SoakRun::killHost(std::size_t index, std::chrono::milliseconds pause, const boost::asio::yield_context &yield)
+{
+    Host &host = m_hosts[index];
+    const BootTime from = BootClock::now();
+    static_cast<void>(m_processes.signal(host.name, SIGKILL));
+    while (!m_processes.waitForExit(host.name, 0ms)) {
+        sleep(5ms, yield);
+    }
+    sleep(pause, yield);
+    startHost(index, yield);
+    m_promises.hostDisturbed(index, {from, BootClock::now()});
+}
+
+void SoakRun::stopHost(std::size_t index, std::chrono::milliseconds pause, const boost::asio::yield_context &yield)
+{
+    Host &host = m_hosts[index];
+    const BootTime from = BootClock::now();
+    static_cast<void>(m_processes.signal(host.name, SIGTERM));
+    std::optional<int> code;
+    while (!(code = m_processes.waitForExit(host.name, 0ms)) && BootClock::now() < from + s_stopGrace) {
+        sleep(20ms, yield);
+    }
+    if (!code) {
+        m_promises.note(fmt::format("{} runs {} ms after SIGTERM", host.name, s_stopGrace.count()));
+        killHost(index, pause, yield);
+        return;
+    }
+    if (*code != 0) {
+        m_promises.note(fmt::format("{} ended with {} after SIGTERM", host.name, *code));
+    }
+    if (BootClock::now() < from + s_acceptsWhileStopping) {
+        m_promises.note(fmt::format("{} ended less than {} ms after SIGTERM", host.name, s_acceptsWhileStopping.count()));
+    }
+    sleep(pause, yield);
+    startHost(index, yield);
+    // Until connections are no longer taken, a stopping host owes its callers everything that others do.
+    m_promises.hostDisturbed(index, {from + s_acceptsWhileStopping, BootClock::now()});
+}
+
+void SoakRun::applyToHost(const Fault &fault, std::size_t index, const boost::asio::yield_context &yield)
+{
+    Host &host = m_hosts[index];
+    if (host.isBusy) {
+        return;
+    }
+    host.isBusy = true;
+    const BootTime from = BootClock::now();
+    switch (fault.kind) {
+    case FaultKind::HostPaused:
+        static_cast<void>(m_processes.signal(host.name, SIGSTOP));
+        sleep(fault.duration, yield);
+        static_cast<void>(m_processes.signal(host.name, SIGCONT));
+        // What changed meanwhile has to be learned first.
+        m_promises.hostDisturbed(index, {from, BootClock::now() + s_tolerance});
+        break;
+    case FaultKind::HostStopped:
+        stopHost(index, fault.duration, yield);
+        break;
+    case FaultKind::HostHangup:
+        static_cast<void>(m_processes.signal(host.name, SIGHUP));
+        break;
+    case FaultKind::StoreCutFromHost:
+        link(host.name, "store", "cut");
+        sleep(fault.duration, yield);
+        link(host.name, "store", "normal");
+        m_promises.storeDisturbed({from, BootClock::now() + s_changeBound});
+        break;
+    default:
+        killHost(index, fault.duration, yield);
+        break;
+    }
+    host.isBusy = false;
+}
+
+void SoakRun::applyToStore(const Fault &fault, const boost::asio::yield_context &yield)
+{
+    if (m_storeIsBusy) {
+        return;
+    }
+    m_storeIsBusy = true;
+    const BootTime from = BootClock::now();
+    switch (fault.kind) {
+    case FaultKind::StoreDown:
+        m_store.isDown = true;
+        break;
+    case FaultKind::StoreSilent:
+        link("hosts", "store", "silent");
+        break;
+    case FaultKind::StoreSlow:
+        m_store.delay = 800ms;
+        break;
+    case FaultKind::StoreAnswersLost:
+        m_store.losesAnswers = true;
+        break;
+    case FaultKind::StoreReadsOld:
+        m_store.freezeReads(true);
+        break;
+    default:
+        m_store.loseHistory();
+        break;
+    }
+    sleep(fault.duration, yield);
+    m_store.isDown = false;
+    m_store.losesAnswers = false;
+    m_store.delay = 0ms;
+    m_store.freezeReads(false);
+    link("hosts", "store", "normal");
+    // A call that hangs is given up first; then the changes have their usual time.
+    m_promises.storeDisturbed({from, BootClock::now() + s_lostAnswer + s_changeBound});
+    m_storeIsBusy = false;
+}
+
+void SoakRun::replaceUpstream(UpstreamPlace &place, std::chrono::milliseconds pause, const boost::asio::yield_context &yield)
+{
+    const std::string old = place.upstream->id();
+    place.upstream->kill();
+    sleep(pause, yield);
+    m_store.remove("servers", old);
+    place.upstream->start(fmt::format("u-{}-{}", place.ip, ++place.generation));
+    registerUpstream(place, "ready");
+}
+
+void SoakRun::removeUpstream(UpstreamPlace &place, std::chrono::milliseconds pause, const boost::asio::yield_context &yield)
+{
+    const BootTime from = BootClock::now();
+    registerUpstream(place, "draining");
+    sleep(pause, yield);
+    m_promises.upstreamBanned(place.upstream->id(), {from, BootClock::now()});
+    replaceUpstream(place, 0ms, yield);
+}
+
+void SoakRun::applyToUpstream(const Fault &fault, UpstreamPlace &place, const boost::asio::yield_context &yield)
+{
+    if (place.isBusy) {
+        return;
+    }
+    place.isBusy = true;
+    const BootTime from = BootClock::now();
+    const std::string id = place.upstream->id();
+    switch (fault.kind) {
+    case FaultKind::UpstreamReset:
+        link("hosts", place.ip, "cut");
+        break;
+    case FaultKind::UpstreamSilent:
+        link("hosts", place.ip, "silent");
+        break;
+    case FaultKind::UpstreamMute:
+        link(place.ip, "hosts", "silent", {{"oneWay", true}});
+        break;
+    case FaultKind::UpstreamConnectionsForgotten:
+        link("hosts", place.ip, "silent", {{"existingOnly", true}});
+        break;
+    case FaultKind::UpstreamDelayed:
+        link("hosts", place.ip, "normal", {{"delayMs", 150}});
+        break;
+    case FaultKind::UpstreamFails:
+        place.upstream->behaviour.fails = true;
+        break;
+    case FaultKind::UpstreamSheds:
+        place.upstream->behaviour.sheds = true;
+        break;
+    case FaultKind::UpstreamSlow:
+        place.upstream->behaviour.slowness = 20;
+        break;
+    case FaultKind::UpstreamReplaced:
+        replaceUpstream(place, fault.duration, yield);
+        break;
+    default:
+        removeUpstream(place, fault.duration, yield);
+        break;
+    }
+    sleep(fault.duration, yield);
+    link("hosts", place.ip, "normal");
+    m_promises.linkDisturbed(id, {from, BootClock::now() + s_tolerance});
+    place.upstream->behaviour = {};
+    place.isBusy = false;
+}
+
+void SoakRun::evacuate(const Fault &fault, const boost::asio::yield_context &yield)
+{
+    if (m_isEvacuated) {
+        return;
+    }
+    m_isEvacuated = true;
+    const std::string zone = s_zones[fault.target % s_zones.size()].first;
+    const BootTime from = BootClock::now();
+    m_store.set("op", "evacuate/" + zone, "{}");
+    sleep(fault.duration, yield);
+    for (const UpstreamPlace &place : m_upstreams) {
+        if (place.zone == zone) {
+            m_promises.upstreamBanned(place.upstream->id(), {from, BootClock::now()});
+        }
+    }
+    m_store.remove("op", "evacuate/" + zone);
+    m_isEvacuated = false;
+}
+
+void SoakRun::apply(const Fault &fault, const boost::asio::yield_context &yield)
+{
+    say(fmt::format("{} {} for {} ms", toText(fault.kind), fault.target, fault.duration.count()));
+    switch (fault.kind) {
+    case FaultKind::HostPaused:
+    case FaultKind::HostKilled:
+    case FaultKind::HostStopped:
+    case FaultKind::HostHangup:
+    case FaultKind::StoreCutFromHost:
+        applyToHost(fault, fault.target % m_hosts.size(), yield);
+        return;
+    case FaultKind::AllHostsKilled:
+        for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+            spawn([this, fault, i](const boost::asio::yield_context &own) { applyToHost(fault, i, own); });
+        }
+        return;
+    case FaultKind::StoreDown:
+    case FaultKind::StoreSilent:
+    case FaultKind::StoreSlow:
+    case FaultKind::StoreAnswersLost:
+    case FaultKind::StoreHistoryLost:
+    case FaultKind::StoreReadsOld:
+        applyToStore(fault, yield);
+        return;
+    case FaultKind::Configuration:
+        writeConfiguration();
+        return;
+    case FaultKind::ConfigurationUnreadable:
+        // A host that starts meanwhile has no configuration.
+        m_store.set("op", "config", R"({"version":"r1000000","routes":[{"name":"read"}]})");
+        sleep(fault.duration, yield);
+        writeConfiguration();
+        return;
+    case FaultKind::ZoneEvacuated:
+        evacuate(fault, yield);
+        return;
+    default:
+        applyToUpstream(fault, m_upstreams[fault.target % m_upstreams.size()], yield);
+        return;
+    }
+}
+
+void SoakRun::call(const boost::asio::yield_context &yield)
+{
+    static const std::vector<std::string> routes = {"read", "write", "moving"};
+    CallerRequest request;
+    request.id = fmt::format("{:x}-{}", m_settings.plan.seed, ++m_sent);
+    request.route = routes[m_random(static_cast<std::uint32_t>(routes.size()))];
+    request.host = m_random(static_cast<std::uint32_t>(m_hosts.size()));
+    request.isIdempotent = request.route != "write";
+    request.timeout = s_requestTimeout;
+    HttpRequest message{"POST", fmt::format("/{}/{}", request.route, m_sent), {}, "cast"};
+    message.headers.add("Host", "soak.example");
+    message.headers.add("Request-Id", request.id);
+    message.headers.add("Affinity-Key", fmt::to_string(m_random(40)));
+    message.headers.add("Deadline-Ms", fmt::to_string(s_requestTimeout.count()));
+    request.sentAt = BootClock::now();
+    CallOptions options;
+    options.deadline = request.sentAt + s_requestTimeout + s_callerPatience;
+    options.progressTimeout = s_requestTimeout + s_callerPatience;
+    const CallResult result = m_pool.call(endpoint(m_hosts[request.host].ip, s_callerPort), nullptr, message, options, yield);
+    request.endedAt = BootClock::now();
+    request.end = kindOf(result);
+    if (request.end == ResponseKind::Served) {
+        request.body = std::get<HttpResponse>(result).body;
+    }
+    m_promises.ended(request);
+}
+
+void SoakRun::callers(const boost::asio::yield_context &yield)
+{
+    std::exponential_distribution<double> gap(m_settings.requestRate);
+    BootTime next = BootClock::now();
+    while (!m_ends) {
+        next += std::chrono::duration_cast<BootClock::duration>(std::chrono::duration<double>(gap(m_random)));
+        const BootTime now = BootClock::now();
+        if (next > now) {
+            sleep(std::chrono::duration_cast<std::chrono::milliseconds>(next - now), yield);
+        }
+        spawn([this](const boost::asio::yield_context &own) { call(own); });
+    }
+}
+
+void SoakRun::expectRecovery(const boost::asio::yield_context &yield)
+{
+    sleep(s_recovery, yield);
+    for (const Host &host : m_hosts) {
+        if (!isReady(host, yield)) {
+            m_promises.note(host.name + " is not ready after all faults have ended");
+        }
+    }
+    const std::size_t before = m_promises.served();
+    const std::size_t total = m_promises.requests();
+    sleep(s_calmEnd, yield);
+    const auto requests = static_cast<double>(m_promises.requests() - total);
+    const auto served = static_cast<double>(m_promises.served() - before);
+    if (served < requests * s_calmServed) {
+        m_promises.note(fmt::format("only {} of {} requests were served after all faults had ended", served, requests));
+    }
+}
+
+void SoakRun::play(const boost::asio::yield_context &yield)
+{
+    m_start = BootClock::now();
+    writeConfiguration();
+    for (UpstreamPlace &place : m_upstreams) {
+        place.upstream->start(fmt::format("u-{}-0", place.ip));
+        registerUpstream(place, "ready");
+    }
+    for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+        startHost(i, yield);
+        m_promises.hostDisturbed(i, {m_start, BootClock::now() + s_changeBound});
+    }
+    sleep(s_changeBound, yield);
+    m_start = BootClock::now();
+    spawn([this](const boost::asio::yield_context &own) { callers(own); });
+    for (const Fault &fault : planFaults(m_settings.plan)) {
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(m_start + fault.at - BootClock::now());
+        sleep(std::max(wait, 0ms), yield);
+        spawn([this, fault](const boost::asio::yield_context &own) { apply(fault, own); });
+    }
+    const auto isBusy = [](const auto &thing) { return thing.isBusy; };
+    while (
+        std::any_of(m_hosts.begin(), m_hosts.end(), isBusy) || std::any_of(m_upstreams.begin(), m_upstreams.end(), isBusy) || m_storeIsBusy || m_isEvacuated) {
+        sleep(50ms, yield);
+    }
+    expectRecovery(yield);
+    m_ends = true;
+    // The last requests end, and what upstreams still hear of them is heard.
+    const BootTime end = BootClock::now() + s_requestTimeout + s_callerPatience + s_tolerance;
+    while (m_open > 1 && BootClock::now() < end) {
+        sleep(20ms, yield);
+    }
+    for (const Host &host : m_hosts) {
+        if (!m_processes.isRunning(host.name)) {
+            m_promises.note(host.name + " ended by itself");
+        }
+    }
+    m_context.stop();
+}
+
+SoakResult SoakRun::run()
+{
+    spawn([this](const boost::asio::yield_context &yield) { play(yield); });
+    m_context.run();
+    m_processes.endAll();
+    return {m_promises.violations(), m_promises.summary()};
+}
+
+} // namespace Trefoil::Soak
--- /dev/null
+++ b/Tests/Soak/soakrun.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <Soak/promises.h>
+#include <Soak/soakplan.h>
+#include <Soak/soakupstream.h>
+
+#include <LibHttp/connectionpool.h>
+#include <Platform/storestandin.h>
+#include <Scenarios/linkproxy/proxy.h>
+#include <Scenarios/process.h>
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <pcg_random.hpp>
+
+namespace Trefoil::Soak
+{
+
+struct SoakSettings
+{
+    PlanSettings plan;
+    std::size_t hosts = 6;
+    std::size_t upstreams = 12;
+    /// Requests a second of all callers.
+    double requestRate = 150;
+    /// First two numbers of all loopback addresses; runs beside each other need different ones.
+    std::string network = "127.60";
+    /// The host's program, and where logs and settings of this run go.
+    std::string program;
+    std::string folder;
+    /// Shows the faults as they happen.
+    bool isVerbose = false;
+};
+
+struct SoakResult
+{
+    std::vector<std::string> violations;
+    std::string summary;
+};
+
+/// One run: the host's program in separate processes, a proxy between them, the store and the upstreams, and callers that keep
+/// their connections. Thread safety: one thread, which runs everything.
+class SoakRun
+{
+public:
+    /// Precondition: the folder exists.
+    explicit SoakRun(SoakSettings settings);
+
+    /// Plays the faults, lets the system recover and compares what was seen with the promises. Precondition: called once.
+    SoakResult run();
+
+private:
+    struct Host
+    {
+        std::string name;
+        std::string zone;
+        std::string ip;
+        /// Times of SIGSTOP, SIGKILL and SIGTERM since the last start; only one of them is under way at a time.
+        bool isBusy = false;
+    };
+    struct UpstreamPlace
+    {
+        std::unique_ptr<SoakUpstream> upstream;
+        std::string zone;
+        std::string ip;
+        std::string registered;
+        int generation = 0;
+        std::int64_t report = 0;
+        bool isBusy = false;
+    };
+
+    void createPlaces();
+    void createProxy();
+    void startHost(std::size_t index, const boost::asio::yield_context &yield);
+    void writeSettings(const Host &host) const;
+    bool isReady(const Host &host, const boost::asio::yield_context &yield);
+    void awaitReady(std::size_t index, const boost::asio::yield_context &yield);
+    void registerUpstream(UpstreamPlace &place, const std::string &state);
+    void writeConfiguration();
+
+    void play(const boost::asio::yield_context &yield);
+    void apply(const Fault &fault, const boost::asio::yield_context &yield);
+    void applyToHost(const Fault &fault, std::size_t index, const boost::asio::yield_context &yield);
+    void applyToStore(const Fault &fault, const boost::asio::yield_context &yield);
+    void applyToUpstream(const Fault &fault, UpstreamPlace &place, const boost::asio::yield_context &yield);
+    void killHost(std::size_t index, std::chrono::milliseconds pause, const boost::asio::yield_context &yield);
+    void stopHost(std::size_t index, std::chrono::milliseconds pause, const boost::asio::yield_context &yield);
+    void replaceUpstream(UpstreamPlace &place, std::chrono::milliseconds pause, const boost::asio::yield_context &yield);
+    void removeUpstream(UpstreamPlace &place, std::chrono::milliseconds pause, const boost::asio::yield_context &yield);
+    void evacuate(const Fault &fault, const boost::asio::yield_context &yield);
+
+    void callers(const boost::asio::yield_context &yield);
+    void call(const boost::asio::yield_context &yield);
+    void expectRecovery(const boost::asio::yield_context &yield);
+
+    void link(const std::string &from, const std::string &to, const std::string &mode, const nlohmann::json &more = {});
+    void sleep(std::chrono::milliseconds time, const boost::asio::yield_context &yield);
+    void spawn(std::function<void(const boost::asio::yield_context &yield)> body);
+    void say(const std::string &text) const;
+
+    SoakSettings m_settings;
+    boost::asio::io_context m_context{1};
+    Promises m_promises;
+    pcg32 m_random;
+    Platform::StoreStandIn m_store;
+    std::unique_ptr<LinkProxy::Proxy> m_proxy;
+    std::vector<Host> m_hosts;
+    std::vector<UpstreamPlace> m_upstreams;
+    Scenarios::Processes m_processes;
+    ConnectionPool m_pool;
+    BootTime m_start;
+    int m_version = 0;
+    int m_open = 0;
+    std::uint64_t m_sent = 0;
+    bool m_storeIsBusy = false;
+    bool m_isEvacuated = false;
+    bool m_ends = false;
+};
+
+} // namespace Trefoil::Soak
--- /dev/null
+++ b/Tests/Soak/testsoak.cpp
@@ -0,0 +1,120 @@
+#include <Soak/promises.h>
+#include <Soak/soakplan.h>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace Trefoil;
+using namespace Trefoil::Soak;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct Change
+{
+    const char *name;
+    void (*change)(CallerRequest &request, Execution &execution, Promises &promises);
+    /// Part of the violation; empty when nothing is broken.
+    const char *violation;
+};
+
+/// Index of a change: functions have other addresses in the process of the test.
+struct PromiseCase
+{
+    std::size_t index;
+};
+
+const BootTime s_now = BootTime(1000s);
+
+const std::vector<Change> s_changes = {
+    {"served", [](CallerRequest &, Execution &, Promises &) {}, ""},
+    {"rejected", [](CallerRequest &request, Execution &, Promises &) { request.end = ResponseKind::Rejected; }, "told that it did not run"},
+    {"twice", [](CallerRequest &, Execution &execution, Promises &promises) { promises.began(execution); }, "ran 2 times"},
+    {"foreign", [](CallerRequest &request, Execution &, Promises &) { request.body = "other"; }, "got the response of other"},
+    {"lost", [](CallerRequest &request, Execution &, Promises &) { request.end = ResponseKind::ConnectionLost; }, "lost the connection"},
+    {"lost-by-kill",
+        [](CallerRequest &request, Execution &, Promises &promises) {
+            request.end = ResponseKind::ConnectionLost;
+            promises.hostDisturbed(0, {s_now, s_now + 1s});
+        },
+        ""},
+    {"held", [](CallerRequest &request, Execution &, Promises &) { request.endedAt = s_now + 1600ms; }, "held for 1600 ms"},
+    {"no-time-left", [](CallerRequest &, Execution &execution, Promises &) { execution.timeLeft.reset(); }, "without its time left"},
+    {"time-grew", [](CallerRequest &, Execution &execution, Promises &) { execution.timeLeft = 1600ms; }, "grew to 1600 ms"},
+    {"held-on-its-way",
+        [](CallerRequest &, Execution &execution, Promises &promises) {
+            execution.timeLeft = 1600ms;
+            promises.linkDisturbed("u", {s_now, s_now + 1s});
+        },
+        ""},
+    {"old-route",
+        [](CallerRequest &, Execution &, Promises &promises) {
+            promises.routeChanged("read", {s_now - 10s, "alpha"});
+            promises.routeChanged("read", {s_now - 3s, "beta"});
+        },
+        "after the configuration had changed"},
+    {"late-route",
+        [](CallerRequest &, Execution &, Promises &promises) {
+            promises.routeChanged("read", {s_now - 10s, "alpha"});
+            promises.routeChanged("read", {s_now - 2s, "beta"});
+        },
+        ""},
+    {"store-was-away",
+        [](CallerRequest &, Execution &, Promises &promises) {
+            promises.routeChanged("read", {s_now - 3s, "beta"});
+            promises.storeDisturbed({s_now - 4s, s_now - 1s});
+        },
+        ""},
+    {"left",
+        [](CallerRequest &, Execution &, Promises &promises) {
+            promises.upstreamBanned("u", {s_now - 3s, s_now + 1s});
+        },
+        "after it had left"},
+};
+
+} // namespace
+
+// Guards against a soak that passes although a promise was broken, and against one that complains of what is allowed.
+ParameterizedTestParameters(Soak, promises)
+{
+    static std::vector<PromiseCase> cases(s_changes.size());
+    for (std::size_t i = 0; i < s_changes.size(); ++i) {
+        cases[i].index = i;
+    }
+    return cr_make_param_array(PromiseCase, cases.data(), cases.size());
+}
+
+ParameterizedTest(PromiseCase *testCase, Soak, promises)
+{
+    const Change &change = s_changes[testCase->index];
+    Promises promises;
+    CallerRequest request{"id", "read", 0, false, s_now, 1000ms, s_now + 100ms, ResponseKind::Served, "id"};
+    Execution execution{"id", "alpha", "u", s_now + 10ms, 990ms};
+    change.change(request, execution, promises);
+    promises.began(execution);
+    promises.ended(request);
+    const auto violations = promises.violations();
+    if (change.violation[0] == '\0') {
+        cr_assert(violations.empty(), "%s: %s", change.name, violations.front().c_str());
+        return;
+    }
+    cr_assert(!violations.empty(), "%s", change.name);
+    cr_assert(violations.front().find(change.violation) != std::string::npos, "%s: %s", change.name, violations.front().c_str());
+}
+
+// Guards against faults that can't be played again, and kinds that are never drawn.
+Test(Soak, plansAreRepeatableAndReachAllKinds)
+{
+    PlanSettings settings;
+    settings.length = 600s;
+    const auto first = planFaults(settings);
+    const auto second = planFaults(settings);
+    cr_assert_eq(first.size(), second.size());
+    std::set<FaultKind> kinds;
+    for (std::size_t i = 0; i < first.size(); ++i) {
+        cr_assert(first[i].kind == second[i].kind && first[i].at == second[i].at && first[i].target == second[i].target);
+        kinds.insert(first[i].kind);
+    }
+    cr_assert_eq(kinds.size(), allFaultKinds().size());
+}
