LibSteering: Keep keys at their upstreams; replay loads in virtual time

It showed that keys left their first upstream too early: each further upstream does the cold work again and forgets another key for it.

A place in a key's order of upstreams now costs 0.16 of a response's value in place of 0.02, for three places at most. Upstreams that fail or are slow count for less than a place; without that, Placement::warmUpstreamAgainst ColdOne ("warm one fails") failed at this cost.

The query and what is learned from an attempt moved from the request path to GatewayState, so that the replay uses the same code.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -64,13 +64,11 @@
     CallerConnection &caller;
     std::shared_ptr<const RouteTable> routes;
     const Route *route = nullptr;
-    ServiceId service{};
     std::string id{};
-    std::uint64_t keyHash = 0;
+    /// What its placement depends on.
+    RequestPlacement placement{};
     /// Decides whether the request leaves the region; the key's, or that of the request when it has none.
     std::uint64_t positionHash = 0;
-    BootTime arrivedAt{};
-    BootTime deadline{};
     std::set<UpstreamId> tried{};
     /// Upstreams that the request was sent to.
     int sent = 0;
@@ -104,7 +102,7 @@
 {
     const InFlightScope scope(m_inFlight);
     Exchange exchange{request, caller, m_state.routes()};
-    exchange.arrivedAt = BootClock::now();
+    exchange.placement.arrivedAt = BootClock::now();
     exchange.id = request.headers.value(m_settings.headers.requestId);
     HttpResponse response;
     if (exchange.routes) {
@@ -119,7 +117,7 @@
         response = forward(exchange, yield);
     }
     const auto retries = static_cast<std::uint32_t>(std::max(0, exchange.sent - 1));
-    series->finished({exchange.outcome, exchange.reason, BootClock::now() - exchange.arrivedAt, std::chrono::nanoseconds(0), retries});
+    series->finished({exchange.outcome, exchange.reason, BootClock::now() - exchange.placement.arrivedAt, std::chrono::nanoseconds(0), retries});
     if (!exchange.id.empty() && !response.headers.find(m_settings.headers.requestId)) {
         response.headers.add(m_settings.headers.requestId, exchange.id);
     }
@@ -129,13 +127,14 @@
 HttpResponse Gateway::forward(Exchange &exchange, const asio::yield_context &yield)
 {
     const Route &route = *exchange.route;
+    exchange.placement.route = &route;
     const auto wanted = parseMilliseconds(exchange.request.headers.value(m_settings.headers.timeLeft));
-    exchange.deadline = exchange.arrivedAt + std::min(wanted.value_or(route.timeout), route.timeout);
+    exchange.placement.deadline = exchange.placement.arrivedAt + std::min(wanted.value_or(route.timeout), route.timeout);
     const std::string_view key = exchange.request.headers.value(m_settings.headers.affinityKey);
-    exchange.keyHash = route.hasAffinity && !key.empty() ? stableHash(fmt::format("{}/{}", route.id.value(), key)) : 0;
-    exchange.positionHash = exchange.keyHash != 0 ? exchange.keyHash : stableHash(exchange.id);
-    exchange.service = m_state.nextService(route);
-    m_state.knowledge(exchange.service).retries.recordRequest(exchange.arrivedAt);
+    exchange.placement.keyHash = route.hasAffinity && !key.empty() ? stableHash(fmt::format("{}/{}", route.id.value(), key)) : 0;
+    exchange.positionHash = exchange.placement.keyHash != 0 ? exchange.placement.keyHash : stableHash(exchange.id);
+    exchange.placement.service = m_state.nextService(route);
+    m_state.knowledge(exchange.placement.service).retries.recordRequest(exchange.placement.arrivedAt);
     while (true) {
         auto chosen = choose(exchange);
         if (auto *rejection = std::get_if<HttpResponse>(&chosen)) {
@@ -149,36 +148,20 @@
     }
 }
 
-PlacementQuery Gateway::placementQuery(Exchange &exchange, const std::vector<std::shared_ptr<Upstream>> &usable, BootTime now)
-{
-    const Route &route = *exchange.route;
-    ServiceKnowledge &service = m_state.knowledge(exchange.service);
-    exchange.load = usable.empty() ? 0 : service.load[usable.front()->model.identity().region];
-    PlacementQuery query;
-    query.keyHash = exchange.keyHash;
-    query.targetLatency = route.targetLatency;
-    query.elapsed = now - exchange.arrivedAt;
-    query.timeLeft = exchange.deadline - now;
-    query.priority = route.priority;
-    query.work = &m_state.knowledge(route).work;
-    query.usualLoad = exchange.load;
-    query.slotTime = service.slotTime;
-    query.now = now;
-    return query;
-}
-
 std::variant<std::shared_ptr<Upstream>, HttpResponse> Gateway::choose(Exchange &exchange)
 {
     const BootTime now = BootClock::now();
     while (true) {
-        const auto everywhere = m_state.usableUpstreams(exchange.service, *exchange.route, exchange.tried, now);
-        const auto usable = m_state.inChosenRegion(exchange.service, everywhere, exchange.positionHash, now);
+        const auto everywhere = m_state.usableUpstreams(exchange.placement.service, *exchange.route, exchange.tried, now);
+        const auto usable = m_state.inChosenRegion(exchange.placement.service, everywhere, exchange.positionHash, now);
         std::vector<UpstreamModel *> models;
         models.reserve(usable.size());
         for (const auto &upstream : usable) {
             models.push_back(&upstream->model);
         }
-        const PlacementResult result = place(models, placementQuery(exchange, usable, now), m_state.settings().placement);
+        const PlacementQuery query = m_state.query(exchange.placement, usable, now);
+        exchange.load = query.usualLoad;
+        const PlacementResult result = place(models, query, m_state.settings().placement);
         const auto *placed = std::get_if<Placed>(&result);
         if (!placed) {
             return answerUnplaced(exchange, std::get_if<NoRoom>(&result));
@@ -220,9 +203,10 @@
 CallOptions Gateway::callOptions(Exchange &exchange, const Upstream &upstream) const
 {
     CallOptions options;
-    options.deadline = exchange.deadline;
+    options.deadline = exchange.placement.deadline;
     // An upstream that works sends nothing until it is done; the deadline alone ends the wait.
-    options.progressTimeout = std::chrono::duration_cast<std::chrono::milliseconds>(exchange.deadline - exchange.arrivedAt) + std::chrono::seconds(1);
+    options.progressTimeout =
+        std::chrono::duration_cast<std::chrono::milliseconds>(exchange.placement.deadline - exchange.placement.arrivedAt) + std::chrono::seconds(1);
     options.requestId = exchange.id;
     options.requestIdHeader = m_settings.headers.requestId;
     options.skipsForeignResponses = true;
@@ -232,7 +216,7 @@
     }
     options.cancellation = &exchange.caller.cancellation();
     options.prepare = [&exchange, &upstream, &names = m_settings.headers](HttpRequest &request) {
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(exchange.deadline - BootClock::now());
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(exchange.placement.deadline - BootClock::now());
         request.headers.add(names.timeLeft, fmt::to_string(std::max<std::int64_t>(left.count(), 1)));
         return !upstream.model.isLeaving && left >= s_leastTimeLeft;
     };
@@ -249,7 +233,10 @@
     AttemptEnd end =
         classifyCall(m_pool.call(identity.address, m_state.connectionLimit(upstream), upstreamRequest(exchange, identity), options, yield), m_settings.headers);
     const BootTime now = BootClock::now();
-    learn(exchange, upstream, end, now - start, now);
+    m_state.learn(exchange.placement, upstream, exchange.placed, {end.outcome, end.timedOut, now - start, end.load}, now);
+    if (end.isElsewhere) {
+        m_state.upstreamGone(identity.id);
+    }
     m_metrics.countAttempt(identity.id, end.outcome);
     ++(end.wasSent ? exchange.sent : exchange.unsent);
     exchange.mayHaveRun = exchange.mayHaveRun || end.execution == Execution::Possible;
@@ -275,38 +262,10 @@
             {"failureRate", upstream.model.failureRate(now)}});
 }
 
-void Gateway::learn(Exchange &exchange, Upstream &upstream, const AttemptEnd &end, Milliseconds duration, BootTime now)
-{
-    const PlacementSettings &placement = m_state.settings().placement;
-    const Milliseconds roundTrip = upstream.model.identity().region == placement.region ? placement.zoneRoundTrip : placement.regionRoundTrip;
-    WorkEstimate &work = m_state.knowledge(*exchange.route).work;
-    const Milliseconds atUpstream = std::max(duration - roundTrip, Milliseconds(1));
-    const Milliseconds usual = work.expected(exchange.placed.cache);
-    const auto slowness = work.slowness(exchange.placed.cache, std::max(atUpstream - exchange.placed.expectedWait, Milliseconds(1)));
-    const bool wasServed = end.outcome == AttemptOutcome::Success;
-    upstream.model.recordEnd(end.timedOut && duration < usual ? AttemptOutcome::Cancelled : end.outcome, slowness, end.load, now);
-    if (end.load) {
-        recordLoad(m_state.knowledge(exchange.service), upstream.model.identity(), *end.load);
-    }
-    if (end.isElsewhere) {
-        m_state.upstreamGone(upstream.model.identity().id);
-    }
-    if (!wasServed) {
-        return;
-    }
-    if (exchange.placed.expectedWait.count() <= 0) {
-        work.record(exchange.placed.cache, atUpstream);
-        recordSlotTime(m_state.knowledge(exchange.service), atUpstream);
-    }
-    if (exchange.keyHash != 0) {
-        upstream.model.recordKey(exchange.keyHash, now);
-    }
-}
-
 bool Gateway::mayTryAgain(const Exchange &exchange, const AttemptEnd &end, BootTime now)
 {
     const bool isIdempotent = exchange.route->kind == RequestKind::Idempotent;
-    if (end.outcome == AttemptOutcome::Success || end.outcome == AttemptOutcome::Cancelled || now + s_leastTimeLeft >= exchange.deadline) {
+    if (end.outcome == AttemptOutcome::Success || end.outcome == AttemptOutcome::Cancelled || now + s_leastTimeLeft >= exchange.placement.deadline) {
         return false;
     }
     if (exchange.mayHaveRun && !isIdempotent) {
@@ -318,7 +277,7 @@
     if (exchange.sent == 0) {
         return exchange.unsent <= s_maximumUnsent;
     }
-    return m_state.knowledge(exchange.service).retries.tryTake(now, m_state.directory().registeredCount());
+    return m_state.knowledge(exchange.placement.service).retries.tryTake(now, m_state.directory().registeredCount());
 }
 
 HttpResponse Gateway::answer(Exchange &exchange, AttemptEnd end)
@@ -355,7 +314,7 @@
             {"reason", std::string(reason)},
             {"status", std::int64_t{status}},
             {"attempts", std::int64_t{exchange.sent}},
-            {"elapsedMs", wholeMilliseconds(BootClock::now() - exchange.arrivedAt)}});
+            {"elapsedMs", wholeMilliseconds(BootClock::now() - exchange.placement.arrivedAt)}});
     return errorResponse(status, reason, "", message);
 }
 
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -48,13 +48,11 @@
 
     HttpResponse forward(Exchange &exchange, const boost::asio::yield_context &yield);
     std::variant<std::shared_ptr<Upstream>, HttpResponse> choose(Exchange &exchange);
-    PlacementQuery placementQuery(Exchange &exchange, const std::vector<std::shared_ptr<Upstream>> &usable, BootTime now);
     HttpResponse answerUnplaced(Exchange &exchange, const NoRoom *noRoom);
     HttpRequest upstreamRequest(const Exchange &exchange, const UpstreamIdentity &upstream) const;
     CallOptions callOptions(Exchange &exchange, const Upstream &upstream) const;
     void logAttempt(const Exchange &exchange, const Upstream &upstream, const AttemptEnd &end, Milliseconds duration, BootTime now) const;
     AttemptEnd attempt(Exchange &exchange, Upstream &upstream, const boost::asio::yield_context &yield);
-    void learn(Exchange &exchange, Upstream &upstream, const AttemptEnd &end, Milliseconds duration, BootTime now);
     bool mayTryAgain(const Exchange &exchange, const AttemptEnd &end, BootTime now);
     HttpResponse fail(Exchange &exchange, RequestOutcome outcome, int status, std::string_view reason, std::string_view message);
     HttpResponse failIncomplete(Exchange &exchange);
--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -22,6 +22,12 @@
 /// Weight of one new sample of the time that a slot is held.
 constexpr double s_slotTimeWeight = 0.05;
 
+/// Takes the time that one request held a slot.
+void recordSlotTime(ServiceKnowledge &service, Milliseconds time)
+{
+    service.slotTime += (time - service.slotTime) * (service.slotTime.count() <= 0 ? 1.0 : s_slotTimeWeight);
+}
+
 } // namespace
 
 GatewayState::GatewayState(GatewayStateSettings settings)
@@ -189,6 +195,48 @@
     return chosen;
 }
 
+PlacementQuery GatewayState::query(const RequestPlacement &request, const std::vector<std::shared_ptr<Upstream>> &usable, BootTime now)
+{
+    ServiceKnowledge &service = knowledge(request.service);
+    PlacementQuery query;
+    query.keyHash = request.keyHash;
+    query.targetLatency = request.route->targetLatency;
+    query.elapsed = now - request.arrivedAt;
+    query.timeLeft = request.deadline - now;
+    query.priority = request.route->priority;
+    query.work = &knowledge(*request.route).work;
+    query.usualLoad = usable.empty() ? 0 : service.load[usable.front()->model.identity().region];
+    query.slotTime = service.slotTime;
+    query.now = now;
+    return query;
+}
+
+void GatewayState::learn(const RequestPlacement &request, Upstream &upstream, const Placed &placed, const AttemptObservation &seen, BootTime now)
+{
+    const UpstreamIdentity &identity = upstream.model.identity();
+    const PlacementSettings &placement = m_settings.placement;
+    const Milliseconds roundTrip = identity.region == placement.region ? placement.zoneRoundTrip : placement.regionRoundTrip;
+    WorkEstimate &work = knowledge(*request.route).work;
+    ServiceKnowledge &service = knowledge(request.service);
+    const Milliseconds atUpstream = std::max(seen.duration - roundTrip, Milliseconds(1));
+    const Milliseconds usual = work.expected(placed.cache);
+    const auto slowness = work.slowness(placed.cache, std::max(atUpstream - placed.expectedWait, Milliseconds(1)));
+    upstream.model.recordEnd(seen.timedOut && seen.duration < usual ? AttemptOutcome::Cancelled : seen.outcome, slowness, seen.load, now);
+    if (seen.load) {
+        recordLoad(service, identity, *seen.load);
+    }
+    if (seen.outcome != AttemptOutcome::Success) {
+        return;
+    }
+    if (placed.expectedWait.count() <= 0) {
+        work.record(placed.cache, atUpstream);
+        recordSlotTime(service, atUpstream);
+    }
+    if (request.keyHash != 0) {
+        upstream.model.recordKey(request.keyHash, now);
+    }
+}
+
 bool GatewayState::isWarmUpOwner(const Upstream &upstream, BootTime now) const
 {
     if (coldRate(upstream.model.identity().service) <= 0) {
@@ -264,9 +312,4 @@
     load += s_loadWeight * (perSlot - load);
 }
 
-void recordSlotTime(ServiceKnowledge &service, Milliseconds time)
-{
-    service.slotTime += (time - service.slotTime) * (service.slotTime.count() <= 0 ? 1.0 : s_slotTimeWeight);
-}
-
 } // namespace Trefoil
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -75,8 +75,26 @@
     std::map<RegionId, double> load;
 };
 
-/// Takes the time that one request held a slot. Precondition: none. Thread safety: one thread at a time.
-void recordSlotTime(ServiceKnowledge &service, Milliseconds time);
+/// One request as far as its placement goes.
+struct RequestPlacement
+{
+    const Route *route = nullptr;
+    ServiceId service{};
+    /// 0 stands for a request without a key.
+    std::uint64_t keyHash = 0;
+    BootTime arrivedAt{};
+    BootTime deadline{};
+};
+
+/// How one attempt ended, as far as the upstream is concerned.
+struct AttemptObservation
+{
+    AttemptOutcome outcome = AttemptOutcome::Success;
+    /// The request's time ended first.
+    bool timedOut = false;
+    Milliseconds duration{0};
+    std::optional<LoadReport> load{};
+};
 
 /// Takes the load that an upstream reported. Precondition: none. Thread safety: one thread at a time.
 void recordLoad(ServiceKnowledge &service, const UpstreamIdentity &upstream, const LoadReport &report);
@@ -118,6 +136,13 @@
     std::vector<std::shared_ptr<Upstream>> inChosenRegion(
         const ServiceId &service, const std::vector<std::shared_ptr<Upstream>> &usable, std::uint64_t positionHash, BootTime now);
 
+    /// What the placement of a request among the usable upstreams depends on. Precondition: the request has a route.
+    PlacementQuery query(const RequestPlacement &request, const std::vector<std::shared_ptr<Upstream>> &usable, BootTime now);
+
+    /// Learns from the end of an attempt: the upstream's health, load and keys, and the usual times of the route and the service.
+    /// Precondition: the request was placed at the upstream as told.
+    void learn(const RequestPlacement &request, Upstream &upstream, const Placed &placed, const AttemptObservation &seen, BootTime now);
+
     /// True when the cold upstream's pace allows one request now, which is thereby taken. True for every warm one.
     bool takeColdPlace(Upstream &upstream, BootTime now);
 
--- a/Libraries/LibSteering/placement.cpp
+++ b/Libraries/LibSteering/placement.cpp
@@ -25,17 +25,15 @@
 constexpr double s_lostTarget = 1.1;
 /// Value of a late response.
 constexpr double s_lateValue = 0.2;
-/// Value given up for each place in a key's order of upstreams, so that hosts that leave the first one meet at the second.
-constexpr double s_rankCost = 0.02;
-constexpr double s_mostRanks = 5;
+/// Places in a key's order that are counted at most; further ones cost the same.
+constexpr double s_mostRanks = 3;
 /// Upstreams where a key belongs: with two to choose from, few upstreams have more keys than they can serve.
-constexpr std::size_t s_homeRanks = 2;
+constexpr double s_homeRanks = 2;
+/// Below this place an upstream counts as the first one of a key.
+constexpr double s_firstRank = 0.5;
 /// Load per slot from which slots have a price, and at which the price is full.
 constexpr double s_pricedLoad = 0.7;
 constexpr double s_fullPriceLoad = 1.15;
-/// Full price of work as long as the target latency, for the most urgent requests, and what each rank below adds.
-constexpr double s_slotPrice = 0.2;
-constexpr double s_slotPricePerPriority = 0.1;
 constexpr std::int32_t s_leastUrgent = 4;
 /// Longest queue at an upstream that a request joins, in parts of its target latency.
 constexpr double s_longestWait = 0.7;
@@ -47,26 +45,32 @@
     return static_cast<std::size_t>(state);
 }
 
-/// Positions of the candidates in the rendezvous order of the key, the preferred one first.
-std::vector<std::size_t> ranksFor(const std::vector<UpstreamModel *> &candidates, std::uint64_t keyHash)
+/// Places of the candidates in the rendezvous order of the key, 0 for the preferred one. An upstream that fails or is slow counts
+/// for less than a place, so that its keys find the next one at home.
+std::vector<double> ranksFor(const std::vector<UpstreamModel *> &candidates, const PlacementQuery &query)
 {
+    std::vector<double> ranks(candidates.size(), 0);
+    if (query.keyHash == 0) {
+        return ranks;
+    }
     std::vector<std::pair<double, std::size_t>> scores;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        scores.emplace_back(-affinityScore(keyHash, candidates[i]->hash(), candidates[i]->identity().slots.value()), i);
+        scores.emplace_back(-affinityScore(query.keyHash, candidates[i]->hash(), candidates[i]->identity().slots.value()), i);
     }
     std::sort(scores.begin(), scores.end());
-    std::vector<std::size_t> ranks(candidates.size());
-    for (std::size_t position = 0; position < scores.size(); ++position) {
-        ranks[scores[position].second] = position;
+    double rank = 0;
+    for (const auto &[score, i] : scores) {
+        ranks[i] = rank;
+        rank += (1 - candidates[i]->failureRate(query.now)) / std::max(1.0, candidates[i]->slowness(query.now));
     }
     return ranks;
 }
 
 /// Value lost to others by work as long as the target latency.
-double slotPrice(const PlacementQuery &query)
+double slotPrice(const PlacementQuery &query, const PlacementSettings &settings)
 {
     const double part = std::clamp((query.usualLoad - s_pricedLoad) / (s_fullPriceLoad - s_pricedLoad), 0.0, 1.0);
-    return part * (s_slotPrice + s_slotPricePerPriority * std::clamp(query.priority, 0, s_leastUrgent));
+    return part * (settings.slotPrice + settings.slotPricePerPriority * std::clamp(query.priority, 0, s_leastUrgent));
 }
 
 /// Time in the queue of an upstream whose slots are occupied by that many requests, in work or waiting.
@@ -131,7 +135,7 @@
     if (candidates.empty()) {
         return NoUpstream{};
     }
-    const std::vector<std::size_t> ranks = query.keyHash == 0 ? std::vector<std::size_t>(candidates.size(), 0) : ranksFor(candidates, query.keyHash);
+    const std::vector<double> ranks = ranksFor(candidates, query);
     const Milliseconds limit = query.elapsed + query.timeLeft;
     std::optional<Placed> best;
     double bestValue = 0;
@@ -142,7 +146,7 @@
         CacheState cache = CacheState::Unlikely;
         if (query.keyHash != 0 && upstream.hasSeen(query.keyHash)) {
             cache = CacheState::Known;
-        } else if (ranks[i] == 0) {
+        } else if (ranks[i] < s_firstRank) {
             cache = CacheState::Likely;
         }
         const bool isSameRegion = identity.region == settings.region;
@@ -161,7 +165,7 @@
         }
         const Milliseconds total = query.elapsed + roundTrip + wait + work;
         const double value = (1 - upstream.failureRate(query.now)) * valueAt(total, query.targetLatency, limit) - distanceCost
-            - s_rankCost * std::min(static_cast<double>(ranks[i]), s_mostRanks) - slotPrice(query) * (pricedWork / query.targetLatency);
+            - settings.rankCost * std::min(ranks[i], s_mostRanks) - slotPrice(query, settings) * (pricedWork / query.targetLatency);
         if (!best || value > bestValue) {
             best = Placed{i, cache, work, wait};
             bestValue = value;
--- a/Libraries/LibSteering/placement.h
+++ b/Libraries/LibSteering/placement.h
@@ -48,6 +48,13 @@
     /// Round trips that a request and its response need.
     Milliseconds zoneRoundTrip{1};
     Milliseconds regionRoundTrip{30};
+    /// Value given up for each place in a key's order of upstreams. Hosts that leave the first one meet at the second, and do so
+    /// late: each further upstream does the cold work once more and forgets another key for it. From trials on the users' days.
+    double rankCost = 0.16;
+    /// Value that work as long as the target latency costs the most urgent requests while all slots are in use, and what each
+    /// rank below adds. From trials on the users' standard days of high load.
+    double slotPrice = 0.2;
+    double slotPricePerPriority = 0.1;
 };
 
 struct PlacementQuery
--- /dev/null
+++ b/Tests/Bench/Replay/replay.cpp
@@ -0,0 +1,434 @@
+#include <Bench/Replay/replay.h>
+
+#include <LibSteering/affinityranking.h>
+
+#include <algorithm>
+#include <deque>
+#include <fmt/format.h>
+#include <functional>
+#include <list>
+#include <pcg_random.hpp>
+#include <queue>
+#include <random>
+
+namespace Trefoil::Replay
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// Sizes of one region of the users' smaller sites.
+constexpr int s_hosts = 4;
+constexpr int s_upstreams = 8;
+constexpr int s_slots = 4;
+constexpr int s_queue = 9;
+constexpr int s_keysPerClass = 24;
+/// Keys that an upstream remembers, and the part of the work that they save.
+constexpr std::size_t s_remembered = 21;
+constexpr double s_warmGain = 0.7;
+constexpr double s_workSpread = 0.15;
+constexpr Milliseconds s_networkTime{0.5};
+constexpr Milliseconds s_length{40000};
+constexpr Milliseconds s_faultFrom{10000};
+constexpr Milliseconds s_faultUntil{20000};
+constexpr Milliseconds s_burstFrom{12000};
+constexpr Milliseconds s_burstUntil{16000};
+constexpr double s_lateWorth = 0.2;
+/// Enough to break ties between upstreams.
+constexpr double s_spreadingRankCost = 0.02;
+constexpr int s_mostAttempts = 2;
+/// Callers come back this often after a rejection.
+constexpr int s_mostReturns = 4;
+constexpr Milliseconds s_leastRetryAfter{20};
+constexpr Milliseconds s_mostRetryAfter{2000};
+
+const std::vector<RequestClass> s_classes = {
+    {"urgent", 0, 0.2, Milliseconds(600), Milliseconds(400), Milliseconds(3000), 3},
+    {"ordinary", 2, 0.8, Milliseconds(880), Milliseconds(600), Milliseconds(4000), 1},
+};
+
+struct Request
+{
+    std::size_t requestClass = 0;
+    std::uint64_t keyHash = 0;
+    std::size_t host = 0;
+    Milliseconds bornAt{0};
+    int returns = 0;
+    std::set<UpstreamId> tried{};
+};
+
+/// An upstream with slots, a bounded queue, and a memory of the keys it handled last.
+struct EmulatedUpstream
+{
+    struct Work
+    {
+        std::uint64_t key = 0;
+        Milliseconds cold{0};
+        std::function<void(Milliseconds now)> done;
+    };
+
+    std::list<std::uint64_t> remembered;
+    std::deque<Work> waiting;
+    int running = 0;
+
+    LoadReport report() const
+    {
+        return {running, static_cast<std::int32_t>(waiting.size())};
+    }
+};
+
+class World
+{
+public:
+    World(const Pattern &pattern, Policy policy, std::uint64_t seed)
+        : m_pattern(pattern)
+        , m_policy(policy)
+        , m_random(seed)
+        , m_upstreams(s_upstreams)
+    {
+        for (std::size_t i = 0; i < s_classes.size(); ++i) {
+            Route route;
+            route.id = RouteId(s_classes[i].name);
+            route.targetLatency = std::chrono::duration_cast<milliseconds>(s_classes[i].target);
+            route.timeout = std::chrono::duration_cast<milliseconds>(s_classes[i].limit);
+            route.priority = s_classes[i].priority;
+            route.services = {{ServiceId("service"), 1}};
+            m_routes.push_back(std::move(route));
+        }
+        for (int host = 0; host < s_hosts; ++host) {
+            m_hosts.push_back(createHost(host));
+        }
+    }
+
+    Score run()
+    {
+        scheduleArrival(Milliseconds(0));
+        while (!m_events.empty()) {
+            Event event = m_events.top();
+            m_events.pop();
+            m_now = event.at;
+            (*event.action)();
+        }
+        return score();
+    }
+
+private:
+    struct Event
+    {
+        Milliseconds at{0};
+        std::uint64_t order = 0;
+        std::shared_ptr<std::function<void()>> action;
+
+        bool operator>(const Event &other) const
+        {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
+    };
+
+    std::unique_ptr<GatewayState> createHost(int host) const
+    {
+        GatewayStateSettings settings;
+        settings.host = HostId(fmt::format("host-{}", host));
+        settings.placement.zone = ZoneId("zone");
+        settings.placement.region = RegionId("region");
+        settings.regions = {{ZoneId("zone"), RegionId("region")}};
+        settings.directory = {settings.host, ZoneId("zone"), RegionId("region")};
+        if (m_policy == Policy::OwnSpreading) {
+            settings.placement.rankCost = s_spreadingRankCost;
+        }
+        if (m_policy == Policy::OwnWithoutPrice || m_policy == Policy::OwnSpreading) {
+            settings.placement.slotPrice = 0;
+            settings.placement.slotPricePerPriority = 0;
+        }
+        auto state = std::make_unique<GatewayState>(settings);
+        for (int i = 0; i < s_upstreams; ++i) {
+            UpstreamRegistration registration;
+            registration.id = UpstreamId(fmt::format("u{}", i));
+            registration.service = ServiceId("service");
+            registration.address = "127.0.0.1:1";
+            registration.zone = ZoneId("zone");
+            registration.slots = SlotCount(s_slots);
+            state->upstreamStarted(registration, BootTime());
+        }
+        return state;
+    }
+
+    static BootTime bootTime(Milliseconds time)
+    {
+        return BootTime(std::chrono::hours(1)) + std::chrono::duration_cast<BootClock::duration>(time);
+    }
+
+    double uniform(double low, double high)
+    {
+        return std::uniform_real_distribution<double>(low, high)(m_random);
+    }
+
+    void at(Milliseconds time, std::function<void()> action)
+    {
+        m_events.push({time, ++m_order, std::make_shared<std::function<void()>>(std::move(action))});
+    }
+
+    void scheduleArrival(Milliseconds from)
+    {
+        Milliseconds meanWork(0);
+        for (const RequestClass &requestClass : s_classes) {
+            meanWork += requestClass.work * requestClass.share;
+        }
+        const bool isBurst = from >= s_burstFrom && from < s_burstUntil;
+        const double perMillisecond = m_pattern.load * (isBurst ? m_pattern.burst : 1) * s_upstreams * s_slots / meanWork.count();
+        const Milliseconds next = from + Milliseconds(std::exponential_distribution<double>(perMillisecond)(m_random));
+        if (next >= s_length) {
+            return;
+        }
+        at(next, [this, next] {
+            Request request;
+            request.requestClass = uniform(0, 1) < s_classes[0].share ? 0 : 1;
+            request.keyHash = stableHash(fmt::format("{}/{}", request.requestClass, m_random(s_keysPerClass)));
+            request.host = m_random(s_hosts);
+            request.bornAt = next;
+            ++m_born[request.requestClass];
+            arrive(std::move(request));
+            scheduleArrival(next);
+        });
+    }
+
+    RequestPlacement placement(const Request &request) const
+    {
+        const Route &route = m_routes[request.requestClass];
+        return {&route, ServiceId("service"), request.keyHash, bootTime(m_now), bootTime(request.bornAt + s_classes[request.requestClass].limit)};
+    }
+
+    void arrive(Request request)
+    {
+        request.host = m_random(s_hosts);
+        request.tried.clear();
+        attempt(std::move(request));
+    }
+
+    void attempt(Request request)
+    {
+        GatewayState &host = *m_hosts[request.host];
+        const BootTime now = bootTime(m_now);
+        const auto usable = host.usableUpstreams(ServiceId("service"), m_routes[request.requestClass], request.tried, now);
+        const RequestPlacement asked = placement(request);
+        const PlacementResult result = choose(host, request, usable, asked);
+        const auto *placed = std::get_if<Placed>(&result);
+        if (!placed) {
+            const auto *noRoom = std::get_if<NoRoom>(&result);
+            reject(std::move(request), noRoom ? noRoom->retryAfter : s_leastRetryAfter);
+            return;
+        }
+        send(std::move(request), usable[placed->candidate], *placed, asked);
+    }
+
+    PlacementResult choose(GatewayState &host, const Request &request, const std::vector<std::shared_ptr<Upstream>> &usable, const RequestPlacement &asked)
+    {
+        if (usable.empty()) {
+            return NoUpstream{};
+        }
+        if (m_policy == Policy::Own || m_policy == Policy::OwnWithoutPrice || m_policy == Policy::OwnSpreading) {
+            std::vector<UpstreamModel *> models;
+            models.reserve(usable.size());
+            for (const auto &upstream : usable) {
+                models.push_back(&upstream->model);
+            }
+            return place(models, host.query(asked, usable, bootTime(m_now)), host.settings().placement);
+        }
+        const auto loadOf = [&](std::size_t i) { return usable[i]->model.occupancy(bootTime(m_now), 0); };
+        const auto random = [&] { return static_cast<std::size_t>(m_random(static_cast<std::uint32_t>(usable.size()))); };
+        std::size_t chosen = m_next++ % usable.size();
+        if (m_policy == Policy::TwoChoices) {
+            const std::size_t first = random();
+            const std::size_t second = random();
+            chosen = loadOf(second) < loadOf(first) ? second : first;
+        }
+        for (std::size_t i = 0; i < usable.size(); ++i) {
+            const auto score = [&](std::size_t j) { return affinityScore(request.keyHash, usable[j]->model.hash(), s_slots); };
+            const bool isBetter = m_policy == Policy::LeastLoaded ? loadOf(i) < loadOf(chosen) : m_policy == Policy::AffinityOnly && score(i) > score(chosen);
+            chosen = isBetter ? i : chosen;
+        }
+        return Placed{chosen};
+    }
+
+    void send(Request request, std::shared_ptr<Upstream> upstream, const Placed &placed, const RequestPlacement &asked)
+    {
+        request.tried.insert(upstream->model.identity().id);
+        upstream->model.recordStart();
+        const Milliseconds sentAt = m_now;
+        auto end = [this, request, upstream, placed, asked, sentAt](AttemptOutcome outcome, const LoadReport &report) mutable {
+            m_hosts[request.host]->learn(asked, *upstream, placed, {outcome, false, m_now - sentAt, report}, bootTime(m_now));
+            if (outcome == AttemptOutcome::Success) {
+                served(request);
+            } else if (request.tried.size() < s_mostAttempts) {
+                attempt(std::move(request));
+            } else {
+                reject(std::move(request), s_leastRetryAfter);
+            }
+        };
+        const auto index = static_cast<std::size_t>(std::stoul(upstream->model.identity().id.value().substr(1)));
+        const Milliseconds cold = s_classes[request.requestClass].work * uniform(1 - s_workSpread, 1 + s_workSpread);
+        at(m_now + s_networkTime, [this, index, cold, key = request.keyHash, end]() mutable { receive(index, key, cold, std::move(end)); });
+    }
+
+    bool isFaulty(std::size_t index) const
+    {
+        return index == 0 && m_now >= s_faultFrom && m_now < s_faultUntil;
+    }
+
+    template<typename End>
+    void receive(std::size_t index, std::uint64_t key, Milliseconds cold, End end)
+    {
+        EmulatedUpstream &upstream = m_upstreams[index];
+        const bool sheds = isFaulty(index) && uniform(0, 1) < m_pattern.sheds;
+        if (sheds || (upstream.running >= s_slots && upstream.waiting.size() >= s_queue)) {
+            at(m_now + s_networkTime, [end, report = upstream.report()]() mutable { end(AttemptOutcome::Shed, report); });
+            return;
+        }
+        upstream.waiting.push_back({key, cold, [this, index, end](Milliseconds now) mutable {
+                                        const LoadReport report = m_upstreams[index].report();
+                                        at(now + s_networkTime, [end, report]() mutable { end(AttemptOutcome::Success, report); });
+                                    }});
+        startWork(index);
+    }
+
+    void startWork(std::size_t index)
+    {
+        EmulatedUpstream &upstream = m_upstreams[index];
+        while (upstream.running < s_slots && !upstream.waiting.empty()) {
+            EmulatedUpstream::Work work = std::move(upstream.waiting.front());
+            upstream.waiting.pop_front();
+            ++upstream.running;
+            const auto known = std::find(upstream.remembered.begin(), upstream.remembered.end(), work.key);
+            Milliseconds time = work.cold * (isFaulty(index) ? m_pattern.slowness : 1);
+            if (known != upstream.remembered.end()) {
+                time *= 1 - s_warmGain;
+                upstream.remembered.erase(known);
+            }
+            at(m_now + time, [this, index, work = std::move(work)]() mutable {
+                EmulatedUpstream &working = m_upstreams[index];
+                // What was worked on last is remembered; the rest goes in the order of its last use.
+                working.remembered.remove(work.key);
+                working.remembered.push_front(work.key);
+                if (working.remembered.size() > s_remembered) {
+                    working.remembered.pop_back();
+                }
+                work.done(m_now);
+                --working.running;
+                startWork(index);
+            });
+        }
+    }
+
+    void served(const Request &request)
+    {
+        const Milliseconds time = m_now - request.bornAt;
+        const RequestClass &requestClass = s_classes[request.requestClass];
+        if (time > requestClass.limit) {
+            return;
+        }
+        const bool isInTime = time <= requestClass.target;
+        ++(isInTime ? m_inTime : m_late);
+        m_worth[request.requestClass] += requestClass.worth * (isInTime ? 1 : s_lateWorth);
+        m_times.push_back(time);
+    }
+
+    void reject(Request request, Milliseconds retryAfter)
+    {
+        ++m_rejected;
+        const Milliseconds back = m_now + std::clamp(retryAfter, s_leastRetryAfter, s_mostRetryAfter) * uniform(1, 2);
+        if (++request.returns > s_mostReturns || back >= request.bornAt + s_classes[request.requestClass].limit) {
+            return;
+        }
+        at(back, [this, request]() mutable { arrive(std::move(request)); });
+    }
+
+    Score score()
+    {
+        double possible = 0;
+        double worth = 0;
+        double requests = 0;
+        for (std::size_t i = 0; i < s_classes.size(); ++i) {
+            possible += m_born[i] * s_classes[i].worth;
+            worth += m_worth[i];
+            requests += m_born[i];
+        }
+        std::sort(m_times.begin(), m_times.end());
+        return {worth / possible,
+            m_worth[0] / (m_born[0] * s_classes[0].worth),
+            m_inTime / requests,
+            m_late / requests,
+            m_rejected / requests,
+            m_times.empty() ? Milliseconds(0) : m_times[m_times.size() / 2]};
+    }
+
+    const Pattern &m_pattern;
+    Policy m_policy;
+    pcg32 m_random;
+    std::vector<Route> m_routes;
+    std::vector<std::unique_ptr<GatewayState>> m_hosts;
+    std::vector<EmulatedUpstream> m_upstreams;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
+    std::uint64_t m_order = 0;
+    std::size_t m_next = 0;
+    Milliseconds m_now{0};
+    std::array<double, 2> m_born{};
+    std::array<double, 2> m_worth{};
+    double m_inTime = 0;
+    double m_late = 0;
+    double m_rejected = 0;
+    std::vector<Milliseconds> m_times;
+};
+
+} // namespace
+
+const std::vector<Policy> &allPolicies()
+{
+    static const std::vector<Policy> all = {
+        Policy::Own, Policy::OwnWithoutPrice, Policy::OwnSpreading, Policy::RoundRobin, Policy::LeastLoaded, Policy::TwoChoices, Policy::AffinityOnly};
+    return all;
+}
+
+std::string_view toText(Policy policy)
+{
+    switch (policy) {
+    case Policy::Own:
+        return "own";
+    case Policy::OwnWithoutPrice:
+        return "own, no price";
+    case Policy::OwnSpreading:
+        return "own, spreading";
+    case Policy::RoundRobin:
+        return "round robin";
+    case Policy::LeastLoaded:
+        return "least loaded";
+    case Policy::TwoChoices:
+        return "two choices";
+    case Policy::AffinityOnly:
+        return "affinity only";
+    }
+    return "";
+}
+
+const std::vector<Pattern> &allPatterns()
+{
+    static const std::vector<Pattern> all = {
+        {"half load", 0.5},
+        {"full load", 1.0},
+        {"overload 1.4", 1.4},
+        {"overload 1.9", 1.9},
+        {"overload 2.6", 2.6},
+        {"burst of 2.5", 0.9, 2.5},
+        {"slow upstream", 1.0, 1, 5},
+        {"shedding upstream", 1.0, 1, 1, 0.45},
+    };
+    return all;
+}
+
+Score play(const Pattern &pattern, Policy policy, std::uint64_t seed)
+{
+    return World(pattern, policy, seed).run();
+}
+
+} // namespace Trefoil::Replay
--- /dev/null
+++ b/Tests/Bench/Replay/replay.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <LibGateway/gatewaystate.h>
+
+#include <string>
+#include <vector>
+
+/// Plays load patterns in virtual time against the decisions of the gateway and against plain policies.
+/// Thread safety of all functions: safe from any thread.
+namespace Trefoil::Replay
+{
+
+/// Who chooses the upstream.
+enum class Policy {
+    /// The gateway's own decisions.
+    Own,
+    /// The same without the price of slots.
+    OwnWithoutPrice,
+    /// The same without a price of slots and nearly without a cost of leaving a key's first upstreams.
+    OwnSpreading,
+    RoundRobin,
+    /// The upstream with the fewest requests by the last reports and the host's own.
+    LeastLoaded,
+    /// The less loaded of two that are drawn.
+    TwoChoices,
+    /// Always the first upstream in the key's order.
+    AffinityOnly,
+};
+
+const std::vector<Policy> &allPolicies();
+std::string_view toText(Policy policy);
+
+/// One kind of requests of the service.
+struct RequestClass
+{
+    std::string name;
+    /// 0 is the most urgent.
+    std::int32_t priority = 0;
+    /// Share of all requests.
+    double share = 1;
+    /// Work of an upstream that holds nothing of the key.
+    Milliseconds work{880};
+    Milliseconds target{600};
+    Milliseconds limit{4000};
+    /// What a response within the target is worth; a late one is worth a fifth.
+    double worth = 1;
+};
+
+struct Pattern
+{
+    std::string name;
+    /// Work that is offered, without any gain from warm upstreams, in parts of what the slots do.
+    double load = 1;
+    /// Factor on the load between 12 and 16 s.
+    double burst = 1;
+    /// Factor on the work of the first upstream between 10 and 20 s.
+    double slowness = 1;
+    /// Share of its requests that the first upstream sheds between 10 and 20 s although it has room.
+    double sheds = 0;
+};
+
+const std::vector<Pattern> &allPatterns();
+
+struct Score
+{
+    /// Parts of the worth of all requests, and of those of the most urgent class.
+    double total = 0;
+    double urgent = 0;
+    /// Parts of the requests.
+    double inTime = 0;
+    double late = 0;
+    double rejected = 0;
+    /// Median time of the requests that were served.
+    Milliseconds median{0};
+};
+
+/// Plays 40 s. Precondition: none.
+Score play(const Pattern &pattern, Policy policy, std::uint64_t seed);
+
+} // namespace Trefoil::Replay
