--- a/Tests/Soak/main.cpp
+++ b/Tests/Platform/Soak/main.cpp
@@ -1,4 +1,4 @@
-#include <Soak/soakrun.h>
+#include <Platform/Soak/soakrun.h>
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
--- a/Tests/Soak/promises.cpp
+++ b/Tests/Platform/Soak/promises.cpp
@@ -1,4 +1,4 @@
-#include <Soak/promises.h>
+#include <Platform/Soak/promises.h>
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/Tests/Soak/soakplan.cpp
+++ b/Tests/Platform/Soak/soakplan.cpp
@@ -1,4 +1,4 @@
-#include <Soak/soakplan.h>
+#include <Platform/Soak/soakplan.h>
 
 #include <pcg_random.hpp>
 #include <random>
--- a/Tests/Soak/soakrun.cpp
+++ b/Tests/Platform/Soak/soakrun.cpp
@@ -1,4 +1,4 @@
-#include <Soak/soakrun.h>
+#include <Platform/Soak/soakrun.h>
 
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/Tests/Soak/soakrun.h
+++ b/Tests/Platform/Soak/soakrun.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <Soak/promises.h>
-#include <Soak/soakplan.h>
-#include <Soak/soakupstream.h>
+#include <Platform/Soak/promises.h>
+#include <Platform/Soak/soakplan.h>
+#include <Platform/Soak/soakupstream.h>
 
 #include <LibHttp/connectionpool.h>
 #include <Platform/storestandin.h>
--- a/Tests/Soak/soakupstream.cpp
+++ b/Tests/Platform/Soak/soakupstream.cpp
@@ -1,4 +1,4 @@
-#include <Soak/soakupstream.h>
+#include <Platform/Soak/soakupstream.h>
 
 #include <LibGateway/gatewayheaders.h>
 #include <platform/decode.h>
--- a/Tests/Soak/soakupstream.h
+++ b/Tests/Platform/Soak/soakupstream.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <Soak/promises.h>
+#include <Platform/Soak/promises.h>
 
 #include <LibHttp/httpserver.h>
 
--- a/Tests/Soak/testsoak.cpp
+++ b/Tests/Platform/Soak/testsoak.cpp
@@ -1,5 +1,5 @@
-#include <Soak/promises.h>
-#include <Soak/soakplan.h>
+#include <Platform/Soak/promises.h>
+#include <Platform/Soak/soakplan.h>
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
