--- a/Tests/Bench/Replay/replay.cpp
+++ b/Tests/Bench/Replay/replay.cpp
@@ -252,7 +252,7 @@
         return Placed{chosen};
     }
 
-    void send(Request request, std::shared_ptr<Upstream> upstream, const Placed &placed, const RequestPlacement &asked)
+    void send(Request request, const std::shared_ptr<Upstream> &upstream, const Placed &placed, const RequestPlacement &asked)
     {
         request.tried.insert(upstream->model.identity().id);
         upstream->model.recordStart();
--- a/Tests/Platform/Soak/soakrun.cpp
+++ b/Tests/Platform/Soak/soakrun.cpp
@@ -238,7 +238,7 @@
 void SoakRun::writeConfiguration()
 {
     ++m_version;
-    const std::string moving = s_services[static_cast<std::size_t>(m_version) % s_services.size()];
+    const std::string &moving = s_services[static_cast<std::size_t>(m_version) % s_services.size()];
     Json services = Json::array();
     for (const std::string &service : s_services) {
         services.push_back({{"name", service}});
