Gateway: Call one piece of code where the change had two

Read again as a whole; behaviour stays as it is.

- Retry-After was computed in the gateway and again in the replay: LibSteering/ retryafter, pure.
- The gateway and the replay built the same query from the same upstreams: GatewayState::place.
- The exchange kept the route twice; GatewayStateSettings told the directory the host, zone and region that it already had.
- inChosenRegion sorted all upstreams of all regions into lists for each request and kept one; it now sums slots and copies one region.
- The soak kept the id of a registration that nobody read, and a branch that nobody took.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/gateway.h>
 
 #include <LibSteering/affinityranking.h>
+#include <LibSteering/retryafter.h>
 #include <LibTelemetry/log.h>
 
 #include <algorithm>
@@ -22,13 +23,10 @@
 constexpr int s_maximumUnsent = 4;
 /// With less time left, no upstream can do anything useful.
 constexpr std::chrono::milliseconds s_leastTimeLeft{5};
-/// Retry-After while this host has no configuration yet.
+/// Time until room, as told while this host has no configuration yet.
 constexpr Milliseconds s_startRetryAfter{500};
-/// Retry-After when upstreams refuse although they seem to have room: another attempt may well succeed.
+/// The same when upstreams refuse although they seem to have room: another attempt may well succeed.
 constexpr Milliseconds s_shedRetryAfter{20};
-/// Least and most of a Retry-After for lack of room. Callers that come back sooner find the same queue.
-constexpr Milliseconds s_leastRetryAfter{20};
-constexpr Milliseconds s_mostRetryAfter{2000};
 
 /// Counts a request while it is in work.
 class InFlightScope
@@ -63,9 +61,8 @@
     HttpRequest &request;
     CallerConnection &caller;
     std::shared_ptr<const RouteTable> routes;
-    const Route *route = nullptr;
     std::string id{};
-    /// What its placement depends on.
+    /// What its placement depends on; without a route, none matches.
     RequestPlacement placement{};
     /// Decides whether the request leaves the region; the key's, or that of the request when it has none.
     std::uint64_t positionHash = 0;
@@ -106,12 +103,12 @@
     exchange.id = request.headers.value(m_settings.headers.requestId);
     HttpResponse response;
     if (exchange.routes) {
-        exchange.route = exchange.routes->match(request.headers.value("Host"), request.target);
+        exchange.placement.route = exchange.routes->match(request.headers.value("Host"), request.target);
     }
-    const auto series = m_metrics.start(exchange.route);
+    const auto series = m_metrics.start(exchange.placement.route);
     if (!exchange.routes) {
         response = reject(exchange, "no-configuration", s_startRetryAfter);
-    } else if (!exchange.route) {
+    } else if (!exchange.placement.route) {
         response = fail(exchange, RequestOutcome::NotRun, s_notFound, "no-route", "no route matches this host and path");
     } else {
         response = forward(exchange, yield);
@@ -126,8 +123,7 @@
 
 HttpResponse Gateway::forward(Exchange &exchange, const asio::yield_context &yield)
 {
-    const Route &route = *exchange.route;
-    exchange.placement.route = &route;
+    const Route &route = *exchange.placement.route;
     const auto wanted = parseMilliseconds(exchange.request.headers.value(m_settings.headers.timeLeft));
     exchange.placement.deadline = exchange.placement.arrivedAt + std::min(wanted.value_or(route.timeout), route.timeout);
     const std::string_view key = exchange.request.headers.value(m_settings.headers.affinityKey);
@@ -152,16 +148,10 @@
 {
     const BootTime now = BootClock::now();
     while (true) {
-        const auto everywhere = m_state.usableUpstreams(exchange.placement.service, *exchange.route, exchange.tried, now);
+        const auto everywhere = m_state.usableUpstreams(exchange.placement.service, *exchange.placement.route, exchange.tried, now);
         const auto usable = m_state.inChosenRegion(exchange.placement.service, everywhere, exchange.positionHash, now);
-        std::vector<UpstreamModel *> models;
-        models.reserve(usable.size());
-        for (const auto &upstream : usable) {
-            models.push_back(&upstream->model);
-        }
-        const PlacementQuery query = m_state.query(exchange.placement, usable, now);
-        exchange.load = query.usualLoad;
-        const PlacementResult result = place(models, query, m_state.settings().placement);
+        exchange.load = m_state.usualLoad(exchange.placement.service, usable);
+        const PlacementResult result = m_state.place(exchange.placement, usable, now);
         const auto *placed = std::get_if<Placed>(&result);
         if (!placed) {
             return answerUnplaced(exchange, std::get_if<NoRoom>(&result));
@@ -211,7 +201,7 @@
     options.requestIdHeader = m_settings.headers.requestId;
     options.skipsForeignResponses = true;
     options.acceptsUndeclaredLength = true;
-    if (exchange.route->kind == RequestKind::NonIdempotent) {
+    if (exchange.placement.route->kind == RequestKind::NonIdempotent) {
         options.maximumIdle = m_settings.trustedIdle;
     }
     options.cancellation = &exchange.caller.cancellation();
@@ -250,7 +240,7 @@
         "attempt-ended",
         {{"request", exchange.id},
             {"key", std::string(exchange.request.headers.value(m_settings.headers.affinityKey))},
-            {"route", exchange.route->id.value()},
+            {"route", exchange.placement.route->id.value()},
             {"upstream", upstream.model.identity().id.value()},
             {"reason", end.reason},
             {"status", std::int64_t{end.response ? end.response->status : 0}},
@@ -264,20 +254,20 @@
 
 bool Gateway::mayTryAgain(const Exchange &exchange, const AttemptEnd &end, BootTime now)
 {
-    const bool isIdempotent = exchange.route->kind == RequestKind::Idempotent;
+    const bool isIdempotent = exchange.placement.route->kind == RequestKind::Idempotent;
     if (end.outcome == AttemptOutcome::Success || end.outcome == AttemptOutcome::Cancelled || now + s_leastTimeLeft >= exchange.placement.deadline) {
         return false;
     }
     if (exchange.mayHaveRun && !isIdempotent) {
         return false;
     }
-    if (exchange.sent >= exchange.route->maximumAttempts) {
+    if (exchange.sent >= exchange.placement.route->maximumAttempts) {
         return false;
     }
     if (exchange.sent == 0) {
         return exchange.unsent <= s_maximumUnsent;
     }
-    return m_state.knowledge(exchange.placement.service).retries.tryTake(now, m_state.directory().registeredCount());
+    return m_state.knowledge(exchange.placement.service).retries.tryTake(now, m_state.registeredHosts());
 }
 
 HttpResponse Gateway::answer(Exchange &exchange, AttemptEnd end)
@@ -310,7 +300,7 @@
     writeLog(LogLevel::Info,
         "request-failed",
         {{"request", exchange.id},
-            {"route", exchange.route ? exchange.route->id.value() : std::string()},
+            {"route", exchange.placement.route ? exchange.placement.route->id.value() : std::string()},
             {"reason", std::string(reason)},
             {"status", std::int64_t{status}},
             {"attempts", std::int64_t{exchange.sent}},
@@ -318,11 +308,9 @@
     return errorResponse(status, reason, "", message);
 }
 
-HttpResponse Gateway::reject(Exchange &exchange, std::string_view reason, Milliseconds retryAfter)
+HttpResponse Gateway::reject(Exchange &exchange, std::string_view reason, Milliseconds untilRoom)
 {
-    // Spread, so that callers that were rejected together don't come back together.
-    const double spread = std::uniform_real_distribution<double>(1.0, 2.0)(m_random);
-    const Milliseconds wait = std::clamp(retryAfter, s_leastRetryAfter, s_mostRetryAfter) * spread;
+    const Milliseconds wait = retryAfter(untilRoom, std::uniform_real_distribution<double>(0, 1)(m_random));
     HttpResponse response = errorResponse(s_unavailable, "rejected", "", fmt::format("the request did not run: {}", reason));
     exchange.outcome = RequestOutcome::NotRun;
     exchange.reason = reason;
@@ -330,7 +318,7 @@
     writeLog(LogLevel::Info,
         "request-rejected",
         {{"request", exchange.id},
-            {"route", exchange.route ? exchange.route->id.value() : std::string()},
+            {"route", exchange.placement.route ? exchange.placement.route->id.value() : std::string()},
             {"reason", std::string(reason)},
             {"load", exchange.load},
             {"retryAfterMs", wholeMilliseconds(wait)},
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -57,7 +57,7 @@
     HttpResponse fail(Exchange &exchange, RequestOutcome outcome, int status, std::string_view reason, std::string_view message);
     HttpResponse failIncomplete(Exchange &exchange);
     HttpResponse answer(Exchange &exchange, AttemptEnd end);
-    HttpResponse reject(Exchange &exchange, std::string_view reason, Milliseconds retryAfter);
+    HttpResponse reject(Exchange &exchange, std::string_view reason, Milliseconds untilRoom);
 
     GatewaySettings m_settings;
     GatewayState &m_state;
--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -32,7 +32,7 @@
 
 GatewayState::GatewayState(GatewayStateSettings settings)
     : m_settings(std::move(settings))
-    , m_directory(m_settings.directory)
+    , m_directory({m_settings.host, m_settings.placement.zone, m_settings.placement.region})
 {
     std::set<RegionId> regions;
     for (const auto &[zone, region] : m_settings.regions) {
@@ -172,32 +172,43 @@
     const ServiceId &service, const std::vector<std::shared_ptr<Upstream>> &usable, std::uint64_t positionHash, BootTime now)
 {
     SpillShare &spill = observedSpill(knowledge(service), now);
-    const double position = static_cast<double>(positionHash >> 11U) / 9007199254740992.0;
-    std::map<RegionId, std::pair<double, std::vector<std::shared_ptr<Upstream>>>> byRegion;
+    const RegionId &own = m_settings.placement.region;
+    std::map<RegionId, double> slots;
     for (const auto &upstream : usable) {
-        auto &[slots, upstreams] = byRegion[upstream->model.identity().region];
-        slots += upstream->model.identity().slots.value();
-        upstreams.push_back(upstream);
+        slots[upstream->model.identity().region] += upstream->model.identity().slots.value();
     }
-    const auto own = byRegion.find(m_settings.placement.region);
-    if (own != byRegion.end() && (byRegion.size() == 1 || !spill.isSpilled(position))) {
-        return own->second.second;
+    RegionId chosen = own;
+    if (slots.count(own) == 0 || (slots.size() > 1 && spill.isSpilled(unitInterval(positionHash)))) {
+        double best = -1;
+        for (const auto &[region, regionSlots] : slots) {
+            const double score = affinityScore(positionHash, stableHash(region.value()), regionSlots);
+            if (region != own && score > best) {
+                best = score;
+                chosen = region;
+            }
+        }
     }
-    std::vector<std::shared_ptr<Upstream>> chosen;
-    double best = -1;
-    for (const auto &[region, group] : byRegion) {
-        const double score = affinityScore(positionHash, stableHash(region.value()), group.first);
-        if (region != m_settings.placement.region && score > best) {
-            best = score;
-            chosen = group.second;
+    std::vector<std::shared_ptr<Upstream>> result;
+    for (const auto &upstream : usable) {
+        if (upstream->model.identity().region == chosen) {
+            result.push_back(upstream);
         }
     }
-    return chosen;
+    return result;
 }
 
-PlacementQuery GatewayState::query(const RequestPlacement &request, const std::vector<std::shared_ptr<Upstream>> &usable, BootTime now)
+double GatewayState::usualLoad(const ServiceId &service, const std::vector<std::shared_ptr<Upstream>> &usable)
 {
-    ServiceKnowledge &service = knowledge(request.service);
+    return usable.empty() ? 0 : knowledge(service).load[usable.front()->model.identity().region];
+}
+
+PlacementResult GatewayState::place(const RequestPlacement &request, const std::vector<std::shared_ptr<Upstream>> &usable, BootTime now)
+{
+    std::vector<UpstreamModel *> models;
+    models.reserve(usable.size());
+    for (const auto &upstream : usable) {
+        models.push_back(&upstream->model);
+    }
     PlacementQuery query;
     query.keyHash = request.keyHash;
     query.targetLatency = request.route->targetLatency;
@@ -205,10 +216,10 @@
     query.timeLeft = request.deadline - now;
     query.priority = request.route->priority;
     query.work = &knowledge(*request.route).work;
-    query.usualLoad = usable.empty() ? 0 : service.load[usable.front()->model.identity().region];
-    query.slotTime = service.slotTime;
+    query.usualLoad = usualLoad(request.service, usable);
+    query.slotTime = knowledge(request.service).slotTime;
     query.now = now;
-    return query;
+    return Trefoil::place(models, query, m_settings.placement);
 }
 
 void GatewayState::learn(const RequestPlacement &request, Upstream &upstream, const Placed &placed, const AttemptObservation &seen, BootTime now)
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -27,7 +27,6 @@
     /// Factor and addend on a cold upstream's rate that bound the requests of all hosts in one second.
     double coldFactor = 1.0;
     double coldSlack = 0;
-    HostDirectorySettings directory;
 };
 
 /// One upstream with what paces its first requests.
@@ -136,8 +135,11 @@
     std::vector<std::shared_ptr<Upstream>> inChosenRegion(
         const ServiceId &service, const std::vector<std::shared_ptr<Upstream>> &usable, std::uint64_t positionHash, BootTime now);
 
-    /// What the placement of a request among the usable upstreams depends on. Precondition: the request has a route.
-    PlacementQuery query(const RequestPlacement &request, const std::vector<std::shared_ptr<Upstream>> &usable, BootTime now);
+    /// Load per slot that is usual among usable upstreams of the service, which are all of one region. Precondition: none.
+    double usualLoad(const ServiceId &service, const std::vector<std::shared_ptr<Upstream>> &usable);
+
+    /// Chooses one of the usable upstreams for a request, by its index. Precondition: the request has a route.
+    PlacementResult place(const RequestPlacement &request, const std::vector<std::shared_ptr<Upstream>> &usable, BootTime now);
 
     /// Learns from the end of an attempt: the upstream's health, load and keys, and the usual times of the route and the service.
     /// Precondition: the request was placed at the upstream as told.
--- a/Libraries/LibSteering/affinityranking.cpp
+++ b/Libraries/LibSteering/affinityranking.cpp
@@ -9,10 +9,14 @@
 double affinityScore(std::uint64_t keyHash, std::uint64_t upstreamHash, double weight)
 {
     const std::uint64_t pair[] = {keyHash, upstreamHash};
-    const std::uint64_t hash = XXH3_64bits(pair, sizeof pair);
-    // 53 random bits as a number in (0, 1); the logarithm makes the share of first places proportional to the weights.
-    const double uniform = (static_cast<double>(hash >> 11U) + 0.5) / 9007199254740992.0;
-    return -weight / std::log(uniform);
+    // The logarithm makes the share of first places proportional to the weights.
+    return -weight / std::log(unitInterval(XXH3_64bits(pair, sizeof pair)));
+}
+
+double unitInterval(std::uint64_t hash)
+{
+    // A double holds 53 bits.
+    return (static_cast<double>(hash >> 11U) + 0.5) / 9007199254740992.0;
 }
 
 std::uint64_t stableHash(std::string_view text)
--- a/Libraries/LibSteering/affinityranking.h
+++ b/Libraries/LibSteering/affinityranking.h
@@ -12,6 +12,9 @@
 /// Precondition: weight is positive. Thread safety: safe from any thread.
 double affinityScore(std::uint64_t keyHash, std::uint64_t upstreamHash, double weight);
 
+/// A number in (0, 1) from the first bits of a hash. Precondition: none. Thread safety: safe from any thread.
+double unitInterval(std::uint64_t hash);
+
 /// Hash of a key or id, the same on all hosts. Precondition: none. Thread safety: safe from any thread.
 std::uint64_t stableHash(std::string_view text);
 
--- a/Libraries/LibSteering/upstreammodel.cpp
+++ b/Libraries/LibSteering/upstreammodel.cpp
@@ -56,11 +56,10 @@
         m_others += weight * (others - m_others);
         m_othersAt = now;
     }
-    const double rate = failureRate(now);
     const double usual = slowness(now);
     switch (outcome) {
     case AttemptOutcome::Success:
-        m_failureRate = rate * (1 - s_failureWeight);
+        m_failureRate = failureRate(now) * (1 - s_failureWeight);
         m_failureRateAt = now;
         if (slownessOfRequest) {
             m_slowness = usual + s_slownessWeight * (std::clamp(*slownessOfRequest, s_leastSlowness, s_mostSlowness) - usual);
@@ -69,16 +68,13 @@
         break;
     case AttemptOutcome::Failed:
     case AttemptOutcome::Broken:
-        m_failureRate = rate + s_failureWeight * (1 - rate);
-        m_failureRateAt = now;
+        distrust(s_failureWeight, now);
         break;
     case AttemptOutcome::Unreachable:
-        m_failureRate = rate + s_unreachableWeight * (1 - rate);
-        m_failureRateAt = now;
+        distrust(s_unreachableWeight, now);
         break;
     case AttemptOutcome::Shed:
-        m_failureRate = rate + s_failureWeight * (1 - rate);
-        m_failureRateAt = now;
+        distrust(s_failureWeight, now);
         if (!report) {
             // A full upstream has all of its slots in use, whoever uses them.
             m_others = std::max(m_others, static_cast<double>(m_identity.slots.value() - m_inFlight));
@@ -90,6 +86,13 @@
     }
 }
 
+void UpstreamModel::distrust(double weight, BootTime now)
+{
+    const double rate = failureRate(now);
+    m_failureRate = rate + weight * (1 - rate);
+    m_failureRateAt = now;
+}
+
 void UpstreamModel::recordKey(std::uint64_t keyHash, BootTime now)
 {
     if (m_keys.size() >= s_maximumKeys && m_keys.count(keyHash) == 0) {
--- a/Libraries/LibSteering/upstreammodel.h
+++ b/Libraries/LibSteering/upstreammodel.h
@@ -116,6 +116,9 @@
     bool isLeaving = false;
 
 private:
+    /// Raises the failure rate after a sample of that weight.
+    void distrust(double weight, BootTime now);
+
     /// Keys kept for one upstream; an upstream forgets the rest long before.
     static constexpr std::size_t s_maximumKeys = 512;
 
--- a/Services/trefoilmountd/configurationservice.cpp
+++ b/Services/trefoilmountd/configurationservice.cpp
@@ -6,6 +6,7 @@
 #include <LibCommand/parser.h>
 #include <LibConfiguration/digest.h>
 #include <LibConfiguration/json.h>
+#include <LibCore/sleep.h>
 #include <LibTelemetry/log.h>
 
 #include <algorithm>
@@ -182,13 +183,6 @@
         });
     }
 
-    void sleepFor(std::chrono::milliseconds duration, const yield_context &yield)
-    {
-        boost::asio::steady_timer timer(m_context, duration);
-        boost::system::error_code ignored;
-        timer.async_wait(yield[ignored]);
-    }
-
     // Messages
 
     template<typename Message>
@@ -413,7 +407,7 @@
     {
         std::chrono::milliseconds delay = s_peerFetchLimit;
         while (true) {
-            sleepFor(delay, yield);
+            sleepFor(m_context, delay, yield);
             if (m_isStopped || m_current->version >= m_newestKnown) {
                 return;
             }
@@ -428,7 +422,7 @@
         while (!m_isStopped) {
             const bool isRead = takeFromStore(yield);
             const std::chrono::milliseconds delay = isRead ? std::chrono::milliseconds(s_storeCheckInterval) : std::chrono::milliseconds(1000);
-            sleepFor(std::chrono::duration_cast<std::chrono::milliseconds>(delay * jitter(m_random)), yield);
+            sleepFor(m_context, std::chrono::duration_cast<std::chrono::milliseconds>(delay * jitter(m_random)), yield);
         }
     }
 
@@ -436,7 +430,7 @@
     void lookForLostCommit(const yield_context &yield)
     {
         while (!m_isStopped && !takeFromStore(yield)) {
-            sleepFor(s_peerFetchLimit, yield);
+            sleepFor(m_context, s_peerFetchLimit, yield);
         }
     }
 
--- a/Tests/Bench/Replay/replay.cpp
+++ b/Tests/Bench/Replay/replay.cpp
@@ -1,6 +1,7 @@
 #include <Bench/Replay/replay.h>
 
 #include <LibSteering/affinityranking.h>
+#include <LibSteering/retryafter.h>
 
 #include <algorithm>
 #include <deque>
@@ -41,8 +42,8 @@
 constexpr int s_mostAttempts = 2;
 /// Callers come back this often after a rejection.
 constexpr int s_mostReturns = 4;
-constexpr Milliseconds s_leastRetryAfter{20};
-constexpr Milliseconds s_mostRetryAfter{2000};
+/// Time until room, as told when upstreams shed.
+constexpr Milliseconds s_shedRetryAfter{20};
 
 const std::vector<RequestClass> s_classes = {
     {"urgent", 0, 0.2, Milliseconds(600), Milliseconds(400), Milliseconds(3000), 3},
@@ -134,7 +135,6 @@
         settings.placement.zone = ZoneId("zone");
         settings.placement.region = RegionId("region");
         settings.regions = {{ZoneId("zone"), RegionId("region")}};
-        settings.directory = {settings.host, ZoneId("zone"), RegionId("region")};
         if (m_policy == Policy::OwnSpreading) {
             settings.placement.rankCost = s_spreadingRankCost;
         }
@@ -217,7 +217,7 @@
         const auto *placed = std::get_if<Placed>(&result);
         if (!placed) {
             const auto *noRoom = std::get_if<NoRoom>(&result);
-            reject(std::move(request), noRoom ? noRoom->retryAfter : s_leastRetryAfter);
+            reject(std::move(request), noRoom ? noRoom->retryAfter : s_shedRetryAfter);
             return;
         }
         send(std::move(request), usable[placed->candidate], *placed, asked);
@@ -229,12 +229,7 @@
             return NoUpstream{};
         }
         if (m_policy == Policy::Own || m_policy == Policy::OwnWithoutPrice || m_policy == Policy::OwnSpreading) {
-            std::vector<UpstreamModel *> models;
-            models.reserve(usable.size());
-            for (const auto &upstream : usable) {
-                models.push_back(&upstream->model);
-            }
-            return place(models, host.query(asked, usable, bootTime(m_now)), host.settings().placement);
+            return host.place(asked, usable, bootTime(m_now));
         }
         const auto loadOf = [&](std::size_t i) { return usable[i]->model.occupancy(bootTime(m_now), 0); };
         const auto random = [&] { return static_cast<std::size_t>(m_random(static_cast<std::uint32_t>(usable.size()))); };
@@ -264,7 +259,7 @@
             } else if (request.tried.size() < s_mostAttempts) {
                 attempt(std::move(request));
             } else {
-                reject(std::move(request), s_leastRetryAfter);
+                reject(std::move(request), s_shedRetryAfter);
             }
         };
         const auto index = static_cast<std::size_t>(std::stoul(upstream->model.identity().id.value().substr(1)));
@@ -334,10 +329,10 @@
         m_times.push_back(time);
     }
 
-    void reject(Request request, Milliseconds retryAfter)
+    void reject(Request request, Milliseconds untilRoom)
     {
         ++m_rejected;
-        const Milliseconds back = m_now + std::clamp(retryAfter, s_leastRetryAfter, s_mostRetryAfter) * uniform(1, 2);
+        const Milliseconds back = m_now + retryAfter(untilRoom, uniform(0, 1));
         if (++request.returns > s_mostReturns || back >= request.bornAt + s_classes[request.requestClass].limit) {
             return;
         }
--- a/Tests/LibGateway/testgateway.cpp
+++ b/Tests/LibGateway/testgateway.cpp
@@ -62,7 +62,6 @@
         result.placement.region = RegionId("region");
         result.regions = {{ZoneId("zone"), RegionId("region")}};
         result.retries = {0.2, 10, 10000ms};
-        result.directory = {HostId("self"), ZoneId("zone"), RegionId("region")};
         return result;
     }
 
--- a/Tests/LibGateway/testgatewayparts.cpp
+++ b/Tests/LibGateway/testgatewayparts.cpp
@@ -44,7 +44,6 @@
     settings.placement.zone = ZoneId("gulf-a");
     settings.placement.region = RegionId("gulf");
     settings.regions = {{ZoneId("gulf-a"), RegionId("gulf")}, {ZoneId("hill-a"), RegionId("hill")}};
-    settings.directory = {HostId("self"), ZoneId("gulf-a"), RegionId("gulf")};
     return settings;
 }
 
--- a/Tests/Platform/Soak/soakrun.cpp
+++ b/Tests/Platform/Soak/soakrun.cpp
@@ -1,7 +1,7 @@
 #include <Platform/Soak/soakrun.h>
 
-#include <boost/asio/spawn.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <LibCore/sleep.h>
+
 #include <csignal>
 #include <fmt/format.h>
 #include <fstream>
@@ -134,13 +134,6 @@
     }
 }
 
-void SoakRun::sleep(std::chrono::milliseconds time, const boost::asio::yield_context &yield)
-{
-    boost::asio::steady_timer timer(m_context, time);
-    boost::system::error_code ignored;
-    timer.async_wait(yield[ignored]);
-}
-
 void SoakRun::spawn(std::function<void(const boost::asio::yield_context &yield)> body)
 {
     ++m_open;
@@ -213,18 +206,13 @@
         if (isReady(host, yield)) {
             return;
         }
-        sleep(20ms, yield);
+        sleepFor(m_context, 20ms, yield);
     }
     m_promises.note(host.name + " ended while it started");
 }
 
 void SoakRun::registerUpstream(UpstreamPlace &place, const std::string &state)
 {
-    place.registered = state.empty() ? "" : place.upstream->id();
-    if (state.empty()) {
-        m_store.remove("servers", place.upstream->id());
-        return;
-    }
     const Json row = {{"service", place.upstream->service()},
         {"address", endpoint(place.ip, s_proxyPort)},
         {"zone", place.zone},
@@ -257,9 +245,9 @@
     const BootTime from = BootClock::now();
     static_cast<void>(m_processes.signal(host.name, SIGKILL));
     while (!m_processes.waitForExit(host.name, 0ms)) {
-        sleep(5ms, yield);
+        sleepFor(m_context, 5ms, yield);
     }
-    sleep(pause, yield);
+    sleepFor(m_context, pause, yield);
     startHost(index, yield);
     m_promises.hostDisturbed(index, {from, BootClock::now()});
 }
@@ -271,7 +259,7 @@
     static_cast<void>(m_processes.signal(host.name, SIGTERM));
     std::optional<int> code;
     while (!(code = m_processes.waitForExit(host.name, 0ms)) && BootClock::now() < from + s_stopGrace) {
-        sleep(20ms, yield);
+        sleepFor(m_context, 20ms, yield);
     }
     if (!code) {
         m_promises.note(fmt::format("{} runs {} ms after SIGTERM", host.name, s_stopGrace.count()));
@@ -284,7 +272,7 @@
     if (BootClock::now() < from + s_acceptsWhileStopping) {
         m_promises.note(fmt::format("{} ended less than {} ms after SIGTERM", host.name, s_acceptsWhileStopping.count()));
     }
-    sleep(pause, yield);
+    sleepFor(m_context, pause, yield);
     startHost(index, yield);
     // Until connections are no longer taken, a stopping host owes its callers everything that others do.
     m_promises.hostDisturbed(index, {from + s_acceptsWhileStopping, BootClock::now()});
@@ -301,7 +289,7 @@
     switch (fault.kind) {
     case FaultKind::HostPaused:
         static_cast<void>(m_processes.signal(host.name, SIGSTOP));
-        sleep(fault.duration, yield);
+        sleepFor(m_context, fault.duration, yield);
         static_cast<void>(m_processes.signal(host.name, SIGCONT));
         // What changed meanwhile has to be learned first.
         m_promises.hostDisturbed(index, {from, BootClock::now() + s_tolerance});
@@ -314,7 +302,7 @@
         break;
     case FaultKind::StoreCutFromHost:
         link(host.name, "store", "cut");
-        sleep(fault.duration, yield);
+        sleepFor(m_context, fault.duration, yield);
         link(host.name, "store", "normal");
         m_promises.storeDisturbed({from, BootClock::now() + s_changeBound});
         break;
@@ -352,7 +340,7 @@
         m_store.loseHistory();
         break;
     }
-    sleep(fault.duration, yield);
+    sleepFor(m_context, fault.duration, yield);
     m_store.isDown = false;
     m_store.losesAnswers = false;
     m_store.delay = 0ms;
@@ -367,7 +355,7 @@
 {
     const std::string old = place.upstream->id();
     place.upstream->kill();
-    sleep(pause, yield);
+    sleepFor(m_context, pause, yield);
     m_store.remove("servers", old);
     place.upstream->start(fmt::format("u-{}-{}", place.ip, ++place.generation));
     registerUpstream(place, "ready");
@@ -377,7 +365,7 @@
 {
     const BootTime from = BootClock::now();
     registerUpstream(place, "draining");
-    sleep(pause, yield);
+    sleepFor(m_context, pause, yield);
     m_promises.upstreamBanned(place.upstream->id(), {from, BootClock::now()});
     replaceUpstream(place, 0ms, yield);
 }
@@ -422,7 +410,7 @@
         removeUpstream(place, fault.duration, yield);
         break;
     }
-    sleep(fault.duration, yield);
+    sleepFor(m_context, fault.duration, yield);
     link("hosts", place.ip, "normal");
     m_promises.linkDisturbed(id, {from, BootClock::now() + s_tolerance});
     place.upstream->behaviour = {};
@@ -438,7 +426,7 @@
     const std::string zone = s_zones[fault.target % s_zones.size()].first;
     const BootTime from = BootClock::now();
     m_store.set("op", "evacuate/" + zone, "{}");
-    sleep(fault.duration, yield);
+    sleepFor(m_context, fault.duration, yield);
     for (const UpstreamPlace &place : m_upstreams) {
         if (place.zone == zone) {
             m_promises.upstreamBanned(place.upstream->id(), {from, BootClock::now()});
@@ -478,7 +466,7 @@
     case FaultKind::ConfigurationUnreadable:
         // A host that starts meanwhile has no configuration.
         m_store.set("op", "config", R"({"version":"r1000000","routes":[{"name":"read"}]})");
-        sleep(fault.duration, yield);
+        sleepFor(m_context, fault.duration, yield);
         writeConfiguration();
         return;
     case FaultKind::ZoneEvacuated:
@@ -525,7 +513,7 @@
         next += std::chrono::duration_cast<BootClock::duration>(std::chrono::duration<double>(gap(m_random)));
         const BootTime now = BootClock::now();
         if (next > now) {
-            sleep(std::chrono::duration_cast<std::chrono::milliseconds>(next - now), yield);
+            sleepFor(m_context, std::chrono::duration_cast<std::chrono::milliseconds>(next - now), yield);
         }
         spawn([this](const boost::asio::yield_context &own) { call(own); });
     }
@@ -533,7 +521,7 @@
 
 void SoakRun::expectRecovery(const boost::asio::yield_context &yield)
 {
-    sleep(s_recovery, yield);
+    sleepFor(m_context, s_recovery, yield);
     for (const Host &host : m_hosts) {
         if (!isReady(host, yield)) {
             m_promises.note(host.name + " is not ready after all faults have ended");
@@ -541,7 +529,7 @@
     }
     const std::size_t before = m_promises.served();
     const std::size_t total = m_promises.requests();
-    sleep(s_calmEnd, yield);
+    sleepFor(m_context, s_calmEnd, yield);
     const auto requests = static_cast<double>(m_promises.requests() - total);
     const auto served = static_cast<double>(m_promises.served() - before);
     if (served < requests * s_calmServed) {
@@ -561,25 +549,25 @@
         startHost(i, yield);
         m_promises.hostDisturbed(i, {m_start, BootClock::now() + s_changeBound});
     }
-    sleep(s_changeBound, yield);
+    sleepFor(m_context, s_changeBound, yield);
     m_start = BootClock::now();
     spawn([this](const boost::asio::yield_context &own) { callers(own); });
     for (const Fault &fault : planFaults(m_settings.plan)) {
         const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(m_start + fault.at - BootClock::now());
-        sleep(std::max(wait, 0ms), yield);
+        sleepFor(m_context, std::max(wait, 0ms), yield);
         spawn([this, fault](const boost::asio::yield_context &own) { apply(fault, own); });
     }
     const auto isBusy = [](const auto &thing) { return thing.isBusy; };
     while (
         std::any_of(m_hosts.begin(), m_hosts.end(), isBusy) || std::any_of(m_upstreams.begin(), m_upstreams.end(), isBusy) || m_storeIsBusy || m_isEvacuated) {
-        sleep(50ms, yield);
+        sleepFor(m_context, 50ms, yield);
     }
     expectRecovery(yield);
     m_ends = true;
     // The last requests end, and what upstreams still hear of them is heard.
     const BootTime end = BootClock::now() + s_requestTimeout + s_callerPatience + s_tolerance;
     while (m_open > 1 && BootClock::now() < end) {
-        sleep(20ms, yield);
+        sleepFor(m_context, 20ms, yield);
     }
     for (const Host &host : m_hosts) {
         if (!m_processes.isRunning(host.name)) {
--- a/Tests/Platform/Soak/soakrun.h
+++ b/Tests/Platform/Soak/soakrun.h
@@ -55,7 +55,7 @@
         std::string name;
         std::string zone;
         std::string ip;
-        /// Times of SIGSTOP, SIGKILL and SIGTERM since the last start; only one of them is under way at a time.
+        /// A fault of this host is under way; another one is left out.
         bool isBusy = false;
     };
     struct UpstreamPlace
@@ -63,7 +63,6 @@
         std::unique_ptr<SoakUpstream> upstream;
         std::string zone;
         std::string ip;
-        std::string registered;
         int generation = 0;
         std::int64_t report = 0;
         bool isBusy = false;
@@ -94,7 +93,6 @@
     void expectRecovery(const boost::asio::yield_context &yield);
 
     void link(const std::string &from, const std::string &to, const std::string &mode, const nlohmann::json &more = {});
-    void sleep(std::chrono::milliseconds time, const boost::asio::yield_context &yield);
     void spawn(std::function<void(const boost::asio::yield_context &yield)> body);
     void say(const std::string &text) const;
 
--- a/Tests/Platform/Soak/soakupstream.cpp
+++ b/Tests/Platform/Soak/soakupstream.cpp
@@ -1,9 +1,9 @@
 #include <Platform/Soak/soakupstream.h>
 
+#include <LibCore/sleep.h>
 #include <LibGateway/gatewayheaders.h>
 #include <platform/decode.h>
 
-#include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
 #include <stdexcept>
 
@@ -63,9 +63,7 @@
     }
     m_promises.began({requestId, m_service, m_id, BootClock::now(), parseMilliseconds(request.headers.value(names.timeLeft))});
     ++m_running;
-    boost::asio::steady_timer timer(m_context, std::chrono::duration_cast<std::chrono::steady_clock::duration>(s_workTime * behaviour.slowness));
-    boost::system::error_code ignored;
-    timer.async_wait(yield[ignored]);
+    sleepFor(m_context, std::chrono::duration_cast<std::chrono::steady_clock::duration>(s_workTime * behaviour.slowness), yield);
     --m_running;
     response.status = behaviour.fails ? 500 : 200;
     response.body = requestId;
--- a/Tests/Platform/storestandin.cpp
+++ b/Tests/Platform/storestandin.cpp
@@ -1,6 +1,7 @@
 #include "storestandin.h"
 
-#include <boost/asio/steady_timer.hpp>
+#include <LibCore/sleep.h>
+
 #include <nlohmann/json.hpp>
 #include <websocketpp/base64/base64.hpp>
 
@@ -88,11 +89,11 @@
     if (isDown) {
         return errorResponse(503, "down", "", "");
     }
-    sleep(delay, yield);
+    sleepFor(m_context, delay, yield);
     HttpResponse response = dispatch(request, yield);
     if (losesAnswers) {
         // Longer than any client waits.
-        sleep(s_lostAnswer, yield);
+        sleepFor(m_context, s_lostAnswer, yield);
     }
     return response;
 }
@@ -113,13 +114,6 @@
     return answerTransaction(request.body);
 }
 
-void StoreStandIn::sleep(std::chrono::milliseconds time, const boost::asio::yield_context &yield)
-{
-    boost::asio::steady_timer timer(m_context, time);
-    boost::system::error_code ignored;
-    timer.async_wait(yield[ignored]);
-}
-
 HttpResponse StoreStandIn::answerRead(const std::string &table, const std::string &from, std::size_t limit)
 {
     Json rows = Json::array();
@@ -148,7 +142,7 @@
         if (!rows.empty()) {
             return jsonResponse(200, Json{{"rows", rows}, {"ver", m_version}, {"now", "1ms"}}.dump());
         }
-        sleep(s_feedPoll, yield);
+        sleepFor(m_context, s_feedPoll, yield);
     }
     return isDown ? errorResponse(503, "down", "", "") : jsonResponse(200, Json{{"rows", Json::array()}, {"ver", m_version}, {"now", "1ms"}}.dump());
 }
--- a/Tests/Platform/storestandin.h
+++ b/Tests/Platform/storestandin.h
@@ -50,7 +50,6 @@
 
     HttpResponse answer(const HttpRequest &request, const boost::asio::yield_context &yield);
     HttpResponse dispatch(const HttpRequest &request, const boost::asio::yield_context &yield);
-    void sleep(std::chrono::milliseconds time, const boost::asio::yield_context &yield);
     HttpResponse answerRead(const std::string &table, const std::string &from, std::size_t limit);
     HttpResponse answerFeed(const std::string &table, StoreVersion after, std::chrono::milliseconds wait, const boost::asio::yield_context &yield);
     HttpResponse answerTransaction(const std::string &body);
