--- a/Libraries/LibGateway/beacon.cpp
+++ b/Libraries/LibGateway/beacon.cpp
@@ -14,7 +14,8 @@
 
 std::string encodeBeacon(const Beacon &beacon)
 {
-    const auto bytes = nlohmann::json::to_cbor({{"from", beacon.from.value()}, {"leaving", beacon.isLeaving}, {"reply", beacon.wantsReply}});
+    const auto bytes = nlohmann::json::to_cbor(
+        {{"from", beacon.from.value()}, {"phase", static_cast<unsigned>(beacon.phase)}, {"store", beacon.readsStore}, {"reply", beacon.wantsReply}});
     return {bytes.begin(), bytes.end()};
 }
 
@@ -26,7 +27,12 @@
         if (document.is_discarded() || !document.is_object()) {
             return std::nullopt;
         }
-        return Beacon{HostId(document.at("from").get<std::string>()), document.at("leaving").get<bool>(), document.at("reply").get<bool>()};
+        const auto phase = document.at("phase").get<unsigned>();
+        if (phase > static_cast<unsigned>(HostPhase::Stopping)) {
+            return std::nullopt;
+        }
+        return Beacon{
+            HostId(document.at("from").get<std::string>()), static_cast<HostPhase>(phase), document.at("store").get<bool>(), document.at("reply").get<bool>()};
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
     }
@@ -61,11 +67,12 @@
     return beacons;
 }
 
-void BeaconSocket::sendAll(bool isLeaving)
+void BeaconSocket::sendAll(HostPhase phase, bool readsStore)
 {
-    m_isLeaving = isLeaving;
-    const std::string asking = encodeBeacon({m_self, isLeaving, true});
-    const std::string telling = encodeBeacon({m_self, isLeaving, false});
+    m_phase = phase;
+    m_readsStore = readsStore;
+    const std::string asking = encodeBeacon({m_self, phase, readsStore, true});
+    const std::string telling = encodeBeacon({m_self, phase, readsStore, false});
     for (const BeaconTarget &target : m_directory.beaconTargets(BootClock::now())) {
         const auto endpoint = parseEndpoint(target.report.peerAddress);
         if (endpoint.has_error()) {
@@ -93,9 +100,9 @@
         }
         const auto beacon = error ? std::nullopt : decodeBeacon(std::string_view(m_buffer.data(), size));
         if (beacon) {
-            m_directory.heard(beacon->from, beacon->isLeaving, BootClock::now());
+            m_directory.heard(beacon->from, beacon->phase, beacon->readsStore, BootClock::now());
             if (beacon->wantsReply) {
-                send(encodeBeacon({m_self, m_isLeaving, false}), m_sender);
+                send(encodeBeacon({m_self, m_phase, m_readsStore, false}), m_sender);
             }
         }
         receive();
--- a/Libraries/LibGateway/beacon.h
+++ b/Libraries/LibGateway/beacon.h
@@ -16,8 +16,9 @@
 struct Beacon
 {
     HostId from;
-    /// The host takes no new callers.
-    bool isLeaving = false;
+    HostPhase phase = HostPhase::Serving;
+    /// The host's calls to the store are answered.
+    bool readsStore = false;
     /// The sender wants a beacon back.
     bool wantsReply = false;
 };
@@ -37,7 +38,7 @@
     static Result<std::unique_ptr<BeaconSocket>> create(boost::asio::io_context &context, const std::string &address, HostId self, HostDirectory &directory);
 
     /// Sends a beacon to all hosts that are to hear one now. Precondition: none.
-    void sendAll(bool isLeaving);
+    void sendAll(HostPhase phase, bool readsStore);
 
 private:
     BeaconSocket(boost::asio::io_context &context, HostId self, HostDirectory &directory);
@@ -49,7 +50,8 @@
     HostDirectory &m_directory;
     std::array<char, 512> m_buffer{};
     boost::asio::ip::udp::endpoint m_sender;
-    bool m_isLeaving = false;
+    HostPhase m_phase = HostPhase::Starting;
+    bool m_readsStore = false;
 };
 
 } // namespace Trefoil
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -27,6 +27,8 @@
     /// Factor and addend on a cold upstream's rate that bound the requests of all hosts in one second.
     double coldFactor = 1.0;
     double coldSlack = 0;
+    /// As in SpillShareSettings.
+    double largestShift = 0.15;
 };
 
 /// One upstream with what paces its first requests.
--- a/Libraries/LibGateway/hostdirectory.cpp
+++ b/Libraries/LibGateway/hostdirectory.cpp
@@ -32,7 +32,7 @@
     }
     Known &known = m_hosts[report.id];
     if (known.report.incarnation != report.incarnation) {
-        known.isLeaving = false;
+        known.phase = HostPhase::Serving;
     }
     known.report = report;
 }
@@ -46,28 +46,34 @@
     m_hosts.erase(id);
 }
 
-void HostDirectory::heard(const HostId &id, bool isLeaving, BootTime now)
+void HostDirectory::heard(const HostId &id, HostPhase phase, bool readsStore, BootTime now)
 {
     const auto found = m_hosts.find(id);
     if (found == m_hosts.end()) {
         return;
     }
     found->second.heardAt = now;
-    found->second.isLeaving = isLeaving;
+    found->second.phase = phase;
+    found->second.readsStore = readsStore;
 }
 
-void HostDirectory::setSelf(const HostReport &report, bool takesCallers)
+void HostDirectory::setSelf(const HostReport &report, HostPhase phase)
 {
     m_hosts[report.id].report = report;
-    m_takesCallers = takesCallers;
+    m_phase = phase;
+}
+
+bool HostDirectory::wasHeard(const Known &known, BootTime now) const
+{
+    return known.heardAt != BootTime{} && now - known.heardAt < m_settings.silenceLimit;
 }
 
 bool HostDirectory::isLive(const Known &known, BootTime now) const
 {
     if (known.report.id == m_settings.self) {
-        return m_takesCallers;
+        return m_phase == HostPhase::Serving;
     }
-    return !known.isLeaving && known.heardAt != BootTime{} && now - known.heardAt < m_settings.silenceLimit;
+    return known.phase == HostPhase::Serving && wasHeard(known, now);
 }
 
 std::vector<std::string> HostDirectory::addressesFor(const RegionId &region, const ZoneId &zone, BootTime now)
@@ -130,4 +136,27 @@
     return hosts;
 }
 
+std::vector<HostId> HostDirectory::feederCandidates(BootTime now) const
+{
+    std::vector<HostId> hosts;
+    for (const auto &[id, known] : m_hosts) {
+        const bool isCandidate = known.phase != HostPhase::Stopping && known.readsStore && wasHeard(known, now);
+        if (known.report.zone == m_settings.zone && (id == m_settings.self || isCandidate)) {
+            hosts.push_back(id);
+        }
+    }
+    return hosts;
+}
+
+std::vector<HostReport> HostDirectory::neighbours() const
+{
+    std::vector<HostReport> reports;
+    for (const auto &[id, known] : m_hosts) {
+        if (id != m_settings.self && known.report.zone == m_settings.zone) {
+            reports.push_back(known.report);
+        }
+    }
+    return reports;
+}
+
 } // namespace Trefoil
--- a/Libraries/LibGateway/hostdirectory.h
+++ b/Libraries/LibGateway/hostdirectory.h
@@ -25,6 +25,15 @@
     std::uint64_t incarnation = 0;
 };
 
+/// What a process is about to do, as its beacons tell.
+enum class HostPhase {
+    /// It doesn't know enough yet to take callers.
+    Starting,
+    Serving,
+    /// It ends soon and takes no new callers.
+    Stopping,
+};
+
 /// A host that is to hear a beacon.
 struct BeaconTarget
 {
@@ -65,10 +74,10 @@
     void remove(const HostId &id);
 
     /// Notes a beacon of a host. Precondition: now does not go back.
-    void heard(const HostId &id, bool isLeaving, BootTime now);
+    void heard(const HostId &id, HostPhase phase, bool readsStore, BootTime now);
 
-    /// Sets whether this host takes new callers. Precondition: none.
-    void setSelf(const HostReport &report, bool takesCallers);
+    /// Sets what this host tells of itself. Precondition: none.
+    void setSelf(const HostReport &report, HostPhase phase);
 
     /// Addresses for callers of an availability zone: its live hosts, else live ones of its region, else those of this host's
     /// own zone. Precondition: now does not go back.
@@ -77,9 +86,16 @@
     /// Hosts to send a beacon to now: those of the own zone, and those of zones that callers asked for. Precondition: none.
     std::vector<BeaconTarget> beaconTargets(BootTime now) const;
 
+    /// Hosts of the own availability zone that were heard of lately, reach the store and don't end soon, and this one.
+    /// Precondition: none.
+    std::vector<HostId> feederCandidates(BootTime now) const;
+
     /// Live hosts of an availability zone, this one included; all registered ones for another zone. Precondition: none.
     std::vector<HostId> hostsOf(const ZoneId &zone, BootTime now) const;
 
+    /// Registered hosts of the own availability zone without this one, whether they live or not. Precondition: none.
+    std::vector<HostReport> neighbours() const;
+
     /// Hosts that are registered, this one included, whether they live or not. Precondition: none.
     std::size_t registeredCount() const
     {
@@ -97,9 +113,11 @@
     {
         HostReport report;
         BootTime heardAt{};
-        bool isLeaving = false;
+        HostPhase phase = HostPhase::Serving;
+        bool readsStore = false;
     };
 
+    bool wasHeard(const Known &known, BootTime now) const;
     bool isLive(const Known &known, BootTime now) const;
 
     HostDirectorySettings m_settings;
@@ -107,7 +125,7 @@
     std::map<ZoneId, BootTime> m_askedAt;
     /// Where the next answer begins in a list that is too long for one.
     std::size_t m_nextAddress = 0;
-    bool m_takesCallers = false;
+    HostPhase m_phase = HostPhase::Starting;
     bool m_isSelfRegistered = false;
 };
 
--- a/Libraries/LibMembership/member.h
+++ b/Libraries/LibMembership/member.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibMembership/backoff.h>
+#include <LibCore/backoff.h>
 #include <LibMembership/grantholder.h>
 #include <LibMembership/guardianledger.h>
 #include <LibMembership/peerdirectory.h>
--- a/Libraries/LibPeer/codec.cpp
+++ b/Libraries/LibPeer/codec.cpp
@@ -35,12 +35,14 @@
     "fetch-configuration",
     "configuration-copy",
     "reclaim-vote-request",
-    "reclaim-vote"};
+    "reclaim-vote",
+    "await",
+    "changes"};
 
 /// Operation ids and reasons are short; the limit keeps a peer from filling logs with them.
 constexpr std::size_t s_longestShortText = 512;
-/// A push is forwarded to the hosts of one availability zone, about 50 at the two-year target.
-constexpr std::size_t s_mostForwards = 10000;
+/// A push is forwarded to the hosts of one availability zone, about 50 at the two-year target; a table's changes are more.
+constexpr std::size_t s_mostListEntries = 10000;
 
 /// One list of fields serves both directions, so that no field is written but not read.
 template<typename Fields, typename Message>
@@ -134,6 +136,27 @@
     fields.boolean("granted", message.granted);
 }
 
+template<typename Fields, typename Message>
+void describe(MessageTag<AwaitChanges> /*tag*/, Fields &fields, Message &message)
+{
+    fields.number("seq", message.sequence);
+    fields.shortText("tab", message.table);
+    fields.number("v", message.after);
+    fields.number("ms", message.waitMilliseconds);
+}
+
+template<typename Fields, typename Message>
+void describe(MessageTag<ChangesSince> /*tag*/, Fields &fields, Message &message)
+{
+    fields.number("seq", message.sequence);
+    fields.boolean("ok", message.isServed);
+    fields.number("v", message.version);
+    fields.texts("keys", message.keys);
+    fields.texts("values", message.values);
+    fields.numbers("versions", message.versions);
+    fields.numbers("removed", message.removed);
+}
+
 /// Writes the fields of a message into a JSON object.
 class FieldWriter
 {
@@ -184,16 +207,24 @@
     {
         m_object[name] = value;
     }
+    void texts(const char *name, const std::vector<std::string> &values)
+    {
+        m_object[name] = values;
+    }
+    void numbers(const char *name, const std::vector<std::uint64_t> &values)
+    {
+        m_object[name] = values;
+    }
 
 private:
     json &m_object;
 };
 
-using FieldValue = std::variant<std::monostate, bool, std::uint64_t, std::string, std::vector<std::string>>;
+using FieldValue = std::variant<std::monostate, bool, std::uint64_t, std::string, std::vector<std::string>, std::vector<std::uint64_t>>;
 using FieldMap = std::map<std::string, FieldValue>;
 
-/// Collects one flat map from the CBOR reader. Anything nested deeper than a list of texts is refused, so that hostile
-/// input cannot exhaust the stack.
+/// Collects one flat map from the CBOR reader. Anything nested deeper than a list of texts or of numbers is refused, so
+/// that hostile input cannot exhaust the stack.
 class FlatMapReader : public json::json_sax_t
 {
 public:
@@ -216,6 +247,9 @@
     }
     bool number_unsigned(number_unsigned_t value) override // NOLINT(readability-identifier-naming): named by the library
     {
+        if (m_list) {
+            return addToList(m_list->numbers, static_cast<std::uint64_t>(value));
+        }
         return setValue(static_cast<std::uint64_t>(value));
     }
     bool number_float(number_float_t /*value*/, const string_t & /*text*/) override // NOLINT(readability-identifier-naming): named by the library
@@ -225,11 +259,7 @@
     bool string(string_t &value) override
     {
         if (m_list) {
-            if (m_list->size() >= s_mostForwards) {
-                return false;
-            }
-            m_list->push_back(std::move(value));
-            return true;
+            return addToList(m_list->texts, std::move(value));
         }
         return setValue(std::move(value));
     }
@@ -262,9 +292,12 @@
     }
     bool end_array() override // NOLINT(readability-identifier-naming): named by the library
     {
-        std::vector<std::string> list = std::move(*m_list);
+        List list = std::move(*m_list);
         m_list.reset();
-        return setValue(std::move(list));
+        if (!list.numbers.empty()) {
+            return list.texts.empty() && setValue(std::move(list.numbers));
+        }
+        return setValue(std::move(list.texts));
     }
     bool parse_error(std::size_t /*position*/, const std::string & /*token*/, const json::exception & /*error*/) override // NOLINT
     {
@@ -272,6 +305,22 @@
     }
 
 private:
+    struct List
+    {
+        std::vector<std::string> texts;
+        std::vector<std::uint64_t> numbers;
+    };
+
+    template<typename Entry>
+    static bool addToList(std::vector<Entry> &list, Entry entry)
+    {
+        if (list.size() >= s_mostListEntries) {
+            return false;
+        }
+        list.push_back(std::move(entry));
+        return true;
+    }
+
     bool setValue(FieldValue value)
     {
         if (!m_inObject || m_list) {
@@ -283,7 +332,7 @@
 
     FieldMap m_fields;
     std::string m_key;
-    std::optional<std::vector<std::string>> m_list;
+    std::optional<List> m_list;
     bool m_inObject = false;
 };
 
@@ -356,6 +405,19 @@
         const bool isHexadecimal = target.find_first_not_of("0123456789abcdef") == std::string::npos;
         require(target.size() == digestLength && isHexadecimal, name, "is not a digest");
     }
+    void texts(const char *name, std::vector<std::string> &target)
+    {
+        read(name, target);
+    }
+    void numbers(const char *name, std::vector<std::uint64_t> &target)
+    {
+        const auto position = m_fields.find(name);
+        const auto *texts = position == m_fields.end() ? nullptr : std::get_if<std::vector<std::string>>(&position->second);
+        // An empty list has no type of its own.
+        if (texts == nullptr || !texts->empty()) {
+            read(name, target);
+        }
+    }
 
 private:
     template<typename Value>
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -104,7 +104,43 @@
     bool granted = false;
 };
 
-using PeerMessage = std::
-    variant<Hello, Heartbeat, HeartbeatAck, Prepare, PrepareAck, Commit, CommitAck, FetchConfiguration, ConfigurationCopy, ReclaimVoteRequest, ReclaimVote>;
+/// Asks a host that reads a table's feed for the changes after a version. It answers once there are any, or when the wait is over.
+struct AwaitChanges
+{
+    /// Chosen by the sender and repeated in the answer.
+    std::uint64_t sequence = 0;
+    std::string table;
+    std::uint64_t after = 0;
+    std::uint64_t waitMilliseconds = 0;
+};
+
+/// Answers AwaitChanges. Rows stand in the order in which they changed; entry i of each list belongs to row i.
+struct ChangesSince
+{
+    std::uint64_t sequence = 0;
+    /// False when the sender can't vouch for what it knows, or doesn't know the changes; all else is then empty.
+    bool isServed = false;
+    /// The rows hold all changes up to this version of the store.
+    std::uint64_t version = 0;
+    std::vector<std::string> keys;
+    std::vector<std::string> values;
+    std::vector<std::uint64_t> versions;
+    /// 1 for a row that was dropped, otherwise 0.
+    std::vector<std::uint64_t> removed;
+};
+
+using PeerMessage = std::variant<Hello,
+    Heartbeat,
+    HeartbeatAck,
+    Prepare,
+    PrepareAck,
+    Commit,
+    CommitAck,
+    FetchConfiguration,
+    ConfigurationCopy,
+    ReclaimVoteRequest,
+    ReclaimVote,
+    AwaitChanges,
+    ChangesSince>;
 
 } // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibReplication/changelog.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <LibReplication/feedrow.h>
+
+#include <cstddef>
+#include <deque>
+
+namespace Trefoil
+{
+
+/// The latest changes of one table, kept for hosts that follow this one. Thread safety: one thread at a time.
+class ChangeLog
+{
+public:
+    /// Precondition: mostRows is positive.
+    explicit ChangeLog(std::size_t mostRows);
+
+    /// Starts anew after a full read, which doesn't tell what changed before. Precondition: none.
+    void reset(FeedVersion version);
+
+    /// Takes changes after the current version, in order. Precondition: reset() was called.
+    void append(const FeedRows &changes);
+
+    /// All changes after a version; none for a version that this log hasn't reached. Precondition: none.
+    std::variant<FeedRows, HistoryLost> since(FeedVersion after) const;
+
+private:
+    std::size_t m_mostRows;
+    std::deque<FeedRow> m_rows;
+    /// Changes after this version are in the log.
+    FeedVersion m_start = 0;
+    FeedVersion m_version = 0;
+    bool m_isKnown = false;
+};
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibReplication/changeserver.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <LibCore/bootclock.h>
+#include <LibCore/strongid.h>
+#include <LibPeer/messages.h>
+#include <LibReplication/changelog.h>
+
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+
+namespace Trefoil
+{
+
+/// Passes on the changes of tables to hosts that follow this one, and refuses to do so once it can't vouch for what it knows:
+/// a follower of a host that has lost the store must learn it before the change that it misses is due.
+/// Thread safety: one thread at a time.
+class ChangeServer
+{
+public:
+    using Send = std::function<void(const HostId &to, const ChangesSince &answer)>;
+
+    /// Precondition: send is set and doesn't call this object.
+    explicit ChangeServer(Send send);
+
+    /// Declares a table. Followers are refused once it wasn't confirmed for longer than currentFor. Precondition: none.
+    void addTable(const std::string &table, std::chrono::milliseconds currentFor);
+
+    /// Notes that a table was read in full. Precondition: addTable() was called for it, here and below.
+    void reset(const std::string &table, FeedVersion version);
+
+    /// Takes changes and passes them on.
+    void append(const std::string &table, const FeedRows &changes, BootTime now);
+
+    /// Notes that the store has just told this host all changes of a table.
+    void confirm(const std::string &table, BootTime now);
+
+    /// Takes the request of a follower. Precondition: none.
+    void request(const HostId &from, const AwaitChanges &request, BootTime now);
+
+    /// Answers requests that have waited for their time, and those that can't be served any more. Precondition: none.
+    void answerDue(BootTime now);
+
+    /// Whether requests wait for changes. Precondition: none.
+    bool hasWaiting() const
+    {
+        return !m_waiting.empty();
+    }
+
+private:
+    struct Table
+    {
+        std::chrono::milliseconds currentFor{0};
+        ChangeLog log;
+        BootTime confirmedAt{};
+    };
+
+    struct Waiting
+    {
+        HostId from;
+        AwaitChanges request;
+        BootTime until;
+    };
+
+    /// True when the request was answered.
+    bool answer(const Waiting &waiting, BootTime now);
+
+    Send m_send;
+    std::map<std::string, Table> m_tables;
+    std::list<Waiting> m_waiting;
+};
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibReplication/feedsharing.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <LibReplication/changeserver.h>
+#include <LibReplication/feederchoice.h>
+#include <LibReplication/peerfeed.h>
+
+namespace Trefoil
+{
+
+/// How long a host and those that follow it may take to notice that it has lost the store.
+struct FeederPace
+{
+    /// After a change, further ones are left to gather for this long.
+    std::chrono::milliseconds batchPause;
+    /// How long the store, and a feeder, hold a call without changes.
+    std::chrono::milliseconds wait;
+    /// Delay of an answer, beyond the wait, after which it counts as lost.
+    std::chrono::milliseconds margin;
+};
+
+/// A host's part in sharing the feeds of the store among the hosts of an availability zone: it reads them itself and passes the
+/// changes on, or follows a host that does. Thread safety: the thread of the context.
+class FeedSharing
+{
+public:
+    /// Live hosts of the own availability zone, this one included.
+    using LiveHosts = std::function<std::vector<HostId>()>;
+
+    /// Precondition: context outlives the object; send and liveHosts are set.
+    FeedSharing(boost::asio::io_context &context, FeederChoiceSettings choice, PeerFeed::Send send, LiveHosts liveHosts);
+
+    /// Declares a table that is shared. Precondition: none.
+    void addTable(const std::string &table, const FeederPace &pace);
+
+    /// Precondition: none.
+    FeedRole role(BootTime now) const
+    {
+        return m_choice.role(m_liveHosts(), now);
+    }
+
+    /// Waits for changes at a feeder. Nothing when it is of no use; it is then left out for a while.
+    /// Precondition: runs in a coroutine of the context; addTable() was called for the table.
+    std::optional<FeedRows> awaitChanges(const HostId &feeder, const std::string &table, FeedVersion after, const boost::asio::yield_context &yield);
+
+    /// Takes a message of another host; those that don't concern feeds are ignored. Precondition: none.
+    void receive(const HostId &from, const PeerMessage &message, BootTime now);
+
+    /// Changes for the hosts that follow this one. Precondition: none.
+    ChangeServer &server()
+    {
+        return m_server;
+    }
+
+private:
+    FeederChoice m_choice;
+    PeerFeed m_feed;
+    ChangeServer m_server;
+    LiveHosts m_liveHosts;
+    std::map<std::string, FeederPace> m_paces;
+};
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibReplication/feedstore.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <LibReplication/feedrow.h>
+
+#include <boost/asio/spawn.hpp>
+#include <chrono>
+
+namespace Trefoil
+{
+
+/// The store's calls by which tables are followed. Thread safety: one thread at a time, the one that runs the context.
+class FeedStore
+{
+public:
+    /// All rows of a table. Rows of later pages may be newer than the version returned.
+    /// Precondition: the coroutine runs on the store's context.
+    virtual ReadResult readTable(const std::string &table, const boost::asio::yield_context &yield) = 0;
+
+    /// Waits for changes after a version. An answer without rows means that there were none in that time.
+    /// Precondition: as for readTable(); wait is at most 30 s.
+    virtual FeedResult awaitChanges(const std::string &table, FeedVersion after, std::chrono::milliseconds wait, const boost::asio::yield_context &yield) = 0;
+
+protected:
+    FeedStore() = default;
+    ~FeedStore() = default;
+    FeedStore(const FeedStore &) = default;
+    FeedStore &operator=(const FeedStore &) = default;
+};
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibReplication/peerfeed.cpp
@@ -0,0 +1,71 @@
+#include <LibReplication/peerfeed.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <random>
+
+namespace Trefoil
+{
+
+namespace
+{
+
+PeerFeedResult resultOf(const ChangesSince &answer)
+{
+    const std::size_t count = answer.keys.size();
+    // Lists that don't belong together are of no more use than a refusal.
+    if (!answer.isServed || answer.values.size() != count || answer.versions.size() != count || answer.removed.size() != count) {
+        return FeederRefused{};
+    }
+    FeedRows changes;
+    changes.version = answer.version;
+    for (std::size_t i = 0; i < count; ++i) {
+        changes.rows.push_back({answer.keys[i], answer.values[i], answer.versions[i], answer.removed[i] != 0});
+    }
+    return changes;
+}
+
+} // namespace
+
+/// One request that waits for its answer.
+struct PeerFeed::Call
+{
+    HostId feeder;
+    boost::asio::steady_timer timer;
+    std::optional<ChangesSince> answer{};
+};
+
+PeerFeed::PeerFeed(boost::asio::io_context &context, Send send)
+    : m_context(context)
+    , m_send(std::move(send))
+    , m_sequence(std::random_device{}())
+{
+}
+
+PeerFeedResult PeerFeed::awaitChanges(const HostId &feeder,
+    const std::string &table,
+    FeedVersion after,
+    std::chrono::milliseconds wait,
+    std::chrono::milliseconds margin,
+    const boost::asio::yield_context &yield)
+{
+    const std::uint64_t sequence = ++m_sequence;
+    Call call{feeder, boost::asio::steady_timer(m_context, wait + margin)};
+    m_calls.emplace(sequence, &call);
+    m_send(feeder, AwaitChanges{sequence, table, after, static_cast<std::uint64_t>(wait.count())});
+    boost::system::error_code cancelledByAnswer;
+    call.timer.async_wait(yield[cancelledByAnswer]);
+    m_calls.erase(sequence);
+    return call.answer ? resultOf(*call.answer) : PeerFeedResult(FeederSilent{});
+}
+
+void PeerFeed::receive(const HostId &from, const ChangesSince &answer)
+{
+    const auto found = m_calls.find(answer.sequence);
+    if (found == m_calls.end() || found->second->feeder != from) {
+        return;
+    }
+    found->second->answer = answer;
+    found->second->timer.cancel();
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Libraries/LibReplication/tablewatch.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <LibCore/backoff.h>
+#include <LibReplication/feedsharing.h>
+#include <LibReplication/feedstore.h>
+
+#include <functional>
+
+namespace Trefoil
+{
+
+/// What a watch tells its owner, all on the thread of the context.
+struct TableWatchHandlers
+{
+    /// All rows of the table.
+    std::function<void(const std::vector<FeedRow> &rows)> replace;
+    /// Rows that changed since, in order.
+    std::function<void(const std::vector<FeedRow> &rows)> change;
+    /// The first failure of the store after a success (false), or the first success after a failure (true).
+    std::function<void(bool isReachable, const std::string &reason)> reachability;
+};
+
+/// How often a watch calls the store, whose calls are limited.
+struct WatchPace
+{
+    /// After a change, further ones are left to gather for this long.
+    std::chrono::milliseconds batchPause;
+    /// How long the store holds a call without changes. A change whose answer was lost is known after this time and the
+    /// timeout of a call.
+    std::chrono::milliseconds longestWait;
+    /// Takes the place of both while this host reads for others.
+    FeederPace feeder;
+};
+
+/// Follows one table: a full read of the store, then the changes from the store's feed or from another host; a full read again
+/// when the store has lost the history. Answers that are older than what is known are not used.
+/// Thread safety: the thread of the context.
+class TableWatch
+{
+public:
+    /// Precondition: context, store and sharing outlive the watch; all handlers are set.
+    TableWatch(boost::asio::io_context &context, FeedStore &store, FeedSharing &sharing, std::string table, const WatchPace &pace, TableWatchHandlers handlers);
+
+    /// Follows the table until the context stops. Precondition: runs in a coroutine of the context.
+    void run(const boost::asio::yield_context &yield);
+
+    /// Whether the last call to the store was answered. Precondition: none.
+    bool isReachable() const
+    {
+        return m_isReachable && !m_needsAll;
+    }
+
+private:
+    void noteSuccess();
+    void noteFailure(const std::string &reason);
+    void pause(const boost::asio::yield_context &yield);
+    bool readAll(const boost::asio::yield_context &yield);
+    bool readChanges(const boost::asio::yield_context &yield);
+    bool readFeed(std::chrono::milliseconds wait, std::chrono::milliseconds batchPause, const boost::asio::yield_context &yield);
+    bool follow(const HostId &feeder, const boost::asio::yield_context &yield);
+    void take(const FeedRows &changes);
+
+    boost::asio::io_context &m_context;
+    FeedStore &m_store;
+    FeedSharing &m_sharing;
+    std::string m_table;
+    WatchPace m_pace;
+    TableWatchHandlers m_handlers;
+    FeedVersion m_version = 0;
+    bool m_needsAll = true;
+    bool m_isReachable = true;
+    Backoff m_backoff;
+    pcg32 m_random;
+};
+
+} // namespace Trefoil
--- a/Libraries/LibSettings/gatewaysettings.h
+++ b/Libraries/LibSettings/gatewaysettings.h
@@ -26,6 +26,12 @@
     /// Requests of all hosts to a cold upstream in one second: its rate times the factor, and this many more.
     double coldFactor = 1;
     double coldSlack = 0;
+    /// Largest part of a region's requests that may change their region from one window of 2 s to the next.
+    double largestShift = 0.15;
+    /// A leaving upstream may get requests for this long after it is registered as leaving.
+    std::chrono::milliseconds drainNotice{2000};
+    /// A configuration must be in force on every host within this time.
+    std::chrono::milliseconds configurationApply{2000};
 };
 
 /// Settings of a host that runs as a gateway on the operators' platform.
--- a/Libraries/LibSteering/spillshare.h
+++ b/Libraries/LibSteering/spillshare.h
@@ -7,6 +7,13 @@
 namespace Trefoil
 {
 
+struct SpillShareSettings
+{
+    std::size_t regions = 1;
+    /// Largest part of a region's requests that may change their region from one window of 2 s to the next.
+    double largestShift = 0.15;
+};
+
 /// The share of a service's requests that a host sends to upstreams of other regions, because those of its own are short of
 /// slots. It moves slowly, so that a region never sees a large part of the load come or go at once.
 /// Answers load that differs between regions, whose upstreams differ too, and waves that move through the regions.
@@ -25,7 +32,7 @@
     };
 
     /// Starts at the share that would fill all regions alike if each had the same load. Precondition: regions is at least 1.
-    SpillShare(const Observation &start, std::size_t regions, BootTime now);
+    SpillShare(const Observation &start, const SpillShareSettings &settings, BootTime now);
 
     /// Moves the share towards what the load asks for. Precondition: now does not go back.
     void observe(const Observation &observation, BootTime now);
@@ -44,7 +51,7 @@
     }
 
 private:
-    std::size_t m_regions;
+    SpillShareSettings m_settings;
     double m_share;
     double m_load;
     BootTime m_observedAt;
--- a/Tests/LibGateway/testgateway.cpp
+++ b/Tests/LibGateway/testgateway.cpp
@@ -39,7 +39,7 @@
         , gateway(context, {}, state, metrics)
     {
         state.setConfiguration(configuration());
-        state.directory().setSelf({HostId("self"), "a:1", "a:2", ZoneId("zone"), RegionId("region"), 1}, true);
+        state.directory().setSelf({HostId("self"), "a:1", "a:2", ZoneId("zone"), RegionId("region"), 1}, HostPhase::Serving);
         for (int i = 0; i < upstreamCount; ++i) {
             UpstreamStandInSettings standIn;
             standIn.serviceTime = serviceTime;
--- a/Tests/LibGateway/testgatewayparts.cpp
+++ b/Tests/LibGateway/testgatewayparts.cpp
@@ -205,7 +205,7 @@
 {
     GatewayState state(stateSettings());
     state.setConfiguration(configuration(1));
-    state.directory().setSelf({HostId("self"), "a:1", "a:2", ZoneId("gulf-a"), RegionId("gulf"), 1}, true);
+    state.directory().setSelf({HostId("self"), "a:1", "a:2", ZoneId("gulf-a"), RegionId("gulf"), 1}, HostPhase::Serving);
     UpstreamRegistration cold = registration("near", "gulf-a");
     cold.coldRemaining = 2000ms;
     state.upstreamStarted(cold, s_start);
@@ -230,7 +230,7 @@
 {
     GatewayState state(stateSettings());
     state.setConfiguration(configuration(1));
-    state.directory().setSelf({HostId("self"), "a:1", "a:2", ZoneId("gulf-a"), RegionId("gulf"), 1}, true);
+    state.directory().setSelf({HostId("self"), "a:1", "a:2", ZoneId("gulf-a"), RegionId("gulf"), 1}, HostPhase::Serving);
     state.directory().add({HostId("other"), "b:1", "b:2", ZoneId("hill-a"), RegionId("hill"), 1});
     UpstreamRegistration cold = registration("far", "hill-a");
     cold.coldRemaining = 2000ms;
@@ -254,7 +254,7 @@
     state.upstreamStarted(registration, s_start);
     const auto &upstream = *state.knowledge(ServiceId("service")).upstreams.front();
     const HostReport self{HostId("self"), "a:1", "a:2", ZoneId("gulf-a"), RegionId("gulf"), 1};
-    state.directory().setSelf(self, true);
+    state.directory().setSelf(self, HostPhase::Serving);
     cr_assert_eq(state.connectionLimit(upstream)->granted().value(), 10);
     for (int i = 0; i < 2; ++i) {
         HostReport other = self;
--- a/Tests/LibGateway/testhostdirectory.cpp
+++ b/Tests/LibGateway/testhostdirectory.cpp
@@ -20,7 +20,7 @@
 HostDirectory directory()
 {
     HostDirectory result({HostId("self"), ZoneId("gulf-a"), RegionId("gulf")});
-    result.setSelf(report("self", "gulf-a", "gulf"), true);
+    result.setSelf(report("self", "gulf-a", "gulf"), HostPhase::Serving);
     result.setRegistered(
         {report("self", "gulf-a", "gulf"), report("peer", "gulf-a", "gulf"), report("neighbour", "gulf-b", "gulf"), report("far", "hill-a", "hill")});
     return result;
@@ -67,7 +67,7 @@
 {
     HostDirectory hosts = directory();
     if (testCase->heard[0] != '\0') {
-        hosts.heard(HostId(testCase->heard), false, s_start);
+        hosts.heard(HostId(testCase->heard), HostPhase::Serving, true, s_start);
     }
     const auto addresses = hosts.addressesFor(RegionId(testCase->region), ZoneId(testCase->zone), s_start + 1s);
     cr_assert_eq(joined(addresses), testCase->expected, "%s: %s", testCase->name, joined(addresses).c_str());
@@ -78,17 +78,17 @@
 {
     HostDirectory hosts = directory();
     const auto own = [&hosts](BootTime now) { return joined(hosts.addressesFor(RegionId("gulf"), ZoneId("gulf-a"), now)); };
-    hosts.heard(HostId("peer"), false, s_start);
+    hosts.heard(HostId("peer"), HostPhase::Serving, true, s_start);
     cr_assert_eq(own(s_start + 3s), "peer self ");
     cr_assert_eq(own(s_start + 4s), "self ");
-    hosts.heard(HostId("peer"), true, s_start + 5s);
+    hosts.heard(HostId("peer"), HostPhase::Stopping, true, s_start + 5s);
     cr_assert_eq(own(s_start + 5s), "self ");
     hosts.add(report("peer", "gulf-a", "gulf", 2));
-    hosts.heard(HostId("peer"), false, s_start + 6s);
+    hosts.heard(HostId("peer"), HostPhase::Serving, true, s_start + 6s);
     cr_assert_eq(own(s_start + 6s), "peer self ");
     hosts.remove(HostId("peer"));
     cr_assert_eq(own(s_start + 6s), "self ");
-    hosts.setSelf(report("self", "gulf-a", "gulf"), false);
+    hosts.setSelf(report("self", "gulf-a", "gulf"), HostPhase::Stopping);
     cr_assert_eq(own(s_start + 6s), "");
 }
 
@@ -107,10 +107,10 @@
 {
     HostDirectory hosts = directory();
     cr_assert(hosts.beaconTargets(s_start).front().wantsReply);
-    hosts.heard(HostId("peer"), false, s_start);
+    hosts.heard(HostId("peer"), HostPhase::Serving, true, s_start);
     cr_assert_not(hosts.beaconTargets(s_start + 1s).front().wantsReply);
     cr_assert(hosts.beaconTargets(s_start + 5s).front().wantsReply);
-    hosts.heard(HostId("far"), false, s_start);
+    hosts.heard(HostId("far"), HostPhase::Serving, true, s_start);
     hosts.addressesFor(RegionId("hill"), ZoneId("hill-a"), s_start);
     for (const BeaconTarget &target : hosts.beaconTargets(s_start + 1s)) {
         cr_assert_eq(target.wantsReply, target.report.id == HostId("far"));
@@ -125,7 +125,7 @@
     for (int i = 0; i < count; ++i) {
         const std::string id = "p" + std::to_string(i);
         hosts.add(report(id, "gulf-a", "gulf"));
-        hosts.heard(HostId(id), false, s_start);
+        hosts.heard(HostId(id), HostPhase::Serving, true, s_start);
     }
     std::map<std::string, int> answers;
     for (int i = 0; i < count; ++i) {
@@ -141,6 +141,26 @@
     }
 }
 
+// Guards against hosts that all read the store while they start, and against ones that follow a host which is gone or ends.
+Test(HostDirectory, feederCandidates)
+{
+    HostDirectory hosts = directory();
+    const auto count = [&hosts](BootTime now) { return hosts.feederCandidates(now).size(); };
+    cr_assert_eq(count(s_start), 1);
+    hosts.heard(HostId("peer"), HostPhase::Starting, true, s_start);
+    hosts.heard(HostId("neighbour"), HostPhase::Serving, true, s_start);
+    cr_assert_eq(count(s_start), 2, "a host that starts, and none of another zone");
+    cr_assert_eq(joined(hosts.addressesFor(RegionId("gulf"), ZoneId("gulf-a"), s_start)), "self ", "callers are not sent to it");
+    hosts.heard(HostId("peer"), HostPhase::Stopping, true, s_start + 1s);
+    cr_assert_eq(count(s_start + 1s), 1);
+    hosts.heard(HostId("peer"), HostPhase::Serving, true, s_start + 2s);
+    cr_assert_eq(count(s_start + 2s), 2);
+    hosts.heard(HostId("peer"), HostPhase::Serving, false, s_start + 2s);
+    cr_assert_eq(count(s_start + 2s), 1, "a host without the store");
+    hosts.heard(HostId("peer"), HostPhase::Serving, true, s_start + 2s);
+    cr_assert_eq(count(s_start + 6s), 1, "a silent host");
+}
+
 // Guards against a host that is missing from the store and doesn't notice.
 Test(HostDirectory, ownRowIsMissed)
 {
@@ -157,9 +177,9 @@
 // Guards against datagrams from elsewhere that end the process or pass as a beacon.
 Test(Beacon, anyBytesAreRead)
 {
-    const std::string bytes = encodeBeacon({HostId("edge-1"), true, false});
+    const std::string bytes = encodeBeacon({HostId("edge-1"), HostPhase::Stopping, true, false});
     const auto beacon = decodeBeacon(bytes);
-    cr_assert(beacon && beacon->from.value() == "edge-1" && beacon->isLeaving && !beacon->wantsReply);
+    cr_assert(beacon && beacon->from.value() == "edge-1" && beacon->phase == HostPhase::Stopping && beacon->readsStore && !beacon->wantsReply);
     pcg32 random(20261204);
     for (int i = 0; i < 20000; ++i) {
         std::string spoilt = bytes;
--- a/Tests/LibPeer/testcodec.cpp
+++ b/Tests/LibPeer/testcodec.cpp
@@ -26,7 +26,9 @@
         FetchConfiguration{ConfigurationVersion(12)},
         ConfigurationCopy{ConfigurationVersion(13), s_digest, "{}"},
         ReclaimVoteRequest{HostId("gulf-a-2"), Epoch(4), 1},
-        ReclaimVote{HostId("gulf-a-2"), Epoch(4), 1, true}};
+        ReclaimVote{HostId("gulf-a-2"), Epoch(4), 1, true},
+        AwaitChanges{17, "servers", 900, 1000},
+        ChangesSince{17, true, 905, {"a", "b"}, {"{}", ""}, {903, 905}, {0, 1}}};
 }
 
 std::string cbor(const json &value)
@@ -39,7 +41,7 @@
 struct FaultCase
 {
     char name[32];
-    char text[112];
+    char text[128];
 };
 
 } // namespace
@@ -88,6 +90,8 @@
         {"short digest", R"({"t": "commit", "version": 1, "digest": "ab", "forwardTo": []})"},
         {"unsound host name", R"({"t": "reclaim-vote-request", "host": "a b", "epoch": 1, "ballot": 1})"},
         {"list of numbers", R"({"t": "commit", "version": 1, "digest": "0123456789abcdef0123456789abcdef", "forwardTo": [1]})"},
+        {"list of numbers and texts", R"({"t": "changes", "seq": 1, "ok": true, "v": 1, "keys": [1, "a"], "values": [], "versions": [], "removed": []})"},
+        {"texts for numbers", R"({"t": "changes", "seq": 1, "ok": true, "v": 1, "keys": [], "values": [], "versions": ["a"], "removed": []})"},
         {"too many slots", R"({"t": "hb", "seq": 1, "inc": 1, "ep": 1, "v": 1, "fs": 4294967296, "out": false})"},
     };
     return cr_make_param_array(FaultCase, cases, std::size(cases));
--- /dev/null
+++ b/Tests/LibReplication/testchangelog.cpp
@@ -0,0 +1,67 @@
+#include <LibReplication/changelog.h>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace Trefoil;
+
+namespace
+{
+
+struct SinceCase
+{
+    char name[48];
+    FeedVersion after;
+    /// Keys expected; "lost" when the log doesn't reach back.
+    char expected[16];
+};
+
+std::string keysSince(const ChangeLog &log, FeedVersion after)
+{
+    const auto changes = log.since(after);
+    if (std::holds_alternative<HistoryLost>(changes)) {
+        return "lost";
+    }
+    std::string keys;
+    for (const FeedRow &row : std::get<FeedRows>(changes).rows) {
+        keys += row.key;
+    }
+    return keys;
+}
+
+} // namespace
+
+// Guards against followers that miss changes because the log has forgotten them.
+ParameterizedTestParameters(ChangeLog, since)
+{
+    static SinceCase cases[] = {
+        {"before the full read", 9, "lost"},
+        {"the first row was dropped from the log", 10, "lost"},
+        {"just after the dropped row", 11, "bcd"},
+        {"between two changes", 13, "d"},
+        {"nothing new", 15, ""},
+        {"a follower that is ahead", 99, ""},
+    };
+    return cr_make_param_array(SinceCase, cases, std::size(cases));
+}
+
+ParameterizedTest(SinceCase *testCase, ChangeLog, since)
+{
+    ChangeLog log(3);
+    cr_assert_eq(keysSince(log, 0), "lost", "a log that knows nothing");
+    log.reset(10);
+    log.append({{{"a", "1", 11, false}, {"b", "1", 12, false}}, 12});
+    log.append({{{"c", "", 13, true}, {"d", "1", 14, false}}, 15});
+    cr_assert_eq(keysSince(log, testCase->after), testCase->expected, "%s", testCase->name);
+}
+
+// Guards against changes from before a full read that are told to followers, though rows between them are unknown.
+Test(ChangeLog, fullReadStartsAnew)
+{
+    ChangeLog log(3);
+    log.reset(10);
+    log.append({{{"a", "1", 11, false}}, 11});
+    log.reset(20);
+    cr_assert_eq(keysSince(log, 11), "lost");
+    cr_assert_eq(keysSince(log, 20), "");
+}
--- /dev/null
+++ b/Tests/LibReplication/testchangeserver.cpp
@@ -0,0 +1,99 @@
+#include <LibReplication/changeserver.h>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace Trefoil;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const BootTime s_start{1h};
+const HostId s_follower{"follower"};
+
+/// A server of one table, read in full at version 10, and what it has answered.
+struct Fixture
+{
+    Fixture()
+        : server([this](const HostId &, const ChangesSince &answer) { answers.push_back(answer); })
+    {
+        server.addTable("things", 1000ms);
+        server.reset("things", 10);
+        server.confirm("things", s_start);
+    }
+
+    std::vector<ChangesSince> answers;
+    ChangeServer server;
+};
+
+struct RequestCase
+{
+    char name[48];
+    char table[16];
+    FeedVersion after;
+    /// Since the store was last heard of.
+    int ageMilliseconds;
+    /// "wait", "refuse" or "serve".
+    char expected[8];
+};
+
+} // namespace
+
+// Guards against followers that are told old news as if it were new, or wait for what this host doesn't know.
+ParameterizedTestParameters(ChangeServer, requests)
+{
+    static RequestCase cases[] = {
+        {"nothing new", "things", 11, 0, "wait"},
+        {"behind", "things", 10, 0, "serve"},
+        {"ahead", "things", 50, 0, "wait"},
+        {"before the log", "things", 9, 0, "refuse"},
+        {"unknown table", "others", 11, 0, "refuse"},
+        {"the store was heard of just in time", "things", 11, 1000, "wait"},
+        {"the store is silent", "things", 11, 1001, "refuse"},
+        {"the store is silent, though there is news", "things", 10, 1001, "refuse"},
+    };
+    return cr_make_param_array(RequestCase, cases, std::size(cases));
+}
+
+ParameterizedTest(RequestCase *testCase, ChangeServer, requests)
+{
+    Fixture fixture;
+    fixture.server.append("things", {{{"a", "1", 11, false}}, 11}, s_start);
+    fixture.server.request(s_follower, {7, testCase->table, testCase->after, 500}, s_start + std::chrono::milliseconds(testCase->ageMilliseconds));
+    const std::string seen = fixture.answers.empty() ? "wait" : fixture.answers.front().isServed ? "serve" : "refuse";
+    cr_assert_eq(seen, testCase->expected, "%s: %s", testCase->name, seen.c_str());
+    if (seen == "serve") {
+        const ChangesSince &answer = fixture.answers.front();
+        cr_assert(answer.sequence == 7 && answer.version == 11 && answer.keys == std::vector<std::string>{"a"});
+    }
+}
+
+// Guards against a change that followers learn of only when their wait is over.
+Test(ChangeServer, changesReachThoseWhoWait)
+{
+    Fixture fixture;
+    fixture.server.request(s_follower, {1, "things", 10, 500}, s_start);
+    fixture.server.append("things", {{}, 12}, s_start + 100ms);
+    cr_assert(fixture.answers.empty());
+    fixture.server.append("things", {{{"a", "", 13, true}}, 13}, s_start + 200ms);
+    cr_assert_eq(fixture.answers.size(), 1);
+    cr_assert(fixture.answers[0].isServed && fixture.answers[0].removed == std::vector<std::uint64_t>{1});
+    fixture.server.append("things", {{{"b", "1", 14, false}}, 14}, s_start + 300ms);
+    cr_assert_eq(fixture.answers.size(), 1, "one answer for one request");
+}
+
+// Guards against followers that wait for ever, and against ones that go on trusting a host which has lost the store.
+Test(ChangeServer, waitsEnd)
+{
+    Fixture fixture;
+    fixture.server.request(s_follower, {1, "things", 10, 500}, s_start);
+    fixture.server.answerDue(s_start + 499ms);
+    cr_assert(fixture.answers.empty());
+    fixture.server.answerDue(s_start + 500ms);
+    cr_assert(fixture.answers.size() == 1 && fixture.answers[0].isServed && fixture.answers[0].version == 10);
+    fixture.server.request(s_follower, {2, "things", 10, 5000}, s_start + 600ms);
+    fixture.server.answerDue(s_start + 1001ms);
+    cr_assert(fixture.answers.size() == 2 && !fixture.answers[1].isServed);
+    cr_assert_not(fixture.server.hasWaiting());
+}
--- /dev/null
+++ b/Tests/LibReplication/testpeerfeed.cpp
@@ -0,0 +1,53 @@
+#include <LibReplication/peerfeed.h>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace Trefoil;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace
+{
+
+struct AnswerCase
+{
+    char name[40];
+    char from[16];
+    bool isServed;
+    std::size_t values;
+    /// Index of the result.
+    std::size_t result;
+};
+
+} // namespace
+
+// Guards against answers of others, refusals and garbled lists that are taken for changes.
+ParameterizedTestParameters(PeerFeed, answers)
+{
+    static AnswerCase cases[] = {
+        {"an answer", "feeder", true, 1, 0},
+        {"a refusal", "feeder", false, 1, 1},
+        {"an answer of another host", "stranger", true, 1, 2},
+        {"lists that don't belong together", "feeder", true, 2, 1},
+    };
+    return cr_make_param_array(AnswerCase, cases, std::size(cases));
+}
+
+ParameterizedTest(AnswerCase *testCase, PeerFeed, answers)
+{
+    asio::io_context context{1};
+    PeerFeed *target = nullptr;
+    PeerFeed feed(context, [&](const HostId &, const PeerMessage &message) {
+        const auto &request = std::get<AwaitChanges>(message);
+        ChangesSince answer{request.sequence, testCase->isServed, 12, {"a"}, std::vector<std::string>(testCase->values, "1"), {12}, {0}};
+        asio::post(context, [&, answer] { target->receive(HostId(testCase->from), answer); });
+    });
+    target = &feed;
+    PeerFeedResult result = FeederSilent{};
+    asio::spawn(context, [&](const asio::yield_context &yield) { result = feed.awaitChanges(HostId("feeder"), "things", 11, 20ms, 10ms, yield); });
+    context.run();
+    cr_assert_eq(result.index(), testCase->result, "%s", testCase->name);
+    const auto *changes = std::get_if<FeedRows>(&result);
+    cr_assert(!changes || (changes->version == 12 && changes->rows.size() == 1 && changes->rows[0].key == "a"));
+}
--- a/Tests/LibSteering/testplacement.cpp
+++ b/Tests/LibSteering/testplacement.cpp
@@ -190,7 +190,7 @@
 
 ParameterizedTest(SpillCase *testCase, SpillShare, movesSlowlyAndArrives)
 {
-    SpillShare share({testCase->before * testCase->slotsBefore, testCase->slotsBefore, testCase->others}, 3, s_start);
+    SpillShare share({testCase->before * testCase->slotsBefore, testCase->slotsBefore, testCase->others}, {3, 0.15}, s_start);
     std::vector<double> history;
     for (int tick = 0; tick < 500; ++tick) {
         const bool isAfter = tick >= 100;
--- a/Tests/Platform/storestandin.cpp
+++ b/Tests/Platform/storestandin.cpp
@@ -36,7 +36,7 @@
     return decoded;
 }
 
-Json entryOf(const StoreRow &row)
+Json entryOf(const FeedRow &row)
 {
     Json entry = {{"key", row.key}, {"ver", row.version}, {"part", ""}};
     if (row.removed) {
@@ -54,14 +54,15 @@
 {
     HttpServerSettings settings;
     settings.address = "127.0.0.1:0";
-    auto server = HttpServer::create(
-        context, settings, [this](HttpRequest &request, CallerConnection &, const boost::asio::yield_context &yield) { return answer(request, yield); });
+    auto server = HttpServer::create(context, settings, [this](HttpRequest &request, CallerConnection &caller, const boost::asio::yield_context &yield) {
+        return answer(request, caller.address(), yield);
+    });
     m_server = std::move(server.value());
 }
 
 void StoreStandIn::set(const std::string &table, const std::string &key, const std::string &value)
 {
-    const StoreRow row{key, value, ++m_version, false};
+    const FeedRow row{key, value, ++m_version, false};
     m_tables[table][key] = row;
     m_changes.push_back({table, row});
 }
@@ -84,14 +85,14 @@
     m_frozenVersion = m_version;
 }
 
-HttpResponse StoreStandIn::answer(const HttpRequest &request, const boost::asio::yield_context &yield)
+HttpResponse StoreStandIn::answer(const HttpRequest &request, const std::string &caller, const boost::asio::yield_context &yield)
 {
     if (isDown) {
         return errorResponse(503, "down", "", "");
     }
     sleepFor(m_context, delay, yield);
     HttpResponse response = dispatch(request, yield);
-    if (losesAnswers) {
+    if (losesAnswers || silentTo.count(caller) > 0) {
         // Longer than any client waits.
         sleepFor(m_context, s_lostAnswer, yield);
     }
@@ -122,11 +123,11 @@
     for (; it != all.end() && rows.size() < limit; ++it) {
         rows.push_back(entryOf(it->second));
     }
-    const StoreVersion version = m_isFrozen ? m_frozenVersion : m_version;
+    const FeedVersion version = m_isFrozen ? m_frozenVersion : m_version;
     return jsonResponse(200, Json{{"rows", rows}, {"has_more", it != all.end()}, {"ver", version}, {"now", "1ms"}}.dump());
 }
 
-HttpResponse StoreStandIn::answerFeed(const std::string &table, StoreVersion after, std::chrono::milliseconds wait, const boost::asio::yield_context &yield)
+HttpResponse StoreStandIn::answerFeed(const std::string &table, FeedVersion after, std::chrono::milliseconds wait, const boost::asio::yield_context &yield)
 {
     const BootTime end = BootClock::now() + wait;
     while (BootClock::now() < end && !isDown) {
--- a/Tests/Platform/storestandin.h
+++ b/Tests/Platform/storestandin.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace Trefoil::Platform
 {
@@ -35,6 +36,8 @@
     bool isDown = false;
     /// Calls take effect, and their answers are lost.
     bool losesAnswers = false;
+    /// IP numbers of hosts whose calls are never answered.
+    std::set<std::string> silentTo;
     /// Extra time of each call.
     std::chrono::milliseconds delay{0};
     int reads = 0;
@@ -44,24 +47,24 @@
     struct Change
     {
         std::string table;
-        StoreRow row;
+        FeedRow row;
     };
-    using Tables = std::map<std::string, std::map<std::string, StoreRow>>;
+    using Tables = std::map<std::string, std::map<std::string, FeedRow>>;
 
-    HttpResponse answer(const HttpRequest &request, const boost::asio::yield_context &yield);
+    HttpResponse answer(const HttpRequest &request, const std::string &caller, const boost::asio::yield_context &yield);
     HttpResponse dispatch(const HttpRequest &request, const boost::asio::yield_context &yield);
     HttpResponse answerRead(const std::string &table, const std::string &from, std::size_t limit);
-    HttpResponse answerFeed(const std::string &table, StoreVersion after, std::chrono::milliseconds wait, const boost::asio::yield_context &yield);
+    HttpResponse answerFeed(const std::string &table, FeedVersion after, std::chrono::milliseconds wait, const boost::asio::yield_context &yield);
     HttpResponse answerTransaction(const std::string &body);
 
     boost::asio::io_context &m_context;
     Tables m_tables;
     Tables m_frozen;
-    StoreVersion m_frozenVersion = 0;
+    FeedVersion m_frozenVersion = 0;
     bool m_isFrozen = false;
     std::vector<Change> m_changes;
-    StoreVersion m_version = 1;
-    StoreVersion m_oldestHistory = 0;
+    FeedVersion m_version = 1;
+    FeedVersion m_oldestHistory = 0;
     std::unique_ptr<HttpServer> m_server;
 };
 
--- a/Tests/Platform/testcallerapi.cpp
+++ b/Tests/Platform/testcallerapi.cpp
@@ -40,7 +40,8 @@
 ParameterizedTest(CallCase *testCase, CallerApi, calls)
 {
     HostDirectory hosts({HostId("self"), ZoneId("gulf-a"), RegionId("gulf")});
-    hosts.setSelf({HostId("self"), "10.0.0.1:80", "10.0.0.1:81", ZoneId("gulf-a"), RegionId("gulf"), 1}, testCase->isReady);
+    hosts.setSelf(
+        {HostId("self"), "10.0.0.1:80", "10.0.0.1:81", ZoneId("gulf-a"), RegionId("gulf"), 1}, testCase->isReady ? HostPhase::Serving : HostPhase::Starting);
     const HttpRequest request{"GET", testCase->target, {}, {}};
     cr_assert_eq(answerReadiness(request, testCase->isReady).status, testCase->readiness, "%s", testCase->target);
     const HttpResponse lookup = answerLookup(request, hosts, std::chrono::milliseconds(2000));
--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -1,9 +1,11 @@
 #include "storestandin.h"
-#include <platform/tablewatch.h>
+#include <LibCore/sleep.h>
+#include <LibReplication/tablewatch.h>
 
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <criterion/criterion.h>
+#include <criterion/parameterized.h>
 
 using namespace Trefoil;
 using namespace Trefoil::Platform;
@@ -13,20 +15,24 @@
 namespace
 {
 
+constexpr WatchPace s_pace{50ms, 300ms, {50ms, 200ms, 100ms}};
+
 /// A watch of one table and the rows that it has told so far.
 struct Fixture
 {
     Fixture()
         : store(context)
         , client(context, store.address(), "127.0.0.1")
-        , watch(context, client, "things", {50ms, 300ms}, handlers())
+        , sharing(
+              context, {HostId("alone")}, [](const HostId &, const PeerMessage &) {}, [] { return std::vector<HostId>{HostId("alone")}; })
+        , watch(context, client, sharing, "things", s_pace, handlers())
     {
     }
 
     TableWatchHandlers handlers()
     {
-        const auto change = [this](const std::vector<StoreRow> &rows) {
-            for (const StoreRow &row : rows) {
+        const auto change = [this](const std::vector<FeedRow> &rows) {
+            for (const FeedRow &row : rows) {
                 if (row.removed) {
                     known.erase(row.key);
                 } else {
@@ -34,7 +40,7 @@
                 }
             }
         };
-        return {[this, change](const std::vector<StoreRow> &rows) {
+        return {[this, change](const std::vector<FeedRow> &rows) {
                     known.clear();
                     change(rows);
                     ++replacements;
@@ -72,6 +78,7 @@
     asio::io_context context{1};
     StoreStandIn store;
     MetadataStore client;
+    FeedSharing sharing;
     TableWatch watch;
     std::map<std::string, std::string> known;
     std::string reachability;
@@ -173,3 +180,172 @@
         cr_assert(std::holds_alternative<StoreFailure>(fixture.client.put("things", "k", bytes, yield)));
     });
 }
+
+namespace
+{
+
+/// Hosts of one availability zone that share the feed of a table. Messages between them take no time.
+class Zone
+{
+public:
+    struct Host
+    {
+        HostId id;
+        /// Calls of the host to the store come from this address.
+        std::string address;
+        std::unique_ptr<MetadataStore> client;
+        std::unique_ptr<FeedSharing> sharing;
+        std::unique_ptr<TableWatch> watch;
+        std::map<std::string, std::string> known;
+        bool isCutOff = false;
+    };
+
+    explicit Zone(std::size_t count)
+        : store(context)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            ids.emplace_back("host-" + std::to_string(i));
+        }
+        for (std::size_t i = 0; i < count; ++i) {
+            add(i);
+        }
+    }
+
+    /// The host that all others follow.
+    Host &feeder()
+    {
+        for (auto &host : hosts) {
+            if (std::holds_alternative<ReadsForOthers>(host->sharing->role(BootClock::now()))) {
+                return *host;
+            }
+        }
+        return *hosts.front();
+    }
+
+    void run(const std::function<void(const asio::yield_context &yield)> &body)
+    {
+        for (auto &host : hosts) {
+            asio::spawn(context, [&host](const asio::yield_context &yield) { host->watch->run(yield); });
+            asio::spawn(context, [this, &host](const asio::yield_context &yield) {
+                while (!context.stopped()) {
+                    host->sharing->server().answerDue(BootClock::now());
+                    sleepFor(context, 10ms, yield);
+                }
+            });
+        }
+        asio::spawn(context, [this, &body](const asio::yield_context &yield) {
+            body(yield);
+            context.stop();
+        });
+        context.run();
+    }
+
+    /// Time until every host but an excluded one knows a value of the key; 5 s when it never does.
+    std::chrono::milliseconds timeUntilKnown(const std::string &key, const Host *excluded, const asio::yield_context &yield)
+    {
+        const BootTime start = BootClock::now();
+        const auto isKnown = [&](const auto &host) { return host.get() == excluded || host->known.count(key) > 0; };
+        while (BootClock::now() - start < 5s && !std::all_of(hosts.begin(), hosts.end(), isKnown)) {
+            sleepFor(context, 5ms, yield);
+        }
+        return std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - start);
+    }
+
+    asio::io_context context{1};
+    StoreStandIn store;
+    std::vector<HostId> ids;
+    std::vector<std::unique_ptr<Host>> hosts;
+
+private:
+    void add(std::size_t index)
+    {
+        auto host = std::make_unique<Host>();
+        Host &self = *host;
+        self.id = ids[index];
+        self.address = "127.0.0." + std::to_string(10 + index);
+        self.client = std::make_unique<MetadataStore>(context, store.address(), self.address);
+        FeederChoiceSettings choice;
+        choice.self = self.id;
+        const auto send = [this, &self](const HostId &to, const PeerMessage &message) { deliver(self, to, message); };
+        self.sharing = std::make_unique<FeedSharing>(context, choice, send, [this] { return ids; });
+        const auto change = [&self](const std::vector<FeedRow> &rows) {
+            for (const FeedRow &row : rows) {
+                self.known[row.key] = row.value;
+            }
+        };
+        const TableWatchHandlers handlers{change, change, [](bool, const std::string &) {}};
+        // Changes must be known within one second.
+        const WatchPace pace{350ms, 5s, {150ms, 350ms, 100ms}};
+        self.watch = std::make_unique<TableWatch>(context, *self.client, *self.sharing, "things", pace, handlers);
+        hosts.push_back(std::move(host));
+    }
+
+    void deliver(const Host &from, const HostId &to, const PeerMessage &message)
+    {
+        asio::post(context, [this, &from, to, message] {
+            for (auto &host : hosts) {
+                if (host->id == to && !host->isCutOff && !from.isCutOff) {
+                    host->sharing->receive(from.id, message, BootClock::now());
+                }
+            }
+        });
+    }
+};
+
+enum class Trouble {
+    None,
+    FeederCutOff,
+    FeederLosesStore,
+    StoreDown,
+};
+
+struct ZoneTrouble
+{
+    char name[32];
+    Trouble trouble;
+    /// From the change to its knowledge at the other hosts.
+    int mostMilliseconds;
+};
+
+} // namespace
+
+// Load pattern: changes that all hosts of a zone would read from the store. Guards against hosts that follow another one and
+// miss a change beyond its time, because that host is gone or has lost the store without noticing.
+ParameterizedTestParameters(TableWatch, hostsShareAFeed)
+{
+    static ZoneTrouble cases[] = {
+        {"no trouble", Trouble::None, 200},
+        {"the feeder is cut off", Trouble::FeederCutOff, 1000},
+        {"the feeder loses the store", Trouble::FeederLosesStore, 1000},
+        {"the store was down", Trouble::StoreDown, 2000},
+    };
+    return cr_make_param_array(ZoneTrouble, cases, std::size(cases));
+}
+
+ParameterizedTest(ZoneTrouble *testCase, TableWatch, hostsShareAFeed)
+{
+    Zone zone(8);
+    zone.run([&](const asio::yield_context &yield) {
+        zone.store.set("things", "first", "1");
+        cr_assert_lt(zone.timeUntilKnown("first", nullptr, yield).count(), 2000);
+        sleepFor(zone.context, 500ms, yield);
+        const int feedsBefore = zone.store.feeds;
+        sleepFor(zone.context, 2000ms, yield);
+        cr_assert_leq(zone.store.feeds - feedsBefore, 6, "%d calls in 2 s", zone.store.feeds - feedsBefore);
+        Zone::Host &feeder = zone.feeder();
+        const Zone::Host *excluded = nullptr;
+        if (testCase->trouble == Trouble::FeederCutOff) {
+            feeder.isCutOff = true;
+        } else if (testCase->trouble == Trouble::FeederLosesStore) {
+            zone.store.silentTo.insert(feeder.address);
+            excluded = &feeder;
+        } else if (testCase->trouble == Trouble::StoreDown) {
+            zone.store.isDown = true;
+            sleepFor(zone.context, 3000ms, yield);
+            zone.store.isDown = false;
+        }
+        zone.store.set("things", "second", "1");
+        const auto time = zone.timeUntilKnown("second", excluded, yield);
+        cr_assert_leq(time.count(), testCase->mostMilliseconds, "%s: %d ms", testCase->name, static_cast<int>(time.count()));
+    });
+}
