LibSteering: Price work by the slot time that it takes from others

Cause: under overload the price of slots was relative to each route's own target, so that four seconds of a low rank cost no more than a quarter of a second of the most urgent one.

Change: work pays for the time that it holds a slot, relative to the usual one, times the usual value of the service's requests over its own. The price is 0.6 of that value while all slots are in use.

Tests: Placement::longWorkOfLowRankYieldsFirst, Replay::longWorkOfLowRankYieldsToUrgentWork.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -130,7 +130,7 @@
     exchange.placement.keyHash = route.hasAffinity && !key.empty() ? stableHash(fmt::format("{}/{}", route.id.value(), key)) : 0;
     exchange.positionHash = exchange.placement.keyHash != 0 ? exchange.placement.keyHash : stableHash(exchange.id);
     exchange.placement.service = m_state.nextService(route);
-    m_state.knowledge(exchange.placement.service).retries.recordRequest(exchange.placement.arrivedAt);
+    m_state.recordArrival(exchange.placement);
     while (true) {
         auto chosen = choose(exchange);
         if (auto *rejection = std::get_if<HttpResponse>(&chosen)) {
--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -21,6 +21,8 @@
 constexpr double s_mostLoadOfOne = 1.5;
 /// Weight of one new sample of the time that a slot is held.
 constexpr double s_slotTimeWeight = 0.05;
+/// Weight of one new request in the usual value of a service's requests.
+constexpr double s_valueWeight = 0.02;
 
 /// Takes the time that one request held a slot.
 void recordSlotTime(ServiceKnowledge &service, Milliseconds time)
@@ -218,6 +220,7 @@
     query.work = &knowledge(*request.route).work;
     query.usualLoad = usualLoad(request.service, usable);
     query.slotTime = knowledge(request.service).slotTime;
+    query.usualValue = knowledge(request.service).usualValue;
     query.now = now;
     return Trefoil::place(models, query, m_settings.placement);
 }
@@ -248,6 +251,14 @@
     }
 }
 
+void GatewayState::recordArrival(const RequestPlacement &request)
+{
+    ServiceKnowledge &service = knowledge(request.service);
+    service.retries.recordRequest(request.arrivedAt);
+    const double value = rankValue(request.route->priority);
+    service.usualValue += (value - service.usualValue) * (service.usualValue <= 0 ? 1.0 : s_valueWeight);
+}
+
 bool GatewayState::isWarmUpOwner(const Upstream &upstream, BootTime now) const
 {
     if (coldRate(upstream.model.identity().service) <= 0) {
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -69,6 +69,8 @@
     RetryAllowance retries;
     /// Usual time that a request holds a slot.
     Milliseconds slotTime{0};
+    /// Usual value of the requests, by rankValue(); 0 before the first one.
+    double usualValue = 0;
     std::vector<std::shared_ptr<Upstream>> upstreams;
     /// Set with the first request.
     std::optional<SpillShare> spill;
@@ -154,6 +156,9 @@
     /// when operators set none. Precondition: none.
     std::shared_ptr<ConnectionLimit> connectionLimit(const Upstream &upstream) const;
 
+    /// Counts a request that came in. Precondition: its service is set.
+    void recordArrival(const RequestPlacement &request);
+
     /// Precondition: none.
     RouteKnowledge &knowledge(const Route &route);
     ServiceKnowledge &knowledge(const ServiceId &service);
--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -10,9 +10,10 @@
 namespace
 {
 
-/// Longest pause after a first and after further failures. Changes must be in force within two seconds of the store's return.
+/// Longest pause after a first and after further failures. Changes must be in force within two seconds of the store's return, at
+/// least for tables whose changes don't wait for longer anyway; all hosts call the store again and again while it is down.
 constexpr std::chrono::milliseconds s_firstPause{150};
-constexpr std::chrono::milliseconds s_longestPause{600};
+constexpr std::chrono::milliseconds s_longestPause{1200};
 
 } // namespace
 
@@ -24,7 +25,7 @@
     , m_table(std::move(table))
     , m_pace(pace)
     , m_handlers(std::move(handlers))
-    , m_backoff(s_firstPause, s_longestPause)
+    , m_backoff(s_firstPause, std::max(s_longestPause, pace.batchPause))
     , m_random(std::random_device{}())
 {
     m_sharing.addTable(m_table, m_pace.feeder);
--- a/Libraries/LibSteering/placement.cpp
+++ b/Libraries/LibSteering/placement.cpp
@@ -34,7 +34,6 @@
 /// Load per slot from which slots have a price, and at which the price is full.
 constexpr double s_pricedLoad = 0.7;
 constexpr double s_fullPriceLoad = 1.15;
-constexpr std::int32_t s_leastUrgent = 4;
 /// Longest queue at an upstream that a request joins, in parts of its target latency.
 constexpr double s_longestWait = 0.7;
 /// Requests per slot, in work and waiting, beyond which an upstream sheds.
@@ -66,11 +65,14 @@
     return ranks;
 }
 
-/// Value lost to others by work as long as the target latency.
-double slotPrice(const PlacementQuery &query, const PlacementSettings &settings)
+/// Value lost to others while work holds a slot, in parts of the value of this request's response.
+double slotCost(Milliseconds work, const PlacementQuery &query, const PlacementSettings &settings)
 {
+    if (query.slotTime.count() <= 0) {
+        return 0;
+    }
     const double part = std::clamp((query.usualLoad - s_pricedLoad) / (s_fullPriceLoad - s_pricedLoad), 0.0, 1.0);
-    return part * (settings.slotPrice + settings.slotPricePerPriority * std::clamp(query.priority, 0, s_leastUrgent));
+    return part * settings.slotPrice * (work / query.slotTime) * (query.usualValue / rankValue(query.priority));
 }
 
 /// Time in the queue of an upstream whose slots are occupied by that many requests, in work or waiting.
@@ -113,6 +115,11 @@
     return ofKnown <= s_surelySlow ? std::optional(std::min(ofKnown, 1.0)) : std::nullopt;
 }
 
+double rankValue(std::int32_t priority)
+{
+    return 1.0 / (1 + std::max(priority, 0));
+}
+
 double valueAt(Milliseconds time, Milliseconds target, Milliseconds limit)
 {
     if (time >= limit) {
@@ -165,7 +172,7 @@
         }
         const Milliseconds total = query.elapsed + roundTrip + wait + work;
         const double value = (1 - upstream.failureRate(query.now)) * valueAt(total, query.targetLatency, limit) - distanceCost
-            - settings.rankCost * std::min(ranks[i], s_mostRanks) - slotPrice(query, settings) * (pricedWork / query.targetLatency);
+            - settings.rankCost * std::min(ranks[i], s_mostRanks) - slotCost(pricedWork, query, settings);
         if (!best || value > bestValue) {
             best = Placed{i, cache, work, wait};
             bestValue = value;
--- a/Libraries/LibSteering/placement.h
+++ b/Libraries/LibSteering/placement.h
@@ -51,10 +51,9 @@
     /// Value given up for each place in a key's order of upstreams. Hosts that leave the first one meet at the second, and do so
     /// late: each further upstream does the cold work once more and forgets another key for it. From trials on the users' days.
     double rankCost = 0.16;
-    /// Value that work as long as the target latency costs the most urgent requests while all slots are in use, and what each
-    /// rank below adds. From trials on the users' standard days of high load.
-    double slotPrice = 0.2;
-    double slotPricePerPriority = 0.1;
+    /// Part of the value of the requests that work of usual length keeps from a slot while all slots are in use. Requests vary in
+    /// how long they can wait, so that not all of that value is lost.
+    double slotPrice = 0.6;
 };
 
 struct PlacementQuery
@@ -71,6 +70,8 @@
     const WorkEstimate *work = nullptr;
     /// Usual time that any request holds a slot of the service.
     Milliseconds slotTime{0};
+    /// Usual value of a request for the service, by rankValue().
+    double usualValue = 1;
     /// Requests in work or waiting for each slot of the candidates, as reported lately.
     double usualLoad = 0;
     BootTime now;
@@ -102,13 +103,17 @@
 
 /// Chooses the upstream with the highest expected value: the probability of success, times the value of a response at the
 /// expected time, less the cost of distance and of the slots that the work takes from others. Waiting at a warm upstream
-/// competes with cold work at an idle one; the busier the slots, the more cold work costs, and the sooner what is less urgent.
+/// competes with cold work at an idle one. The busier the slots, the more work costs by the time that it holds one, against the
+/// value of what else the slot could do: long work of a low rank yields first.
 /// Answers load between half and twice the slots, with warm caches, slow and failing upstreams: without the cost of slots,
 /// overload drives keys to cold upstreams, whose longer work keeps the overload up.
 /// Precondition: the query's work estimate is set; candidates belong to one service and may be used by the request.
 /// Thread safety: safe from any thread while the models don't change.
 PlacementResult place(const std::vector<UpstreamModel *> &candidates, const PlacementQuery &query, const PlacementSettings &settings);
 
+/// Value of a response to a request of a rank, relative to the most urgent one. Precondition: none.
+double rankValue(std::int32_t priority);
+
 /// Value of a response at a time relative to its target latency, from 1 to 0. Precondition: target is positive.
 double valueAt(Milliseconds time, Milliseconds target, Milliseconds limit);
 
--- a/Tests/Bench/Replay/replay.cpp
+++ b/Tests/Bench/Replay/replay.cpp
@@ -45,11 +45,6 @@
 /// Time until room, as told when upstreams shed.
 constexpr Milliseconds s_shedRetryAfter{20};
 
-const std::vector<RequestClass> s_classes = {
-    {"urgent", 0, 0.2, Milliseconds(600), Milliseconds(400), Milliseconds(3000), 3},
-    {"ordinary", 2, 0.8, Milliseconds(880), Milliseconds(600), Milliseconds(4000), 1},
-};
-
 struct Request
 {
     std::size_t requestClass = 0;
@@ -89,12 +84,12 @@
         , m_random(seed)
         , m_upstreams(s_upstreams)
     {
-        for (std::size_t i = 0; i < s_classes.size(); ++i) {
+        for (std::size_t i = 0; i < m_pattern.classes.size(); ++i) {
             Route route;
-            route.id = RouteId(s_classes[i].name);
-            route.targetLatency = std::chrono::duration_cast<milliseconds>(s_classes[i].target);
-            route.timeout = std::chrono::duration_cast<milliseconds>(s_classes[i].limit);
-            route.priority = s_classes[i].priority;
+            route.id = RouteId(m_pattern.classes[i].name);
+            route.targetLatency = std::chrono::duration_cast<milliseconds>(m_pattern.classes[i].target);
+            route.timeout = std::chrono::duration_cast<milliseconds>(m_pattern.classes[i].limit);
+            route.priority = m_pattern.classes[i].priority;
             route.services = {{ServiceId("service"), 1}};
             m_routes.push_back(std::move(route));
         }
@@ -140,7 +135,6 @@
         }
         if (m_policy == Policy::OwnWithoutPrice || m_policy == Policy::OwnSpreading) {
             settings.placement.slotPrice = 0;
-            settings.placement.slotPricePerPriority = 0;
         }
         auto state = std::make_unique<GatewayState>(settings);
         for (int i = 0; i < s_upstreams; ++i) {
@@ -173,7 +167,7 @@
     void scheduleArrival(Milliseconds from)
     {
         Milliseconds meanWork(0);
-        for (const RequestClass &requestClass : s_classes) {
+        for (const RequestClass &requestClass : m_pattern.classes) {
             meanWork += requestClass.work * requestClass.share;
         }
         const bool isBurst = from >= s_burstFrom && from < s_burstUntil;
@@ -184,7 +178,7 @@
         }
         at(next, [this, next] {
             Request request;
-            request.requestClass = uniform(0, 1) < s_classes[0].share ? 0 : 1;
+            request.requestClass = uniform(0, 1) < m_pattern.classes[0].share ? 0 : 1;
             request.keyHash = stableHash(fmt::format("{}/{}", request.requestClass, m_random(s_keysPerClass)));
             request.host = m_random(s_hosts);
             request.bornAt = next;
@@ -197,13 +191,14 @@
     RequestPlacement placement(const Request &request) const
     {
         const Route &route = m_routes[request.requestClass];
-        return {&route, ServiceId("service"), request.keyHash, bootTime(m_now), bootTime(request.bornAt + s_classes[request.requestClass].limit)};
+        return {&route, ServiceId("service"), request.keyHash, bootTime(m_now), bootTime(request.bornAt + m_pattern.classes[request.requestClass].limit)};
     }
 
     void arrive(Request request)
     {
         request.host = m_random(s_hosts);
         request.tried.clear();
+        m_hosts[request.host]->recordArrival(placement(request));
         attempt(std::move(request));
     }
 
@@ -263,7 +258,7 @@
             }
         };
         const auto index = static_cast<std::size_t>(std::stoul(upstream->model.identity().id.value().substr(1)));
-        const Milliseconds cold = s_classes[request.requestClass].work * uniform(1 - s_workSpread, 1 + s_workSpread);
+        const Milliseconds cold = m_pattern.classes[request.requestClass].work * uniform(1 - s_workSpread, 1 + s_workSpread);
         at(m_now + s_networkTime, [this, index, cold, key = request.keyHash, end]() mutable { receive(index, key, cold, std::move(end)); });
     }
 
@@ -319,7 +314,7 @@
     void served(const Request &request)
     {
         const Milliseconds time = m_now - request.bornAt;
-        const RequestClass &requestClass = s_classes[request.requestClass];
+        const RequestClass &requestClass = m_pattern.classes[request.requestClass];
         if (time > requestClass.limit) {
             return;
         }
@@ -333,7 +328,7 @@
     {
         ++m_rejected;
         const Milliseconds back = m_now + retryAfter(untilRoom, uniform(0, 1));
-        if (++request.returns > s_mostReturns || back >= request.bornAt + s_classes[request.requestClass].limit) {
+        if (++request.returns > s_mostReturns || back >= request.bornAt + m_pattern.classes[request.requestClass].limit) {
             return;
         }
         at(back, [this, request]() mutable { arrive(std::move(request)); });
@@ -344,14 +339,14 @@
         double possible = 0;
         double worth = 0;
         double requests = 0;
-        for (std::size_t i = 0; i < s_classes.size(); ++i) {
-            possible += m_born[i] * s_classes[i].worth;
+        for (std::size_t i = 0; i < m_pattern.classes.size(); ++i) {
+            possible += m_born[i] * m_pattern.classes[i].worth;
             worth += m_worth[i];
             requests += m_born[i];
         }
         std::sort(m_times.begin(), m_times.end());
         return {worth / possible,
-            m_worth[0] / (m_born[0] * s_classes[0].worth),
+            m_worth[0] / (m_born[0] * m_pattern.classes[0].worth),
             m_inTime / requests,
             m_late / requests,
             m_rejected / requests,
@@ -408,6 +403,11 @@
 
 const std::vector<Pattern> &allPatterns()
 {
+    // The users' service whose slots short urgent work shares with long work that can wait.
+    static const std::vector<RequestClass> longWorkOfLowRank = {
+        {"urgent", 0, 0.63, Milliseconds(720), Milliseconds(400), Milliseconds(3000), 3},
+        {"long", 2, 0.37, Milliseconds(4224), Milliseconds(2000), Milliseconds(20000), 1},
+    };
     static const std::vector<Pattern> all = {
         {"half load", 0.5},
         {"full load", 1.0},
@@ -417,6 +417,8 @@
         {"burst of 2.5", 0.9, 2.5},
         {"slow upstream", 1.0, 1, 5},
         {"shedding upstream", 1.0, 1, 1, 0.45},
+        {"long work of low rank 1.4", 1.4, 1, 1, 0, longWorkOfLowRank},
+        {"long work of low rank 2.2", 2.2, 1, 1, 0, longWorkOfLowRank},
     };
     return all;
 }
--- a/Tests/Bench/Replay/replay.h
+++ b/Tests/Bench/Replay/replay.h
@@ -46,6 +46,12 @@
     double worth = 1;
 };
 
+/// A fifth of short urgent requests among ordinary ones.
+inline const std::vector<RequestClass> usualClasses = {
+    {"urgent", 0, 0.2, Milliseconds(600), Milliseconds(400), Milliseconds(3000), 3},
+    {"ordinary", 2, 0.8, Milliseconds(880), Milliseconds(600), Milliseconds(4000), 1},
+};
+
 struct Pattern
 {
     std::string name;
@@ -57,6 +63,8 @@
     double slowness = 1;
     /// Share of its requests that the first upstream sheds between 10 and 20 s although it has room.
     double sheds = 0;
+    /// Two classes, the most urgent one first.
+    std::vector<RequestClass> classes = usualClasses;
 };
 
 const std::vector<Pattern> &allPatterns();
--- a/Tests/Bench/testreplay.cpp
+++ b/Tests/Bench/testreplay.cpp
@@ -1,5 +1,6 @@
 #include <Bench/Replay/replay.h>
 
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
@@ -61,3 +62,17 @@
         cr_assert(own.urgent >= spreading.urgent, "seed %lu", static_cast<unsigned long>(seed));
     }
 }
+
+// Load pattern: slots that short urgent work shares with long work of a low rank, at 2.2 times what they do. Guards against long work
+// that takes the slots: without its price, urgent requests wait behind it until they are late.
+Test(Replay, longWorkOfLowRankYieldsToUrgentWork)
+{
+    const auto pattern = std::find_if(allPatterns().begin(), allPatterns().end(), [](const Pattern &each) { return each.name == "long work of low rank 2.2"; });
+    cr_assert(pattern != allPatterns().end());
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        const Score own = play(*pattern, Policy::Own, seed);
+        const Score unpriced = play(*pattern, Policy::OwnWithoutPrice, seed);
+        cr_assert(own.total >= unpriced.total + 0.1, "seed %lu: %f, without a price %f", static_cast<unsigned long>(seed), own.total, unpriced.total);
+        cr_assert(own.urgent >= unpriced.urgent + 0.1, "seed %lu: %f, without a price %f", static_cast<unsigned long>(seed), own.urgent, unpriced.urgent);
+    }
+}
--- a/Tests/LibSteering/testplacement.cpp
+++ b/Tests/LibSteering/testplacement.cpp
@@ -286,6 +286,59 @@
     cr_assert_eq(static_cast<int>(got), static_cast<int>(testCase->expected), "%s: %d", testCase->name, static_cast<int>(got));
 }
 
+namespace
+{
+
+struct SharedServiceCase
+{
+    char name[40];
+    double load;
+    int priority;
+    /// Usual work of the route, relative to the service's.
+    double work;
+    bool isPlaced;
+};
+
+} // namespace
+
+// Load pattern: short urgent work and long work of a low rank share the slots of a service, beyond what these can do. Guards
+// against long work that takes the slots while urgent requests wait past their target.
+ParameterizedTestParameters(Placement, longWorkOfLowRankYieldsFirst)
+{
+    static SharedServiceCase cases[] = {
+        {"urgent and short, overload", 1.5, 0, 0.35, true},
+        {"low rank and long, overload", 1.5, 2, 2.1, false},
+        {"low rank and long, room", 0.6, 2, 2.1, true},
+        {"urgent and long, overload", 1.5, 0, 2.1, true},
+        {"low rank and short, overload", 1.5, 2, 0.35, true},
+    };
+    return cr_make_param_array(SharedServiceCase, cases, std::size(cases));
+}
+
+ParameterizedTest(SharedServiceCase *testCase, Placement, longWorkOfLowRankYieldsFirst)
+{
+    PlacementQuery asked;
+    asked.slotTime = 700ms;
+    asked.now = s_start;
+    const Milliseconds usual = asked.slotTime * testCase->work;
+    WorkEstimate work(usual * 1.5);
+    for (int i = 0; i < 100; ++i) {
+        work.record(CacheState::Known, usual);
+    }
+    asked.keyHash = stableHash("key");
+    asked.targetLatency = usual * 1.5;
+    asked.timeLeft = asked.targetLatency * 5;
+    asked.work = &work;
+    asked.usualValue = 0.75;
+    asked.usualLoad = testCase->load;
+    asked.priority = testCase->priority;
+    UpstreamModel upstream(identity("a", "gulf-a", "gulf"));
+    upstream.recordKey(asked.keyHash, s_start);
+    upstream.recordStart();
+    upstream.recordEnd(AttemptOutcome::Success, std::nullopt, LoadReport{1, 0}, s_start);
+    cr_assert_eq(std::holds_alternative<Placed>(place({&upstream}, asked, settings())), testCase->isPlaced, "%s", testCase->name);
+}
+
 // Load pattern: the first requests for a key, when all upstreams are idle, cold and in another region. Guards against a refusal
 // while slots are free.
 Test(Placement, idleUpstreamsServeAlsoLateAndFarAway)
@@ -401,6 +454,7 @@
         request.slotTime = slotTime;
         request.usualLoad = load;
         request.priority = 2;
+        request.usualValue = rankValue(request.priority);
         const PlacementResult result = place(models, request, settings());
         const bool counts = now >= s_start + 20s;
         asked += counts ? 1 : 0;
