LibSteering: Let no rank yield to a less urgent one of its service

Change: SlotDemand keeps arrivals and work by rank. Work pays for the more urgent requests that it keeps from a slot; length counts only against these, and a rank counts as no shorter than any more urgent one.

Test changed: Placement::longWorkOfLowRankYieldsFirst asked for short work of a low rank to be placed at full overload, which contradicts that order. It is replaced by Placement::workPaysForWhatItDisplaces and by a property over 2,000 random mixes, SlotDemand::noRankPaysLessThanAMoreUrgentOne.

--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -19,16 +19,6 @@
 constexpr double s_loadWeight = 0.04;
 /// Most load per slot that one upstream adds: its long queue doesn't say that the others are full.
 constexpr double s_mostLoadOfOne = 1.5;
-/// Weight of one new sample of the time that a slot is held.
-constexpr double s_slotTimeWeight = 0.05;
-/// Weight of one new request in the usual value of a service's requests.
-constexpr double s_valueWeight = 0.02;
-
-/// Takes the time that one request held a slot.
-void recordSlotTime(ServiceKnowledge &service, Milliseconds time)
-{
-    service.slotTime += (time - service.slotTime) * (service.slotTime.count() <= 0 ? 1.0 : s_slotTimeWeight);
-}
 
 } // namespace
 
@@ -216,11 +206,11 @@
     query.targetLatency = request.route->targetLatency;
     query.elapsed = now - request.arrivedAt;
     query.timeLeft = request.deadline - now;
-    query.priority = request.route->priority;
     query.work = &knowledge(*request.route).work;
     query.usualLoad = usualLoad(request.service, usable);
-    query.slotTime = knowledge(request.service).slotTime;
-    query.usualValue = knowledge(request.service).usualValue;
+    const SlotDemand &demand = knowledge(request.service).demand;
+    query.slotTime = demand.slotTime();
+    query.displacedValue = demand.displacedValue(request.route->priority);
     query.now = now;
     return Trefoil::place(models, query, m_settings.placement);
 }
@@ -244,7 +234,7 @@
     }
     if (placed.expectedWait.count() <= 0) {
         work.record(placed.cache, atUpstream);
-        recordSlotTime(service, atUpstream);
+        service.demand.recordWork(request.route->priority, atUpstream);
     }
     if (request.keyHash != 0) {
         upstream.model.recordKey(request.keyHash, now);
@@ -255,8 +245,7 @@
 {
     ServiceKnowledge &service = knowledge(request.service);
     service.retries.recordRequest(request.arrivedAt);
-    const double value = rankValue(request.route->priority);
-    service.usualValue += (value - service.usualValue) * (service.usualValue <= 0 ? 1.0 : s_valueWeight);
+    service.demand.recordArrival(request.route->priority);
 }
 
 bool GatewayState::isWarmUpOwner(const Upstream &upstream, BootTime now) const
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -7,6 +7,7 @@
 #include <LibSteering/coldpacer.h>
 #include <LibSteering/placement.h>
 #include <LibSteering/retryallowance.h>
+#include <LibSteering/slotdemand.h>
 #include <LibSteering/spillshare.h>
 #include <LibSteering/trafficsplit.h>
 
@@ -67,10 +68,7 @@
     }
 
     RetryAllowance retries;
-    /// Usual time that a request holds a slot.
-    Milliseconds slotTime{0};
-    /// Usual value of the requests, by rankValue(); 0 before the first one.
-    double usualValue = 0;
+    SlotDemand demand;
     std::vector<std::shared_ptr<Upstream>> upstreams;
     /// Set with the first request.
     std::optional<SpillShare> spill;
--- a/Libraries/LibSteering/placement.cpp
+++ b/Libraries/LibSteering/placement.cpp
@@ -68,11 +68,8 @@
 /// Value lost to others while work holds a slot, in parts of the value of this request's response.
 double slotCost(Milliseconds work, const PlacementQuery &query, const PlacementSettings &settings)
 {
-    if (query.slotTime.count() <= 0) {
-        return 0;
-    }
     const double part = std::clamp((query.usualLoad - s_pricedLoad) / (s_fullPriceLoad - s_pricedLoad), 0.0, 1.0);
-    return part * settings.slotPrice * (work / query.slotTime) * (query.usualValue / rankValue(query.priority));
+    return part * settings.slotPrice * query.displacedValue * (work / query.work->expected(CacheState::Known));
 }
 
 /// Time in the queue of an upstream whose slots are occupied by that many requests, in work or waiting.
@@ -115,11 +112,6 @@
     return ofKnown <= s_surelySlow ? std::optional(std::min(ofKnown, 1.0)) : std::nullopt;
 }
 
-double rankValue(std::int32_t priority)
-{
-    return 1.0 / (1 + std::max(priority, 0));
-}
-
 double valueAt(Milliseconds time, Milliseconds target, Milliseconds limit)
 {
     if (time >= limit) {
--- a/Libraries/LibSteering/placement.h
+++ b/Libraries/LibSteering/placement.h
@@ -51,8 +51,7 @@
     /// Value given up for each place in a key's order of upstreams. Hosts that leave the first one meet at the second, and do so
     /// late: each further upstream does the cold work once more and forgets another key for it. From trials on the users' days.
     double rankCost = 0.16;
-    /// Part of the value of the requests that work of usual length keeps from a slot while all slots are in use. Requests vary in
-    /// how long they can wait, so that not all of that value is lost.
+    /// Part of the displaced value that work pays for while all slots are in use. Requests that wait are not all lost.
     double slotPrice = 0.6;
 };
 
@@ -65,13 +64,11 @@
     Milliseconds elapsed{0};
     /// Until the caller or the operator no longer wants the response.
     Milliseconds timeLeft{0};
-    /// 0 is the most urgent.
-    std::int32_t priority = 0;
     const WorkEstimate *work = nullptr;
     /// Usual time that any request holds a slot of the service.
     Milliseconds slotTime{0};
-    /// Usual value of a request for the service, by rankValue().
-    double usualValue = 1;
+    /// As told by SlotDemand for the request's rank.
+    double displacedValue = 1;
     /// Requests in work or waiting for each slot of the candidates, as reported lately.
     double usualLoad = 0;
     BootTime now;
@@ -103,17 +100,14 @@
 
 /// Chooses the upstream with the highest expected value: the probability of success, times the value of a response at the
 /// expected time, less the cost of distance and of the slots that the work takes from others. Waiting at a warm upstream
-/// competes with cold work at an idle one. The busier the slots, the more work costs by the time that it holds one, against the
-/// value of what else the slot could do: long work of a low rank yields first.
+/// competes with cold work at an idle one. The busier the slots, the more work pays for the requests that it keeps from one: cold
+/// work and long work of a low rank yield first.
 /// Answers load between half and twice the slots, with warm caches, slow and failing upstreams: without the cost of slots,
 /// overload drives keys to cold upstreams, whose longer work keeps the overload up.
 /// Precondition: the query's work estimate is set; candidates belong to one service and may be used by the request.
 /// Thread safety: safe from any thread while the models don't change.
 PlacementResult place(const std::vector<UpstreamModel *> &candidates, const PlacementQuery &query, const PlacementSettings &settings);
 
-/// Value of a response to a request of a rank, relative to the most urgent one. Precondition: none.
-double rankValue(std::int32_t priority);
-
 /// Value of a response at a time relative to its target latency, from 1 to 0. Precondition: target is positive.
 double valueAt(Milliseconds time, Milliseconds target, Milliseconds limit);
 
--- /dev/null
+++ b/Libraries/LibSteering/slotdemand.cpp
@@ -0,0 +1,64 @@
+#include <LibSteering/slotdemand.h>
+
+#include <algorithm>
+
+namespace Trefoil
+{
+
+namespace
+{
+
+using Milliseconds = SlotDemand::Milliseconds;
+
+/// Weight of one new arrival in the shares of the ranks.
+constexpr double s_arrivalWeight = 0.02;
+/// Weight of one new sample of the time that a slot is held.
+constexpr double s_workWeight = 0.05;
+
+/// Value of a response to a request of a rank, relative to the most urgent one.
+double rankValue(std::int32_t priority)
+{
+    return 1.0 / (1 + std::max(priority, 0));
+}
+
+void moveTowards(Milliseconds &average, Milliseconds sample)
+{
+    average += (sample - average) * (average.count() <= 0 ? 1.0 : s_workWeight);
+}
+
+} // namespace
+
+void SlotDemand::recordArrival(std::int32_t priority)
+{
+    const double weight = m_ranks.empty() ? 1.0 : s_arrivalWeight;
+    m_ranks.try_emplace(priority);
+    for (auto &[rank, demand] : m_ranks) {
+        demand.share += weight * ((rank == priority ? 1.0 : 0.0) - demand.share);
+    }
+}
+
+void SlotDemand::recordWork(std::int32_t priority, Milliseconds time)
+{
+    moveTowards(m_slotTime, time);
+    moveTowards(m_ranks[priority].work, time);
+}
+
+double SlotDemand::displacedValue(std::int32_t priority) const
+{
+    double ofMoreUrgent = 0;
+    double ofEqual = 0;
+    // Work counts as no shorter than usual, nor than that of any more urgent rank, so that no rank pays less than a more urgent one.
+    double length = 1;
+    for (const auto &[rank, demand] : m_ranks) {
+        if (rank > priority) {
+            continue;
+        }
+        if (m_slotTime.count() > 0) {
+            length = std::max(length, demand.work / m_slotTime);
+        }
+        (rank == priority ? ofEqual : ofMoreUrgent) += demand.share * rankValue(rank) / rankValue(priority);
+    }
+    return ofEqual + length * ofMoreUrgent;
+}
+
+} // namespace Trefoil
--- a/Tests/LibSteering/testplacement.cpp
+++ b/Tests/LibSteering/testplacement.cpp
@@ -2,6 +2,7 @@
 #include <LibSteering/coldpacer.h>
 #include <LibSteering/placement.h>
 #include <LibSteering/retryallowance.h>
+#include <LibSteering/slotdemand.h>
 #include <LibSteering/spillshare.h>
 #include <LibSteering/trafficsplit.h>
 
@@ -223,7 +224,7 @@
     int busyFirst;
     int busySecond;
     double usualLoad;
-    int priority;
+    double displacedValue;
     /// Failed attempts at the first one.
     int failures;
     bool firstIsFar;
@@ -237,14 +238,14 @@
 ParameterizedTestParameters(Placement, warmUpstreamAgainstColdOne)
 {
     static PlaceCase cases[] = {
-        {"idle", 0, 0, 0.0, 0, 0, false, Expected::First},
-        {"warm one in use", 3, 0, 0.4, 0, 0, false, Expected::First},
-        {"warm one with a short queue", 5, 0, 0.4, 0, 0, false, Expected::First},
-        {"warm one with a long queue", 11, 0, 0.4, 0, 0, false, Expected::Second},
-        {"long queue under overload, least urgent", 11, 0, 1.5, 2, 0, false, Expected::Rejected},
-        {"both full", 12, 12, 1.5, 0, 0, false, Expected::Rejected},
-        {"warm one fails", 0, 0, 0.2, 0, 8, false, Expected::Second},
-        {"warm one in another region", 0, 0, 0.2, 0, 0, true, Expected::First},
+        {"idle", 0, 0, 0.0, 1, 0, false, Expected::First},
+        {"warm one in use", 3, 0, 0.4, 1, 0, false, Expected::First},
+        {"warm one with a short queue", 5, 0, 0.4, 1, 0, false, Expected::First},
+        {"warm one with a long queue", 11, 0, 0.4, 1, 0, false, Expected::Second},
+        {"long queue under overload, least urgent", 11, 0, 1.5, 3, 0, false, Expected::Rejected},
+        {"both full", 12, 12, 1.5, 1, 0, false, Expected::Rejected},
+        {"warm one fails", 0, 0, 0.2, 1, 8, false, Expected::Second},
+        {"warm one in another region", 0, 0, 0.2, 1, 0, true, Expected::First},
     };
     return cr_make_param_array(PlaceCase, cases, std::size(cases));
 }
@@ -279,7 +280,7 @@
         first.recordEnd(AttemptOutcome::Failed, std::nullopt, std::nullopt, s_start);
     }
     asked.usualLoad = testCase->usualLoad;
-    asked.priority = testCase->priority;
+    asked.displacedValue = testCase->displacedValue;
     const PlacementResult result = place({&first, &second}, asked, settings());
     const auto *placed = std::get_if<Placed>(&result);
     const Expected got = !placed ? Expected::Rejected : placed->candidate == 0 ? Expected::First : Expected::Second;
@@ -289,49 +290,38 @@
 namespace
 {
 
-struct SharedServiceCase
+struct PricedCase
 {
-    char name[40];
+    char name[48];
     double load;
-    int priority;
-    /// Usual work of the route, relative to the service's.
-    double work;
+    double displacedValue;
     bool isPlaced;
 };
 
 } // namespace
 
-// Load pattern: short urgent work and long work of a low rank share the slots of a service, beyond what these can do. Guards
-// against long work that takes the slots while urgent requests wait past their target.
-ParameterizedTestParameters(Placement, longWorkOfLowRankYieldsFirst)
+// Load pattern: work that keeps more urgent requests from the slots. Guards against such work that is taken while all slots are in
+// use, and that is refused while there is room.
+ParameterizedTestParameters(Placement, workPaysForWhatItDisplaces)
 {
-    static SharedServiceCase cases[] = {
-        {"urgent and short, overload", 1.5, 0, 0.35, true},
-        {"low rank and long, overload", 1.5, 2, 2.1, false},
-        {"low rank and long, room", 0.6, 2, 2.1, true},
-        {"urgent and long, overload", 1.5, 0, 2.1, true},
-        {"low rank and short, overload", 1.5, 2, 0.35, true},
+    static PricedCase cases[] = {
+        {"urgent, overload", 1.5, 0.6, true},
+        {"alone at its service, overload", 1.5, 1, true},
+        {"long work of a low rank, overload", 1.5, 4, false},
+        {"long work of a low rank, room", 0.6, 4, true},
     };
-    return cr_make_param_array(SharedServiceCase, cases, std::size(cases));
+    return cr_make_param_array(PricedCase, cases, std::size(cases));
 }
 
-ParameterizedTest(SharedServiceCase *testCase, Placement, longWorkOfLowRankYieldsFirst)
+ParameterizedTest(PricedCase *testCase, Placement, workPaysForWhatItDisplaces)
 {
-    PlacementQuery asked;
-    asked.slotTime = 700ms;
-    asked.now = s_start;
-    const Milliseconds usual = asked.slotTime * testCase->work;
-    WorkEstimate work(usual * 1.5);
+    WorkEstimate work(600ms);
     for (int i = 0; i < 100; ++i) {
-        work.record(CacheState::Known, usual);
+        work.record(CacheState::Known, 264ms);
     }
-    asked.keyHash = stableHash("key");
-    asked.targetLatency = usual * 1.5;
-    asked.timeLeft = asked.targetLatency * 5;
-    asked.work = &work;
-    asked.usualValue = 0.75;
+    PlacementQuery asked = query(work, stableHash("key"), s_start);
+    asked.displacedValue = testCase->displacedValue;
     asked.usualLoad = testCase->load;
-    asked.priority = testCase->priority;
     UpstreamModel upstream(identity("a", "gulf-a", "gulf"));
     upstream.recordKey(asked.keyHash, s_start);
     upstream.recordStart();
@@ -339,6 +329,48 @@
     cr_assert_eq(std::holds_alternative<Placed>(place({&upstream}, asked, settings())), testCase->isPlaced, "%s", testCase->name);
 }
 
+// Load pattern: ranks of any mix and length of work at one service. Guards against a rank that yields to a less urgent one because
+// its own work is longer.
+Test(SlotDemand, noRankPaysLessThanAMoreUrgentOne)
+{
+    pcg32 random(20261204);
+    for (int round = 0; round < 2000; ++round) {
+        SlotDemand demand;
+        const auto ranks = static_cast<std::int32_t>(1 + random(5));
+        std::vector<std::uint32_t> weights;
+        for (std::int32_t rank = 0; rank < ranks; ++rank) {
+            weights.push_back(1 + random(20));
+        }
+        std::vector<Milliseconds> works;
+        for (std::int32_t rank = 0; rank < ranks; ++rank) {
+            works.emplace_back(10 + random(5000));
+        }
+        for (int i = 0; i < 200; ++i) {
+            const auto rank = static_cast<std::int32_t>(random(static_cast<std::uint32_t>(ranks)));
+            if (random(20) < weights[static_cast<std::size_t>(rank)]) {
+                demand.recordArrival(rank);
+                demand.recordWork(rank, works[static_cast<std::size_t>(rank)]);
+            }
+        }
+        for (std::int32_t rank = 1; rank < ranks; ++rank) {
+            cr_assert(demand.displacedValue(rank) >= demand.displacedValue(rank - 1) - 1e-9, "round %d, rank %d", round, rank);
+        }
+    }
+}
+
+// Load pattern: short urgent work beside long work of a low rank. Guards against long work that costs no more than its own kind.
+Test(SlotDemand, longWorkOfALowRankDisplacesMuch)
+{
+    SlotDemand demand;
+    for (int i = 0; i < 1000; ++i) {
+        const bool isUrgent = i % 3 != 0;
+        demand.recordArrival(isUrgent ? 0 : 2);
+        demand.recordWork(isUrgent ? 0 : 2, isUrgent ? 240ms : 1500ms);
+    }
+    cr_assert_lt(demand.displacedValue(0), 1);
+    cr_assert_gt(demand.displacedValue(2), 3);
+}
+
 // Load pattern: the first requests for a key, when all upstreams are idle, cold and in another region. Guards against a refusal
 // while slots are free.
 Test(Placement, idleUpstreamsServeAlsoLateAndFarAway)
@@ -352,7 +384,6 @@
     for (const double load : {0.0, 0.5}) {
         PlacementQuery asked = query(work, stableHash("key"), s_start);
         asked.usualLoad = load;
-        asked.priority = 2;
         cr_assert(std::holds_alternative<Placed>(place({&far}, asked, settings())), "load %f", load);
     }
 }
@@ -453,8 +484,6 @@
         PlacementQuery request = query(work, key, now);
         request.slotTime = slotTime;
         request.usualLoad = load;
-        request.priority = 2;
-        request.usualValue = rankValue(request.priority);
         const PlacementResult result = place(models, request, settings());
         const bool counts = now >= s_start + 20s;
         asked += counts ? 1 : 0;
