--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include <LibHttp/endpoint.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -45,13 +46,13 @@
 
 using ReadResult = std::variant<HttpRequest, HttpResponse, ConnectionEnded>;
 
-HttpResponse responseForReadError(const beast::error_code &error, const HttpServerSettings &settings)
+HttpResponse responseForReadError(const beast::error_code &error, const HttpInputLimits &limits)
 {
     if (error == http::error::header_limit || error == http::error::buffer_overflow) {
-        return errorResponse(431, "header-too-large", "header", fmt::format("the header exceeds {} bytes", settings.headerLimit));
+        return errorResponse(431, "header-too-large", "header", fmt::format("the header exceeds {} bytes", limits.headerLimit));
     }
     if (error == http::error::body_limit) {
-        return errorResponse(413, "body-too-large", "body", fmt::format("the body exceeds {} bytes", settings.bodyLimit));
+        return errorResponse(413, "body-too-large", "body", fmt::format("the body exceeds {} bytes", limits.bodyLimit));
     }
     if (error == http::error::bad_content_length) {
         return errorResponse(400, "malformed-request", "Content-Length", "Content-Length is not one valid length");
@@ -99,6 +100,11 @@
     void closeIdle();
     void closeAll();
 
+    void setInputLimits(const HttpInputLimits &limits)
+    {
+        m_settings.input = limits;
+    }
+
     void announceClose()
     {
         m_closing = true;
@@ -138,7 +144,7 @@
     Connection(std::shared_ptr<State> state, tcp::socket socket)
         : m_state(std::move(state))
         , m_socket(std::move(socket))
-        , m_buffer(m_state->m_settings.headerLimit + s_readSize)
+        , m_buffer(m_state->m_settings.input.headerLimit + s_readSize)
     {
         beast::error_code ignored;
         m_socket.set_option(tcp::no_delay(true), ignored);
@@ -266,7 +272,7 @@
         beast::error_code error;
         if (m_buffer.size() == 0) {
             m_idle = true;
-            expireAfter(m_state->m_closing ? s_lingerTimeout : m_state->m_settings.idleTimeout);
+            expireAfter(m_state->m_closing ? s_lingerTimeout : m_state->m_settings.input.idleTimeout);
             const std::size_t count = m_socket.async_read_some(m_buffer.prepare(s_readSize), yield[error]);
             m_idle = false;
             m_buffer.commit(count);
@@ -275,9 +281,11 @@
             }
         }
         http::request_parser<http::string_body> parser;
-        parser.header_limit(static_cast<std::uint32_t>(m_state->m_settings.headerLimit));
-        parser.body_limit(m_state->m_settings.bodyLimit);
-        expireAfter(m_state->m_settings.headerTimeout);
+        // The buffer of the connection holds no larger header.
+        const std::size_t headerLimit = std::min(m_state->m_settings.input.headerLimit, m_buffer.max_size() - s_readSize);
+        parser.header_limit(static_cast<std::uint32_t>(headerLimit));
+        parser.body_limit(m_state->m_settings.input.bodyLimit);
+        expireAfter(m_state->m_settings.input.headerTimeout);
         http::async_read_header(m_socket, m_buffer, parser, yield[error]);
         if (error) {
             return endOfRead(error, "header");
@@ -304,7 +312,7 @@
         if (!isInputError(error)) {
             return ConnectionEnded{};
         }
-        return responseForReadError(error, m_state->m_settings);
+        return responseForReadError(error, m_state->m_settings.input);
     }
 
     bool continueBody(const asio::yield_context &yield)
@@ -516,6 +524,11 @@
     return m_state->address();
 }
 
+void HttpServer::setInputLimits(const HttpInputLimits &limits)
+{
+    m_state->setInputLimits(limits);
+}
+
 void HttpServer::announceClose()
 {
     m_state->announceClose();
--- a/Libraries/LibHttp/httpserver.h
+++ b/Libraries/LibHttp/httpserver.h
@@ -15,19 +15,25 @@
 namespace Trefoil
 {
 
-struct HttpServerSettings
+/// Bounds on what one caller may send, and on how long it may take.
+struct HttpInputLimits
 {
-    /// Listening IP:port.
-    std::string address;
-    /// Lets several servers share the address; the system spreads connections over them.
-    bool sharesAddress = false;
-    std::size_t connectionLimit = 4096;
     std::size_t headerLimit = std::size_t{16} * 1024;
     std::size_t bodyLimit = std::size_t{1024} * 1024;
     /// Longest wait for the first byte of a request.
     std::chrono::milliseconds idleTimeout{60000};
     /// Time for the whole header from its first byte.
     std::chrono::milliseconds headerTimeout{5000};
+};
+
+struct HttpServerSettings
+{
+    /// Listening IP:port.
+    std::string address;
+    /// Lets several servers share the address; the system spreads connections over them.
+    bool sharesAddress = false;
+    std::size_t connectionLimit = 4096;
+    HttpInputLimits input;
     /// Time for the whole body.
     std::chrono::milliseconds bodyTimeout{15000};
     /// Time for the whole response.
@@ -71,6 +77,9 @@
     /// The listening IP:port with the port that the system chose. Precondition: none.
     std::string address() const;
 
+    /// Changes the bounds for requests that are read from now on; that of the header for new connections only. Precondition: none.
+    void setInputLimits(const HttpInputLimits &limits);
+
     /// From now on every response ends its connection. Precondition: none.
     void announceClose();
 
--- a/Tests/LibHttp/testhttpserver.cpp
+++ b/Tests/LibHttp/testhttpserver.cpp
@@ -21,10 +21,10 @@
 {
     HttpServerSettings settings;
     settings.address = "127.0.0.1:0";
-    settings.bodyLimit = 1000;
-    settings.headerTimeout = s_shortTimeout;
+    settings.input.bodyLimit = 1000;
+    settings.input.headerTimeout = s_shortTimeout;
     settings.bodyTimeout = s_shortTimeout;
-    settings.idleTimeout = 2 * s_shortTimeout;
+    settings.input.idleTimeout = 2 * s_shortTimeout;
     return settings;
 }
 
@@ -168,3 +168,38 @@
     context.run();
     cr_assert(noticed);
 }
+
+namespace
+{
+
+struct LimitCase
+{
+    char name[32];
+    std::size_t bodyLimit;
+    int status;
+};
+
+} // namespace
+
+// Guards against limits that a configuration raises or lowers and that the server reads only when it starts.
+ParameterizedTestParameters(HttpServer, limitsChange)
+{
+    static LimitCase cases[] = {{"raised", 2000, 200}, {"as before", 1000, 413}, {"lowered", 10, 413}};
+    return cr_make_param_array(LimitCase, cases, std::size(cases));
+}
+
+ParameterizedTest(LimitCase *testCase, HttpServer, limitsChange)
+{
+    asio::io_context context{1};
+    auto server = HttpServer::create(context, testSettings(), echo);
+    runCoroutine(context, [&](const asio::yield_context &yield) {
+        auto socket = connectTo(context, *server.value(), yield);
+        HttpInputLimits limits = testSettings().input;
+        limits.bodyLimit = testCase->bodyLimit;
+        server.value()->setInputLimits(limits);
+        const std::string request = "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 1500\r\n\r\n" + std::string(1500, 'x');
+        asio::async_write(socket, asio::buffer(request), yield);
+        const std::string answer = readToEnd(socket, yield);
+        cr_assert_eq(answer.substr(9, 3), std::to_string(testCase->status), "%s: %s", testCase->name, answer.substr(0, 40).c_str());
+    });
+}
