LibSteering: Remove the region selector that no program calls

On the operators' platform SpillShare chooses the region; the other variant sends relays to the host with the most free slots.

What stays is called by a program.

--- a/Tests/Bench/benchsteering.cpp
+++ b/Tests/Bench/benchsteering.cpp
@@ -3,7 +3,6 @@
 #include <LibSteering/dispatchgate.h>
 #include <LibSteering/hostranking.h>
 #include <LibSteering/lookuptable.h>
-#include <LibSteering/regionselector.h>
 
 #include <algorithm>
 #include <chrono>
@@ -53,7 +52,7 @@
     return static_cast<double>(resident) * static_cast<double>(sysconf(_SC_PAGESIZE)) / megabyte;
 }
 
-/// One whole decision: region, region limit, upstream with its slot, shift window, and the record of the outcome. busyShare of the slots are taken.
+/// One whole decision: region limit, upstream with its slot, shift window, and the record of the outcome. busyShare of the slots are taken.
 double decisionCost(SelectionPolicy policy, std::size_t upstreams, double busyShare)
 {
     auto group = std::make_shared<UpstreamGroup>();
@@ -71,20 +70,6 @@
     auto window = std::make_shared<ShiftWindow>(std::chrono::seconds(10));
     window->setGranted(RequestCount(16'000'000), s_start - std::chrono::seconds(10));
     DispatchGate gate(limit, window, std::make_shared<UpstreamSelector>(policy, trackers, group));
-    auto link = LinkBudget::create();
-    link->setGranted(KilobitsPerSecond(280'000), s_start);
-    std::vector<RegionCandidate> others;
-    for (int i = 1; i < 9; ++i) {
-        others.push_back({RegionId("region" + std::to_string(i)),
-            std::chrono::milliseconds(10 * i),
-            true,
-            SlotCount(10),
-            SlotCount(100),
-            link,
-            std::make_shared<RelayCounter>()});
-    }
-    const RegionSelector regions(
-        Objective::Headroom, {RegionId("region0"), true, SlotCount(60), SlotCount(100)}, std::move(others), std::make_shared<RegionBalance>());
     LeaseGuard lease;
     lease.extend(s_start + std::chrono::hours(1));
     pcg32 generator(1);
@@ -96,15 +81,11 @@
             }
         }
     }
-    const RegionQuestion question{RegionId("region0"), false, true, false, std::chrono::milliseconds(0), Bytes(20000)};
     BootTime now = s_start;
     bool moved = false;
     return nanosecondsPerCall(s_decisions, [&] {
         now += std::chrono::microseconds(5);
         moved = !moved;
-        if (!std::holds_alternative<ServeHere>(regions.decide(question, now))) {
-            return;
-        }
         const auto decision = gate.tryDispatch(moved, true, lease, generator, now);
         if (const auto *dispatch = std::get_if<Dispatch>(&decision)) {
             dispatch->selection.upstream->record(UpstreamOutcome::Success, std::chrono::milliseconds(30), now);
