platform: Remove the rows of hosts that are gone for good

Cause: a host that is removed without SIGTERM left its row in the store for ever; it counted when the retry budget and connections are divided, and was sent beacons.

Change: one live host of each availability zone removes rows of hosts that were silent for 60 s, on condition that the row is unchanged. A host that lives after all misses its row and writes it again.

Ruled out: removal by any host that notices (each would write); rows of zones without live hosts stay, since nobody there hears who lives.

Tests: HostDirectory::rowsOfSilentHostsAreAbandoned (rows stayed before), MetadataStore::putAndRemove with a row that has changed.

--- a/Libraries/LibGateway/hostdirectory.cpp
+++ b/Libraries/LibGateway/hostdirectory.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/hostdirectory.h>
 
+#include <LibSteering/affinityranking.h>
+
 #include <algorithm>
 #include <set>
 
@@ -11,20 +13,20 @@
 {
 }
 
-void HostDirectory::setRegistered(const std::vector<HostReport> &reports)
+void HostDirectory::setRegistered(const std::vector<HostReport> &reports, BootTime now)
 {
     std::set<HostId> present{m_settings.self};
     m_isSelfRegistered = false;
     for (const HostReport &report : reports) {
         present.insert(report.id);
-        add(report);
+        add(report, now);
     }
     for (auto it = m_hosts.begin(); it != m_hosts.end();) {
         it = present.count(it->first) > 0 ? std::next(it) : m_hosts.erase(it);
     }
 }
 
-void HostDirectory::add(const HostReport &report)
+void HostDirectory::add(const HostReport &report, BootTime now)
 {
     if (report.id == m_settings.self) {
         m_isSelfRegistered = m_hosts.count(report.id) > 0 && m_hosts.at(report.id).report.incarnation == report.incarnation;
@@ -33,6 +35,7 @@
     Known &known = m_hosts[report.id];
     if (known.report.incarnation != report.incarnation) {
         known.phase = HostPhase::Serving;
+        known.registeredAt = now;
     }
     known.report = report;
 }
@@ -148,6 +151,23 @@
     return hosts;
 }
 
+std::vector<HostReport> HostDirectory::abandoned(BootTime now) const
+{
+    const auto live = feederCandidates(now);
+    const auto isBefore = [](const HostId &a, const HostId &b) { return stableHash(a.value()) < stableHash(b.value()); };
+    if (*std::min_element(live.begin(), live.end(), isBefore) != m_settings.self) {
+        return {};
+    }
+    std::vector<HostReport> reports;
+    for (const HostReport &report : neighbours()) {
+        const Known &known = m_hosts.at(report.id);
+        if (now - std::max(known.registeredAt, known.heardAt) > m_settings.abandonedAfter) {
+            reports.push_back(report);
+        }
+    }
+    return reports;
+}
+
 std::vector<HostReport> HostDirectory::neighbours() const
 {
     std::vector<HostReport> reports;
--- a/Libraries/LibGateway/hostdirectory.h
+++ b/Libraries/LibGateway/hostdirectory.h
@@ -23,6 +23,8 @@
     RegionId region;
     /// Random number of the process.
     std::uint64_t incarnation = 0;
+    /// Version of the row that holds the report; 0 for a report that was not read from the store.
+    std::uint64_t rowVersion = 0;
 };
 
 /// What a process is about to do, as its beacons tell.
@@ -51,6 +53,8 @@
     std::chrono::milliseconds silenceLimit{3200};
     /// After a look-up for another availability zone, its hosts are asked for beacons for this long.
     std::chrono::milliseconds interestTime{10000};
+    /// The row of a host that was silent for this long is removed. A host that lives after all writes it again.
+    std::chrono::milliseconds abandonedAfter{60000};
     /// Most addresses of one answer.
     std::size_t maximumAddresses = 16;
 };
@@ -64,11 +68,11 @@
 public:
     explicit HostDirectory(HostDirectorySettings settings);
 
-    /// Replaces all rows by those that stand in the store. Precondition: none.
-    void setRegistered(const std::vector<HostReport> &reports);
+    /// Replaces all rows by those that stand in the store. Precondition: now does not go back.
+    void setRegistered(const std::vector<HostReport> &reports, BootTime now);
 
-    /// Takes one row that was written. Precondition: none.
-    void add(const HostReport &report);
+    /// Takes one row that was written. Precondition: now does not go back.
+    void add(const HostReport &report, BootTime now);
 
     /// Takes that a row was removed. Precondition: none.
     void remove(const HostId &id);
@@ -93,6 +97,10 @@
     /// Live hosts of an availability zone, this one included; all registered ones for another zone. Precondition: none.
     std::vector<HostId> hostsOf(const ZoneId &zone, BootTime now) const;
 
+    /// Hosts of the own availability zone whose rows this host is to remove, since they have been silent for long. One of the live
+    /// hosts of a zone does so for all. Precondition: none.
+    std::vector<HostReport> abandoned(BootTime now) const;
+
     /// Registered hosts of the own availability zone without this one, whether they live or not. Precondition: none.
     std::vector<HostReport> neighbours() const;
 
@@ -112,6 +120,7 @@
     struct Known
     {
         HostReport report;
+        BootTime registeredAt{};
         BootTime heardAt{};
         HostPhase phase = HostPhase::Serving;
         bool readsStore = false;
--- a/Tests/LibGateway/testgatewayparts.cpp
+++ b/Tests/LibGateway/testgatewayparts.cpp
@@ -231,7 +231,7 @@
     GatewayState state(stateSettings());
     state.setConfiguration(configuration(1));
     state.directory().setSelf({HostId("self"), "a:1", "a:2", ZoneId("gulf-a"), RegionId("gulf"), 1}, HostPhase::Serving);
-    state.directory().add({HostId("other"), "b:1", "b:2", ZoneId("hill-a"), RegionId("hill"), 1});
+    state.directory().add({HostId("other"), "b:1", "b:2", ZoneId("hill-a"), RegionId("hill"), 1}, s_start);
     UpstreamRegistration cold = registration("far", "hill-a");
     cold.coldRemaining = 2000ms;
     state.upstreamStarted(cold, s_start);
@@ -259,7 +259,7 @@
     for (int i = 0; i < 2; ++i) {
         HostReport other = self;
         other.id = HostId("other-" + std::to_string(i));
-        state.directory().add(other);
+        state.directory().add(other, s_start);
     }
     cr_assert_eq(state.connectionLimit(upstream)->granted().value(), 3);
     registration.id = UpstreamId("v");
--- a/Tests/LibGateway/testhostdirectory.cpp
+++ b/Tests/LibGateway/testhostdirectory.cpp
@@ -22,7 +22,7 @@
     HostDirectory result({HostId("self"), ZoneId("gulf-a"), RegionId("gulf")});
     result.setSelf(report("self", "gulf-a", "gulf"), HostPhase::Serving);
     result.setRegistered(
-        {report("self", "gulf-a", "gulf"), report("peer", "gulf-a", "gulf"), report("neighbour", "gulf-b", "gulf"), report("far", "hill-a", "hill")});
+        {report("self", "gulf-a", "gulf"), report("peer", "gulf-a", "gulf"), report("neighbour", "gulf-b", "gulf"), report("far", "hill-a", "hill")}, s_start);
     return result;
 }
 
@@ -83,7 +83,7 @@
     cr_assert_eq(own(s_start + 4s), "self ");
     hosts.heard(HostId("peer"), HostPhase::Stopping, true, s_start + 5s);
     cr_assert_eq(own(s_start + 5s), "self ");
-    hosts.add(report("peer", "gulf-a", "gulf", 2));
+    hosts.add(report("peer", "gulf-a", "gulf", 2), s_start);
     hosts.heard(HostId("peer"), HostPhase::Serving, true, s_start + 6s);
     cr_assert_eq(own(s_start + 6s), "peer self ");
     hosts.remove(HostId("peer"));
@@ -124,7 +124,7 @@
     constexpr int count = 50;
     for (int i = 0; i < count; ++i) {
         const std::string id = "p" + std::to_string(i);
-        hosts.add(report(id, "gulf-a", "gulf"));
+        hosts.add(report(id, "gulf-a", "gulf"), s_start);
         hosts.heard(HostId(id), HostPhase::Serving, true, s_start);
     }
     std::map<std::string, int> answers;
@@ -161,6 +161,31 @@
     cr_assert_eq(count(s_start + 6s), 1, "a silent host");
 }
 
+// Guards against rows of removed hosts that stay for ever, of living ones that are removed, and against all hosts that remove them.
+Test(HostDirectory, rowsOfSilentHostsAreAbandoned)
+{
+    HostDirectory hosts = directory();
+    cr_assert_eq(hosts.abandoned(s_start + 60s).size(), 0);
+    const auto abandoned = hosts.abandoned(s_start + 61s);
+    cr_assert_eq(abandoned.size(), 1, "none of another zone");
+    cr_assert_eq(abandoned.front().id.value(), "peer");
+    hosts.heard(HostId("peer"), HostPhase::Serving, true, s_start + 50s);
+    cr_assert_eq(hosts.abandoned(s_start + 61s).size(), 0);
+    hosts.add(report("peer", "gulf-a", "gulf", 2), s_start + 109s);
+    cr_assert_eq(hosts.abandoned(s_start + 120s).size(), 0, "a host that has started again");
+    int removers = 0;
+    for (const char *self : {"a", "b", "c"}) {
+        HostDirectory view({HostId(self), ZoneId("gulf-a"), RegionId("gulf")});
+        view.setSelf(report(self, "gulf-a", "gulf"), HostPhase::Serving);
+        for (const char *id : {"a", "b", "c", "gone"}) {
+            view.add(report(id, "gulf-a", "gulf"), s_start);
+            view.heard(HostId(id), HostPhase::Serving, true, std::string_view(id) == "gone" ? s_start : s_start + 99s);
+        }
+        removers += static_cast<int>(view.abandoned(s_start + 100s).size());
+    }
+    cr_assert_eq(removers, 1);
+}
+
 // Guards against a host that is missing from the store and doesn't notice.
 Test(HostDirectory, ownRowIsMissed)
 {
@@ -168,9 +193,9 @@
     cr_assert(hosts.isSelfRegistered());
     hosts.remove(HostId("self"));
     cr_assert_not(hosts.isSelfRegistered());
-    hosts.add(report("self", "gulf-a", "gulf", 7));
+    hosts.add(report("self", "gulf-a", "gulf", 7), s_start);
     cr_assert_not(hosts.isSelfRegistered(), "the row of an earlier process");
-    hosts.setRegistered({report("self", "gulf-a", "gulf")});
+    hosts.setRegistered({report("self", "gulf-a", "gulf")}, s_start);
     cr_assert(hosts.isSelfRegistered());
 }
 
--- a/Tests/Platform/storestandin.cpp
+++ b/Tests/Platform/storestandin.cpp
@@ -151,6 +151,13 @@
 HttpResponse StoreStandIn::answerTransaction(const std::string &body)
 {
     const Json transaction = Json::parse(body);
+    for (const Json &row : transaction.at("expected")) {
+        const auto &table = m_tables[row.at("table")];
+        const auto found = table.find(row.at("key"));
+        if (row.at("ver") != (found == table.end() ? FeedVersion{0} : found->second.version)) {
+            return errorResponse(412, "changed", "", "");
+        }
+    }
     for (const Json &row : transaction.at("set_keys")) {
         set(row.at("table"), row.at("key"), websocketpp::base64_decode(row.at("value").get<std::string>()));
     }
--- a/Tests/Platform/testcallerapi.cpp
+++ b/Tests/Platform/testcallerapi.cpp
@@ -57,10 +57,11 @@
 Test(HostRows, reportsAreKept)
 {
     const HostReport report{HostId("edge"), "10.0.0.1:80", "10.0.0.1:81", ZoneId("gulf-a"), RegionId("gulf"), 0xfedcba9876543210U};
-    const auto read = decodeHostReport("edge", encodeHostReport(report));
+    const auto read = decodeHostReport({"edge", encodeHostReport(report), 5, false});
     cr_assert(read && read->id == report.id && read->address == report.address && read->peerAddress == report.peerAddress);
     cr_assert(read->zone == report.zone && read->region == report.region && read->incarnation == report.incarnation);
+    cr_assert_eq(read->rowVersion, 5);
     for (const char *text : {"", "[]", "{}", "{\"address\":1}", "\xff\xfe"}) {
-        cr_assert_not(decodeHostReport("edge", text), "%s", text);
+        cr_assert_not(decodeHostReport({"edge", text, 5, false}), "%s", text);
     }
 }
--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -176,6 +176,12 @@
         cr_assert(fixture.await([&] { return fixture.known["k"] == bytes; }, yield));
         cr_assert(std::holds_alternative<Written>(fixture.client.remove("things", "k", yield)));
         cr_assert(fixture.await([&] { return fixture.known.count("k") == 0; }, yield));
+        const auto old = std::get<FeedRows>(fixture.client.readTable("things", yield));
+        fixture.client.put("things", "k", "newer", yield);
+        cr_assert(old.rows.empty());
+        const auto current = std::get<FeedRows>(fixture.client.readTable("things", yield)).rows.front();
+        cr_assert(std::holds_alternative<StoreFailure>(fixture.client.removeUnchanged("things", "k", current.version - 1, yield)));
+        cr_assert(std::holds_alternative<Written>(fixture.client.removeUnchanged("things", "k", current.version, yield)));
         fixture.store.isDown = true;
         cr_assert(std::holds_alternative<StoreFailure>(fixture.client.put("things", "k", bytes, yield)));
     });
