--- a/Libraries/LibGateway/hostdirectory.cpp
+++ b/Libraries/LibGateway/hostdirectory.cpp
@@ -139,7 +139,7 @@
     return hosts;
 }
 
-std::vector<HostId> HostDirectory::feederCandidates(BootTime now) const
+std::vector<HostId> HostDirectory::publisherCandidates(BootTime now) const
 {
     std::vector<HostId> hosts;
     for (const auto &[id, known] : m_hosts) {
@@ -153,7 +153,7 @@
 
 std::vector<HostReport> HostDirectory::abandoned(BootTime now) const
 {
-    const auto live = feederCandidates(now);
+    const auto live = publisherCandidates(now);
     const auto isBefore = [](const HostId &a, const HostId &b) { return stableHash(a.value()) < stableHash(b.value()); };
     if (*std::min_element(live.begin(), live.end(), isBefore) != m_settings.self) {
         return {};
--- a/Libraries/LibGateway/hostdirectory.h
+++ b/Libraries/LibGateway/hostdirectory.h
@@ -92,7 +92,7 @@
 
     /// Hosts of the own availability zone that were heard of lately, reach the store and don't end soon, and this one.
     /// Precondition: none.
-    std::vector<HostId> feederCandidates(BootTime now) const;
+    std::vector<HostId> publisherCandidates(BootTime now) const;
 
     /// Live hosts of an availability zone, this one included; all registered ones for another zone. Precondition: none.
     std::vector<HostId> hostsOf(const ZoneId &zone, BootTime now) const;
--- a/Libraries/LibReplication/changeserver.cpp
+++ b/Libraries/LibReplication/changeserver.cpp
@@ -8,11 +8,11 @@
 namespace
 {
 
-/// Changes kept for each table. A follower that is further behind reads the store.
+/// Changes kept for each table. A subscriber that is further behind reads the store.
 constexpr std::size_t s_mostRows = 4096;
-/// Requests that wait at once. Each follower has one for each table.
+/// Requests that wait at once. Each subscriber has one for each table.
 constexpr std::size_t s_mostWaiting = 1024;
-/// Longest wait that a follower may ask for.
+/// Longest wait that a subscriber may ask for.
 constexpr std::chrono::milliseconds s_longestWait{30000};
 
 ChangesSince changesMessage(std::uint64_t sequence, const FeedRows &changes)
--- a/Libraries/LibReplication/changeserver.h
+++ b/Libraries/LibReplication/changeserver.h
@@ -14,7 +14,7 @@
 {
 
 /// Passes on the changes of tables to hosts that follow this one, and refuses to do so once it can't vouch for what it knows:
-/// a follower of a host that has lost the store must learn it before the change that it misses is due.
+/// a subscriber of a host that has lost the store must learn it before the change that it misses is due.
 /// Thread safety: one thread at a time.
 class ChangeServer
 {
@@ -24,7 +24,7 @@
     /// Precondition: send is set and doesn't call this object.
     explicit ChangeServer(Send send);
 
-    /// Declares a table. Followers are refused once it wasn't confirmed for longer than currentFor. Precondition: none.
+    /// Declares a table. Subscribers are refused once it wasn't confirmed for longer than currentFor. Precondition: none.
     void addTable(const std::string &table, std::chrono::milliseconds currentFor);
 
     /// Notes that a table was read in full. Precondition: addTable() was called for it, here and below.
@@ -36,7 +36,7 @@
     /// Notes that the store has just told this host all changes of a table.
     void confirm(const std::string &table, BootTime now);
 
-    /// Takes the request of a follower. Precondition: none.
+    /// Takes the request of a subscriber. Precondition: none.
     void request(const HostId &from, const AwaitChanges &request, BootTime now);
 
     /// Answers requests that have waited for their time, and those that can't be served any more. Precondition: none.
--- a/Libraries/LibReplication/feedsharing.h
+++ b/Libraries/LibReplication/feedsharing.h
@@ -1,18 +1,18 @@
 #pragma once
 
 #include <LibReplication/changeserver.h>
-#include <LibReplication/feederchoice.h>
 #include <LibReplication/peerfeed.h>
+#include <LibReplication/publisherchoice.h>
 
 namespace Trefoil
 {
 
 /// How long a host and those that follow it may take to notice that it has lost the store.
-struct FeederPace
+struct PublisherPace
 {
     /// After a change, further ones are left to gather for this long.
     std::chrono::milliseconds batchPause;
-    /// How long the store, and a feeder, hold a call without changes.
+    /// How long the store, and a publisher, hold a call without changes.
     std::chrono::milliseconds wait;
     /// Delay of an answer, beyond the wait, after which it counts as lost.
     std::chrono::milliseconds margin;
@@ -27,10 +27,10 @@
     using LiveHosts = std::function<std::vector<HostId>()>;
 
     /// Precondition: context outlives the object; send and liveHosts are set.
-    FeedSharing(boost::asio::io_context &context, FeederChoiceSettings choice, PeerFeed::Send send, LiveHosts liveHosts);
+    FeedSharing(boost::asio::io_context &context, PublisherChoiceSettings choice, PeerFeed::Send send, LiveHosts liveHosts);
 
     /// Declares a table that is shared. Precondition: none.
-    void addTable(const std::string &table, const FeederPace &pace);
+    void addTable(const std::string &table, const PublisherPace &pace);
 
     /// Precondition: none.
     FeedRole role(BootTime now) const
@@ -38,9 +38,9 @@
         return m_choice.role(m_liveHosts(), now);
     }
 
-    /// Waits for changes at a feeder. Nothing when it is of no use; it is then left out for a while.
+    /// Waits for changes at a publisher. Nothing when it is of no use; it is then left out for a while.
     /// Precondition: runs in a coroutine of the context; addTable() was called for the table.
-    std::optional<FeedRows> awaitChanges(const HostId &feeder, const std::string &table, FeedVersion after, const boost::asio::yield_context &yield);
+    std::optional<FeedRows> awaitChanges(const HostId &publisher, const std::string &table, FeedVersion after, const boost::asio::yield_context &yield);
 
     /// Takes a message of another host; those that don't concern feeds are ignored. Precondition: none.
     void receive(const HostId &from, const PeerMessage &message, BootTime now);
@@ -52,11 +52,11 @@
     }
 
 private:
-    FeederChoice m_choice;
+    PublisherChoice m_choice;
     PeerFeed m_feed;
     ChangeServer m_server;
     LiveHosts m_liveHosts;
-    std::map<std::string, FeederPace> m_paces;
+    std::map<std::string, PublisherPace> m_paces;
 };
 
 } // namespace Trefoil
--- a/Libraries/LibReplication/peerfeed.cpp
+++ b/Libraries/LibReplication/peerfeed.cpp
@@ -14,7 +14,7 @@
     const std::size_t count = answer.keys.size();
     // Lists that don't belong together are of no more use than a refusal.
     if (!answer.isServed || answer.values.size() != count || answer.versions.size() != count || answer.removed.size() != count) {
-        return FeederRefused{};
+        return PublisherRefused{};
     }
     FeedRows changes;
     changes.version = answer.version;
@@ -29,7 +29,7 @@
 /// One request that waits for its answer.
 struct PeerFeed::Call
 {
-    HostId feeder;
+    HostId publisher;
     boost::asio::steady_timer timer;
     std::optional<ChangesSince> answer{};
 };
@@ -41,7 +41,7 @@
 {
 }
 
-PeerFeedResult PeerFeed::awaitChanges(const HostId &feeder,
+PeerFeedResult PeerFeed::awaitChanges(const HostId &publisher,
     const std::string &table,
     FeedVersion after,
     std::chrono::milliseconds wait,
@@ -49,19 +49,19 @@
     const boost::asio::yield_context &yield)
 {
     const std::uint64_t sequence = ++m_sequence;
-    Call call{feeder, boost::asio::steady_timer(m_context, wait + margin)};
+    Call call{publisher, boost::asio::steady_timer(m_context, wait + margin)};
     m_calls.emplace(sequence, &call);
-    m_send(feeder, AwaitChanges{sequence, table, after, static_cast<std::uint64_t>(wait.count())});
+    m_send(publisher, AwaitChanges{sequence, table, after, static_cast<std::uint64_t>(wait.count())});
     boost::system::error_code cancelledByAnswer;
     call.timer.async_wait(yield[cancelledByAnswer]);
     m_calls.erase(sequence);
-    return call.answer ? resultOf(*call.answer) : PeerFeedResult(FeederSilent{});
+    return call.answer ? resultOf(*call.answer) : PeerFeedResult(PublisherSilent{});
 }
 
 void PeerFeed::receive(const HostId &from, const ChangesSince &answer)
 {
     const auto found = m_calls.find(answer.sequence);
-    if (found == m_calls.end() || found->second->feeder != from) {
+    if (found == m_calls.end() || found->second->publisher != from) {
         return;
     }
     found->second->answer = answer;
--- a/Libraries/LibReplication/peerfeed.h
+++ b/Libraries/LibReplication/peerfeed.h
@@ -16,17 +16,17 @@
 namespace Trefoil
 {
 
-/// The feeder doesn't read the store, has lost it, or doesn't know the changes.
-struct FeederRefused
+/// The publisher doesn't read the store, has lost it, or doesn't know the changes.
+struct PublisherRefused
 {
 };
 
-/// The feeder gave no answer in time.
-struct FeederSilent
+/// The publisher gave no answer in time.
+struct PublisherSilent
 {
 };
 
-using PeerFeedResult = std::variant<FeedRows, FeederRefused, FeederSilent>;
+using PeerFeedResult = std::variant<FeedRows, PublisherRefused, PublisherSilent>;
 
 /// Reads the changes of tables from another host. Thread safety: the thread of the context.
 class PeerFeed
@@ -38,7 +38,7 @@
     PeerFeed(boost::asio::io_context &context, Send send);
 
     /// Waits for changes after a version. Precondition: runs in a coroutine of the context.
-    PeerFeedResult awaitChanges(const HostId &feeder,
+    PeerFeedResult awaitChanges(const HostId &publisher,
         const std::string &table,
         FeedVersion after,
         std::chrono::milliseconds wait,
--- a/Libraries/LibReplication/feederchoice.cpp
+++ b/Libraries/LibReplication/publisherchoice.cpp
@@ -1,4 +1,4 @@
-#include <LibReplication/feederchoice.h>
+#include <LibReplication/publisherchoice.h>
 
 #include <LibSteering/affinityranking.h>
 
@@ -30,33 +30,33 @@
 
 } // namespace
 
-FeederChoice::FeederChoice(FeederChoiceSettings settings)
+PublisherChoice::PublisherChoice(PublisherChoiceSettings settings)
     : m_settings(std::move(settings))
 {
 }
 
-FeedRole FeederChoice::role(const std::vector<HostId> &liveHosts, BootTime now) const
+FeedRole PublisherChoice::role(const std::vector<HostId> &liveHosts, BootTime now) const
 {
     if (liveHosts.size() < m_settings.smallestZone) {
         return ReadsForItself{};
     }
-    static const std::uint64_t s_feederKey = stableHash("feeders");
-    std::vector<HostId> feeders = ranked(liveHosts, s_feederKey);
-    feeders.resize((liveHosts.size() + m_settings.hostsPerFeeder - 1) / m_settings.hostsPerFeeder);
-    if (std::find(feeders.begin(), feeders.end(), m_settings.self) != feeders.end()) {
+    static const std::uint64_t s_publisherKey = stableHash("publishers");
+    std::vector<HostId> publishers = ranked(liveHosts, s_publisherKey);
+    publishers.resize((liveHosts.size() + m_settings.hostsPerPublisher - 1) / m_settings.hostsPerPublisher);
+    if (std::find(publishers.begin(), publishers.end(), m_settings.self) != publishers.end()) {
         return ReadsForOthers{};
     }
-    // Each follower prefers another one of the feeders.
-    for (const HostId &feeder : ranked(feeders, stableHash(m_settings.self.value()))) {
-        const auto distrusted = m_distrustedUntil.find(feeder);
+    // Each subscriber prefers another one of the publishers.
+    for (const HostId &publisher : ranked(publishers, stableHash(m_settings.self.value()))) {
+        const auto distrusted = m_distrustedUntil.find(publisher);
         if (distrusted == m_distrustedUntil.end() || now >= distrusted->second) {
-            return Follows{feeder};
+            return Subscribes{publisher};
         }
     }
     return ReadsForItself{};
 }
 
-void FeederChoice::distrust(const HostId &host, BootTime until)
+void PublisherChoice::distrust(const HostId &host, BootTime until)
 {
     m_distrustedUntil[host] = until;
 }
--- a/Libraries/LibReplication/feederchoice.h
+++ b/Libraries/LibReplication/publisherchoice.h
@@ -11,12 +11,12 @@
 namespace Trefoil
 {
 
-struct FeederChoiceSettings
+struct PublisherChoiceSettings
 {
     HostId self;
-    /// Hosts of an availability zone for each one that reads the store's feeds. Bounds what a feeder sends.
-    std::size_t hostsPerFeeder = 12;
-    /// In smaller zones every host reads the store itself: a feeder calls the store more often than the few hosts would.
+    /// Hosts of an availability zone for each one that reads the store's feeds. Bounds what a publisher sends.
+    std::size_t hostsPerPublisher = 12;
+    /// In smaller zones every host reads the store itself: a publisher calls the store more often than the few hosts would.
     std::size_t smallestZone = 5;
 };
 
@@ -30,32 +30,32 @@
 {
 };
 
-struct Follows
+struct Subscribes
 {
-    HostId feeder;
+    HostId publisher;
 };
 
-using FeedRole = std::variant<ReadsForOthers, ReadsForItself, Follows>;
+using FeedRole = std::variant<ReadsForOthers, ReadsForItself, Subscribes>;
 
 /// Which host of its availability zone this one follows instead of reading the store's feeds itself. The first live hosts in a
 /// rendezvous order read the store, the others follow them, so that hosts agree without messages and the store's load grows
-/// with the zones, not with the hosts. Where hosts disagree, or a feeder fails, followers read the store for themselves.
+/// with the zones, not with the hosts. Where hosts disagree, or a publisher fails, subscribers read the store for themselves.
 /// Answers changes that all hosts of a large deployment would read from the store at once.
 /// Thread safety: one thread at a time.
-class FeederChoice
+class PublisherChoice
 {
 public:
-    /// Precondition: hostsPerFeeder is positive.
-    explicit FeederChoice(FeederChoiceSettings settings);
+    /// Precondition: hostsPerPublisher is positive.
+    explicit PublisherChoice(PublisherChoiceSettings settings);
 
     /// Precondition: liveHosts holds this host.
     FeedRole role(const std::vector<HostId> &liveHosts, BootTime now) const;
 
-    /// Leaves a feeder out for a while. Precondition: none.
+    /// Leaves a publisher out for a while. Precondition: none.
     void distrust(const HostId &host, BootTime until);
 
 private:
-    FeederChoiceSettings m_settings;
+    PublisherChoiceSettings m_settings;
     std::map<HostId, BootTime> m_distrustedUntil;
 };
 
--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -28,7 +28,7 @@
     , m_backoff(s_firstPause, std::max(s_longestPause, pace.batchPause))
     , m_random(std::random_device{}())
 {
-    m_sharing.addTable(m_table, m_pace.feeder);
+    m_sharing.addTable(m_table, m_pace.publisher);
 }
 
 void TableWatch::run(const boost::asio::yield_context &yield)
@@ -93,15 +93,15 @@
 
         bool operator()(const ReadsForOthers & /*role*/) const
         {
-            return watch.readFeed(watch.m_pace.feeder.wait, watch.m_pace.feeder.batchPause, yield);
+            return watch.readFeed(watch.m_pace.publisher.wait, watch.m_pace.publisher.batchPause, yield);
         }
         bool operator()(const ReadsForItself & /*role*/) const
         {
             return watch.readFeed(watch.m_pace.longestWait, watch.m_pace.batchPause, yield);
         }
-        bool operator()(const Follows &role) const
+        bool operator()(const Subscribes &role) const
         {
-            return watch.follow(role.feeder, yield);
+            return watch.follow(role.publisher, yield);
         }
     };
     return std::visit(Reader{*this, yield}, m_sharing.role(BootClock::now()));
@@ -127,12 +127,12 @@
     return true;
 }
 
-bool TableWatch::follow(const HostId &feeder, const boost::asio::yield_context &yield)
+bool TableWatch::follow(const HostId &publisher, const boost::asio::yield_context &yield)
 {
-    if (const auto changes = m_sharing.awaitChanges(feeder, m_table, m_version, yield)) {
+    if (const auto changes = m_sharing.awaitChanges(publisher, m_table, m_version, yield)) {
         take(*changes);
     }
-    // Without changes the next call goes to another feeder or to the store, at once.
+    // Without changes the next call goes to another publisher or to the store, at once.
     return true;
 }
 
--- a/Libraries/LibReplication/tablewatch.h
+++ b/Libraries/LibReplication/tablewatch.h
@@ -29,7 +29,7 @@
     /// timeout of a call.
     std::chrono::milliseconds longestWait;
     /// Takes the place of both while this host reads for others.
-    FeederPace feeder;
+    PublisherPace publisher;
 };
 
 /// Follows one table: a full read of the store, then the changes from the store's feed or from another host; a full read again
@@ -57,7 +57,7 @@
     bool readAll(const boost::asio::yield_context &yield);
     bool readChanges(const boost::asio::yield_context &yield);
     bool readFeed(std::chrono::milliseconds wait, std::chrono::milliseconds batchPause, const boost::asio::yield_context &yield);
-    bool follow(const HostId &feeder, const boost::asio::yield_context &yield);
+    bool follow(const HostId &publisher, const boost::asio::yield_context &yield);
     void take(const FeedRows &changes);
 
     boost::asio::io_context &m_context;
--- a/Tests/LibGateway/testhostdirectory.cpp
+++ b/Tests/LibGateway/testhostdirectory.cpp
@@ -142,10 +142,10 @@
 }
 
 // Guards against hosts that all read the store while they start, and against ones that follow a host which is gone or ends.
-Test(HostDirectory, feederCandidates)
+Test(HostDirectory, publisherCandidates)
 {
     HostDirectory hosts = directory();
-    const auto count = [&hosts](BootTime now) { return hosts.feederCandidates(now).size(); };
+    const auto count = [&hosts](BootTime now) { return hosts.publisherCandidates(now).size(); };
     cr_assert_eq(count(s_start), 1);
     hosts.heard(HostId("peer"), HostPhase::Starting, true, s_start);
     hosts.heard(HostId("neighbour"), HostPhase::Serving, true, s_start);
--- a/Tests/LibReplication/testchangelog.cpp
+++ b/Tests/LibReplication/testchangelog.cpp
@@ -31,7 +31,7 @@
 
 } // namespace
 
-// Guards against followers that miss changes because the log has forgotten them.
+// Guards against subscribers that miss changes because the log has forgotten them.
 ParameterizedTestParameters(ChangeLog, since)
 {
     static SinceCase cases[] = {
@@ -40,7 +40,7 @@
         {"just after the dropped row", 11, "bcd"},
         {"between two changes", 13, "d"},
         {"nothing new", 15, ""},
-        {"a follower that is ahead", 99, ""},
+        {"a subscriber that is ahead", 99, ""},
     };
     return cr_make_param_array(SinceCase, cases, std::size(cases));
 }
@@ -55,7 +55,7 @@
     cr_assert_eq(keysSince(log, testCase->after), testCase->expected, "%s", testCase->name);
 }
 
-// Guards against changes from before a full read that are told to followers, though rows between them are unknown.
+// Guards against changes from before a full read that are told to subscribers, though rows between them are unknown.
 Test(ChangeLog, fullReadStartsAnew)
 {
     ChangeLog log(3);
--- a/Tests/LibReplication/testchangeserver.cpp
+++ b/Tests/LibReplication/testchangeserver.cpp
@@ -10,7 +10,7 @@
 {
 
 const BootTime s_start{1h};
-const HostId s_follower{"follower"};
+const HostId s_subscriber{"subscriber"};
 
 /// A server of one table, read in full at version 10, and what it has answered.
 struct Fixture
@@ -40,7 +40,7 @@
 
 } // namespace
 
-// Guards against followers that are told old news as if it were new, or wait for what this host doesn't know.
+// Guards against subscribers that are told old news as if it were new, or wait for what this host doesn't know.
 ParameterizedTestParameters(ChangeServer, requests)
 {
     static RequestCase cases[] = {
@@ -60,7 +60,7 @@
 {
     Fixture fixture;
     fixture.server.append("things", {{{"a", "1", 11, false}}, 11}, s_start);
-    fixture.server.request(s_follower, {7, testCase->table, testCase->after, 500}, s_start + std::chrono::milliseconds(testCase->ageMilliseconds));
+    fixture.server.request(s_subscriber, {7, testCase->table, testCase->after, 500}, s_start + std::chrono::milliseconds(testCase->ageMilliseconds));
     const std::string seen = fixture.answers.empty() ? "wait" : fixture.answers.front().isServed ? "serve" : "refuse";
     cr_assert_eq(seen, testCase->expected, "%s: %s", testCase->name, seen.c_str());
     if (seen == "serve") {
@@ -69,11 +69,11 @@
     }
 }
 
-// Guards against a change that followers learn of only when their wait is over.
+// Guards against a change that subscribers learn of only when their wait is over.
 Test(ChangeServer, changesReachThoseWhoWait)
 {
     Fixture fixture;
-    fixture.server.request(s_follower, {1, "things", 10, 500}, s_start);
+    fixture.server.request(s_subscriber, {1, "things", 10, 500}, s_start);
     fixture.server.append("things", {{}, 12}, s_start + 100ms);
     cr_assert(fixture.answers.empty());
     fixture.server.append("things", {{{"a", "", 13, true}}, 13}, s_start + 200ms);
@@ -83,16 +83,16 @@
     cr_assert_eq(fixture.answers.size(), 1, "one answer for one request");
 }
 
-// Guards against followers that wait for ever, and against ones that go on trusting a host which has lost the store.
+// Guards against subscribers that wait for ever, and against ones that go on trusting a host which has lost the store.
 Test(ChangeServer, waitsEnd)
 {
     Fixture fixture;
-    fixture.server.request(s_follower, {1, "things", 10, 500}, s_start);
+    fixture.server.request(s_subscriber, {1, "things", 10, 500}, s_start);
     fixture.server.answerDue(s_start + 499ms);
     cr_assert(fixture.answers.empty());
     fixture.server.answerDue(s_start + 500ms);
     cr_assert(fixture.answers.size() == 1 && fixture.answers[0].isServed && fixture.answers[0].version == 10);
-    fixture.server.request(s_follower, {2, "things", 10, 5000}, s_start + 600ms);
+    fixture.server.request(s_subscriber, {2, "things", 10, 5000}, s_start + 600ms);
     fixture.server.answerDue(s_start + 1001ms);
     cr_assert(fixture.answers.size() == 2 && !fixture.answers[1].isServed);
     cr_assert_not(fixture.server.hasWaiting());
--- a/Tests/LibReplication/testpeerfeed.cpp
+++ b/Tests/LibReplication/testpeerfeed.cpp
@@ -26,10 +26,10 @@
 ParameterizedTestParameters(PeerFeed, answers)
 {
     static AnswerCase cases[] = {
-        {"an answer", "feeder", true, 1, 0},
-        {"a refusal", "feeder", false, 1, 1},
+        {"an answer", "publisher", true, 1, 0},
+        {"a refusal", "publisher", false, 1, 1},
         {"an answer of another host", "stranger", true, 1, 2},
-        {"lists that don't belong together", "feeder", true, 2, 1},
+        {"lists that don't belong together", "publisher", true, 2, 1},
     };
     return cr_make_param_array(AnswerCase, cases, std::size(cases));
 }
@@ -44,8 +44,8 @@
         asio::post(context, [&, answer] { target->receive(HostId(testCase->from), answer); });
     });
     target = &feed;
-    PeerFeedResult result = FeederSilent{};
-    asio::spawn(context, [&](const asio::yield_context &yield) { result = feed.awaitChanges(HostId("feeder"), "things", 11, 20ms, 10ms, yield); });
+    PeerFeedResult result = PublisherSilent{};
+    asio::spawn(context, [&](const asio::yield_context &yield) { result = feed.awaitChanges(HostId("publisher"), "things", 11, 20ms, 10ms, yield); });
     context.run();
     cr_assert_eq(result.index(), testCase->result, "%s", testCase->name);
     const auto *changes = std::get_if<FeedRows>(&result);
--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -218,7 +218,7 @@
     }
 
     /// The host that all others follow.
-    Host &feeder()
+    Host &publisher()
     {
         for (auto &host : hosts) {
             if (std::holds_alternative<ReadsForOthers>(host->sharing->role(BootClock::now()))) {
@@ -270,7 +270,7 @@
         self.id = ids[index];
         self.address = "127.0.0." + std::to_string(10 + index);
         self.client = std::make_unique<MetadataStore>(context, store.address(), self.address);
-        FeederChoiceSettings choice;
+        PublisherChoiceSettings choice;
         choice.self = self.id;
         const auto send = [this, &self](const HostId &to, const PeerMessage &message) { deliver(self, to, message); };
         self.sharing = std::make_unique<FeedSharing>(context, choice, send, [this] { return ids; });
@@ -300,8 +300,8 @@
 
 enum class Trouble {
     None,
-    FeederCutOff,
-    FeederLosesStore,
+    PublisherCutOff,
+    PublisherLosesStore,
     StoreDown,
 };
 
@@ -321,8 +321,8 @@
 {
     static ZoneTrouble cases[] = {
         {"no trouble", Trouble::None, 200},
-        {"the feeder is cut off", Trouble::FeederCutOff, 1000},
-        {"the feeder loses the store", Trouble::FeederLosesStore, 1000},
+        {"the publisher is cut off", Trouble::PublisherCutOff, 1000},
+        {"the publisher loses the store", Trouble::PublisherLosesStore, 1000},
         {"the store was down", Trouble::StoreDown, 2000},
     };
     return cr_make_param_array(ZoneTrouble, cases, std::size(cases));
@@ -338,13 +338,13 @@
         const int feedsBefore = zone.store.feeds;
         sleepFor(zone.context, 2000ms, yield);
         cr_assert_leq(zone.store.feeds - feedsBefore, 6, "%d calls in 2 s", zone.store.feeds - feedsBefore);
-        Zone::Host &feeder = zone.feeder();
+        Zone::Host &publisher = zone.publisher();
         const Zone::Host *excluded = nullptr;
-        if (testCase->trouble == Trouble::FeederCutOff) {
-            feeder.isCutOff = true;
-        } else if (testCase->trouble == Trouble::FeederLosesStore) {
-            zone.store.silentTo.insert(feeder.address);
-            excluded = &feeder;
+        if (testCase->trouble == Trouble::PublisherCutOff) {
+            publisher.isCutOff = true;
+        } else if (testCase->trouble == Trouble::PublisherLosesStore) {
+            zone.store.silentTo.insert(publisher.address);
+            excluded = &publisher;
         } else if (testCase->trouble == Trouble::StoreDown) {
             zone.store.isDown = true;
             sleepFor(zone.context, 3000ms, yield);
