LibReplication: Bound the log of changes by bytes

Cause, found in the read of the change: the log kept 4,096 rows a table. An answer could also list more rows than a message may hold; the receiver would close the link.

Change: 4 MB a table; an answer of more than 5,000 rows is refused, and the subscriber reads the store.

Tests: ChangeLog::memoryIsBounded, ChangeServer::answersAreBounded.

--- a/Libraries/LibReplication/changelog.cpp
+++ b/Libraries/LibReplication/changelog.cpp
@@ -5,14 +5,25 @@
 namespace Trefoil
 {
 
-ChangeLog::ChangeLog(std::size_t mostRows)
-    : m_mostRows(mostRows)
+namespace
+{
+
+std::size_t sizeOf(const FeedRow &row)
+{
+    return sizeof(FeedRow) + row.key.size() + row.value.size();
+}
+
+} // namespace
+
+ChangeLog::ChangeLog(std::size_t mostBytes)
+    : m_mostBytes(mostBytes)
 {
 }
 
 void ChangeLog::reset(FeedVersion version)
 {
     m_rows.clear();
+    m_bytes = 0;
     m_start = version;
     m_version = version;
     m_isKnown = true;
@@ -20,10 +31,14 @@
 
 void ChangeLog::append(const FeedRows &changes)
 {
-    m_rows.insert(m_rows.end(), changes.rows.begin(), changes.rows.end());
+    for (const FeedRow &row : changes.rows) {
+        m_rows.push_back(row);
+        m_bytes += sizeOf(row);
+    }
     m_version = std::max(m_version, changes.version);
-    while (m_rows.size() > m_mostRows) {
+    while (m_bytes > m_mostBytes && m_rows.size() > 1) {
         m_start = std::max(m_start, m_rows.front().version);
+        m_bytes -= sizeOf(m_rows.front());
         m_rows.pop_front();
     }
 }
--- a/Libraries/LibReplication/changelog.h
+++ b/Libraries/LibReplication/changelog.h
@@ -12,8 +12,8 @@
 class ChangeLog
 {
 public:
-    /// Precondition: mostRows is positive.
-    explicit ChangeLog(std::size_t mostRows);
+    /// The log holds rows of mostBytes together, and a single one of any size. Precondition: none.
+    explicit ChangeLog(std::size_t mostBytes);
 
     /// Starts anew after a full read, which doesn't tell what changed before. Precondition: none.
     void reset(FeedVersion version);
@@ -25,7 +25,8 @@
     std::variant<FeedRows, HistoryLost> since(FeedVersion after) const;
 
 private:
-    std::size_t m_mostRows;
+    std::size_t m_mostBytes;
+    std::size_t m_bytes = 0;
     std::deque<FeedRow> m_rows;
     /// Changes after this version are in the log.
     FeedVersion m_start = 0;
--- a/Libraries/LibReplication/changeserver.cpp
+++ b/Libraries/LibReplication/changeserver.cpp
@@ -8,8 +8,10 @@
 namespace
 {
 
-/// Changes kept for each table. A subscriber that is further behind reads the store.
-constexpr std::size_t s_mostRows = 4096;
+/// Changes kept for each table; hosts have 160 MB. A subscriber that is further behind reads the store.
+constexpr std::size_t s_mostBytes = std::size_t{4} * 1024 * 1024;
+/// Rows of one answer, half of what a message between hosts may list.
+constexpr std::size_t s_mostRowsOfAnswer = 5000;
 /// Requests that wait at once. Each subscriber has one for each table.
 constexpr std::size_t s_mostWaiting = 1024;
 /// Longest wait that a subscriber may ask for.
@@ -46,7 +48,7 @@
 
 void ChangeServer::addTable(const std::string &table, std::chrono::milliseconds currentFor)
 {
-    m_tables.insert_or_assign(table, Table{currentFor, ChangeLog(s_mostRows), {}});
+    m_tables.insert_or_assign(table, Table{currentFor, ChangeLog(s_mostBytes), {}});
 }
 
 void ChangeServer::reset(const std::string &table, FeedVersion version)
@@ -95,15 +97,15 @@
         return true;
     }
     const auto changes = table->second.log.since(request.after);
-    if (std::holds_alternative<HistoryLost>(changes)) {
+    const auto *known = std::get_if<FeedRows>(&changes);
+    if (!known || known->rows.size() > s_mostRowsOfAnswer) {
         m_send(waiting.from, refusal(request.sequence));
         return true;
     }
-    const auto &rows = std::get<FeedRows>(changes);
-    if (rows.rows.empty() && now < waiting.until) {
+    if (known->rows.empty() && now < waiting.until) {
         return false;
     }
-    m_send(waiting.from, changesMessage(request.sequence, rows));
+    m_send(waiting.from, changesMessage(request.sequence, *known));
     return true;
 }
 
--- a/Tests/LibReplication/testchangelog.cpp
+++ b/Tests/LibReplication/testchangelog.cpp
@@ -47,7 +47,7 @@
 
 ParameterizedTest(SinceCase *testCase, ChangeLog, since)
 {
-    ChangeLog log(3);
+    ChangeLog log(3 * (sizeof(FeedRow) + 2));
     cr_assert_eq(keysSince(log, 0), "lost", "a log that knows nothing");
     log.reset(10);
     log.append({{{"a", "1", 11, false}, {"b", "1", 12, false}}, 12});
@@ -58,10 +58,25 @@
 // Guards against changes from before a full read that are told to subscribers, though rows between them are unknown.
 Test(ChangeLog, fullReadStartsAnew)
 {
-    ChangeLog log(3);
+    ChangeLog log(1000);
     log.reset(10);
     log.append({{{"a", "1", 11, false}}, 11});
     log.reset(20);
     cr_assert_eq(keysSince(log, 11), "lost");
     cr_assert_eq(keysSince(log, 20), "");
 }
+
+// Guards against large configurations in quick succession that fill the memory of a host, and against one that is too large to be
+// passed on at all.
+Test(ChangeLog, memoryIsBounded)
+{
+    ChangeLog log(1000000);
+    log.reset(0);
+    for (FeedVersion version = 1; version <= 1000; ++version) {
+        log.append({{{"config", std::string(300000, 'x'), version, false}}, version});
+    }
+    cr_assert_eq(keysSince(log, 990), "lost");
+    cr_assert_eq(keysSince(log, 997), "configconfigconfig");
+    log.append({{{"config", std::string(3000000, 'x'), 1001, false}}, 1001});
+    cr_assert_eq(keysSince(log, 1000), "config");
+}
--- a/Tests/LibReplication/testchangeserver.cpp
+++ b/Tests/LibReplication/testchangeserver.cpp
@@ -97,3 +97,18 @@
     cr_assert(fixture.answers.size() == 2 && !fixture.answers[1].isServed);
     cr_assert_not(fixture.server.hasWaiting());
 }
+
+// Guards against an answer that no host can read, since it lists too many rows.
+Test(ChangeServer, answersAreBounded)
+{
+    Fixture fixture;
+    FeedRows changes;
+    for (FeedVersion version = 11; version <= 6010; ++version) {
+        changes.rows.push_back({"key", "", version, true});
+    }
+    changes.version = 6010;
+    fixture.server.append("things", changes, s_start);
+    fixture.server.request(s_subscriber, {1, "things", 10, 500}, s_start);
+    fixture.server.request(s_subscriber, {2, "things", 2000, 500}, s_start);
+    cr_assert(fixture.answers.size() == 2 && !fixture.answers[0].isServed && fixture.answers[1].isServed);
+}
