LibReplication: Mend three findings of the linter

It names a copied parameter, a local variable in the case of a file's constant, and vectors that grow in loops.

--- a/Libraries/LibReplication/feedsharing.cpp
+++ b/Libraries/LibReplication/feedsharing.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-FeedSharing::FeedSharing(boost::asio::io_context &context, PublisherChoiceSettings choice, PeerFeed::Send send, LiveHosts liveHosts)
+FeedSharing::FeedSharing(boost::asio::io_context &context, PublisherChoiceSettings choice, const PeerFeed::Send &send, LiveHosts liveHosts)
     : m_choice(std::move(choice))
     , m_feed(context, send)
     , m_server([send](const HostId &to, const ChangesSince &answer) { send(to, answer); })
--- a/Libraries/LibReplication/feedsharing.h
+++ b/Libraries/LibReplication/feedsharing.h
@@ -27,7 +27,7 @@
     using LiveHosts = std::function<std::vector<HostId>()>;
 
     /// Precondition: context outlives the object; send and liveHosts are set.
-    FeedSharing(boost::asio::io_context &context, PublisherChoiceSettings choice, PeerFeed::Send send, LiveHosts liveHosts);
+    FeedSharing(boost::asio::io_context &context, PublisherChoiceSettings choice, const PeerFeed::Send &send, LiveHosts liveHosts);
 
     /// Declares a table that is shared. Precondition: none.
     void addTable(const std::string &table, const PublisherPace &pace);
--- a/Libraries/LibReplication/publisherchoice.cpp
+++ b/Libraries/LibReplication/publisherchoice.cpp
@@ -40,8 +40,8 @@
     if (liveHosts.size() < m_settings.smallestZone) {
         return ReadsForItself{};
     }
-    static const std::uint64_t s_publisherKey = stableHash("publishers");
-    std::vector<HostId> publishers = ranked(liveHosts, s_publisherKey);
+    static const std::uint64_t publisherKey = stableHash("publishers");
+    std::vector<HostId> publishers = ranked(liveHosts, publisherKey);
     publishers.resize((liveHosts.size() + m_settings.hostsPerPublisher - 1) / m_settings.hostsPerPublisher);
     if (std::find(publishers.begin(), publishers.end(), m_settings.self) != publishers.end()) {
         return ReadsForOthers{};
--- a/Tests/LibSteering/testplacement.cpp
+++ b/Tests/LibSteering/testplacement.cpp
@@ -337,14 +337,10 @@
     for (int round = 0; round < 2000; ++round) {
         SlotDemand demand;
         const auto ranks = static_cast<std::int32_t>(1 + random(5));
-        std::vector<std::uint32_t> weights;
-        for (std::int32_t rank = 0; rank < ranks; ++rank) {
-            weights.push_back(1 + random(20));
-        }
-        std::vector<Milliseconds> works;
-        for (std::int32_t rank = 0; rank < ranks; ++rank) {
-            works.emplace_back(10 + random(5000));
-        }
+        std::vector<std::uint32_t> weights(static_cast<std::size_t>(ranks));
+        std::generate(weights.begin(), weights.end(), [&random] { return 1 + random(20); });
+        std::vector<Milliseconds> works(static_cast<std::size_t>(ranks));
+        std::generate(works.begin(), works.end(), [&random] { return Milliseconds(10 + random(5000)); });
         for (int i = 0; i < 200; ++i) {
             const auto rank = static_cast<std::int32_t>(random(static_cast<std::uint32_t>(ranks)));
             if (random(20) < weights[static_cast<std::size_t>(rank)]) {
