Gateway: Log the configuration of each attempt and each failed call for a table

An attempt didn't say under which configuration it was placed, nor where its upstream is; a failed call to the store left a line only when it was the first one after a success.

No logic is changed.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -79,6 +79,12 @@
     std::string reason{};
     /// Load per slot of the upstreams among which the request was placed last.
     double load = 0;
+
+    /// Version of the configuration that decides on the request; 0 without one.
+    std::int64_t configurationVersion() const
+    {
+        return routes ? static_cast<std::int64_t>(routes->configuration().version.value()) : 0;
+    }
 };
 
 Gateway::Gateway(asio::io_context &context, GatewaySettings settings, GatewayState &state, GatewayMetrics &metrics)
@@ -241,7 +247,9 @@
         {{"request", exchange.id},
             {"key", std::string(exchange.request.headers.value(m_settings.headers.affinityKey))},
             {"route", exchange.placement.route->id.value()},
+            {"configuration", exchange.configurationVersion()},
             {"upstream", upstream.model.identity().id.value()},
+            {"upstreamZone", upstream.model.identity().zone.value()},
             {"reason", end.reason},
             {"status", std::int64_t{end.response ? end.response->status : 0}},
             {"durationMs", wholeMilliseconds(duration)},
@@ -304,6 +312,7 @@
             {"reason", std::string(reason)},
             {"status", std::int64_t{status}},
             {"attempts", std::int64_t{exchange.sent}},
+            {"configuration", exchange.configurationVersion()},
             {"elapsedMs", wholeMilliseconds(BootClock::now() - exchange.placement.arrivedAt)}});
     return errorResponse(status, reason, "", message);
 }
@@ -322,7 +331,7 @@
             {"reason", std::string(reason)},
             {"load", exchange.load},
             {"retryAfterMs", wholeMilliseconds(wait)},
-            {"configuration", exchange.routes ? static_cast<std::int64_t>(exchange.routes->configuration().version.value()) : std::int64_t{0}}});
+            {"configuration", exchange.configurationVersion()}});
     return response;
 }
 
--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -1,6 +1,7 @@
 #include <LibReplication/tablewatch.h>
 
 #include <LibCore/sleep.h>
+#include <LibTelemetry/log.h>
 
 #include <algorithm>
 
@@ -49,15 +50,23 @@
 void TableWatch::noteSuccess()
 {
     m_backoff.reset();
-    m_sharing.server().confirm(m_table, BootClock::now());
+    m_confirmedAt = BootClock::now();
+    m_sharing.server().confirm(m_table, m_confirmedAt);
     if (!m_isReachable) {
         m_isReachable = true;
         m_handlers.reachability(true, "");
     }
 }
 
-void TableWatch::noteFailure(const std::string &reason)
+void TableWatch::noteFailure(const std::string &reason, BootTime calledAt, std::chrono::milliseconds wait)
 {
+    writeLog(LogLevel::Info,
+        "feed-call-failed",
+        {{"table", m_table},
+            {"reason", reason},
+            {"waitMs", std::int64_t{wait.count()}},
+            {"elapsedMs", std::int64_t{std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - calledAt).count()}},
+            {"knownVersion", static_cast<std::int64_t>(m_version)}});
     if (m_isReachable) {
         m_isReachable = false;
         m_handlers.reachability(false, reason);
@@ -66,14 +75,15 @@
 
 bool TableWatch::readAll(const boost::asio::yield_context &yield)
 {
+    const BootTime calledAt = BootClock::now();
     const ReadResult result = m_store.readTable(m_table, yield);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
-        noteFailure(failure->reason);
+        noteFailure(failure->reason, calledAt, {});
         return false;
     }
     const auto &read = std::get<FeedRows>(result);
     if (read.version < m_version) {
-        noteFailure("the answer is older than what is known");
+        noteFailure("the answer is older than what is known", calledAt, {});
         return false;
     }
     noteSuccess();
@@ -109,13 +119,14 @@
 
 bool TableWatch::readFeed(std::chrono::milliseconds wait, std::chrono::milliseconds batchPause, const boost::asio::yield_context &yield)
 {
+    const BootTime calledAt = BootClock::now();
     const FeedResult result = m_store.awaitChanges(m_table, m_version, wait, yield);
     if (std::holds_alternative<HistoryLost>(result)) {
         m_needsAll = true;
         return true;
     }
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
-        noteFailure(failure->reason);
+        noteFailure(failure->reason, calledAt, wait);
         return false;
     }
     const auto &read = std::get<FeedRows>(result);
@@ -130,6 +141,7 @@
 bool TableWatch::follow(const HostId &publisher, const boost::asio::yield_context &yield)
 {
     if (const auto changes = m_sharing.awaitChanges(publisher, m_table, m_version, yield)) {
+        m_confirmedAt = BootClock::now();
         take(*changes);
     }
     // Without changes the next call goes to another publisher or to the store, at once.
--- a/Libraries/LibReplication/tablewatch.h
+++ b/Libraries/LibReplication/tablewatch.h
@@ -50,9 +50,15 @@
         return m_isReachable && !m_needsAll;
     }
 
+    /// When the store, or a host that reads it, last said what the table holds; unset before the first time. Precondition: none.
+    BootTime confirmedAt() const
+    {
+        return m_confirmedAt;
+    }
+
 private:
     void noteSuccess();
-    void noteFailure(const std::string &reason);
+    void noteFailure(const std::string &reason, BootTime calledAt, std::chrono::milliseconds wait);
     void pause(const boost::asio::yield_context &yield);
     bool readAll(const boost::asio::yield_context &yield);
     bool readChanges(const boost::asio::yield_context &yield);
@@ -67,6 +73,7 @@
     WatchPace m_pace;
     TableWatchHandlers m_handlers;
     FeedVersion m_version = 0;
+    BootTime m_confirmedAt{};
     bool m_needsAll = true;
     bool m_isReachable = true;
     Backoff m_backoff;
