Tests: Show that changes are known too late after a silence of the store

A store that takes calls and never answers them has the host wait for the hold of 5 s and 2 s for the answer; the call that follows the failure waits for as long again.

The test lets the store answer again directly after a call was lost, and asks for a configuration and for a leaving upstream to be known within the time that operators ask for, 2 s.

--- a/Tests/Platform/storestandin.cpp
+++ b/Tests/Platform/storestandin.cpp
@@ -85,14 +85,27 @@
     m_frozenVersion = m_version;
 }
 
+void StoreStandIn::setSilent(bool isSilent)
+{
+    m_silences += isSilent && !m_isSilent ? 1 : 0;
+    m_isSilent = isSilent;
+}
+
 HttpResponse StoreStandIn::answer(const HttpRequest &request, const std::string &caller, const boost::asio::yield_context &yield)
 {
     if (isDown) {
         return errorResponse(503, "down", "", "");
     }
+    if (m_isSilent) {
+        if (request.target.find("rows-feed") != std::string::npos) {
+            ++swallowedFeeds[parameter(request.target, "table")];
+        }
+        sleepFor(m_context, s_lostAnswer, yield);
+    }
+    const int silences = m_silences;
     sleepFor(m_context, delay, yield);
     HttpResponse response = dispatch(request, yield);
-    if (losesAnswers || silentTo.count(caller) > 0) {
+    if (losesAnswers || silentTo.count(caller) > 0 || silences != m_silences) {
         // Longer than any client waits.
         sleepFor(m_context, s_lostAnswer, yield);
     }
@@ -109,8 +122,11 @@
     }
     if (path == "/api/rows-feed") {
         ++feeds;
-        return answerFeed(
+        ++heldFeeds[table];
+        HttpResponse response = answerFeed(
             table, std::stoull(parameter(request.target, "after")), std::chrono::milliseconds(std::stoul(parameter(request.target, "wait_ms"))), yield);
+        --heldFeeds[table];
+        return response;
     }
     return answerTransaction(request.body);
 }
--- a/Tests/Platform/storestandin.h
+++ b/Tests/Platform/storestandin.h
@@ -32,6 +32,9 @@
     /// Full reads show the tables as they are now until this is called with false.
     void freezeReads(bool isFrozen);
 
+    /// While silent, no call is answered, neither now nor later: those that are open as it begins, and those that come.
+    void setSilent(bool isSilent);
+
     /// All calls are answered with 503.
     bool isDown = false;
     /// Calls take effect, and their answers are lost.
@@ -42,6 +45,9 @@
     std::chrono::milliseconds delay{0};
     int reads = 0;
     int feeds = 0;
+    /// Calls to the feed of a table that are held now, and those that came while the store was silent.
+    std::map<std::string, int> heldFeeds;
+    std::map<std::string, int> swallowedFeeds;
 
 private:
     struct Change
@@ -62,6 +68,9 @@
     Tables m_frozen;
     FeedVersion m_frozenVersion = 0;
     bool m_isFrozen = false;
+    bool m_isSilent = false;
+    /// How often the store fell silent; a call that spans one of them is lost.
+    int m_silences = 0;
     std::vector<Change> m_changes;
     FeedVersion m_version = 1;
     FeedVersion m_oldestHistory = 0;
--- /dev/null
+++ b/Tests/Platform/testplatformtables.cpp
@@ -0,0 +1,153 @@
+#include "storestandin.h"
+#include <LibCore/sleep.h>
+#include <platform/decode.h>
+#include <platform/hostrows.h>
+#include <platform/platformtables.h>
+
+#include <boost/asio/spawn.hpp>
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <fmt/format.h>
+
+using namespace Trefoil;
+using namespace Trefoil::Platform;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr auto s_configuration = R"({{"version": "r{}", "routes": [{{"name": "route", "host": "example", "prefix": "/", "kind": "safe", "timeout": "1s",
+    "service": "service", "allowed_regions": ["{}"]}}], "services": [{{"name": "service"}}],
+    "limits": {{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout": "3s", "idle_timeout": "15s"}}}})";
+constexpr auto s_registration = R"({{"service": "service", "address": "127.0.0.1:1", "zone": "east-a", "version": "v1", "max_concurrency": 4,
+    "state": "{}", "cold_remaining": "0ms", "seq_no": {}}})";
+
+/// A host's copies of the store's tables, with the limits that operators usually set.
+struct Fixture
+{
+    Fixture()
+        : store(context)
+        , client(context, store.address(), "127.0.0.1")
+        , sharing(
+              context, {HostId("alone")}, [](const HostId &, const PeerMessage &) {}, [] { return std::vector<HostId>{HostId("alone")}; })
+        , state(stateSettings())
+        , tables(context, client, sharing, limits, state, metrics, [](const HttpInputLimits &) {})
+    {
+        declare(1, "east");
+        registerUpstream("ready", 1);
+    }
+
+    static GatewayStateSettings stateSettings()
+    {
+        GatewayStateSettings settings;
+        settings.host = HostId("alone");
+        settings.placement.zone = ZoneId("east-a");
+        settings.placement.region = RegionId("east");
+        settings.regions = {{ZoneId("east-a"), RegionId("east")}, {ZoneId("west-a"), RegionId("west")}};
+        return settings;
+    }
+
+    void declare(int version, const std::string &region)
+    {
+        store.set(operatorTable, configurationKey, fmt::format(s_configuration, version, region));
+    }
+
+    void registerUpstream(const std::string &phase, int report)
+    {
+        store.set(registrationTable, "upstream", fmt::format(s_registration, phase, report));
+    }
+
+    /// Upstreams to which a request of the route may be sent now.
+    std::size_t usable()
+    {
+        const auto routes = state.routes();
+        const Route *route = routes ? routes->match("example", "/") : nullptr;
+        return route ? state.usableUpstreams(ServiceId("service"), *route, {}, BootClock::now()).size() : 0;
+    }
+
+    void run(const std::function<void(const asio::yield_context &yield)> &body)
+    {
+        tables.start();
+        asio::spawn(context, [this, &body](const asio::yield_context &yield) {
+            body(yield);
+            context.stop();
+        });
+        context.run();
+    }
+
+    /// Time until a condition holds; the longest time when it doesn't.
+    template<typename Condition>
+    std::chrono::milliseconds timeUntil(Condition condition, std::chrono::milliseconds longest, const asio::yield_context &yield)
+    {
+        const BootTime start = BootClock::now();
+        while (!condition() && BootClock::now() - start < longest) {
+            sleepFor(context, 2ms, yield);
+        }
+        return std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - start);
+    }
+
+    asio::io_context context{1};
+    StoreStandIn store;
+    MetadataStore client;
+    FeedSharing sharing;
+    GatewayLimits limits;
+    GatewayState state;
+    GatewayMetrics metrics;
+    PlatformTables tables;
+};
+
+enum class Change {
+    Configuration,
+    LeavingUpstream,
+};
+
+struct Silence
+{
+    char name[64];
+    Change change;
+    /// Calls to the feed that the store receives while it is silent. It answers again directly after the last of them, which is the
+    /// latest moment for the host to learn of that.
+    int swallowed;
+};
+
+} // namespace
+
+// Guards against requests that leave the regions of their route, or go to upstreams that left, because the host waits for the answer
+// to a call that the store has lost.
+ParameterizedTestParameters(PlatformTables, changesAreKnownInTimeAfterASilenceOfTheStore)
+{
+    static Silence cases[] = {
+        {"configuration, held call lost", Change::Configuration, 0},
+        {"configuration, first call after it lost", Change::Configuration, 1},
+        {"configuration, four calls lost", Change::Configuration, 4},
+        {"configuration, five calls lost", Change::Configuration, 5},
+        {"upstream, held call lost", Change::LeavingUpstream, 0},
+        {"upstream, first call after it lost", Change::LeavingUpstream, 1},
+        {"upstream, four calls lost", Change::LeavingUpstream, 4},
+        {"upstream, five calls lost", Change::LeavingUpstream, 5},
+    };
+    return cr_make_param_array(Silence, cases, std::size(cases));
+}
+
+ParameterizedTest(Silence *testCase, PlatformTables, changesAreKnownInTimeAfterASilenceOfTheStore)
+{
+    Fixture fixture;
+    const bool isConfiguration = testCase->change == Change::Configuration;
+    const std::string table = isConfiguration ? operatorTable : registrationTable;
+    fixture.run([&](const asio::yield_context &yield) {
+        cr_assert_lt(fixture.timeUntil([&] { return fixture.usable() == 1 && fixture.store.heldFeeds[table] == 1; }, 5s, yield).count(), 5000);
+        fixture.store.setSilent(true);
+        const auto isSwallowed = [&] { return fixture.store.swallowedFeeds[table] >= testCase->swallowed; };
+        cr_assert_lt(fixture.timeUntil(isSwallowed, 60s, yield).count(), 60000, "%s: the host stopped calling", testCase->name);
+        fixture.store.setSilent(false);
+        if (isConfiguration) {
+            fixture.declare(2, "west");
+        } else {
+            fixture.registerUpstream("draining", 2);
+        }
+        const auto limit = isConfiguration ? fixture.limits.configurationApply : fixture.limits.drainNotice;
+        const auto time = fixture.timeUntil([&] { return fixture.usable() == 0; }, 10s, yield);
+        cr_assert_lt(time.count(), limit.count(), "%s: known after %d ms", testCase->name, static_cast<int>(time.count()));
+    });
+}
