LibReplication: Notice a lost call for changes within the time of a change

Cause: a call for changes that a silent store has taken looks like one that it holds. It was given up after the hold of 5 s and 2 s for the answer, and the call that followed the failure was held for as long again: six hosts sent it into the silent store at 23.8 s, and learned of the configuration at 30.8 s, though the store had answered since 26.0 s. Class: the time to detect a loss was longer than the time in which the lost message must take effect.

Ruled out: another route or its regions left out (the route and its regions decide as soon as the configuration is in force), a request admitted earlier (10 ms from its arrival to the upstream).

After a failure a call isn't held until the store has answered. The time for an answer ends with its first byte, so that a long transfer isn't cut. A client whose request timed out drops its idle connections, which may be silent as well. Full reads use the same limit.

--- a/Libraries/LibHttp/jsonclient.cpp
+++ b/Libraries/LibHttp/jsonclient.cpp
@@ -108,6 +108,15 @@
     m_idle.push_back(std::move(stream));
 }
 
+RequestAmbiguous JsonClient::unanswered(const boost::system::error_code &error)
+{
+    if (error == beast::error::timeout) {
+        // What silenced this connection may have silenced all that were open; a new one tells.
+        m_idle.clear();
+    }
+    return RequestAmbiguous{"no complete response: " + error.message()};
+}
+
 JsonResult JsonClient::request(const JsonRequest &request, BootTime deadline, const asio::yield_context &yield)
 {
     if (deadline <= BootClock::now()) {
@@ -128,9 +137,17 @@
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(m_settings.maximumBodyBytes);
+    if (request.answerBegins) {
+        stream.expires_after(std::max(std::min(*request.answerBegins, deadline) - BootClock::now(), BootClock::duration(0)));
+    }
+    m_bytesReceived += http::async_read_header(stream, buffer, parser, yield[error]);
+    if (error) {
+        return unanswered(error);
+    }
+    stream.expires_after(std::max(deadline - BootClock::now(), BootClock::duration(0)));
     m_bytesReceived += http::async_read(stream, buffer, parser, yield[error]);
     if (error) {
-        return RequestAmbiguous{"no complete response: " + error.message()};
+        return unanswered(error);
     }
     if (!declaresLength(parser)) {
         return RequestAmbiguous{"the response declares no length"};
--- a/Libraries/LibHttp/jsonclient.h
+++ b/Libraries/LibHttp/jsonclient.h
@@ -6,6 +6,7 @@
 #include <boost/asio/spawn.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -39,6 +40,8 @@
     std::string body{};
     /// Entity tag of the copy that the caller holds; an unchanged resource is then answered with 304 and no body.
     std::string ifNoneMatch{};
+    /// The request is given up when no answer has begun by then, so that a long transfer and a lost request differ.
+    std::optional<BootTime> answerBegins{};
 };
 
 /// A complete response with a declared length.
@@ -91,6 +94,7 @@
 private:
     std::variant<boost::beast::tcp_stream, RequestNotSent> connection(BootTime deadline, const boost::asio::yield_context &yield);
     void keep(boost::beast::tcp_stream stream);
+    RequestAmbiguous unanswered(const boost::system::error_code &error);
 
     boost::asio::io_context &m_context;
     JsonClientSettings m_settings;
--- a/Libraries/LibReplication/feedstore.h
+++ b/Libraries/LibReplication/feedstore.h
@@ -8,17 +8,26 @@
 namespace Trefoil
 {
 
+/// How long a call for changes may take.
+struct FeedWait
+{
+    /// The store holds the call for this long while there are no changes.
+    std::chrono::milliseconds held;
+    /// Beyond that, the call is given up when no answer has begun.
+    std::chrono::milliseconds answer;
+};
+
 /// The store's calls by which tables are followed. Thread safety: one thread at a time, the one that runs the context.
 class FeedStore
 {
 public:
-    /// All rows of a table. Rows of later pages may be newer than the version returned.
-    /// Precondition: the coroutine runs on the store's context.
-    virtual ReadResult readTable(const std::string &table, const boost::asio::yield_context &yield) = 0;
+    /// All rows of a table. Rows of later pages may be newer than the version returned. The call is given up when an answer has not
+    /// begun in time. Precondition: the coroutine runs on the store's context.
+    virtual ReadResult readTable(const std::string &table, std::chrono::milliseconds answerTime, const boost::asio::yield_context &yield) = 0;
 
     /// Waits for changes after a version. An answer without rows means that there were none in that time.
-    /// Precondition: as for readTable(); wait is at most 30 s.
-    virtual FeedResult awaitChanges(const std::string &table, FeedVersion after, std::chrono::milliseconds wait, const boost::asio::yield_context &yield) = 0;
+    /// Precondition: as for readTable(); wait.held is at most 30 s.
+    virtual FeedResult awaitChanges(const std::string &table, FeedVersion after, const FeedWait &wait, const boost::asio::yield_context &yield) = 0;
 
 protected:
     FeedStore() = default;
--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -11,10 +11,10 @@
 namespace
 {
 
-/// Longest pause after a first and after further failures. Changes must be in force within two seconds of the store's return, at
-/// least for tables whose changes don't wait for longer anyway; all hosts call the store again and again while it is down.
-constexpr std::chrono::milliseconds s_firstPause{150};
-constexpr std::chrono::milliseconds s_longestPause{1200};
+/// From the start of a call that failed first to the start of the next one, at most.
+constexpr std::chrono::milliseconds s_firstRetry{150};
+/// Hold of a call after a failure: the store answers at once, whether there are changes or not.
+constexpr std::chrono::milliseconds s_probeHold{1};
 
 } // namespace
 
@@ -26,7 +26,7 @@
     , m_table(std::move(table))
     , m_pace(pace)
     , m_handlers(std::move(handlers))
-    , m_backoff(s_firstPause, std::max(s_longestPause, pace.batchPause))
+    , m_backoff(s_firstRetry, std::max(s_firstRetry, pace.longestRetry))
     , m_random(std::random_device{}())
 {
     m_sharing.addTable(m_table, m_pace.publisher);
@@ -35,16 +35,19 @@
 void TableWatch::run(const boost::asio::yield_context &yield)
 {
     while (!m_context.stopped()) {
+        const BootTime calledAt = BootClock::now();
         const bool succeeded = m_needsAll ? readAll(yield) : readChanges(yield);
         if (!succeeded) {
-            pause(yield);
+            pause(calledAt, yield);
         }
     }
 }
 
-void TableWatch::pause(const boost::asio::yield_context &yield)
+void TableWatch::pause(BootTime failedCall, const boost::asio::yield_context &yield)
 {
-    sleepFor(m_context, std::chrono::duration_cast<std::chrono::milliseconds>(m_backoff.next(m_random)), yield);
+    // A call that failed late has already waited; one that failed at once must not be repeated at once.
+    const auto left = failedCall + m_backoff.next(m_random) - BootClock::now();
+    sleepFor(m_context, std::max(std::chrono::duration_cast<std::chrono::milliseconds>(left), std::chrono::milliseconds(0)), yield);
 }
 
 void TableWatch::noteSuccess()
@@ -76,7 +79,7 @@
 bool TableWatch::readAll(const boost::asio::yield_context &yield)
 {
     const BootTime calledAt = BootClock::now();
-    const ReadResult result = m_store.readTable(m_table, yield);
+    const ReadResult result = m_store.readTable(m_table, m_pace.answerTime, yield);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         noteFailure(failure->reason, calledAt, {});
         return false;
@@ -117,16 +120,17 @@
     return std::visit(Reader{*this, yield}, m_sharing.role(BootClock::now()));
 }
 
-bool TableWatch::readFeed(std::chrono::milliseconds wait, std::chrono::milliseconds batchPause, const boost::asio::yield_context &yield)
+bool TableWatch::readFeed(std::chrono::milliseconds held, std::chrono::milliseconds batchPause, const boost::asio::yield_context &yield)
 {
     const BootTime calledAt = BootClock::now();
+    const FeedWait wait{m_isReachable ? held : s_probeHold, m_pace.answerTime};
     const FeedResult result = m_store.awaitChanges(m_table, m_version, wait, yield);
     if (std::holds_alternative<HistoryLost>(result)) {
         m_needsAll = true;
         return true;
     }
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
-        noteFailure(failure->reason, calledAt, wait);
+        noteFailure(failure->reason, calledAt, wait.held);
         return false;
     }
     const auto &read = std::get<FeedRows>(result);
--- a/Libraries/LibReplication/tablewatch.h
+++ b/Libraries/LibReplication/tablewatch.h
@@ -20,14 +20,19 @@
     std::function<void(bool isReachable, const std::string &reason)> reachability;
 };
 
-/// How often a watch calls the store, whose calls are limited.
+/// How often a watch calls the store, whose calls are limited. A call that the store has lost looks like one that it holds: it is
+/// noticed, and the change that it would have told is known, after the sum of longestWait and answerTime. After a failure calls aren't
+/// held, so that a store that has returned answers at once.
 struct WatchPace
 {
     /// After a change, further ones are left to gather for this long.
     std::chrono::milliseconds batchPause;
-    /// How long the store holds a call without changes. A change whose answer was lost is known after this time and the
-    /// timeout of a call.
+    /// How long the store holds a call without changes.
     std::chrono::milliseconds longestWait;
+    /// How long the beginning of an answer may take, beyond the hold.
+    std::chrono::milliseconds answerTime;
+    /// From the start of a call that failed to the start of the next one, at most; a call may itself take longer.
+    std::chrono::milliseconds longestRetry;
     /// Takes the place of both while this host reads for others.
     PublisherPace publisher;
 };
@@ -59,10 +64,10 @@
 private:
     void noteSuccess();
     void noteFailure(const std::string &reason, BootTime calledAt, std::chrono::milliseconds wait);
-    void pause(const boost::asio::yield_context &yield);
+    void pause(BootTime failedCall, const boost::asio::yield_context &yield);
     bool readAll(const boost::asio::yield_context &yield);
     bool readChanges(const boost::asio::yield_context &yield);
-    bool readFeed(std::chrono::milliseconds wait, std::chrono::milliseconds batchPause, const boost::asio::yield_context &yield);
+    bool readFeed(std::chrono::milliseconds held, std::chrono::milliseconds batchPause, const boost::asio::yield_context &yield);
     bool follow(const HostId &publisher, const boost::asio::yield_context &yield);
     void take(const FeedRows &changes);
 
--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 
-constexpr WatchPace s_pace{50ms, 300ms, {50ms, 200ms, 100ms}};
+constexpr WatchPace s_pace{50ms, 300ms, 800ms, 1200ms, {50ms, 200ms, 100ms}};
 
 /// A watch of one table and the rows that it has told so far.
 struct Fixture
@@ -176,10 +176,10 @@
         cr_assert(fixture.await([&] { return fixture.known["k"] == bytes; }, yield));
         cr_assert(std::holds_alternative<Written>(fixture.client.remove("things", "k", yield)));
         cr_assert(fixture.await([&] { return fixture.known.count("k") == 0; }, yield));
-        const auto old = std::get<FeedRows>(fixture.client.readTable("things", yield));
+        const auto old = std::get<FeedRows>(fixture.client.readTable("things", 2s, yield));
         fixture.client.put("things", "k", "newer", yield);
         cr_assert(old.rows.empty());
-        const auto current = std::get<FeedRows>(fixture.client.readTable("things", yield)).rows.front();
+        const auto current = std::get<FeedRows>(fixture.client.readTable("things", 2s, yield)).rows.front();
         cr_assert(std::holds_alternative<StoreFailure>(fixture.client.removeUnchanged("things", "k", current.version - 1, yield)));
         cr_assert(std::holds_alternative<Written>(fixture.client.removeUnchanged("things", "k", current.version, yield)));
         fixture.store.isDown = true;
@@ -281,7 +281,7 @@
         };
         const TableWatchHandlers handlers{change, change, [](bool, const std::string &) {}};
         // Changes must be known within one second.
-        const WatchPace pace{350ms, 5s, {150ms, 350ms, 100ms}};
+        const WatchPace pace{350ms, 5s, 2s, 1200ms, {150ms, 350ms, 100ms}};
         self.watch = std::make_unique<TableWatch>(context, *self.client, *self.sharing, "things", pace, handlers);
         hosts.push_back(std::move(host));
     }
