Gateway: Bind a second attempt also to the configuration in force

A request kept the route table of its arrival until its answer. When its first attempt failed after a newer configuration had come in force, the second one went to regions and services that only the older configuration allows, even where the route was gone, where it may run once only by now, or has no second attempt.

Before a further attempt the request takes the newer route, narrowed to what both allow: kind, timeout, attempts, regions. A service that the newer route doesn't name is replaced by one that it does. Without a route or a common region there is no further attempt.

Ruled out: the newer route alone. It may allow a repeat, a region or a further attempt that the route at the arrival forbids.

The test puts the newer configuration in force while the first upstream works.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <optional>
 
 namespace Trefoil
 {
@@ -53,6 +54,33 @@
     return static_cast<std::int64_t>(time.count());
 }
 
+/// The newer route with the limits of both; nothing when they have no region in common.
+std::optional<Route> narrowed(const Route &earlier, const Route &newer)
+{
+    Route both = newer;
+    both.kind = earlier.kind == RequestKind::NonIdempotent ? earlier.kind : newer.kind;
+    both.timeout = std::min(earlier.timeout, newer.timeout);
+    both.maximumAttempts = std::min(earlier.maximumAttempts, newer.maximumAttempts);
+    if (earlier.allowedRegions.empty()) {
+        return both;
+    }
+    both.allowedRegions = earlier.allowedRegions;
+    if (newer.allowedRegions.empty()) {
+        return both;
+    }
+    const auto isForbidden = [&newer](const RegionId &region) {
+        return std::find(newer.allowedRegions.begin(), newer.allowedRegions.end(), region) == newer.allowedRegions.end();
+    };
+    both.allowedRegions.erase(std::remove_if(both.allowedRegions.begin(), both.allowedRegions.end(), isForbidden), both.allowedRegions.end());
+    return both.allowedRegions.empty() ? std::nullopt : std::make_optional(std::move(both));
+}
+
+bool sendsTo(const Route &route, const ServiceId &service)
+{
+    return std::any_of(
+        route.services.begin(), route.services.end(), [&service](const WeightedService &part) { return part.service == service && part.weight > 0; });
+}
+
 } // namespace
 
 /// One request on its way through the gateway.
@@ -61,6 +89,8 @@
     HttpRequest &request;
     CallerConnection &caller;
     std::shared_ptr<const RouteTable> routes;
+    /// Replaces the route of the arrival once a newer configuration is in force.
+    std::optional<Route> narrowedRoute{};
     std::string id{};
     /// What its placement depends on; without a route, none matches.
     RequestPlacement placement{};
@@ -260,12 +290,37 @@
             {"failureRate", upstream.model.failureRate(now)}});
 }
 
-bool Gateway::mayTryAgain(const Exchange &exchange, const AttemptEnd &end, BootTime now)
+bool Gateway::followConfiguration(Exchange &exchange)
 {
-    const bool isIdempotent = exchange.placement.route->kind == RequestKind::Idempotent;
-    if (end.outcome == AttemptOutcome::Success || end.outcome == AttemptOutcome::Cancelled || now + s_leastTimeLeft >= exchange.placement.deadline) {
+    const auto newer = m_state.routes();
+    if (newer == exchange.routes) {
+        return true;
+    }
+    RequestPlacement &placement = exchange.placement;
+    const Route *route = newer->match(exchange.request.headers.value("Host"), exchange.request.target);
+    auto both = route ? narrowed(*placement.route, *route) : std::nullopt;
+    if (!both) {
+        return false;
+    }
+    exchange.narrowedRoute = std::move(both);
+    placement.route = &*exchange.narrowedRoute;
+    exchange.routes = newer;
+    placement.deadline = std::min(placement.deadline, placement.arrivedAt + placement.route->timeout);
+    if (!sendsTo(*route, placement.service)) {
+        placement.service = m_state.nextService(*route);
+    }
+    return true;
+}
+
+bool Gateway::mayTryAgain(Exchange &exchange, const AttemptEnd &end, BootTime now)
+{
+    if (end.outcome == AttemptOutcome::Success || end.outcome == AttemptOutcome::Cancelled) {
         return false;
     }
+    if (!followConfiguration(exchange) || now + s_leastTimeLeft >= exchange.placement.deadline) {
+        return false;
+    }
+    const bool isIdempotent = exchange.placement.route->kind == RequestKind::Idempotent;
     if (exchange.mayHaveRun && !isIdempotent) {
         return false;
     }
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -53,7 +53,9 @@
     CallOptions callOptions(Exchange &exchange, const Upstream &upstream) const;
     void logAttempt(const Exchange &exchange, const Upstream &upstream, const AttemptEnd &end, Milliseconds duration, BootTime now) const;
     AttemptEnd attempt(Exchange &exchange, Upstream &upstream, const boost::asio::yield_context &yield);
-    bool mayTryAgain(const Exchange &exchange, const AttemptEnd &end, BootTime now);
+    /// Binds the request also to the configuration in force; false when that leaves nowhere to send it.
+    bool followConfiguration(Exchange &exchange);
+    bool mayTryAgain(Exchange &exchange, const AttemptEnd &end, BootTime now);
     HttpResponse fail(Exchange &exchange, RequestOutcome outcome, int status, std::string_view reason, std::string_view message);
     HttpResponse failIncomplete(Exchange &exchange);
     HttpResponse answer(Exchange &exchange, AttemptEnd end);
--- a/Tests/LibGateway/testgateway.cpp
+++ b/Tests/LibGateway/testgateway.cpp
@@ -60,7 +60,7 @@
         result.host = HostId("self");
         result.placement.zone = ZoneId("zone");
         result.placement.region = RegionId("region");
-        result.regions = {{ZoneId("zone"), RegionId("region")}};
+        result.regions = {{ZoneId("zone"), RegionId("region")}, {ZoneId("far zone"), RegionId("far")}};
         result.retries = {0.2, 10, 10000ms};
         return result;
     }
@@ -274,3 +274,99 @@
         }
     });
 }
+
+namespace
+{
+
+/// A configuration that comes in force while the first upstream works on a request, and what may happen then.
+struct NewerConfigurationCase
+{
+    char name[56];
+    /// Of the route, in the first and in the newer configuration; empty allows all.
+    char firstRegion[8];
+    char newerRegion[8];
+    char newerService[10];
+    bool hasRoute;
+    bool isIdempotent;
+    int newerAttempts;
+    /// The only upstream that a second attempt may reach; empty when none may.
+    char second[10];
+};
+
+} // namespace
+
+// Guards against a second attempt that is sent where only the configuration at the request's arrival allows it, and against one
+// that is left out although both allow it.
+ParameterizedTestParameters(Gateway, newerConfigurationBindsASecondAttempt)
+{
+    static NewerConfigurationCase cases[] = {
+        {"the same regions", "", "", "service", true, true, 2, "far"},
+        {"another region is required", "", "region", "service", true, true, 2, ""},
+        {"the region of the upstreams is required", "", "far", "service", true, true, 2, "far"},
+        {"regions without one in common", "region", "far", "service", true, true, 2, ""},
+        {"more regions than at the arrival", "region", "", "service", true, true, 2, ""},
+        {"another service", "", "", "other", true, true, 2, "other"},
+        {"another service without upstreams", "", "", "none", true, true, 2, ""},
+        {"the route is removed", "", "", "service", false, true, 2, ""},
+        {"the request may run once only", "", "", "service", true, false, 2, ""},
+        {"one attempt only", "", "", "service", true, true, 1, ""},
+    };
+    return cr_make_param_array(NewerConfigurationCase, cases, std::size(cases));
+}
+
+ParameterizedTest(NewerConfigurationCase *testCase, Gateway, newerConfigurationBindsASecondAttempt)
+{
+    const auto configuration = [testCase](int version, const char *region) {
+        RoutingConfiguration result = Fixture::configuration();
+        result.version = ConfigurationVersion(static_cast<std::uint64_t>(version));
+        if (*region != '\0') {
+            result.routes[0].allowedRegions = {RegionId(region)};
+        }
+        return result;
+    };
+    RoutingConfiguration newer = configuration(3, testCase->newerRegion);
+    newer.routes[0].services = {{ServiceId(testCase->newerService), 1}};
+    newer.routes[0].kind = testCase->isIdempotent ? RequestKind::Idempotent : RequestKind::NonIdempotent;
+    newer.routes[0].maximumAttempts = testCase->newerAttempts;
+    if (!testCase->hasRoute) {
+        newer.routes.erase(newer.routes.begin());
+    }
+
+    Fixture fixture(0);
+    fixture.state.setConfiguration(configuration(2, testCase->firstRegion));
+    std::vector<std::string> reached;
+    std::vector<std::unique_ptr<HttpServer>> upstreams;
+    const auto addUpstream = [&](const std::string &id, const std::string &service, const std::string &zone, int status) {
+        HttpServerSettings settings;
+        settings.address = "127.0.0.1:0";
+        upstreams.push_back(
+            std::move(HttpServer::create(fixture.context, settings, [&, id, status](HttpRequest &request, CallerConnection &, const asio::yield_context &) {
+                reached.push_back(id);
+                fixture.state.setConfiguration(newer);
+                HttpResponse response;
+                response.status = status;
+                response.headers.add("Trefoil-Request-Id", std::string(request.headers.value("Trefoil-Request-Id")));
+                return response;
+            }).value()));
+        UpstreamRegistration registration;
+        registration.id = UpstreamId(id);
+        registration.service = ServiceId(service);
+        registration.address = upstreams.back()->address();
+        registration.zone = ZoneId(zone);
+        registration.slots = SlotCount(4);
+        fixture.state.upstreamStarted(registration, BootClock::now());
+    };
+    addUpstream("near", "service", "zone", 500);
+    addUpstream("far", "service", "far zone", 200);
+    addUpstream("other", "other", "zone", 200);
+    std::vector<std::string> expected{"near"};
+    if (*testCase->second != '\0') {
+        expected.emplace_back(testCase->second);
+    }
+    fixture.run([&](const asio::yield_context &yield) {
+        const int status = fixture.send("/read/1", yield).status;
+        cr_assert(
+            reached == expected, "%s: %zu attempts, the last one at %s", testCase->name, reached.size(), reached.empty() ? "none" : reached.back().c_str());
+        cr_assert_eq(status == 200, expected.size() == 2, "%s: %d", testCase->name, status);
+    });
+}
