Gateway: Check the chosen upstream again when its connection is open

An upstream is chosen before its connection is opened, which may take 500 ms. A configuration or an evacuation that came in force meanwhile did not hold the request back: it went to a region, service or zone that was already forbidden. Only an upstream that left meanwhile was noticed.

The check before the first byte now also asks the configuration in force and the evacuated zones. A request that it holds back has not run and is placed again, narrowed as before a second attempt.

Ruled out: a check when an idle connection is taken; nothing can come in force between the choice and the first byte then.

The test lets the change come in force while the gateway waits for the connection.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -68,9 +68,7 @@
     if (newer.allowedRegions.empty()) {
         return both;
     }
-    const auto isForbidden = [&newer](const RegionId &region) {
-        return std::find(newer.allowedRegions.begin(), newer.allowedRegions.end(), region) == newer.allowedRegions.end();
-    };
+    const auto isForbidden = [&newer](const RegionId &region) { return !allowsRegion(newer, region); };
     both.allowedRegions.erase(std::remove_if(both.allowedRegions.begin(), both.allowedRegions.end(), isForbidden), both.allowedRegions.end());
     return both.allowedRegions.empty() ? std::nullopt : std::make_optional(std::move(both));
 }
@@ -226,6 +224,20 @@
     return request;
 }
 
+bool Gateway::mayStillSend(const Exchange &exchange, const Upstream &upstream) const
+{
+    const UpstreamIdentity &identity = upstream.model.identity();
+    if (upstream.model.isLeaving || m_state.evacuated().count(identity.zone) > 0) {
+        return false;
+    }
+    const auto newest = m_state.routes();
+    if (newest == exchange.routes) {
+        return true;
+    }
+    const Route *route = newest->match(exchange.request.headers.value("Host"), exchange.request.target);
+    return route && sendsTo(*route, exchange.placement.service) && allowsRegion(*route, identity.region);
+}
+
 CallOptions Gateway::callOptions(Exchange &exchange, const Upstream &upstream) const
 {
     CallOptions options;
@@ -241,10 +253,10 @@
         options.maximumIdle = m_settings.trustedIdle;
     }
     options.cancellation = &exchange.caller.cancellation();
-    options.prepare = [&exchange, &upstream, &names = m_settings.headers](HttpRequest &request) {
+    options.prepare = [this, &exchange, &upstream, &names = m_settings.headers](HttpRequest &request) {
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(exchange.placement.deadline - BootClock::now());
         request.headers.add(names.timeLeft, fmt::to_string(std::max<std::int64_t>(left.count(), 1)));
-        return !upstream.model.isLeaving && left >= s_leastTimeLeft;
+        return left >= s_leastTimeLeft && mayStillSend(exchange, upstream);
     };
     return options;
 }
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -50,6 +50,8 @@
     std::variant<std::shared_ptr<Upstream>, HttpResponse> choose(Exchange &exchange);
     HttpResponse answerUnplaced(Exchange &exchange, const NoRoom *noRoom);
     HttpRequest upstreamRequest(const Exchange &exchange, const UpstreamIdentity &upstream) const;
+    /// Whether the upstream that was chosen may get the request yet: it can change while a connection is opened.
+    bool mayStillSend(const Exchange &exchange, const Upstream &upstream) const;
     CallOptions callOptions(Exchange &exchange, const Upstream &upstream) const;
     void logAttempt(const Exchange &exchange, const Upstream &upstream, const AttemptEnd &end, Milliseconds duration, BootTime now) const;
     AttemptEnd attempt(Exchange &exchange, Upstream &upstream, const boost::asio::yield_context &yield);
--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -126,8 +126,7 @@
         if (upstream->model.isLeaving || excluded.count(identity.id) > 0 || m_evacuated.count(identity.zone) > 0) {
             continue;
         }
-        const auto &allowed = route.allowedRegions;
-        if (!allowed.empty() && std::find(allowed.begin(), allowed.end(), identity.region) == allowed.end()) {
+        if (!allowsRegion(route, identity.region)) {
             continue;
         }
         if (upstream->model.isCold(now) && !isWarmUpOwner(*upstream, now)) {
@@ -314,6 +313,12 @@
     return policy ? policy->coldRequestsPerSecond : 0;
 }
 
+bool allowsRegion(const Route &route, const RegionId &region)
+{
+    const auto &allowed = route.allowedRegions;
+    return allowed.empty() || std::find(allowed.begin(), allowed.end(), region) != allowed.end();
+}
+
 void recordLoad(ServiceKnowledge &service, const UpstreamIdentity &upstream, const LoadReport &report)
 {
     // The request that was just answered is still counted in the report.
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -97,6 +97,9 @@
     std::optional<LoadReport> load{};
 };
 
+/// Whether upstreams of the region may serve the route. Precondition: none. Thread safety: safe from any thread.
+bool allowsRegion(const Route &route, const RegionId &region);
+
 /// Takes the load that an upstream reported. Precondition: none. Thread safety: one thread at a time.
 void recordLoad(ServiceKnowledge &service, const UpstreamIdentity &upstream, const LoadReport &report);
 
--- a/Tests/LibGateway/testgateway.cpp
+++ b/Tests/LibGateway/testgateway.cpp
@@ -2,6 +2,7 @@
 #include <LibHttp/cancellation.h>
 #include <StandIns/upstream.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <criterion/criterion.h>
@@ -370,3 +371,65 @@
         cr_assert_eq(status == 200, expected.size() == 2, "%s: %d", testCase->name, status);
     });
 }
+
+namespace
+{
+
+enum class LateChange {
+    None,
+    Regions,
+    Service,
+    RouteRemoved,
+    Evacuation,
+};
+
+/// What comes in force while the connection to the only upstream is opened.
+struct LateChangeCase
+{
+    char name[40];
+    LateChange change;
+    int status;
+};
+
+} // namespace
+
+// Guards against a request that is sent after a change came in force that forbids its upstream, and was chosen before.
+ParameterizedTestParameters(Gateway, changeWhileConnecting)
+{
+    static LateChangeCase cases[] = {
+        {"the same routes", LateChange::None, 200},
+        {"other regions", LateChange::Regions, 503},
+        {"another service", LateChange::Service, 503},
+        {"the route is removed", LateChange::RouteRemoved, 503},
+        {"the zone is evacuated", LateChange::Evacuation, 503},
+    };
+    return cr_make_param_array(LateChangeCase, cases, std::size(cases));
+}
+
+ParameterizedTest(LateChangeCase *testCase, Gateway, changeWhileConnecting)
+{
+    Fixture fixture(1);
+    RoutingConfiguration newer = Fixture::configuration();
+    newer.version = ConfigurationVersion(2);
+    Route &write = newer.routes[1];
+    if (testCase->change == LateChange::Regions) {
+        write.allowedRegions = {RegionId("far")};
+    } else if (testCase->change == LateChange::Service) {
+        write.services = {{ServiceId("other"), 1}};
+    } else if (testCase->change == LateChange::RouteRemoved) {
+        newer.routes.pop_back();
+    }
+    fixture.run([&](const asio::yield_context &yield) {
+        // Runs once the gateway waits for its connection.
+        asio::post(fixture.context, [&] {
+            fixture.state.setConfiguration(newer);
+            if (testCase->change == LateChange::Evacuation) {
+                fixture.state.setEvacuated({ZoneId("zone")}, BootClock::now());
+            }
+        });
+        const HttpResponse response = fixture.send("/write/1", yield);
+        cr_assert_eq(response.status, testCase->status, "%s: %d", testCase->name, response.status);
+        cr_assert_eq(fixture.begun(), testCase->status == 200 ? 1U : 0U, "%s", testCase->name);
+        cr_assert_eq(response.headers.find("Retry-After") != nullptr, testCase->status == 503, "%s", testCase->name);
+    });
+}
