GatewayState: Hold the limit of a cold upstream with four owners

Each owner used a quarter of half of the tolerated rate, on the assumption that two views of a zone at most double two owners. A quarter of 9.8 times 0.5 a second is an interval of 408 ms, which places 3 requests in one second, so four owners sent 12. A zone without hosts was left to all others by their own lists of live hosts, which differ; a host that had not read the rows of the hosts took itself for the only one and was an owner of every cold upstream of another zone.

Each owner now takes a whole number of requests in a second, a quarter of the limit, and a zone without hosts goes to the two first registered hosts; a host without rows takes no part.

Ruled out: second attempts (each takes its own place, and an attempt writes a request once), and zones of up to three hosts, whichever of them hear each other (15 in one second of 16.7 tolerated).

Conclusion: up to four owners hold the limit. More than four are possible while rows of hosts are read at different times in a zone without hosts, or in a zone of more than four hosts that don't hear each other.

--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -3,6 +3,7 @@
 #include <LibSteering/affinityranking.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace Trefoil
 {
@@ -12,9 +13,11 @@
 
 /// Hosts that send to one cold upstream. More would need smaller parts of its rate; fewer would leave it unused when one dies.
 constexpr std::size_t s_warmUpOwners = 2;
-/// Part of a cold upstream's tolerated rate that the owners use together. Hosts that see different hosts alive may
-/// double the number of owners.
-constexpr double s_coldUsedPart = 0.5;
+/// Hosts that may take themselves for owners at one time, since hosts see different hosts alive. Each gets this part of the
+/// requests that a cold upstream tolerates in a second.
+constexpr double s_mostOwners = 4;
+/// The time in which a cold upstream tolerates so many requests, and what the times of sending and of arrival differ by in a zone.
+constexpr std::chrono::milliseconds s_coldWindow{1020};
 /// Weight of one new report in the load of a region; a host sees some ten a second.
 constexpr double s_loadWeight = 0.04;
 /// Most load per slot that one upstream adds: its long queue doesn't say that the others are full.
@@ -250,17 +253,15 @@
 
 bool GatewayState::isWarmUpOwner(const Upstream &upstream, BootTime now) const
 {
-    if (coldRate(upstream.model.identity().service) <= 0) {
+    if (!coldPace(upstream.model.identity().service)) {
         return true;
     }
     std::vector<std::uint64_t> hosts;
-    // Hosts of the upstream's own availability zone know which of them live. A zone without hosts leaves it to all others.
+    // Hosts of the upstream's own availability zone know which of them live. A zone without hosts leaves it to all others: these
+    // agree on the registered hosts, but not on the live ones.
     auto owners = m_directory.hostsOf(upstream.model.identity().zone, now);
     if (owners.empty()) {
-        for (const auto &[zone, region] : m_settings.regions) {
-            const auto more = m_directory.hostsOf(zone, now);
-            owners.insert(owners.end(), more.begin(), more.end());
-        }
+        owners = m_directory.registeredHosts();
     }
     hosts.reserve(owners.size());
     for (const HostId &host : owners) {
@@ -274,12 +275,11 @@
 
 bool GatewayState::takeColdPlace(Upstream &upstream, BootTime now)
 {
-    const double rate = coldRate(upstream.model.identity().service);
-    if (!upstream.model.isCold(now) || rate <= 0) {
+    const auto pace = coldPace(upstream.model.identity().service);
+    if (!upstream.model.isCold(now) || !pace) {
         return true;
     }
-    const double ownRate = (rate * m_settings.coldFactor + m_settings.coldSlack) * s_coldUsedPart / static_cast<double>(s_warmUpOwners);
-    return upstream.pacer.tryTake(now, std::chrono::duration_cast<std::chrono::nanoseconds>(std::chrono::duration<double>(1 / ownRate)));
+    return upstream.pacer.tryTake(now, pace->window / pace->requests);
 }
 
 std::shared_ptr<ConnectionLimit> GatewayState::connectionLimit(const Upstream &upstream) const
@@ -308,10 +308,16 @@
     return m_routes ? m_routes->service(service) : nullptr;
 }
 
-double GatewayState::coldRate(const ServiceId &service) const
+std::optional<ColdPace> GatewayState::coldPace(const ServiceId &service) const
 {
     const ServicePolicy *policy = policyOf(service);
-    return policy ? policy->coldRequestsPerSecond : 0;
+    if (!policy || policy->coldRequestsPerSecond <= 0) {
+        return std::nullopt;
+    }
+    const double tolerated = policy->coldRequestsPerSecond * m_settings.coldFactor + m_settings.coldSlack;
+    // A whole number of requests for each owner: a part of one counts as one in some second.
+    const double ownRequests = std::max(1.0, std::floor(tolerated / s_mostOwners));
+    return ColdPace{static_cast<std::size_t>(ownRequests), s_coldWindow};
 }
 
 void recordLoad(ServiceKnowledge &service, const UpstreamIdentity &upstream, const LoadReport &report)
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -186,7 +186,7 @@
 private:
     SpillShare &observedSpill(ServiceKnowledge &service, BootTime now);
     const ServicePolicy *policyOf(const ServiceId &service) const;
-    double coldRate(const ServiceId &service) const;
+    std::optional<ColdPace> coldPace(const ServiceId &service) const;
     bool isWarmUpOwner(const Upstream &upstream, BootTime now) const;
 
     GatewayStateSettings m_settings;
--- a/Libraries/LibGateway/hostdirectory.cpp
+++ b/Libraries/LibGateway/hostdirectory.cpp
@@ -17,6 +17,7 @@
 {
     std::set<HostId> present{m_settings.self};
     m_isSelfRegistered = false;
+    m_hasRows = true;
     for (const HostReport &report : reports) {
         present.insert(report.id);
         add(report, now);
@@ -139,6 +140,19 @@
     return hosts;
 }
 
+std::vector<HostId> HostDirectory::registeredHosts() const
+{
+    std::vector<HostId> hosts;
+    if (!m_hasRows) {
+        return hosts;
+    }
+    hosts.reserve(m_hosts.size());
+    for (const auto &[id, known] : m_hosts) {
+        hosts.push_back(id);
+    }
+    return hosts;
+}
+
 std::vector<HostId> HostDirectory::publisherCandidates(BootTime now) const
 {
     std::vector<HostId> hosts;
--- a/Libraries/LibGateway/hostdirectory.h
+++ b/Libraries/LibGateway/hostdirectory.h
@@ -97,6 +97,9 @@
     /// Live hosts of an availability zone, this one included; all registered ones for another zone. Precondition: none.
     std::vector<HostId> hostsOf(const ZoneId &zone, BootTime now) const;
 
+    /// All registered hosts, whether they live or not; none before the rows were read. Precondition: none.
+    std::vector<HostId> registeredHosts() const;
+
     /// Hosts of the own availability zone whose rows this host is to remove, since they have been silent for long. One of the live
     /// hosts of a zone does so for all. Precondition: none.
     std::vector<HostReport> abandoned(BootTime now) const;
@@ -136,6 +139,7 @@
     std::size_t m_nextAddress = 0;
     HostPhase m_phase = HostPhase::Starting;
     bool m_isSelfRegistered = false;
+    bool m_hasRows = false;
 };
 
 } // namespace Trefoil
--- a/Tests/LibGateway/testgatewayparts.cpp
+++ b/Tests/LibGateway/testgatewayparts.cpp
@@ -4,6 +4,9 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
+#include <algorithm>
+#include <deque>
+
 using namespace Trefoil;
 using namespace std::chrono_literals;
 
@@ -37,6 +40,30 @@
     AttemptOutcome outcome;
 };
 
+/// One upstream of the zone cold-a that is cold from the start, and hosts that all have work for it.
+struct ColdCase
+{
+    char name[56];
+    double coldRequestsPerSecond;
+    /// From the choice of the upstream until the request is sent, growing from nothing to this and back to nothing.
+    std::chrono::milliseconds longestConnect;
+    /// The row changes so that the upstream counts as another one; 0 for never.
+    std::chrono::milliseconds movesEvery;
+    /// From the start until hosts know that the upstream is cold; until then it gets warm traffic that doesn't count.
+    std::chrono::milliseconds knownAfter;
+    /// Hosts of the upstream's zone, and of two other zones.
+    int hostsOfZone;
+    int hostsElsewhere;
+    /// Fewest requests in all three seconds.
+    int leastSent;
+    /// Zone mates hear each other's beacons.
+    bool isHeard;
+    /// The rows of the other hosts are read.
+    bool hasRows;
+    /// The row is gone for a moment before it changes.
+    bool isGoneBetween;
+};
+
 GatewayStateSettings stateSettings()
 {
     GatewayStateSettings settings;
@@ -225,6 +252,174 @@
     cr_assert_not(upstreams.front()->model.isCold(s_start + 9s));
 }
 
+namespace
+{
+
+constexpr double s_coldFactor = 1.5;
+constexpr double s_coldSlack = 5;
+
+std::vector<HostReport> hostReports(const ColdCase &testCase)
+{
+    std::vector<HostReport> reports;
+    for (int i = 0; i < testCase.hostsOfZone + testCase.hostsElsewhere; ++i) {
+        const char *zone = i < testCase.hostsOfZone ? "cold-a" : i % 2 == 0 ? "gulf-a" : "hill-a";
+        reports.push_back({HostId("host-" + std::to_string(i)), "a:1", "a:2", ZoneId(zone), RegionId("gulf"), 1});
+    }
+    return reports;
+}
+
+/// One host of the replay.
+class ColdHost
+{
+public:
+    ColdHost(const ColdCase &testCase, const std::vector<HostReport> &reports, const HostReport &self)
+        : m_case(testCase)
+        , m_reports(reports)
+        , m_self(self)
+        , m_state(settings())
+    {
+        RoutingConfiguration routes = configuration(1);
+        routes.services.front().coldRequestsPerSecond = testCase.coldRequestsPerSecond;
+        m_route = routes.routes.front();
+        m_state.setConfiguration(std::move(routes));
+        m_state.directory().setSelf(self, HostPhase::Serving);
+        m_state.directory().add(self, s_start);
+        if (testCase.hasRows) {
+            m_state.directory().setRegistered(reports, s_start);
+        }
+    }
+
+    /// Times of the requests that this host sends in three seconds while the upstream is known to be cold.
+    std::vector<BootTime> sentTimes()
+    {
+        std::vector<BootTime> times;
+        apply(0ms, 0);
+        for (auto passed = 0ms; passed < 3000ms; passed += 7ms) {
+            const BootTime now = s_start + passed;
+            if (m_case.isHeard) {
+                for (const HostReport &report : m_reports) {
+                    m_state.directory().heard(report.id, HostPhase::Serving, true, now);
+                }
+            }
+            if (m_case.movesEvery > 0ms && passed % m_case.movesEvery < 7ms) {
+                apply(passed, ++m_moves);
+            } else if (m_case.knownAfter > 0ms && passed / 7ms == m_case.knownAfter / 7ms) {
+                m_state.upstreamUpdated(row(passed, 0), now);
+            }
+            send(now, passed >= m_case.knownAfter, times);
+            choose(passed);
+        }
+        return times;
+    }
+
+private:
+    struct Connecting
+    {
+        std::shared_ptr<Upstream> upstream;
+        BootTime readyAt;
+    };
+
+    GatewayStateSettings settings() const
+    {
+        GatewayStateSettings result = stateSettings();
+        result.host = m_self.id;
+        result.placement.zone = m_self.zone;
+        result.regions.emplace(ZoneId("cold-a"), RegionId("gulf"));
+        result.coldFactor = s_coldFactor;
+        result.coldSlack = s_coldSlack;
+        return result;
+    }
+
+    UpstreamRegistration row(std::chrono::milliseconds passed, int moves) const
+    {
+        UpstreamRegistration result = registration("upstream", "cold-a");
+        result.slots = SlotCount(4 + moves % 2);
+        result.coldRemaining = passed < m_case.knownAfter ? 0ms : 10000ms;
+        return result;
+    }
+
+    void apply(std::chrono::milliseconds passed, int moves)
+    {
+        if (m_case.isGoneBetween) {
+            m_state.upstreamGone(UpstreamId("upstream"));
+        }
+        m_state.upstreamStarted(row(passed, moves), s_start + passed);
+    }
+
+    void choose(std::chrono::milliseconds passed)
+    {
+        const BootTime now = s_start + passed;
+        for (const auto &upstream : m_state.usableUpstreams(ServiceId("service"), m_route, {}, now)) {
+            if (m_state.takeColdPlace(*upstream, now)) {
+                constexpr auto half = 1000ms;
+                const auto phase = passed % (2 * half);
+                const double part = static_cast<double>(std::min(phase, 2 * half - phase).count()) / half.count();
+                m_connecting.push_back({upstream, now + std::chrono::duration_cast<BootClock::duration>(m_case.longestConnect * part)});
+            }
+        }
+    }
+
+    void send(BootTime now, bool isCounted, std::vector<BootTime> &times)
+    {
+        std::deque<Connecting> waiting;
+        for (Connecting &request : m_connecting) {
+            if (request.readyAt > now) {
+                waiting.push_back(std::move(request));
+                continue;
+            }
+            if (!request.upstream->model.isLeaving && isCounted) {
+                times.push_back(now);
+            }
+        }
+        m_connecting = std::move(waiting);
+    }
+
+    const ColdCase &m_case;
+    const std::vector<HostReport> &m_reports;
+    HostReport m_self;
+    GatewayState m_state;
+    Route m_route;
+    std::deque<Connecting> m_connecting;
+    int m_moves = 0;
+};
+
+} // namespace
+
+// Load pattern: all hosts have work for an upstream that is cold. Guards against more requests in one second than it tolerates
+// while hosts see different hosts alive, while connections are slow, and while its row changes.
+ParameterizedTestParameters(GatewayState, allHostsTogetherStayBelowTheColdLimit)
+{
+    static ColdCase cases[] = {
+        {"two hosts of the zone", 3.2, 0ms, 0ms, 0ms, 2, 10, 10, true, true, false},
+        {"two hosts of the zone, higher rate", 7.8, 0ms, 0ms, 0ms, 2, 10, 22, true, true, false},
+        {"three hosts that don't hear each other", 7.8, 0ms, 0ms, 0ms, 3, 9, 22, false, true, false},
+        {"four hosts that don't hear each other", 3.2, 0ms, 0ms, 0ms, 4, 8, 10, false, true, false},
+        {"four hosts that don't hear each other, higher rate", 7.8, 0ms, 0ms, 0ms, 4, 8, 22, false, true, false},
+        {"zone without hosts", 3.2, 0ms, 0ms, 0ms, 0, 12, 10, true, true, false},
+        {"zone without hosts, none heard", 3.2, 0ms, 0ms, 0ms, 0, 12, 10, false, true, false},
+        {"zone without hosts, rows not read", 3.2, 0ms, 0ms, 0ms, 0, 12, 0, false, false, false},
+    };
+    return cr_make_param_array(ColdCase, cases, std::size(cases));
+}
+
+ParameterizedTest(ColdCase *testCase, GatewayState, allHostsTogetherStayBelowTheColdLimit)
+{
+    const std::vector<HostReport> reports = hostReports(*testCase);
+    std::vector<BootTime> sent;
+    for (const HostReport &self : reports) {
+        const auto times = ColdHost(*testCase, reports, self).sentTimes();
+        sent.insert(sent.end(), times.begin(), times.end());
+    }
+    std::sort(sent.begin(), sent.end());
+    std::ptrdiff_t most = 0;
+    for (auto first = sent.begin(); first != sent.end(); ++first) {
+        most = std::max(most, std::lower_bound(first, sent.end(), *first + 1s) - first);
+    }
+    const double limit = testCase->coldRequestsPerSecond * s_coldFactor + s_coldSlack;
+    cr_assert(static_cast<double>(most) <= limit, "%s: %td in one second, limit %.1f", testCase->name, most, limit);
+    cr_assert_geq(static_cast<int>(sent.size()), testCase->leastSent, "%s: %zu sent", testCase->name, sent.size());
+}
+
 // Guards against several hosts that warm up one upstream of another zone at once.
 Test(GatewayState, hostsOfTheZoneWarmUp)
 {
--- a/Tests/LibGateway/testhostdirectory.cpp
+++ b/Tests/LibGateway/testhostdirectory.cpp
@@ -73,6 +73,16 @@
     cr_assert_eq(joined(addresses), testCase->expected, "%s: %s", testCase->name, joined(addresses).c_str());
 }
 
+// Guards against a host that takes itself for the only one because it hasn't read which others there are.
+Test(HostDirectory, nobodyIsRegisteredBeforeTheRowsAreRead)
+{
+    HostDirectory hosts({HostId("self"), ZoneId("gulf-a"), RegionId("gulf")});
+    hosts.setSelf(report("self", "gulf-a", "gulf"), HostPhase::Serving);
+    hosts.add(report("self", "gulf-a", "gulf"), s_start);
+    cr_assert(hosts.registeredHosts().empty());
+    cr_assert_eq(directory().registeredHosts().size(), 4);
+}
+
 // Guards against a killed host that stays in look-ups, and a leaving one that gets new callers.
 Test(HostDirectory, silentAndLeavingHostsAreLeftOut)
 {
