GatewayState: Count requests to cold upstreams when they are sent

The place was taken before the connection was there. Connections take up to the connect timeout of 500 ms, so that places taken in turn may end in requests at one time; and requests that chose a warm upstream were sent without a pace after it turned cold.

A refused request goes to another upstream.

Ruled out: delays after the write, because a second counts only requests that were sent and arrived in it.

Requests sent before a host knows of the cold state stay unpaced. A request refused at this point counts as a failed attempt in the upstream's failure rate, as one refused for lack of time does.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -196,7 +196,7 @@
     return request;
 }
 
-CallOptions Gateway::callOptions(Exchange &exchange, const Upstream &upstream) const
+CallOptions Gateway::callOptions(Exchange &exchange, Upstream &upstream) const
 {
     CallOptions options;
     options.deadline = exchange.placement.deadline;
@@ -211,10 +211,11 @@
         options.maximumIdle = m_settings.trustedIdle;
     }
     options.cancellation = &exchange.caller.cancellation();
-    options.prepare = [&exchange, &upstream, &names = m_settings.headers](HttpRequest &request) {
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(exchange.placement.deadline - BootClock::now());
+    options.prepare = [&exchange, &upstream, &state = m_state, &names = m_settings.headers](HttpRequest &request) {
+        const BootTime now = BootClock::now();
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(exchange.placement.deadline - now);
         request.headers.add(names.timeLeft, fmt::to_string(std::max<std::int64_t>(left.count(), 1)));
-        return !upstream.model.isLeaving && left >= s_leastTimeLeft;
+        return left >= s_leastTimeLeft && state.maySend(upstream, now);
     };
     return options;
 }
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -50,7 +50,7 @@
     std::variant<std::shared_ptr<Upstream>, HttpResponse> choose(Exchange &exchange);
     HttpResponse answerUnplaced(Exchange &exchange, const NoRoom *noRoom);
     HttpRequest upstreamRequest(const Exchange &exchange, const UpstreamIdentity &upstream) const;
-    CallOptions callOptions(Exchange &exchange, const Upstream &upstream) const;
+    CallOptions callOptions(Exchange &exchange, Upstream &upstream) const;
     void logAttempt(const Exchange &exchange, const Upstream &upstream, const AttemptEnd &end, Milliseconds duration, BootTime now) const;
     AttemptEnd attempt(Exchange &exchange, Upstream &upstream, const boost::asio::yield_context &yield);
     bool mayTryAgain(const Exchange &exchange, const AttemptEnd &end, BootTime now);
--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -279,7 +279,23 @@
     if (!upstream.model.isCold(now) || !pace) {
         return true;
     }
-    return upstream.pacer.tryTake(now, pace->window / pace->requests);
+    return upstream.pacer.hasRoom(now, *pace) && upstream.pacer.tryTake(now, pace->window / pace->requests);
+}
+
+bool GatewayState::maySend(Upstream &upstream, BootTime now)
+{
+    if (upstream.model.isLeaving) {
+        return false;
+    }
+    const auto pace = coldPace(upstream.model.identity().service);
+    if (!pace) {
+        return true;
+    }
+    if (upstream.model.isCold(now) && !(isWarmUpOwner(upstream, now) && upstream.pacer.hasRoom(now, *pace))) {
+        return false;
+    }
+    upstream.pacer.noteSent(now, *pace);
+    return true;
 }
 
 std::shared_ptr<ConnectionLimit> GatewayState::connectionLimit(const Upstream &upstream) const
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -150,6 +150,11 @@
     /// True when the cold upstream's pace allows one request now, which is thereby taken. True for every warm one.
     bool takeColdPlace(Upstream &upstream, BootTime now);
 
+    /// True when a request may be sent to the upstream now, on an open connection; it is then taken as sent. The upstream may have
+    /// turned cold, or other requests may have caught up, while the connection was opened.
+    /// Precondition: takeColdPlace() was true for the request.
+    bool maySend(Upstream &upstream, BootTime now);
+
     /// This host's limit on connections to the upstream: an equal part of what the upstream accepts of all registered hosts. Null
     /// when operators set none. Precondition: none.
     std::shared_ptr<ConnectionLimit> connectionLimit(const Upstream &upstream) const;
--- a/Libraries/LibSteering/coldpacer.cpp
+++ b/Libraries/LibSteering/coldpacer.cpp
@@ -23,4 +23,23 @@
     return true;
 }
 
+bool ColdPacer::hasRoom(BootTime now, const ColdPace &pace)
+{
+    forgetBefore(now, pace);
+    return m_sent.size() < pace.requests;
+}
+
+void ColdPacer::noteSent(BootTime now, const ColdPace &pace)
+{
+    forgetBefore(now, pace);
+    m_sent.push_back(now);
+}
+
+void ColdPacer::forgetBefore(BootTime now, const ColdPace &pace)
+{
+    while (!m_sent.empty() && now - m_sent.front() >= pace.window) {
+        m_sent.pop_front();
+    }
+}
+
 } // namespace Trefoil
--- a/Libraries/LibSteering/coldpacer.h
+++ b/Libraries/LibSteering/coldpacer.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <string_view>
 #include <vector>
 
@@ -21,7 +22,8 @@
     std::chrono::nanoseconds window{0};
 };
 
-/// Spaces this host's requests to one cold upstream evenly.
+/// Spaces this host's requests to one cold upstream evenly, and counts those that were sent: connections take different times to
+/// open, so that places taken in turn may end in requests at one time.
 /// Answers upstreams that start or come back while all hosts have work for them: a burst would crash them.
 /// Thread safety: one thread at a time.
 class ColdPacer
@@ -30,8 +32,18 @@
     /// Takes the next place if the interval since the last one has passed. Precondition: interval is positive.
     bool tryTake(BootTime now, std::chrono::nanoseconds interval);
 
+    /// True when fewer requests than the pace allows were sent within its window. Precondition: now does not go back.
+    bool hasRoom(BootTime now, const ColdPace &pace);
+
+    /// Notes a request that is sent now, also to an upstream that isn't cold yet. Precondition: as for hasRoom().
+    void noteSent(BootTime now, const ColdPace &pace);
+
 private:
+    void forgetBefore(BootTime now, const ColdPace &pace);
+
     BootTime m_next{};
+    /// Times of the requests of the last window.
+    std::deque<BootTime> m_sent;
 };
 
 } // namespace Trefoil
--- a/Tests/LibGateway/testgatewayparts.cpp
+++ b/Tests/LibGateway/testgatewayparts.cpp
@@ -367,7 +367,7 @@
                 waiting.push_back(std::move(request));
                 continue;
             }
-            if (!request.upstream->model.isLeaving && isCounted) {
+            if (m_state.maySend(*request.upstream, now) && isCounted) {
                 times.push_back(now);
             }
         }
@@ -398,6 +398,9 @@
         {"zone without hosts", 3.2, 0ms, 0ms, 0ms, 0, 12, 10, true, true, false},
         {"zone without hosts, none heard", 3.2, 0ms, 0ms, 0ms, 0, 12, 10, false, true, false},
         {"zone without hosts, rows not read", 3.2, 0ms, 0ms, 0ms, 0, 12, 0, false, false, false},
+        {"slow connections", 3.2, 500ms, 0ms, 0ms, 2, 10, 8, true, true, false},
+        {"slow connections, four hosts apart", 3.2, 500ms, 0ms, 0ms, 4, 8, 8, false, true, false},
+        {"known while requests connect", 3.2, 500ms, 0ms, 700ms, 2, 10, 4, true, true, false},
     };
     return cr_make_param_array(ColdCase, cases, std::size(cases));
 }
--- a/Tests/LibSteering/testplacement.cpp
+++ b/Tests/LibSteering/testplacement.cpp
@@ -124,6 +124,22 @@
     cr_assert(retriesInAll > 0);
 }
 
+// Guards against a burst of requests that took their places in turn but waited for connections.
+Test(ColdPacer, requestsAreCountedWhenTheyAreSent)
+{
+    const ColdPace pace{2, 1000ms};
+    ColdPacer pacer;
+    cr_assert(pacer.hasRoom(s_start, pace));
+    pacer.noteSent(s_start, pace);
+    cr_assert(pacer.hasRoom(s_start + 10ms, pace));
+    pacer.noteSent(s_start + 10ms, pace);
+    cr_assert_not(pacer.hasRoom(s_start + 20ms, pace));
+    cr_assert_not(pacer.hasRoom(s_start + 999ms, pace));
+    cr_assert(pacer.hasRoom(s_start + 1000ms, pace));
+    pacer.noteSent(s_start + 1000ms, pace);
+    cr_assert_not(pacer.hasRoom(s_start + 1009ms, pace));
+}
+
 // Load pattern: every host has work for an upstream that just started. Guards against a rate of all hosts together that
 // crashes the upstream, also while hosts see different hosts alive.
 Test(ColdPacer, allHostsTogetherStayBelowTheRate)
