GatewayState: Keep the cold state of upstreams whose rows change

An upstream whose row changed, or was gone and came back, was a new object: its pace began anew, and cold time that stems from an evacuation, which the row does not tell, was lost.

The pace and the cold time now outlast the object until both are over.

Ruled out: reports of an earlier process, which the catalog drops.

A new process under a known id counts as cold for what is left of the cold time of the one before.

--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -52,7 +52,13 @@
     UpstreamIdentity identity{
         registration.id, registration.service, registration.address, registration.zone, regionId, registration.slots, registration.startedAt};
     upstreamGone(registration.id);
+    forgetColdHistories(now);
     auto upstream = std::make_shared<Upstream>(std::move(identity));
+    if (const auto history = m_coldHistories.find(registration.id); history != m_coldHistories.end()) {
+        upstream->pacer = history->second.pacer;
+        upstream->model.setColdUntil(history->second.coldUntil);
+        m_coldHistories.erase(history);
+    }
     m_upstreams.emplace(registration.id, upstream);
     knowledge(registration.service).upstreams.push_back(std::move(upstream));
     upstreamUpdated(registration, now);
@@ -87,9 +93,18 @@
     auto &upstreams = knowledge(found->second->model.identity().service).upstreams;
     upstreams.erase(std::remove(upstreams.begin(), upstreams.end(), found->second), upstreams.end());
     found->second->model.isLeaving = true;
+    m_coldHistories.insert_or_assign(id, ColdHistory{found->second->pacer, found->second->model.coldUntil()});
     m_upstreams.erase(found);
 }
 
+void GatewayState::forgetColdHistories(BootTime now)
+{
+    for (auto it = m_coldHistories.begin(); it != m_coldHistories.end();) {
+        const bool isOver = it->second.coldUntil <= now && it->second.pacer.hasRoom(now, {1, s_coldWindow});
+        it = isOver ? m_coldHistories.erase(it) : std::next(it);
+    }
+}
+
 void GatewayState::setEvacuated(const std::set<ZoneId> &zones, BootTime now)
 {
     for (auto &[id, upstream] : m_upstreams) {
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -189,15 +189,25 @@
     }
 
 private:
+    /// What outlasts the object of an upstream, since its row may change or come back while it is cold.
+    struct ColdHistory
+    {
+        ColdPacer pacer;
+        BootTime coldUntil{};
+    };
+
     SpillShare &observedSpill(ServiceKnowledge &service, BootTime now);
     const ServicePolicy *policyOf(const ServiceId &service) const;
     std::optional<ColdPace> coldPace(const ServiceId &service) const;
     bool isWarmUpOwner(const Upstream &upstream, BootTime now) const;
+    void forgetColdHistories(BootTime now);
 
     GatewayStateSettings m_settings;
     std::size_t m_regionCount = 0;
     std::shared_ptr<const RouteTable> m_routes;
     std::unordered_map<UpstreamId, std::shared_ptr<Upstream>> m_upstreams;
+    /// Of upstreams that are gone.
+    std::unordered_map<UpstreamId, ColdHistory> m_coldHistories;
     std::unordered_map<RouteId, RouteKnowledge> m_routeKnowledge;
     std::unordered_map<ServiceId, ServiceKnowledge> m_serviceKnowledge;
     std::set<ZoneId> m_evacuated;
--- a/Libraries/LibSteering/upstreammodel.h
+++ b/Libraries/LibSteering/upstreammodel.h
@@ -106,6 +106,12 @@
     /// Extends the time for which the upstream counts as cold. Precondition: none.
     void setColdUntil(BootTime until);
 
+    /// Precondition: none.
+    BootTime coldUntil() const
+    {
+        return m_coldUntil;
+    }
+
     /// Precondition: none.
     bool isCold(BootTime now) const
     {
--- a/Tests/LibGateway/testgatewayparts.cpp
+++ b/Tests/LibGateway/testgatewayparts.cpp
@@ -400,6 +400,8 @@
         {"zone without hosts, rows not read", 3.2, 0ms, 0ms, 0ms, 0, 12, 0, false, false, false},
         {"slow connections", 3.2, 500ms, 0ms, 0ms, 2, 10, 8, true, true, false},
         {"slow connections, four hosts apart", 3.2, 500ms, 0ms, 0ms, 4, 8, 8, false, true, false},
+        {"changed row", 3.2, 0ms, 210ms, 0ms, 2, 10, 10, true, true, false},
+        {"row that goes and comes", 3.2, 0ms, 210ms, 0ms, 2, 10, 10, true, true, true},
         {"known while requests connect", 3.2, 500ms, 0ms, 700ms, 2, 10, 4, true, true, false},
     };
     return cr_make_param_array(ColdCase, cases, std::size(cases));
@@ -423,6 +425,25 @@
     cr_assert_geq(static_cast<int>(sent.size()), testCase->leastSent, "%s: %zu sent", testCase->name, sent.size());
 }
 
+// Guards against an upstream that counts as warm because its row changed, or went and came, after its zone was taken back.
+Test(GatewayState, coldUpstreamsStayColdWhenTheirRowsChange)
+{
+    GatewayState state(stateSettings());
+    state.setConfiguration(configuration(1));
+    state.upstreamStarted(registration("near", "gulf-a"), s_start);
+    state.setEvacuated({ZoneId("gulf-a")}, s_start);
+    state.setEvacuated({}, s_start + 1s);
+    UpstreamRegistration changed = registration("near", "gulf-a");
+    changed.slots = SlotCount(5);
+    state.upstreamUpdated(changed, s_start + 2s);
+    const auto &known = state.knowledge(ServiceId("service")).upstreams;
+    cr_assert(known.front()->model.isCold(s_start + 3s));
+    state.upstreamGone(UpstreamId("near"));
+    state.upstreamStarted(changed, s_start + 3s);
+    cr_assert(known.front()->model.isCold(s_start + 3s));
+    cr_assert_not(known.front()->model.isCold(s_start + 5s));
+}
+
 // Guards against several hosts that warm up one upstream of another zone at once.
 Test(GatewayState, hostsOfTheZoneWarmUp)
 {
