GatewayState: Pause the owners when a warm upstream turns cold

Hosts learn of a cold state at different times, up to 0.8 s apart on the platform. Owners that knew sent at the cold pace while the others still sent as to a warm upstream, and both added up in one second.

An upstream that nobody knew before gets no pause.

Ruled out: an availability zone that is taken back. A host that learns later sends nothing until then.

Warm traffic of more than the limit in the time until all hosts know can't be held by pacing.

--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -51,13 +51,16 @@
     const RegionId regionId = region == m_settings.regions.end() ? RegionId() : region->second;
     UpstreamIdentity identity{
         registration.id, registration.service, registration.address, registration.zone, regionId, registration.slots, registration.startedAt};
-    upstreamGone(registration.id);
     forgetColdHistories(now);
+    upstreamGone(registration.id);
     auto upstream = std::make_shared<Upstream>(std::move(identity));
     if (const auto history = m_coldHistories.find(registration.id); history != m_coldHistories.end()) {
         upstream->pacer = history->second.pacer;
         upstream->model.setColdUntil(history->second.coldUntil);
         m_coldHistories.erase(history);
+    } else if (registration.coldRemaining.count() > 0) {
+        // Nobody took it for warm before.
+        upstream->model.setColdUntil(now + registration.coldRemaining);
     }
     m_upstreams.emplace(registration.id, upstream);
     knowledge(registration.service).upstreams.push_back(std::move(upstream));
@@ -80,6 +83,10 @@
     UpstreamModel &model = found->second->model;
     model.isLeaving = model.isLeaving || registration.leaving;
     if (registration.coldRemaining.count() > 0) {
+        if (!model.isCold(now)) {
+            // Hosts that learn of it later send as to a warm upstream until then.
+            found->second->pacer.pauseUntil(now + s_coldWindow);
+        }
         model.setColdUntil(now + registration.coldRemaining);
     }
 }
--- a/Libraries/LibSteering/coldpacer.cpp
+++ b/Libraries/LibSteering/coldpacer.cpp
@@ -23,10 +23,15 @@
     return true;
 }
 
+void ColdPacer::pauseUntil(BootTime until)
+{
+    m_pausedUntil = std::max(m_pausedUntil, until);
+}
+
 bool ColdPacer::hasRoom(BootTime now, const ColdPace &pace)
 {
     forgetBefore(now, pace);
-    return m_sent.size() < pace.requests;
+    return now >= m_pausedUntil && m_sent.size() < pace.requests;
 }
 
 void ColdPacer::noteSent(BootTime now, const ColdPace &pace)
--- a/Libraries/LibSteering/coldpacer.h
+++ b/Libraries/LibSteering/coldpacer.h
@@ -32,7 +32,11 @@
     /// Takes the next place if the interval since the last one has passed. Precondition: interval is positive.
     bool tryTake(BootTime now, std::chrono::nanoseconds interval);
 
-    /// True when fewer requests than the pace allows were sent within its window. Precondition: now does not go back.
+    /// Leaves no room until that time: other hosts may still send as to a warm upstream. Precondition: none.
+    void pauseUntil(BootTime until);
+
+    /// True when fewer requests than the pace allows were sent within its window, and no pause is on.
+    /// Precondition: now does not go back.
     bool hasRoom(BootTime now, const ColdPace &pace);
 
     /// Notes a request that is sent now, also to an upstream that isn't cold yet. Precondition: as for hasRoom().
@@ -42,6 +46,7 @@
     void forgetBefore(BootTime now, const ColdPace &pace);
 
     BootTime m_next{};
+    BootTime m_pausedUntil{};
     /// Times of the requests of the last window.
     std::deque<BootTime> m_sent;
 };
--- a/Tests/LibGateway/testgatewayparts.cpp
+++ b/Tests/LibGateway/testgatewayparts.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <deque>
+#include <pcg_random.hpp>
+#include <random>
 
 using namespace Trefoil;
 using namespace std::chrono_literals;
@@ -275,8 +277,7 @@
     ColdHost(const ColdCase &testCase, const std::vector<HostReport> &reports, const HostReport &self)
         : m_case(testCase)
         , m_reports(reports)
-        , m_self(self)
-        , m_state(settings())
+        , m_state(settings(self))
     {
         RoutingConfiguration routes = configuration(1);
         routes.services.front().coldRequestsPerSecond = testCase.coldRequestsPerSecond;
@@ -312,24 +313,24 @@
         return times;
     }
 
-private:
-    struct Connecting
-    {
-        std::shared_ptr<Upstream> upstream;
-        BootTime readyAt;
-    };
-
-    GatewayStateSettings settings() const
+    static GatewayStateSettings settings(const HostReport &self)
     {
         GatewayStateSettings result = stateSettings();
-        result.host = m_self.id;
-        result.placement.zone = m_self.zone;
+        result.host = self.id;
+        result.placement.zone = self.zone;
         result.regions.emplace(ZoneId("cold-a"), RegionId("gulf"));
         result.coldFactor = s_coldFactor;
         result.coldSlack = s_coldSlack;
         return result;
     }
 
+private:
+    struct Connecting
+    {
+        std::shared_ptr<Upstream> upstream;
+        BootTime readyAt;
+    };
+
     UpstreamRegistration row(std::chrono::milliseconds passed, int moves) const
     {
         UpstreamRegistration result = registration("upstream", "cold-a");
@@ -376,7 +377,6 @@
 
     const ColdCase &m_case;
     const std::vector<HostReport> &m_reports;
-    HostReport m_self;
     GatewayState m_state;
     Route m_route;
     std::deque<Connecting> m_connecting;
@@ -425,6 +425,73 @@
     cr_assert_geq(static_cast<int>(sent.size()), testCase->leastSent, "%s: %zu sent", testCase->name, sent.size());
 }
 
+namespace
+{
+
+/// Most requests of all hosts in one second, from the moment at which an upstream with warm traffic turns cold. Hosts learn of it one
+/// after the other, the last one after longestDelay.
+std::ptrdiff_t mostAfterTurningCold(double warmPerSecond, std::chrono::milliseconds longestDelay, std::uint64_t seed)
+{
+    constexpr int hosts = 12;
+    constexpr auto step = 5ms;
+    const ColdCase testCase{"", 7.8, 0ms, 0ms, longestDelay, 2, hosts - 2, 0, true, true, false};
+    const std::vector<HostReport> reports = hostReports(testCase);
+    pcg64 random(seed);
+    std::bernoulli_distribution hasWork(warmPerSecond / hosts * std::chrono::duration<double>(step).count());
+    std::vector<BootTime> sent;
+    for (int i = 0; i < hosts; ++i) {
+        GatewayState state(ColdHost::settings(reports[static_cast<std::size_t>(i)]));
+        RoutingConfiguration routes = configuration(1);
+        routes.services.front().coldRequestsPerSecond = testCase.coldRequestsPerSecond;
+        const Route route = routes.routes.front();
+        state.setConfiguration(std::move(routes));
+        state.directory().setSelf(reports[static_cast<std::size_t>(i)], HostPhase::Serving);
+        state.directory().setRegistered(reports, s_start);
+        UpstreamRegistration row = registration("upstream", "cold-a");
+        state.upstreamStarted(row, s_start - 10s);
+        row.coldRemaining = 3000ms;
+        const auto known = longestDelay * i / (hosts - 1);
+        bool isKnown = false;
+        for (auto passed = 0ms; passed < 3000ms; passed += step) {
+            const BootTime now = s_start + passed;
+            if (!isKnown && passed >= known) {
+                state.upstreamUpdated(row, now);
+                isKnown = true;
+            }
+            for (const HostReport &report : reports) {
+                state.directory().heard(report.id, HostPhase::Serving, true, now);
+            }
+            // Once it is cold, the pace alone holds the owners back.
+            if (!isKnown && !hasWork(random)) {
+                continue;
+            }
+            for (const auto &upstream : state.usableUpstreams(ServiceId("service"), route, {}, now)) {
+                if (state.takeColdPlace(*upstream, now) && state.maySend(*upstream, now)) {
+                    sent.push_back(now);
+                }
+            }
+        }
+    }
+    std::sort(sent.begin(), sent.end());
+    std::ptrdiff_t most = 0;
+    for (auto first = sent.begin(); first != sent.end(); ++first) {
+        most = std::max(most, std::lower_bound(first, sent.end(), *first + 1s) - first);
+    }
+    return most;
+}
+
+} // namespace
+
+// Load pattern: an upstream with usual traffic turns cold, and hosts learn of it within 0.8 s. Guards against first paced requests
+// that add to those of hosts that don't know yet.
+Test(GatewayState, pacedRequestsDoNotAddToThoseOfHostsThatKnowLater)
+{
+    for (std::uint64_t seed = 0; seed < 100; ++seed) {
+        const auto most = mostAfterTurningCold(15.3, 800ms, seed);
+        cr_assert(static_cast<double>(most) <= 7.8 * s_coldFactor + s_coldSlack, "seed %lu: %td", static_cast<unsigned long>(seed), most);
+    }
+}
+
 // Guards against an upstream that counts as warm because its row changed, or went and came, after its zone was taken back.
 Test(GatewayState, coldUpstreamsStayColdWhenTheirRowsChange)
 {
--- a/Tests/LibSteering/testplacement.cpp
+++ b/Tests/LibSteering/testplacement.cpp
@@ -138,6 +138,10 @@
     cr_assert(pacer.hasRoom(s_start + 1000ms, pace));
     pacer.noteSent(s_start + 1000ms, pace);
     cr_assert_not(pacer.hasRoom(s_start + 1009ms, pace));
+    pacer.pauseUntil(s_start + 5s);
+    pacer.pauseUntil(s_start + 3s);
+    cr_assert_not(pacer.hasRoom(s_start + 4999ms, pace));
+    cr_assert(pacer.hasRoom(s_start + 5s, pace));
 }
 
 // Load pattern: every host has work for an upstream that just started. Guards against a rate of all hosts together that
