--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -238,7 +238,7 @@
     return route && sendsTo(*route, exchange.placement.service) && allowsRegion(*route, identity.region);
 }
 
-CallOptions Gateway::callOptions(Exchange &exchange, const Upstream &upstream) const
+CallOptions Gateway::callOptions(Exchange &exchange, Upstream &upstream) const
 {
     CallOptions options;
     options.deadline = exchange.placement.deadline;
@@ -254,9 +254,11 @@
     }
     options.cancellation = &exchange.caller.cancellation();
     options.prepare = [this, &exchange, &upstream, &names = m_settings.headers](HttpRequest &request) {
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(exchange.placement.deadline - BootClock::now());
+        const BootTime now = BootClock::now();
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(exchange.placement.deadline - now);
         request.headers.add(names.timeLeft, fmt::to_string(std::max<std::int64_t>(left.count(), 1)));
-        return left >= s_leastTimeLeft && mayStillSend(exchange, upstream);
+        // The pace of a cold upstream comes last: it counts what is sent.
+        return left >= s_leastTimeLeft && mayStillSend(exchange, upstream) && m_state.maySend(upstream, now);
     };
     return options;
 }
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -52,7 +52,7 @@
     HttpRequest upstreamRequest(const Exchange &exchange, const UpstreamIdentity &upstream) const;
     /// Whether the upstream that was chosen may get the request yet: it can change while a connection is opened.
     bool mayStillSend(const Exchange &exchange, const Upstream &upstream) const;
-    CallOptions callOptions(Exchange &exchange, const Upstream &upstream) const;
+    CallOptions callOptions(Exchange &exchange, Upstream &upstream) const;
     void logAttempt(const Exchange &exchange, const Upstream &upstream, const AttemptEnd &end, Milliseconds duration, BootTime now) const;
     AttemptEnd attempt(Exchange &exchange, Upstream &upstream, const boost::asio::yield_context &yield);
     /// Binds the request also to the configuration in force; false when that leaves nowhere to send it.
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -153,6 +153,11 @@
     /// True when the cold upstream's pace allows one request now, which is thereby taken. True for every warm one.
     bool takeColdPlace(Upstream &upstream, BootTime now);
 
+    /// True when a request may be sent to the upstream now, on an open connection; it is then taken as sent. The upstream may have
+    /// turned cold, or other requests may have caught up, while the connection was opened.
+    /// Precondition: takeColdPlace() was true for the request.
+    bool maySend(Upstream &upstream, BootTime now);
+
     /// This host's limit on connections to the upstream: an equal part of what the upstream accepts of all registered hosts. Null
     /// when operators set none. Precondition: none.
     std::shared_ptr<ConnectionLimit> connectionLimit(const Upstream &upstream) const;
@@ -187,15 +192,25 @@
     }
 
 private:
+    /// What outlasts the object of an upstream, since its row may change or come back while it is cold.
+    struct ColdHistory
+    {
+        ColdPacer pacer;
+        BootTime coldUntil{};
+    };
+
     SpillShare &observedSpill(ServiceKnowledge &service, BootTime now);
     const ServicePolicy *policyOf(const ServiceId &service) const;
-    double coldRate(const ServiceId &service) const;
+    std::optional<ColdPace> coldPace(const ServiceId &service) const;
     bool isWarmUpOwner(const Upstream &upstream, BootTime now) const;
+    void forgetColdHistories(BootTime now);
 
     GatewayStateSettings m_settings;
     std::size_t m_regionCount = 0;
     std::shared_ptr<const RouteTable> m_routes;
     std::unordered_map<UpstreamId, std::shared_ptr<Upstream>> m_upstreams;
+    /// Of upstreams that are gone.
+    std::unordered_map<UpstreamId, ColdHistory> m_coldHistories;
     std::unordered_map<RouteId, RouteKnowledge> m_routeKnowledge;
     std::unordered_map<ServiceId, ServiceKnowledge> m_serviceKnowledge;
     std::set<ZoneId> m_evacuated;
--- a/Libraries/LibSteering/coldpacer.cpp
+++ b/Libraries/LibSteering/coldpacer.cpp
@@ -23,4 +23,28 @@
     return true;
 }
 
+void ColdPacer::pauseUntil(BootTime until)
+{
+    m_pausedUntil = std::max(m_pausedUntil, until);
+}
+
+bool ColdPacer::hasRoom(BootTime now, const ColdPace &pace)
+{
+    forgetBefore(now, pace);
+    return now >= m_pausedUntil && m_sent.size() < pace.requests;
+}
+
+void ColdPacer::noteSent(BootTime now, const ColdPace &pace)
+{
+    forgetBefore(now, pace);
+    m_sent.push_back(now);
+}
+
+void ColdPacer::forgetBefore(BootTime now, const ColdPace &pace)
+{
+    while (!m_sent.empty() && now - m_sent.front() >= pace.window) {
+        m_sent.pop_front();
+    }
+}
+
 } // namespace Trefoil
--- a/Libraries/LibSteering/coldpacer.h
+++ b/Libraries/LibSteering/coldpacer.h
@@ -2,7 +2,9 @@
 
 #include <LibCore/bootclock.h>
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <string_view>
 #include <vector>
 
@@ -13,7 +15,15 @@
 /// without messages. Precondition: liveHosts holds this host. Thread safety: safe from any thread.
 bool mayWarmUp(std::uint64_t upstreamHash, std::uint64_t ownHash, const std::vector<std::uint64_t> &liveHosts, std::size_t owners);
 
-/// Spaces this host's requests to one cold upstream evenly.
+/// Most requests of one host to one cold upstream in any window of that length.
+struct ColdPace
+{
+    std::size_t requests = 1;
+    std::chrono::nanoseconds window{0};
+};
+
+/// Spaces this host's requests to one cold upstream evenly, and counts those that were sent: connections take different times to
+/// open, so that places taken in turn may end in requests at one time.
 /// Answers upstreams that start or come back while all hosts have work for them: a burst would crash them.
 /// Thread safety: one thread at a time.
 class ColdPacer
@@ -22,8 +32,23 @@
     /// Takes the next place if the interval since the last one has passed. Precondition: interval is positive.
     bool tryTake(BootTime now, std::chrono::nanoseconds interval);
 
+    /// Leaves no room until that time: other hosts may still send as to a warm upstream. Precondition: none.
+    void pauseUntil(BootTime until);
+
+    /// True when fewer requests than the pace allows were sent within its window, and no pause is on.
+    /// Precondition: now does not go back.
+    bool hasRoom(BootTime now, const ColdPace &pace);
+
+    /// Notes a request that is sent now, also to an upstream that isn't cold yet. Precondition: as for hasRoom().
+    void noteSent(BootTime now, const ColdPace &pace);
+
 private:
+    void forgetBefore(BootTime now, const ColdPace &pace);
+
     BootTime m_next{};
+    BootTime m_pausedUntil{};
+    /// Times of the requests of the last window.
+    std::deque<BootTime> m_sent;
 };
 
 } // namespace Trefoil
