LibHttp: End calls whose upstream sends bytes without end

Cause: four gaps in the reader of the connection pool. - The timer of a stream never ends a read whose bytes are already there, so that the deadline did not act during a flood. - Beast reads on inside one operation while chunk headers are incomplete. - An eager parser drops the error of a declared length above the limit when the body follows the header at once, and reserves that length; std::bad_alloc then left the call. - Only headers and bodies were bounded, not chunk sizes and extensions, interim responses and responses of other requests.

ResponseReader reads in steps, checks the deadline before each, and bounds the overhead of a response. A call discards at most 8 foreign and 64 interim responses.

--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/connectionpool.h>
 
 #include <LibHttp/endpoint.h>
+#include <LibHttp/responsereader.h>
 #include <LibHttp/silence.h>
 
 #include <algorithm>
@@ -24,7 +25,6 @@
 {
 
 constexpr std::uint32_t s_headerLimit = 16 * 1024;
-constexpr std::size_t s_bufferLimit = std::size_t{64} * 1024;
 /// A connection that its other end announced to close is not used in the last second, as a request may cross the close.
 constexpr std::chrono::milliseconds s_keepAliveMargin{1000};
 
@@ -32,7 +32,7 @@
 {
     PooledConnection(asio::io_context &context, std::optional<ConnectionPermit> permitForIt)
         : stream(context)
-        , buffer(s_bufferLimit)
+        , buffer(s_responseBufferLimit)
         , permit(std::move(permitForIt))
     {
     }
@@ -163,20 +163,23 @@
             http::response_parser<http::string_body> parser;
             parser.header_limit(s_headerLimit);
             parser.body_limit(m_options.responseLimit);
-            parser.eager(true);
             if (auto failed = readMessage(parser, yield)) {
                 return *failed;
             }
             const bool isInterim = parser.get().result_int() < 200;
             if (isInterim) {
+                if (++m_interimCount > m_options.interimLimit) {
+                    return CallFailure{CallFailureKind::TooLarge, true, "too many interim responses"};
+                }
                 continue;
             }
             m_reusable = !m_skipped && parser.keep_alive() && m_connection.buffer.size() == 0;
             m_connection.keepAlive = announcedKeepAlive(std::string_view(parser.get()[http::field::keep_alive]));
             const bool mayFollow = parser.keep_alive();
+            const std::size_t bodyBytes = parser.get().body().size();
             CallResult result = checkId(toResponse(parser.release()));
             const auto *failed = std::get_if<CallFailure>(&result);
-            if (failed && m_options.skipsForeignResponses && mayFollow) {
+            if (failed && m_options.skipsForeignResponses && mayFollow && mayDiscard(bodyBytes)) {
                 m_skipped = true;
                 continue;
             }
@@ -192,10 +195,10 @@
 private:
     std::optional<CallFailure> readMessage(http::response_parser<http::string_body> &parser, const asio::yield_context &yield)
     {
-        beast::error_code error;
+        ResponseReader reader(m_connection.stream, m_connection.buffer, parser, m_options.deadline);
         while (!parser.is_done()) {
             expireAtNextLimit();
-            http::async_read_some(m_connection.stream, m_connection.buffer, parser, yield[error]);
+            beast::error_code error = reader.step(yield);
             // Checked before the error: without a declared length, the end of the connection looks like the end of the body.
             if (parser.is_header_done() && parser.get().result_int() >= 200 && !declaresLength(parser)) {
                 if (!m_options.acceptsUndeclaredLength) {
@@ -212,6 +215,13 @@
         return std::nullopt;
     }
 
+    /// Counts one more foreign response; false when it exceeds the limits of the call.
+    bool mayDiscard(std::size_t bodyBytes)
+    {
+        m_discardedBytes += bodyBytes;
+        return ++m_discardedCount <= m_options.foreignLimit && m_discardedBytes <= m_options.responseLimit;
+    }
+
     CallResult checkId(HttpResponse response)
     {
         if (m_options.requestId.empty() || response.headers.value(m_options.requestIdHeader) == m_options.requestId) {
@@ -254,6 +264,9 @@
     bool m_anyByteWritten = false;
     bool m_reusable = false;
     bool m_skipped = false;
+    int m_interimCount = 0;
+    int m_discardedCount = 0;
+    std::uint64_t m_discardedBytes = 0;
 };
 
 } // namespace
--- a/Libraries/LibHttp/connectionpool.h
+++ b/Libraries/LibHttp/connectionpool.h
@@ -66,10 +66,16 @@
     /// A response with another id is discarded and the next one awaited, instead of ending the call. The connection is
     /// not used again in either case.
     bool skipsForeignResponses = false;
+    /// Most foreign responses that are discarded; their bodies together may be as large as one response. A connection
+    /// carries one request at a time, so that more than a few late responses are no mistake of a sound upstream.
+    int foreignLimit = 8;
+    /// Most interim (1xx) responses before the response: three a second for the longest calls of 20 s.
+    int interimLimit = 64;
     /// Takes a response without a declared length as complete when the upstream closes the connection in order.
     bool acceptsUndeclaredLength = false;
     /// A connection that was idle for longer is not used for this call, since its other end may have forgotten it.
     std::chrono::milliseconds maximumIdle = std::chrono::hours(1);
+    /// Largest body of a response, in bytes. Headers, chunk sizes and trailers have a limit of their own.
     std::size_t responseLimit = std::size_t{16} * 1024 * 1024;
     /// Ends the call early; may be null.
     Cancellation *cancellation = nullptr;
--- /dev/null
+++ b/Libraries/LibHttp/responsereader.cpp
@@ -0,0 +1,89 @@
+#include <LibHttp/responsereader.h>
+
+#include <boost/asio/error.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace Trefoil
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace
+{
+
+constexpr std::size_t s_readBytes = std::size_t{64} * 1024;
+
+} // namespace
+
+ResponseReader::ResponseReader(beast::tcp_stream &stream, beast::flat_buffer &buffer, Parser &parser, BootTime deadline)
+    : m_stream(stream)
+    , m_buffer(buffer)
+    , m_parser(parser)
+    , m_deadline(deadline)
+{
+    // An eager parser drops the error of a declared length above the limit when bytes of the body follow the header at
+    // once, and then reserves that length.
+    m_parser.eager(false);
+}
+
+beast::error_code ResponseReader::step(const asio::yield_context &yield)
+{
+    if (BootClock::now() >= m_deadline) {
+        return beast::error::timeout;
+    }
+    if (m_buffer.size() == 0 || m_needsMore) {
+        const beast::error_code error = readOnce(yield);
+        if (error || m_parser.is_done()) {
+            return error;
+        }
+    }
+    beast::error_code error = parse();
+    m_needsMore = error == http::error::need_more;
+    if (m_needsMore) {
+        error = {};
+    }
+    if (!error && hasExcessiveOverhead()) {
+        error = http::error::body_limit;
+    }
+    return error;
+}
+
+beast::error_code ResponseReader::readOnce(const asio::yield_context &yield)
+{
+    const std::size_t size = beast::read_size(m_buffer, s_readBytes);
+    if (size == 0) {
+        return http::error::buffer_overflow;
+    }
+    beast::error_code error;
+    m_buffer.commit(m_stream.async_read_some(m_buffer.prepare(size), yield[error]));
+    if (error != asio::error::eof) {
+        return error;
+    }
+    if (!m_parser.got_some()) {
+        return http::error::end_of_stream;
+    }
+    error = {};
+    m_parser.put_eof(error);
+    return error;
+}
+
+beast::error_code ResponseReader::parse()
+{
+    beast::error_code error;
+    const std::size_t count = m_parser.put(m_buffer.data(), error);
+    m_buffer.consume(count);
+    m_bytesParsed += count;
+    m_parser.eager(m_parser.is_header_done());
+    return error;
+}
+
+bool ResponseReader::hasExcessiveOverhead() const
+{
+    const std::uint64_t bodyBytes = m_parser.get().body().size();
+    return m_bytesParsed - bodyBytes > s_responseOverheadLimit + bodyBytes;
+}
+
+} // namespace Trefoil
--- /dev/null
+++ b/Tests/LibHttp/testendlessbytes.cpp
@@ -0,0 +1,229 @@
+#include "coroutine.h"
+#include <LibHttp/connectionpool.h>
+#include <StandIns/endlessupstream.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <cstring>
+#include <string>
+
+using namespace Trefoil;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::uint64_t s_kilobyte = 1024;
+constexpr std::uint64_t s_megabyte = 1024 * s_kilobyte;
+/// Bytes that the systems of both sides may hold: a send buffer of 64 KB, counted twice by Linux, and a receive buffer.
+constexpr std::uint64_t s_inFlight = 512 * s_kilobyte;
+
+std::string head(const std::string &fields)
+{
+    return responseHead("first", fields);
+}
+
+EndlessScript script(const std::string &shape)
+{
+    return endlessScript(shape, "first");
+}
+
+struct EndlessCase
+{
+    char shape[24];
+    char expected[24];
+    /// Most bytes that the call may take from the upstream.
+    std::uint64_t mostBytes;
+    std::chrono::milliseconds longest;
+};
+
+constexpr std::chrono::milliseconds s_deadline{3000};
+
+struct Fixture
+{
+    explicit Fixture(EndlessScript endlessScript)
+        : upstream(std::move(EndlessUpstream::create(context, std::move(endlessScript)).value()))
+        , pool(context, {})
+    {
+    }
+
+    /// As the gateway calls an upstream.
+    static CallOptions options()
+    {
+        CallOptions result;
+        result.deadline = BootClock::now() + s_deadline;
+        result.progressTimeout = s_deadline + 1s;
+        result.requestId = "first";
+        result.skipsForeignResponses = true;
+        result.acceptsUndeclaredLength = true;
+        return result;
+    }
+
+    CallResult call(const CallOptions &callOptions, const asio::yield_context &yield)
+    {
+        return pool.call(upstream->address(), nullptr, {"GET", "/"}, callOptions, yield);
+    }
+
+    asio::io_context context{1};
+    std::unique_ptr<EndlessUpstream> upstream;
+    ConnectionPool pool;
+};
+
+std::string textOf(const CallResult &result)
+{
+    const auto *failure = std::get_if<CallFailure>(&result);
+    return failure ? std::string(toText(failure->kind)) : std::to_string(std::get<HttpResponse>(result).status);
+}
+
+void wait(asio::io_context &context, std::chrono::milliseconds time, const asio::yield_context &yield)
+{
+    asio::steady_timer timer(context, time);
+    timer.async_wait(yield);
+}
+
+std::chrono::milliseconds since(BootTime start)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - start);
+}
+
+} // namespace
+
+// Guards against an upstream that holds a call, its memory and the processor with bytes that end in no response, and
+// against such bytes that count as one.
+ParameterizedTestParameters(EndlessBytes, callEndsEarly)
+{
+    static EndlessCase cases[] = {
+        {"no-response", "malformed-response", s_inFlight, 1000ms},
+        {"empty-lines", "malformed-response", s_inFlight, 1000ms},
+        {"reason-phrase", "response-too-large", s_inFlight, 1000ms},
+        {"header-field", "response-too-large", s_inFlight, 1000ms},
+        {"header-fields", "response-too-large", s_inFlight, 1000ms},
+        {"header-slowly", "deadline-exceeded", s_inFlight, s_deadline + 200ms},
+        {"huge-length", "response-too-large", s_inFlight, 1000ms},
+        {"no-length", "response-too-large", 16 * s_megabyte + s_inFlight, 2000ms},
+        {"chunks", "response-too-large", 17 * s_megabyte + s_inFlight, 2000ms},
+        {"tiny-chunks", "response-too-large", s_megabyte + s_inFlight, 1000ms},
+        {"chunk-extension", "response-too-large", s_inFlight, 1000ms},
+        {"chunk-extensions", "response-too-large", s_megabyte + s_inFlight, 1000ms},
+        {"trailer-fields", "response-too-large", s_inFlight, 1000ms},
+        {"interim", "response-too-large", s_megabyte + s_inFlight, 1000ms},
+        {"interim-fields", "response-too-large", s_megabyte + s_inFlight, 1000ms},
+        {"foreign", "wrong-request-id", s_megabyte + s_inFlight, 1000ms},
+        {"foreign-large", "wrong-request-id", 17 * s_megabyte + s_inFlight, 2000ms},
+        {"behind-response", "200", s_inFlight, 1000ms},
+    };
+    return cr_make_param_array(EndlessCase, cases, std::size(cases));
+}
+
+ParameterizedTest(EndlessCase *testCase, EndlessBytes, callEndsEarly)
+{
+    Fixture fixture(script(testCase->shape));
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        const BootTime start = BootClock::now();
+        const CallResult result = fixture.call(Fixture::options(), yield);
+        const auto elapsed = since(start);
+        const std::uint64_t taken = fixture.upstream->bytesSent();
+        cr_log_info("%s: %s after %ld ms and %lu KB", testCase->shape, textOf(result).c_str(), static_cast<long>(elapsed.count()), taken / s_kilobyte);
+        cr_expect_eq(textOf(result), testCase->expected, "%s: %s", testCase->shape, textOf(result).c_str());
+        cr_expect(taken <= testCase->mostBytes, "%s: %lu KB", testCase->shape, taken / s_kilobyte);
+        cr_expect(elapsed <= testCase->longest, "%s: %ld ms", testCase->shape, static_cast<long>(elapsed.count()));
+        if (const auto *failure = std::get_if<CallFailure>(&result)) {
+            cr_expect(failure->anyByteWritten, "%s", testCase->shape);
+        }
+        // The connection must be closed, so that its bytes stop.
+        wait(fixture.context, 50ms, yield);
+        cr_expect_eq(fixture.upstream->sendingConnections(), 0, "%s", testCase->shape);
+    });
+}
+
+// Guards against a deadline that never ends a call whose bytes are always there to be read.
+Test(EndlessBytes, deadlineEndsAFlood)
+{
+    EndlessScript endless = script("no-length");
+    endless.totalBytes = 512 * s_megabyte;
+    Fixture fixture(std::move(endless));
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        CallOptions options = Fixture::options();
+        options.deadline = BootClock::now() + 50ms;
+        options.responseLimit = 1024 * s_megabyte;
+        const BootTime start = BootClock::now();
+        const CallResult result = fixture.call(options, yield);
+        const auto elapsed = since(start);
+        cr_log_info("%s after %ld ms and %lu KB", textOf(result).c_str(), static_cast<long>(elapsed.count()), fixture.upstream->bytesSent() / s_kilobyte);
+        cr_expect_eq(textOf(result), "deadline-exceeded", "%s", textOf(result).c_str());
+        cr_expect(elapsed < 500ms, "%ld ms", static_cast<long>(elapsed.count()));
+    });
+}
+
+// Guards against limits that end a call whose upstream is sound: a large body, one in small chunks, a slow one, interim
+// responses of long work, and a late response of another request.
+ParameterizedTestParameters(EndlessBytes, soundResponsePasses)
+{
+    static EndlessCase cases[] = {
+        {"full-size", "200", 0, 0ms},
+        {"small-chunks", "200", 0, 0ms},
+        {"tiny-chunks", "200", 0, 0ms},
+        {"slow-chunks", "200", 0, 0ms},
+        {"interim", "200", 0, 0ms},
+        {"foreign-full-size", "200", 0, 0ms},
+    };
+    return cr_make_param_array(EndlessCase, cases, std::size(cases));
+}
+
+namespace
+{
+
+std::string repeat(const std::string &text, std::size_t count)
+{
+    std::string result;
+    for (std::size_t i = 0; i < count; ++i) {
+        result += text;
+    }
+    return result;
+}
+
+EndlessScript soundScript(const std::string &shape)
+{
+    const std::string chunked = head("Transfer-Encoding: chunked\r\n\r\n");
+    // What is repeated comes after the end of the response.
+    if (shape == "full-size") {
+        return {completeResponse("first", 16 * s_megabyte), 1s, "x"};
+    }
+    if (shape == "small-chunks") {
+        return {chunked + repeat(chunkOf(16), s_megabyte / 16) + "0\r\n\r\n", 1s, "x"};
+    }
+    if (shape == "tiny-chunks") {
+        return {chunked + repeat(chunkOf(1), 32 * s_kilobyte) + "0\r\n\r\n", 1s, "x"};
+    }
+    if (shape == "slow-chunks") {
+        EndlessScript slow{chunked, 0ms, chunkOf(1), 20ms};
+        return slow;
+    }
+    if (shape == "interim") {
+        return {repeat("HTTP/1.1 102 Processing\r\n\r\n", 20) + completeResponse("first", 4), 1s, "x"};
+    }
+    cr_assert_eq(shape, "foreign-full-size");
+    return {completeResponse("foreign", 16 * s_megabyte) + completeResponse("first", 16 * s_megabyte), 1s, "x"};
+}
+
+} // namespace
+
+ParameterizedTest(EndlessCase *testCase, EndlessBytes, soundResponsePasses)
+{
+    EndlessScript sound = soundScript(testCase->shape);
+    const bool isSlow = std::strcmp(testCase->shape, "slow-chunks") == 0;
+    if (isSlow) {
+        // Without a length, so that the order of the close ends it, after 1 s.
+        sound.opening = head("\r\n");
+        sound.repeated = "b";
+        sound.totalBytes = sound.opening.size() + 50;
+    }
+    Fixture fixture(std::move(sound));
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        const CallResult result = fixture.call(Fixture::options(), yield);
+        cr_assert_eq(textOf(result), testCase->expected, "%s: %s", testCase->shape, textOf(result).c_str());
+        cr_assert(!isSlow || std::get<HttpResponse>(result).body.size() == 50);
+    });
+}
