LibHttp: Close idle connections on which bytes came

Cause: an idle connection was only looked at when the next call took it.

closeExpired() now also closes idle connections that hold bytes or that the other side closed. Between two rounds of closeExpired() the receive buffer can still fill.

--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -353,8 +353,11 @@
     void closeExpired(BootTime now)
     {
         for (auto &[address, idle] : m_idle) {
-            const auto isExpired = [this, now](const ConnectionPointer &connection) { return now - connection->idleSince >= m_settings.idleTimeout; };
-            idle.erase(std::remove_if(idle.begin(), idle.end(), isExpired), idle.end());
+            // Bytes that belong to no request would fill the receive buffer, which counts as memory of the host.
+            const auto isSpent = [this, now](const ConnectionPointer &connection) {
+                return now - connection->idleSince >= m_settings.idleTimeout || !isQuiet(*connection);
+            };
+            idle.erase(std::remove_if(idle.begin(), idle.end(), isSpent), idle.end());
         }
     }
 
--- a/Libraries/LibHttp/connectionpool.h
+++ b/Libraries/LibHttp/connectionpool.h
@@ -117,7 +117,8 @@
         const CallOptions &options,
         const boost::asio::yield_context &yield);
 
-    /// Closes connections that were idle for too long. Precondition: none.
+    /// Closes idle connections that were idle for too long, that the other side closed, and on which bytes came that
+    /// belong to no request. Precondition: none.
     void closeExpired(BootTime now);
 
     /// Connections opened since the start. Precondition: none.
--- a/Tests/LibHttp/testendlessbytes.cpp
+++ b/Tests/LibHttp/testendlessbytes.cpp
@@ -157,6 +157,22 @@
     });
 }
 
+// Guards against an idle connection that fills the system's buffers with bytes that belong to no request.
+Test(EndlessBytes, idleConnectionIsClosed)
+{
+    EndlessScript endless = script("behind-response");
+    endless.pause = 50ms;
+    Fixture fixture(std::move(endless));
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        cr_assert_eq(textOf(fixture.call(Fixture::options(), yield)), "200");
+        wait(fixture.context, 150ms, yield);
+        fixture.pool.closeExpired(BootClock::now());
+        wait(fixture.context, 50ms, yield);
+        cr_log_info("%lu KB", fixture.upstream->bytesSent() / s_kilobyte);
+        cr_expect_eq(fixture.upstream->sendingConnections(), 0);
+    });
+}
+
 // Guards against limits that end a call whose upstream is sound: a large body, one in small chunks, a slow one, interim
 // responses of long work, and a late response of another request.
 ParameterizedTestParameters(EndlessBytes, soundResponsePasses)
