LibHttp: Bound all unfinished bodies of a pool together

Cause: each body may reach 16 MB, and nothing bounded all of them, while a host has 160 to 260 MB. All bodies that are being read may now hold 64 MB beyond the first 64 KB of each; the call that exceeds it ends as too large, so that small responses pass in any case. A body that has been read completely no longer counts.

EndlessBytes::unfinishedBodiesAreBoundedTogether failed before: none of 10 calls for 16 MB had ended, with a peak of 192 MB in the process, stand-in included. Now 6 of 10 end early, 4 go on, with a peak of 106 MB.

--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -131,13 +131,52 @@
     return std::chrono::seconds(std::strtol(digits.c_str(), nullptr, 10));
 }
 
+/// Bytes of a body that don't count against the limit of the pool, so that small responses never wait for large ones.
+constexpr std::size_t s_uncountedBytes = std::size_t{64} * 1024;
+
+/// The part of one unfinished body in the sum of its pool.
+class UnfinishedBody
+{
+public:
+    UnfinishedBody(std::size_t &sum, std::size_t limit)
+        : m_sum(sum)
+        , m_limit(limit)
+    {
+    }
+
+    ~UnfinishedBody()
+    {
+        m_sum -= m_counted;
+    }
+
+    UnfinishedBody(const UnfinishedBody &) = delete;
+    UnfinishedBody &operator=(const UnfinishedBody &) = delete;
+
+    /// False when the sum exceeds the limit through this body.
+    bool growTo(std::size_t bytes)
+    {
+        const std::size_t counted = bytes - std::min(bytes, s_uncountedBytes);
+        const std::size_t growth = counted - m_counted;
+        m_sum += growth;
+        m_counted = counted;
+        return growth == 0 || m_sum <= m_limit;
+    }
+
+private:
+    std::size_t &m_sum;
+    std::size_t m_limit;
+    std::size_t m_counted = 0;
+};
+
 /// One request on one connection.
 class Exchange
 {
 public:
-    Exchange(PooledConnection &connection, const CallOptions &options)
+    Exchange(PooledConnection &connection, const CallOptions &options, std::size_t &unfinishedBytes, std::size_t unfinishedLimit)
         : m_connection(connection)
         , m_options(options)
+        , m_unfinishedBytes(unfinishedBytes)
+        , m_unfinishedLimit(unfinishedLimit)
     {
     }
 
@@ -196,6 +235,7 @@
     std::optional<CallFailure> readMessage(http::response_parser<http::string_body> &parser, const asio::yield_context &yield)
     {
         ResponseReader reader(m_connection.stream, m_connection.buffer, parser, m_options.deadline);
+        UnfinishedBody body(m_unfinishedBytes, m_unfinishedLimit);
         while (!parser.is_done()) {
             expireAtNextLimit();
             beast::error_code error = reader.step(yield);
@@ -211,6 +251,9 @@
             if (error) {
                 return failure(parser.got_some() ? CallFailureKind::Truncated : CallFailureKind::ConnectionLost, error);
             }
+            if (!body.growTo(parser.get().body().size())) {
+                return CallFailure{CallFailureKind::TooLarge, true, "all unfinished responses together are too large"};
+            }
         }
         return std::nullopt;
     }
@@ -261,6 +304,8 @@
 
     PooledConnection &m_connection;
     const CallOptions &m_options;
+    std::size_t &m_unfinishedBytes;
+    std::size_t m_unfinishedLimit;
     bool m_anyByteWritten = false;
     bool m_reusable = false;
     bool m_skipped = false;
@@ -336,7 +381,7 @@
             giveBack(address, std::move(current));
             return CallFailure{CallFailureKind::WriteRefused, false, "the request may no longer be sent"};
         }
-        Exchange exchange(*current, options);
+        Exchange exchange(*current, options, m_unfinishedBytes, m_settings.unfinishedLimit);
         if (auto failed = exchange.write(request, address, yield)) {
             return afterFailure(address, *current, *failed);
         }
@@ -483,6 +528,8 @@
     ConnectionPoolSettings m_settings;
     std::unordered_map<std::string, std::vector<ConnectionPointer>> m_idle;
     std::uint64_t m_opened = 0;
+    /// Of bodies that are being read.
+    std::size_t m_unfinishedBytes = 0;
 };
 
 ConnectionPool::ConnectionPool(asio::io_context &context, ConnectionPoolSettings settings)
--- a/Libraries/LibHttp/connectionpool.h
+++ b/Libraries/LibHttp/connectionpool.h
@@ -95,6 +95,9 @@
     /// Sent bytes that stay unacknowledged for this long end the connection, as does an idle peer that answers no
     /// keep-alive probes; 0 leaves both to the system.
     std::chrono::milliseconds unacknowledgedTimeout{0};
+    /// Bytes of the bodies that all calls together are reading, beyond the first 64 KB of each; the call that exceeds it
+    /// ends. Four bodies of the largest size, less than half the memory of the smallest host (160 MB).
+    std::size_t unfinishedLimit = std::size_t{64} * 1024 * 1024;
 };
 
 /// Keep-alive connections to upstreams and other hosts, for one worker thread.
--- a/Tests/LibHttp/testendlessbytes.cpp
+++ b/Tests/LibHttp/testendlessbytes.cpp
@@ -2,11 +2,14 @@
 #include <LibHttp/connectionpool.h>
 #include <StandIns/endlessupstream.h>
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <cstring>
 #include <string>
+#include <sys/resource.h>
+#include <vector>
 
 using namespace Trefoil;
 using namespace std::chrono_literals;
@@ -40,6 +43,8 @@
 };
 
 constexpr std::chrono::milliseconds s_deadline{3000};
+/// For calls that share the processor with nine others.
+constexpr std::chrono::milliseconds s_longDeadline{6000};
 
 struct Fixture
 {
@@ -243,3 +248,39 @@
         cr_assert(!isSlow || std::get<HttpResponse>(result).body.size() == 50);
     });
 }
+
+// Guards against bodies that are each within their limit and together fill the host, and against small responses that
+// fail because of them.
+Test(EndlessBytes, unfinishedBodiesAreBoundedTogether)
+{
+    constexpr int calls = 10;
+    const std::string opening = head("Content-Length: " + std::to_string(16 * s_megabyte) + "\r\n\r\n") + std::string(15 * s_megabyte, 'b');
+    Fixture fixture({opening, 0ms, "b", 20ms});
+    const auto small = EndlessUpstream::create(fixture.context, {completeResponse("first", 60 * s_kilobyte), 1s, "x"});
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        std::vector<std::string> ends;
+        for (int i = 0; i < calls; ++i) {
+            asio::spawn(fixture.context, [&](const asio::yield_context &inner) {
+                CallOptions options = Fixture::options();
+                options.deadline = BootClock::now() + s_longDeadline;
+                options.progressTimeout = s_longDeadline + 1s;
+                ends.push_back(textOf(fixture.call(options, inner)));
+            });
+        }
+        // Until the calls that are left hold their bodies and wait for the rest.
+        wait(fixture.context, s_longDeadline * 3 / 4, yield);
+        const auto refused = std::count(ends.begin(), ends.end(), "response-too-large");
+        rusage usage{};
+        ::getrusage(RUSAGE_SELF, &usage);
+        cr_log_info("%ld of %d calls have ended, peak %ld MB", static_cast<long>(ends.size()), calls, usage.ru_maxrss / 1024);
+        cr_expect_eq(refused, calls - 4, "%ld", static_cast<long>(refused));
+        const CallResult result = fixture.pool.call(small.value()->address(), nullptr, {"GET", "/"}, Fixture::options(), yield);
+        cr_expect_eq(textOf(result), "200", "%s", textOf(result).c_str());
+        wait(fixture.context, s_longDeadline / 2, yield);
+        cr_expect_eq(ends.size(), static_cast<std::size_t>(calls));
+        // What the ended calls held must be free again.
+        const auto full = EndlessUpstream::create(fixture.context, {completeResponse("first", 16 * s_megabyte), 1s, "x"});
+        const CallResult after = fixture.pool.call(full.value()->address(), nullptr, {"GET", "/"}, Fixture::options(), yield);
+        cr_expect_eq(textOf(after), "200", "%s", textOf(after).c_str());
+    });
+}
