LibHttp: End requests to a store that sends bytes without end

The client now reads with ResponseReader, with a buffer of 64 KB, and ends a response without a declared length at its header instead of after its body.

The largest body stays at 64 MB.

--- a/Libraries/LibHttp/jsonclient.cpp
+++ b/Libraries/LibHttp/jsonclient.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/jsonclient.h>
 
 #include <LibHttp/endpoint.h>
+#include <LibHttp/responsereader.h>
 #include <LibHttp/silence.h>
 
 #include <algorithm>
@@ -125,16 +126,22 @@
     if (error) {
         return RequestAmbiguous{"cannot write the request: " + error.message()};
     }
-    beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
+    beast::flat_buffer buffer(s_responseBufferLimit);
+    ResponseReader::Parser parser;
     parser.body_limit(m_settings.maximumBodyBytes);
-    m_bytesReceived += http::async_read(stream, buffer, parser, yield[error]);
-    if (error) {
-        return RequestAmbiguous{"no complete response: " + error.message()};
-    }
-    if (!declaresLength(parser)) {
-        return RequestAmbiguous{"the response declares no length"};
+    ResponseReader reader(stream, buffer, parser, deadline);
+    while (!parser.is_done()) {
+        error = reader.step(yield);
+        if (error) {
+            m_bytesReceived += reader.bytesParsed();
+            return RequestAmbiguous{"no complete response: " + error.message()};
+        }
+        if (parser.is_header_done() && !declaresLength(parser)) {
+            m_bytesReceived += reader.bytesParsed();
+            return RequestAmbiguous{"the response declares no length"};
+        }
     }
+    m_bytesReceived += reader.bytesParsed();
     const bool reusable = parser.keep_alive() && buffer.size() == 0;
     auto response = parser.release();
     if (reusable) {
--- a/Tests/LibHttp/testendlessbytes.cpp
+++ b/Tests/LibHttp/testendlessbytes.cpp
@@ -1,5 +1,6 @@
 #include "coroutine.h"
 #include <LibHttp/connectionpool.h>
+#include <LibHttp/jsonclient.h>
 #include <StandIns/endlessupstream.h>
 
 #include <algorithm>
@@ -284,3 +285,63 @@
         cr_expect_eq(textOf(after), "200", "%s", textOf(after).c_str());
     });
 }
+
+// Guards against a deadline of the client of the platform that never ends a flood.
+Test(EndlessBytes, deadlineEndsAFloodOfTheStore)
+{
+    EndlessScript endless = script("chunks");
+    endless.totalBytes = 512 * s_megabyte;
+    Fixture fixture(std::move(endless));
+    JsonClientSettings settings;
+    settings.address = fixture.upstream->address();
+    settings.maximumBodyBytes = 1024 * s_megabyte;
+    JsonClient client(fixture.context, settings);
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        const BootTime start = BootClock::now();
+        const JsonResult result = client.request({"GET", "/"}, start + 50ms, yield);
+        const auto elapsed = since(start);
+        cr_log_info("json after %ld ms and %lu KB", static_cast<long>(elapsed.count()), fixture.upstream->bytesSent() / s_kilobyte);
+        cr_expect(std::holds_alternative<RequestAmbiguous>(result));
+        cr_expect(elapsed < 500ms, "%ld ms", static_cast<long>(elapsed.count()));
+    });
+}
+
+// Guards against a store that holds the client of the platform, its memory and the processor in the same way.
+ParameterizedTestParameters(EndlessBytes, jsonClientEndsEarly)
+{
+    static EndlessCase cases[] = {
+        {"no-response", "", s_inFlight, 1000ms},
+        {"reason-phrase", "", s_inFlight, 1000ms},
+        {"header-fields", "", s_inFlight, 1000ms},
+        {"huge-length", "", s_inFlight, 1000ms},
+        {"no-length", "", s_inFlight, 1000ms},
+        {"tiny-chunks", "", s_megabyte + s_inFlight, 1000ms},
+        {"chunk-extension", "", s_inFlight, 1000ms},
+        {"chunk-extensions", "", s_megabyte + s_inFlight, 1000ms},
+        {"trailer-fields", "", s_inFlight, 1000ms},
+    };
+    return cr_make_param_array(EndlessCase, cases, std::size(cases));
+}
+
+ParameterizedTest(EndlessCase *testCase, EndlessBytes, jsonClientEndsEarly)
+{
+    Fixture fixture(script(testCase->shape));
+    JsonClientSettings settings;
+    settings.address = fixture.upstream->address();
+    JsonClient client(fixture.context, settings);
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        const BootTime start = BootClock::now();
+        const JsonResult result = client.request({"GET", "/"}, start + s_deadline, yield);
+        const auto elapsed = since(start);
+        const std::uint64_t taken = fixture.upstream->bytesSent();
+        const auto *ambiguous = std::get_if<RequestAmbiguous>(&result);
+        cr_log_info("json %s: %s after %ld ms and %lu KB",
+            testCase->shape,
+            ambiguous ? ambiguous->reason.c_str() : "a response",
+            static_cast<long>(elapsed.count()),
+            taken / s_kilobyte);
+        cr_expect(ambiguous, "%s", testCase->shape);
+        cr_expect(taken <= testCase->mostBytes, "%s: %lu KB", testCase->shape, taken / s_kilobyte);
+        cr_expect(elapsed <= testCase->longest, "%s: %ld ms", testCase->shape, static_cast<long>(elapsed.count()));
+    });
+}
