Tests: Show what the gateway makes of bytes without end

Each shape must end as 502, never as a response or as not run, with one attempt, at most 18 MB and a failure in the upstream's health; an idempotent request must then be served by a sound upstream.

--- a/Tests/LibGateway/testgateway.cpp
+++ b/Tests/LibGateway/testgateway.cpp
@@ -1,7 +1,9 @@
 #include <LibGateway/gateway.h>
 #include <LibHttp/cancellation.h>
+#include <StandIns/endlessupstream.h>
 #include <StandIns/upstream.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <criterion/criterion.h>
@@ -83,12 +85,12 @@
         return {ConfigurationVersion(1), {read, write}, {}, {}};
     }
 
-    HttpResponse send(const std::string &target, const asio::yield_context &yield)
+    HttpResponse send(const std::string &target, const asio::yield_context &yield, const std::string &deadline = "500")
     {
         HttpRequest request{"POST", target, {}, "two casts"};
         request.headers.add("Host", "a.example");
         request.headers.add("Trefoil-Request-Id", "id-" + std::to_string(++sent));
-        request.headers.add("Trefoil-Deadline-Ms", "500");
+        request.headers.add("Trefoil-Deadline-Ms", deadline);
         return gateway.handle(request, caller, yield);
     }
 
@@ -274,3 +276,138 @@
         }
     });
 }
+
+namespace
+{
+
+struct EndlessCase
+{
+    char shape[24];
+};
+
+/// Time for a body of the largest size on a busy machine.
+constexpr const char *s_longDeadline = "5000";
+
+/// A response of the largest size with its overhead, and what the systems of both sides hold.
+constexpr std::uint64_t s_mostBytes = std::uint64_t{18} * 1024 * 1024;
+
+RoutingConfiguration patientConfiguration()
+{
+    RoutingConfiguration configuration = Fixture::configuration();
+    configuration.version = ConfigurationVersion(2);
+    for (Route &route : configuration.routes) {
+        route.timeout = 5000ms;
+    }
+    return configuration;
+}
+
+void addUpstream(Fixture &fixture, const std::string &id, const std::string &address)
+{
+    UpstreamRegistration registration;
+    registration.id = UpstreamId(id);
+    registration.service = ServiceId("service");
+    registration.address = address;
+    registration.zone = ZoneId("zone");
+    registration.slots = SlotCount(4);
+    fixture.state.upstreamStarted(registration, BootClock::now());
+}
+
+/// Adds an upstream that answers each request with bytes without end; the responses among them bear the id of the first request.
+std::unique_ptr<EndlessUpstream> addEndlessUpstream(Fixture &fixture, const std::string &shape)
+{
+    auto upstream = std::move(EndlessUpstream::create(fixture.context, endlessScript(shape, "id-1")).value());
+    addUpstream(fixture, "endless", upstream->address());
+    return upstream;
+}
+
+} // namespace
+
+// Guards against bytes without end that pass as a response, that leave an idempotent request no time for a sound
+// upstream, that let a request run twice or be called not run, and of which the upstream's health does not learn.
+ParameterizedTestParameters(Gateway, upstreamWithoutEnd)
+{
+    static EndlessCase cases[] = {
+        {"no-response"},
+        {"header-field"},
+        {"header-fields"},
+        {"huge-length"},
+        {"no-length"},
+        {"chunks"},
+        {"tiny-chunks"},
+        {"chunk-extension"},
+        {"chunk-extensions"},
+        {"trailer-fields"},
+        {"interim"},
+        {"interim-fields"},
+        {"foreign"},
+        {"foreign-large"},
+    };
+    return cr_make_param_array(EndlessCase, cases, std::size(cases));
+}
+
+ParameterizedTest(EndlessCase *testCase, Gateway, upstreamWithoutEnd)
+{
+    for (const char *target : {"/read/1", "/write/1"}) {
+        Fixture fixture(0);
+        const auto endless = addEndlessUpstream(fixture, testCase->shape);
+        const RoutingConfiguration configuration = patientConfiguration();
+        fixture.state.setConfiguration(configuration);
+        const auto usable = fixture.state.usableUpstreams(ServiceId("service"), configuration.routes.front(), {}, BootClock::now());
+        cr_assert_eq(usable.size(), 1);
+        fixture.run([&](const asio::yield_context &yield) {
+            const BootTime start = BootClock::now();
+            const HttpResponse response = fixture.send(target, yield, s_longDeadline);
+            const BootTime end = BootClock::now();
+            cr_log_info("%s %s: %d after %ld ms",
+                testCase->shape,
+                target,
+                response.status,
+                static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(end - start).count()));
+            cr_expect_eq(response.status, 502, "%s %s: %d", testCase->shape, target, response.status);
+            cr_expect_eq(endless->connections(), 1, "%s %s", testCase->shape, target);
+            cr_expect(end - start < 2000ms, "%s %s", testCase->shape, target);
+            cr_expect(endless->bytesSent() <= s_mostBytes, "%s %s: %lu", testCase->shape, target, static_cast<unsigned long>(endless->bytesSent()));
+            cr_expect(usable.front()->model.failureRate(end) > 0, "%s %s", testCase->shape, target);
+            cr_expect_eq(fixture.gateway.inFlight(), 0);
+        });
+    }
+}
+
+// Guards against an idempotent request that is not served because an upstream that sends without end held it for too long.
+ParameterizedTestParameters(Gateway, soundUpstreamServesAfterOneWithoutEnd)
+{
+    static EndlessCase cases[] = {{"huge-length"}, {"no-length"}, {"tiny-chunks"}, {"chunk-extensions"}, {"interim"}, {"foreign"}};
+    return cr_make_param_array(EndlessCase, cases, std::size(cases));
+}
+
+ParameterizedTest(EndlessCase *testCase, Gateway, soundUpstreamServesAfterOneWithoutEnd)
+{
+    Fixture fixture(0);
+    fixture.state.setConfiguration(patientConfiguration());
+    const auto sound = std::move(UpstreamStandIn::create(fixture.context, {}).value());
+    addUpstream(fixture, "sound", sound->address());
+    fixture.run([&](const asio::yield_context &yield) {
+        // From these the gateway learns how long the work takes; it expects more than the time left otherwise.
+        for (int i = 0; i < 20; ++i) {
+            cr_assert_eq(fixture.send("/read/1", yield).status, 200);
+        }
+        fixture.state.upstreamGone(UpstreamId("sound"));
+        const auto endless = addEndlessUpstream(fixture, testCase->shape);
+        int status = 0;
+        asio::spawn(fixture.context, [&](const asio::yield_context &inner) { status = fixture.send("/read/1", inner, s_longDeadline).status; });
+        // The request is on its way to the only upstream when the sound one starts.
+        asio::post(fixture.context, yield);
+        addUpstream(fixture, "sound-again", sound->address());
+        const BootTime start = BootClock::now();
+        asio::steady_timer timer(fixture.context);
+        while (status == 0) {
+            timer.expires_after(1ms);
+            timer.async_wait(yield);
+        }
+        const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - start);
+        cr_log_info("%s, then a sound upstream: %d after %ld ms", testCase->shape, status, static_cast<long>(elapsed.count()));
+        cr_expect_eq(endless->connections(), 1, "%s", testCase->shape);
+        cr_expect(endless->bytesSent() <= s_mostBytes, "%s", testCase->shape);
+        cr_expect_eq(status, 200, "%s: %d", testCase->shape, status);
+    });
+}
