--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/connectionpool.h>
 
 #include <LibHttp/endpoint.h>
+#include <LibHttp/responsereader.h>
 #include <LibHttp/silence.h>
 
 #include <algorithm>
@@ -24,7 +25,6 @@
 {
 
 constexpr std::uint32_t s_headerLimit = 16 * 1024;
-constexpr std::size_t s_bufferLimit = std::size_t{64} * 1024;
 /// A connection that its other end announced to close is not used in the last second, as a request may cross the close.
 constexpr std::chrono::milliseconds s_keepAliveMargin{1000};
 
@@ -32,7 +32,7 @@
 {
     PooledConnection(asio::io_context &context, std::optional<ConnectionPermit> permitForIt)
         : stream(context)
-        , buffer(s_bufferLimit)
+        , buffer(s_responseBufferLimit)
         , permit(std::move(permitForIt))
     {
     }
@@ -131,13 +131,52 @@
     return std::chrono::seconds(std::strtol(digits.c_str(), nullptr, 10));
 }
 
+/// Bytes of a body that don't count against the limit of the pool, so that small responses never wait for large ones.
+constexpr std::size_t s_uncountedBytes = std::size_t{64} * 1024;
+
+/// The part of one unfinished body in the sum of its pool.
+class UnfinishedBody
+{
+public:
+    UnfinishedBody(std::size_t &sum, std::size_t limit)
+        : m_sum(sum)
+        , m_limit(limit)
+    {
+    }
+
+    ~UnfinishedBody()
+    {
+        m_sum -= m_counted;
+    }
+
+    UnfinishedBody(const UnfinishedBody &) = delete;
+    UnfinishedBody &operator=(const UnfinishedBody &) = delete;
+
+    /// False when the sum exceeds the limit through this body.
+    bool growTo(std::size_t bytes)
+    {
+        const std::size_t counted = bytes - std::min(bytes, s_uncountedBytes);
+        const std::size_t growth = counted - m_counted;
+        m_sum += growth;
+        m_counted = counted;
+        return growth == 0 || m_sum <= m_limit;
+    }
+
+private:
+    std::size_t &m_sum;
+    std::size_t m_limit;
+    std::size_t m_counted = 0;
+};
+
 /// One request on one connection.
 class Exchange
 {
 public:
-    Exchange(PooledConnection &connection, const CallOptions &options)
+    Exchange(PooledConnection &connection, const CallOptions &options, std::size_t &unfinishedBytes, std::size_t unfinishedLimit)
         : m_connection(connection)
         , m_options(options)
+        , m_unfinishedBytes(unfinishedBytes)
+        , m_unfinishedLimit(unfinishedLimit)
     {
     }
 
@@ -163,20 +202,23 @@
             http::response_parser<http::string_body> parser;
             parser.header_limit(s_headerLimit);
             parser.body_limit(m_options.responseLimit);
-            parser.eager(true);
             if (auto failed = readMessage(parser, yield)) {
                 return *failed;
             }
             const bool isInterim = parser.get().result_int() < 200;
             if (isInterim) {
+                if (++m_interimCount > m_options.interimLimit) {
+                    return CallFailure{CallFailureKind::TooLarge, true, "too many interim responses"};
+                }
                 continue;
             }
             m_reusable = !m_skipped && parser.keep_alive() && m_connection.buffer.size() == 0;
             m_connection.keepAlive = announcedKeepAlive(std::string_view(parser.get()[http::field::keep_alive]));
             const bool mayFollow = parser.keep_alive();
+            const std::size_t bodyBytes = parser.get().body().size();
             CallResult result = checkId(toResponse(parser.release()));
             const auto *failed = std::get_if<CallFailure>(&result);
-            if (failed && m_options.skipsForeignResponses && mayFollow) {
+            if (failed && m_options.skipsForeignResponses && mayFollow && mayDiscard(bodyBytes)) {
                 m_skipped = true;
                 continue;
             }
@@ -192,10 +234,11 @@
 private:
     std::optional<CallFailure> readMessage(http::response_parser<http::string_body> &parser, const asio::yield_context &yield)
     {
-        beast::error_code error;
+        ResponseReader reader(m_connection.stream, m_connection.buffer, parser, m_options.deadline);
+        UnfinishedBody body(m_unfinishedBytes, m_unfinishedLimit);
         while (!parser.is_done()) {
             expireAtNextLimit();
-            http::async_read_some(m_connection.stream, m_connection.buffer, parser, yield[error]);
+            beast::error_code error = reader.step(yield);
             // Checked before the error: without a declared length, the end of the connection looks like the end of the body.
             if (parser.is_header_done() && parser.get().result_int() >= 200 && !declaresLength(parser)) {
                 if (!m_options.acceptsUndeclaredLength) {
@@ -208,10 +251,20 @@
             if (error) {
                 return failure(parser.got_some() ? CallFailureKind::Truncated : CallFailureKind::ConnectionLost, error);
             }
+            if (!body.growTo(parser.get().body().size())) {
+                return CallFailure{CallFailureKind::TooLarge, true, "all unfinished responses together are too large"};
+            }
         }
         return std::nullopt;
     }
 
+    /// Counts one more foreign response; false when it exceeds the limits of the call.
+    bool mayDiscard(std::size_t bodyBytes)
+    {
+        m_discardedBytes += bodyBytes;
+        return ++m_discardedCount <= m_options.foreignLimit && m_discardedBytes <= m_options.responseLimit;
+    }
+
     CallResult checkId(HttpResponse response)
     {
         if (m_options.requestId.empty() || response.headers.value(m_options.requestIdHeader) == m_options.requestId) {
@@ -251,9 +304,14 @@
 
     PooledConnection &m_connection;
     const CallOptions &m_options;
+    std::size_t &m_unfinishedBytes;
+    std::size_t m_unfinishedLimit;
     bool m_anyByteWritten = false;
     bool m_reusable = false;
     bool m_skipped = false;
+    int m_interimCount = 0;
+    int m_discardedCount = 0;
+    std::uint64_t m_discardedBytes = 0;
 };
 
 } // namespace
@@ -323,7 +381,7 @@
             giveBack(address, std::move(current));
             return CallFailure{CallFailureKind::WriteRefused, false, "the request may no longer be sent"};
         }
-        Exchange exchange(*current, options);
+        Exchange exchange(*current, options, m_unfinishedBytes, m_settings.unfinishedLimit);
         if (auto failed = exchange.write(request, address, yield)) {
             return afterFailure(address, *current, *failed);
         }
@@ -340,8 +398,11 @@
     void closeExpired(BootTime now)
     {
         for (auto &[address, idle] : m_idle) {
-            const auto isExpired = [this, now](const ConnectionPointer &connection) { return now - connection->idleSince >= m_settings.idleTimeout; };
-            idle.erase(std::remove_if(idle.begin(), idle.end(), isExpired), idle.end());
+            // Bytes that belong to no request would fill the receive buffer, which counts as memory of the host.
+            const auto isSpent = [this, now](const ConnectionPointer &connection) {
+                return now - connection->idleSince >= m_settings.idleTimeout || !isQuiet(*connection);
+            };
+            idle.erase(std::remove_if(idle.begin(), idle.end(), isSpent), idle.end());
         }
     }
 
@@ -467,6 +528,8 @@
     ConnectionPoolSettings m_settings;
     std::unordered_map<std::string, std::vector<ConnectionPointer>> m_idle;
     std::uint64_t m_opened = 0;
+    /// Of bodies that are being read.
+    std::size_t m_unfinishedBytes = 0;
 };
 
 ConnectionPool::ConnectionPool(asio::io_context &context, ConnectionPoolSettings settings)
--- a/Libraries/LibHttp/connectionpool.h
+++ b/Libraries/LibHttp/connectionpool.h
@@ -66,10 +66,16 @@
     /// A response with another id is discarded and the next one awaited, instead of ending the call. The connection is
     /// not used again in either case.
     bool skipsForeignResponses = false;
+    /// Most foreign responses that are discarded; their bodies together may be as large as one response. A connection
+    /// carries one request at a time, so that more than a few late responses are no mistake of a sound upstream.
+    int foreignLimit = 8;
+    /// Most interim (1xx) responses before the response: three a second for the longest calls of 20 s.
+    int interimLimit = 64;
     /// Takes a response without a declared length as complete when the upstream closes the connection in order.
     bool acceptsUndeclaredLength = false;
     /// A connection that was idle for longer is not used for this call, since its other end may have forgotten it.
     std::chrono::milliseconds maximumIdle = std::chrono::hours(1);
+    /// Largest body of a response, in bytes. Headers, chunk sizes and trailers have a limit of their own.
     std::size_t responseLimit = std::size_t{16} * 1024 * 1024;
     /// Ends the call early; may be null.
     Cancellation *cancellation = nullptr;
@@ -89,6 +95,9 @@
     /// Sent bytes that stay unacknowledged for this long end the connection, as does an idle peer that answers no
     /// keep-alive probes; 0 leaves both to the system.
     std::chrono::milliseconds unacknowledgedTimeout{0};
+    /// Bytes of the bodies that all calls together are reading, beyond the first 64 KB of each; the call that exceeds it
+    /// ends. Four bodies of the largest size, less than half the memory of the smallest host (160 MB).
+    std::size_t unfinishedLimit = std::size_t{64} * 1024 * 1024;
 };
 
 /// Keep-alive connections to upstreams and other hosts, for one worker thread.
@@ -111,7 +120,8 @@
         const CallOptions &options,
         const boost::asio::yield_context &yield);
 
-    /// Closes connections that were idle for too long. Precondition: none.
+    /// Closes idle connections that were idle for too long, that the other side closed, and on which bytes came that
+    /// belong to no request. Precondition: none.
     void closeExpired(BootTime now);
 
     /// Connections opened since the start. Precondition: none.
--- a/Libraries/LibHttp/jsonclient.cpp
+++ b/Libraries/LibHttp/jsonclient.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/jsonclient.h>
 
 #include <LibHttp/endpoint.h>
+#include <LibHttp/responsereader.h>
 #include <LibHttp/silence.h>
 
 #include <algorithm>
@@ -20,6 +21,9 @@
 namespace
 {
 
+/// Longest pause within a body; a server that stops halfway would otherwise hold the request until its deadline.
+constexpr std::chrono::milliseconds s_longestPause{1000};
+
 /// True when the server has closed the idle connection, or sent bytes that nobody asked for.
 bool isSpent(beast::tcp_stream &stream)
 {
@@ -134,24 +138,24 @@
     if (error) {
         return RequestAmbiguous{"cannot write the request: " + error.message()};
     }
-    beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
+    beast::flat_buffer buffer(s_responseBufferLimit);
+    ResponseReader::Parser parser;
     parser.body_limit(m_settings.maximumBodyBytes);
-    if (request.answerBegins) {
-        stream.expires_after(std::max(std::min(*request.answerBegins, deadline) - BootClock::now(), BootClock::duration(0)));
-    }
-    m_bytesReceived += http::async_read_header(stream, buffer, parser, yield[error]);
-    if (error) {
-        return unanswered(error);
-    }
-    stream.expires_after(std::max(deadline - BootClock::now(), BootClock::duration(0)));
-    m_bytesReceived += http::async_read(stream, buffer, parser, yield[error]);
-    if (error) {
-        return unanswered(error);
-    }
-    if (!declaresLength(parser)) {
-        return RequestAmbiguous{"the response declares no length"};
+    ResponseReader reader(stream, buffer, parser, deadline);
+    while (!parser.is_done()) {
+        const BootTime limit = parser.is_header_done() ? BootClock::now() + s_longestPause : request.answerBegins.value_or(deadline);
+        stream.expires_after(std::max(std::min(limit, deadline) - BootClock::now(), BootClock::duration(0)));
+        error = reader.step(yield);
+        if (error) {
+            m_bytesReceived += reader.bytesParsed();
+            return unanswered(error);
+        }
+        if (parser.is_header_done() && !declaresLength(parser)) {
+            m_bytesReceived += reader.bytesParsed();
+            return RequestAmbiguous{"the response declares no length"};
+        }
     }
+    m_bytesReceived += reader.bytesParsed();
     const bool reusable = parser.keep_alive() && buffer.size() == 0;
     auto response = parser.release();
     if (reusable) {
