--- a/Tests/Platform/storestandin.h
+++ b/Tests/Platform/storestandin.h
@@ -37,7 +37,7 @@
 
     /// All calls are answered with 503.
     bool isDown = false;
-    /// Calls take effect, and their answers are lost.
+    /// Calls take effect, and the answers are lost to those that come or end meanwhile.
     bool losesAnswers = false;
     /// IP numbers of hosts whose calls are never answered.
     std::set<std::string> silentTo;
