LibReplication: Let calls after a failure overlap

After a failure each call is now awaited for 2 s, and the next one follows before that, so that a lost call delays the return of the store by no more than before. Full reads wait 2 s again. A body that stops halfway is given up after 1 s without a byte.

--- a/Libraries/LibHttp/jsonclient.cpp
+++ b/Libraries/LibHttp/jsonclient.cpp
@@ -20,6 +20,9 @@
 namespace
 {
 
+/// Longest pause within a body; a server that stops halfway would otherwise hold the request until its deadline.
+constexpr std::chrono::milliseconds s_longestPause{1000};
+
 /// True when the server has closed the idle connection, or sent bytes that nobody asked for.
 bool isSpent(beast::tcp_stream &stream)
 {
@@ -144,10 +147,12 @@
     if (error) {
         return unanswered(error);
     }
-    stream.expires_after(std::max(deadline - BootClock::now(), BootClock::duration(0)));
-    m_bytesReceived += http::async_read(stream, buffer, parser, yield[error]);
-    if (error) {
-        return unanswered(error);
+    while (!parser.is_done()) {
+        stream.expires_after(std::clamp<BootClock::duration>(deadline - BootClock::now(), BootClock::duration(0), s_longestPause));
+        m_bytesReceived += http::async_read_some(stream, buffer, parser, yield[error]);
+        if (error) {
+            return unanswered(error);
+        }
     }
     if (!declaresLength(parser)) {
         return RequestAmbiguous{"the response declares no length"};
--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -4,6 +4,8 @@
 #include <LibTelemetry/log.h>
 
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
 
 namespace Trefoil
 {
@@ -15,9 +17,25 @@
 constexpr std::chrono::milliseconds s_firstRetry{150};
 /// Hold of a call after a failure: the store answers at once, whether there are changes or not.
 constexpr std::chrono::milliseconds s_probeHold{1};
+/// How long the answers of a store that is slow, not gone, are awaited.
+constexpr std::chrono::milliseconds s_patientAnswer{2000};
 
 } // namespace
 
+/// Calls after a failure. Each is followed by the next one before a slow store would answer it, so that neither a call that is lost
+/// nor a slow answer delays what the other tells.
+struct TableWatch::Probes
+{
+    explicit Probes(boost::asio::io_context &context)
+        : ended(context)
+    {
+    }
+
+    /// Ends early when a call ends.
+    boost::asio::steady_timer ended;
+    std::vector<FeedResult> results;
+};
+
 TableWatch::TableWatch(
     boost::asio::io_context &context, FeedStore &store, FeedSharing &sharing, std::string table, const WatchPace &pace, TableWatchHandlers handlers)
     : m_context(context)
@@ -26,6 +44,7 @@
     , m_table(std::move(table))
     , m_pace(pace)
     , m_handlers(std::move(handlers))
+    , m_probes(std::make_shared<Probes>(context))
     , m_backoff(s_firstRetry, std::max(s_firstRetry, pace.longestRetry))
     , m_random(std::random_device{}())
 {
@@ -79,7 +98,7 @@
 bool TableWatch::readAll(const boost::asio::yield_context &yield)
 {
     const BootTime calledAt = BootClock::now();
-    const ReadResult result = m_store.readTable(m_table, m_pace.answerTime, yield);
+    const ReadResult result = m_store.readTable(m_table, s_patientAnswer, yield);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         noteFailure(failure->reason, calledAt, {});
         return false;
@@ -122,26 +141,65 @@
 
 bool TableWatch::readFeed(std::chrono::milliseconds held, std::chrono::milliseconds batchPause, const boost::asio::yield_context &yield)
 {
-    const BootTime calledAt = BootClock::now();
-    const FeedWait wait{m_isReachable ? held : s_probeHold, m_pace.answerTime};
-    const FeedResult result = m_store.awaitChanges(m_table, m_version, wait, yield);
-    if (std::holds_alternative<HistoryLost>(result)) {
-        m_needsAll = true;
-        return true;
+    if (!m_isReachable) {
+        return probe(yield);
     }
+    const BootTime calledAt = BootClock::now();
+    const FeedResult result = m_store.awaitChanges(m_table, m_version, {held, m_pace.answerTime}, yield);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
-        noteFailure(failure->reason, calledAt, wait.held);
+        noteFailure(failure->reason, calledAt, held);
         return false;
     }
-    const auto &read = std::get<FeedRows>(result);
-    noteSuccess();
-    take(read);
-    if (!read.rows.empty()) {
+    if (takeResult(result)) {
         sleepFor(m_context, batchPause, yield);
     }
     return true;
 }
 
+bool TableWatch::probe(const boost::asio::yield_context &yield)
+{
+    const BootTime calledAt = BootClock::now();
+    boost::asio::spawn(m_context, [this, probes = m_probes](const boost::asio::yield_context &callYield) {
+        probes->results.push_back(m_store.awaitChanges(m_table, m_version, {s_probeHold, s_patientAnswer}, callYield));
+        probes->ended.cancel();
+    });
+    if (m_probes->results.empty()) {
+        m_probes->ended.expires_after(m_pace.answerTime);
+        // Cancelled by the end of a call.
+        boost::system::error_code ignored;
+        m_probes->ended.async_wait(yield[ignored]);
+    }
+    std::string reason = "no answer yet";
+    for (const FeedResult &result : std::exchange(m_probes->results, {})) {
+        if (const auto *failure = std::get_if<StoreFailure>(&result)) {
+            reason = failure->reason;
+            continue;
+        }
+        // What the other calls tell is older.
+        m_probes = std::make_shared<Probes>(m_context);
+        takeResult(result);
+        return true;
+    }
+    noteFailure(reason, calledAt, s_probeHold);
+    return false;
+}
+
+bool TableWatch::takeResult(const FeedResult &result)
+{
+    const auto *read = std::get_if<FeedRows>(&result);
+    if (!read) {
+        m_needsAll = true;
+        return false;
+    }
+    noteSuccess();
+    // Another host may have told more since the call began.
+    if (read->version < m_version) {
+        return false;
+    }
+    take(*read);
+    return !read->rows.empty();
+}
+
 bool TableWatch::follow(const HostId &publisher, const boost::asio::yield_context &yield)
 {
     if (const auto changes = m_sharing.awaitChanges(publisher, m_table, m_version, yield)) {
--- a/Libraries/LibReplication/tablewatch.h
+++ b/Libraries/LibReplication/tablewatch.h
@@ -5,6 +5,7 @@
 #include <LibReplication/feedstore.h>
 
 #include <functional>
+#include <memory>
 
 namespace Trefoil
 {
@@ -29,7 +30,8 @@
     std::chrono::milliseconds batchPause;
     /// How long the store holds a call without changes.
     std::chrono::milliseconds longestWait;
-    /// How long the beginning of an answer may take, beyond the hold.
+    /// How long the beginning of an answer may take, beyond the hold. A store that needs longer is heard too, as calls after a
+    /// failure overlap.
     std::chrono::milliseconds answerTime;
     /// From the start of a call that failed to the start of the next one, at most; a call may itself take longer.
     std::chrono::milliseconds longestRetry;
@@ -62,12 +64,16 @@
     }
 
 private:
+    struct Probes;
+
     void noteSuccess();
     void noteFailure(const std::string &reason, BootTime calledAt, std::chrono::milliseconds wait);
     void pause(BootTime failedCall, const boost::asio::yield_context &yield);
     bool readAll(const boost::asio::yield_context &yield);
     bool readChanges(const boost::asio::yield_context &yield);
     bool readFeed(std::chrono::milliseconds held, std::chrono::milliseconds batchPause, const boost::asio::yield_context &yield);
+    bool probe(const boost::asio::yield_context &yield);
+    bool takeResult(const FeedResult &result);
     bool follow(const HostId &publisher, const boost::asio::yield_context &yield);
     void take(const FeedRows &changes);
 
@@ -81,6 +87,7 @@
     BootTime m_confirmedAt{};
     bool m_needsAll = true;
     bool m_isReachable = true;
+    std::shared_ptr<Probes> m_probes;
     Backoff m_backoff;
     pcg32 m_random;
 };
--- a/Tests/Platform/testplatformtables.cpp
+++ b/Tests/Platform/testplatformtables.cpp
@@ -151,3 +151,42 @@
         cr_assert_lt(time.count(), limit.count(), "%s: known after %d ms", testCase->name, static_cast<int>(time.count()));
     });
 }
+
+namespace
+{
+
+struct SlowStore
+{
+    char name[24];
+    int delayMilliseconds;
+    /// From a change to its knowledge: a call that finds it, after one that was given up or held.
+    int mostMilliseconds;
+};
+
+} // namespace
+
+// Guards against a host that never learns anything from a store that answers later than changes must be in force.
+ParameterizedTestParameters(PlatformTables, slowStoresAreHeard)
+{
+    static SlowStore cases[] = {
+        {"300 ms", 300, 2000},
+        {"750 ms", 750, 2000},
+        {"900 ms", 900, 6000},
+        {"1200 ms", 1200, 6000},
+        {"1900 ms", 1900, 6000},
+    };
+    return cr_make_param_array(SlowStore, cases, std::size(cases));
+}
+
+ParameterizedTest(SlowStore *testCase, PlatformTables, slowStoresAreHeard)
+{
+    Fixture fixture;
+    fixture.store.delay = std::chrono::milliseconds(testCase->delayMilliseconds);
+    fixture.run([&](const asio::yield_context &yield) {
+        cr_assert_lt(fixture.timeUntil([&] { return fixture.usable() == 1; }, 10s, yield).count(), 10000, "%s: never read", testCase->name);
+        sleepFor(fixture.context, 3s, yield);
+        fixture.declare(2, "west");
+        const auto time = fixture.timeUntil([&] { return fixture.usable() == 0; }, 15s, yield);
+        cr_assert_lt(time.count(), testCase->mostMilliseconds, "%s: known after %d ms", testCase->name, static_cast<int>(time.count()));
+    });
+}
