LibHttp: Keep one check for a declared length

Both clients of ResponseReader had the same check of their own; it is the reader's now. mayStillSend leaves out the check of a leaving upstream that GatewayState::maySend makes directly after it, and a comment of WatchPace names the fields that it means. No change of behaviour: TestHttp 83 of 83, TestGateway 115 of 115, TestPlatform 42 of 42, TestPlatformTables 13 of 13, the changed sources linted.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -227,7 +227,7 @@
 bool Gateway::mayStillSend(const Exchange &exchange, const Upstream &upstream) const
 {
     const UpstreamIdentity &identity = upstream.model.identity();
-    if (upstream.model.isLeaving || m_state.evacuated().count(identity.zone) > 0) {
+    if (m_state.evacuated().count(identity.zone) > 0) {
         return false;
     }
     const auto newest = m_state.routes();
--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -113,12 +113,6 @@
     return response;
 }
 
-bool declaresLength(const http::response_parser<http::string_body> &parser)
-{
-    const unsigned status = parser.get().result_int();
-    return parser.chunked() || parser.content_length().has_value() || status == 204 || status == 304;
-}
-
 /// The time of "Keep-Alive: timeout=<seconds>".
 std::optional<std::chrono::seconds> announcedKeepAlive(std::string_view value)
 {
@@ -240,7 +234,7 @@
             expireAtNextLimit();
             beast::error_code error = reader.step(yield);
             // Checked before the error: without a declared length, the end of the connection looks like the end of the body.
-            if (parser.is_header_done() && parser.get().result_int() >= 200 && !declaresLength(parser)) {
+            if (parser.is_header_done() && parser.get().result_int() >= 200 && !reader.declaresLength()) {
                 if (!m_options.acceptsUndeclaredLength) {
                     return CallFailure{CallFailureKind::LengthUndeclared, true, "the response declares no length"};
                 }
--- a/Libraries/LibHttp/jsonclient.cpp
+++ b/Libraries/LibHttp/jsonclient.cpp
@@ -52,12 +52,6 @@
     return message;
 }
 
-bool declaresLength(const http::response_parser<http::string_body> &parser)
-{
-    return parser.chunked() || parser.content_length().has_value() || parser.get().result() == http::status::not_modified
-        || parser.get().result() == http::status::no_content;
-}
-
 } // namespace
 
 nlohmann::json JsonResponse::json() const
@@ -150,7 +144,7 @@
             m_bytesReceived += reader.bytesParsed();
             return unanswered(error);
         }
-        if (parser.is_header_done() && !declaresLength(parser)) {
+        if (parser.is_header_done() && !reader.declaresLength()) {
             m_bytesReceived += reader.bytesParsed();
             return RequestAmbiguous{"the response declares no length"};
         }
--- a/Libraries/LibHttp/responsereader.cpp
+++ b/Libraries/LibHttp/responsereader.cpp
@@ -51,6 +51,12 @@
     return error;
 }
 
+bool ResponseReader::declaresLength() const
+{
+    const http::status status = m_parser.get().result();
+    return m_parser.chunked() || m_parser.content_length().has_value() || status == http::status::no_content || status == http::status::not_modified;
+}
+
 beast::error_code ResponseReader::readOnce(const asio::yield_context &yield)
 {
     const std::size_t size = beast::read_size(m_buffer, s_readBytes);
--- a/Libraries/LibHttp/responsereader.h
+++ b/Libraries/LibHttp/responsereader.h
@@ -37,6 +37,9 @@
     /// Preconditions: the parser is not done; the last step had no error; the stream's timer is set.
     boost::beast::error_code step(const boost::asio::yield_context &yield);
 
+    /// Whether the end of the body can be told from the end of the connection. Precondition: the header is done.
+    bool declaresLength() const;
+
     /// Bytes of the response so far, without those that are held. Precondition: none.
     std::uint64_t bytesParsed() const
     {
--- a/Libraries/LibReplication/tablewatch.h
+++ b/Libraries/LibReplication/tablewatch.h
@@ -35,7 +35,7 @@
     std::chrono::milliseconds answerTime;
     /// From the start of a call that failed to the start of the next one, at most; a call may itself take longer.
     std::chrono::milliseconds longestRetry;
-    /// Takes the place of both while this host reads for others.
+    /// Takes the place of batchPause and longestWait while this host reads for others.
     PublisherPace publisher;
 };
 
