LibHttp: Deliver responses that are ready at the deadline

A response that came in time, and was looked at late because the host was busy, ended as deadline-exceeded.

The deadline is checked before each read now.

Ruled out: the timer of the stream, which doesn't end a read that has completed.

--- a/Libraries/LibHttp/responsereader.cpp
+++ b/Libraries/LibHttp/responsereader.cpp
@@ -31,10 +31,10 @@
 
 beast::error_code ResponseReader::step(const asio::yield_context &yield)
 {
-    if (BootClock::now() >= m_deadline) {
-        return beast::error::timeout;
-    }
     if (m_buffer.size() == 0 || m_needsMore) {
+        if (BootClock::now() >= m_deadline) {
+            return beast::error::timeout;
+        }
         const beast::error_code error = readOnce(yield);
         if (error || m_parser.is_done()) {
             return error;
--- a/Libraries/LibHttp/responsereader.h
+++ b/Libraries/LibHttp/responsereader.h
@@ -32,7 +32,7 @@
     /// Preconditions: the limits of parser are set; all arguments outlive the reader; nothing of parser is parsed yet.
     ResponseReader(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, Parser &parser, BootTime deadline);
 
-    /// Parses what is held, or reads once and parses that. The error is timeout after the deadline, body_limit for a
+    /// Parses what is held, or reads once and parses that. The error is timeout when there is more to read after the deadline, body_limit for a
     /// response that is mostly overhead, end_of_stream when the connection ended before the first byte.
     /// Preconditions: the parser is not done; the last step had no error; the stream's timer is set.
     boost::beast::error_code step(const boost::asio::yield_context &yield);
--- a/Tests/LibHttp/testconnectionpool.cpp
+++ b/Tests/LibHttp/testconnectionpool.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
+#include <thread>
 
 using namespace Trefoil;
 namespace asio = boost::asio;
@@ -99,6 +100,48 @@
     });
 }
 
+struct ReadyCase
+{
+    std::chrono::milliseconds serviceTime;
+    char expected[24];
+};
+
+// Guards against a response that is dropped although it was there at the deadline, because the host was busy until later.
+ParameterizedTestParameters(ConnectionPool, readyResponseIsDeliveredAfterTheDeadline)
+{
+    static ReadyCase cases[] = {{std::chrono::milliseconds(40), "200"}, {std::chrono::milliseconds(600), "deadline-exceeded"}};
+    return cr_make_param_array(ReadyCase, cases, std::size(cases));
+}
+
+ParameterizedTest(ReadyCase *testCase, ConnectionPool, readyResponseIsDeliveredAfterTheDeadline)
+{
+    constexpr std::chrono::milliseconds deadline{150};
+    asio::io_context upstreamContext{1};
+    UpstreamStandInSettings settings;
+    settings.serviceTime = testCase->serviceTime;
+    const auto upstream = std::move(UpstreamStandIn::create(upstreamContext, settings).value());
+    std::thread upstreamThread([&upstreamContext] {
+        const auto work = asio::make_work_guard(upstreamContext);
+        upstreamContext.run();
+    });
+    asio::io_context context{1};
+    ConnectionPool pool(context, {});
+    runCoroutine(context, [&](const asio::yield_context &yield) {
+        CallOptions options;
+        options.deadline = BootClock::now() + deadline;
+        options.progressTimeout = std::chrono::seconds(3);
+        options.requestId = "first";
+        asio::steady_timer busy(context, std::chrono::milliseconds(20));
+        busy.async_wait([=](const boost::system::error_code &) { std::this_thread::sleep_for(deadline); });
+        HttpRequest request{"POST", "/order", {}, "two casts"};
+        request.headers.add("Trefoil-Request-Id", "first");
+        const CallResult result = pool.call(upstream->address(), nullptr, request, options, yield);
+        cr_assert_eq(textOf(result), testCase->expected, "%s", textOf(result).c_str());
+    });
+    upstreamContext.stop();
+    upstreamThread.join();
+}
+
 // Guards against a late response that reaches the next request on the same connection.
 Test(ConnectionPool, lateAnswerIsNeverDelivered)
 {
