AdmissionQueue: Leave time for work that is dispatched late

What callers saw: under overload requests waited for nearly their whole deadline, and of those that got a slot then, some ended as unknown at their deadline or were refused by the upstream.

Cause: the earliest deadline goes first, so that under overload every request is dispatched when just the mean service time is left. Those that take longer lose their slots' time. The mean was taken of answered requests only, so that it fell as more of them missed.

Ruled out: a lack of processor (statichost 17%, linkproxy 14%, load tool 17% of a core).

AdmissionQueue::dispatchedWorkEndsInTime replays three times the capacity.

--- a/Libraries/LibSteering/admissionqueue.h
+++ b/Libraries/LibSteering/admissionqueue.h
@@ -68,7 +68,7 @@
     /// Removes work whose caller went away; false when it is no longer queued. Precondition: none.
     bool cancel(const QueuedWork &work);
 
-    /// Sets the time that a request takes once dispatched, as observed. Precondition: not negative.
+    /// Sets the time that must be left when a request is dispatched. Precondition: not negative.
     void setServiceTime(std::chrono::nanoseconds serviceTime);
 
     std::size_t size() const;
--- /dev/null
+++ b/Libraries/LibSteering/servicetimeestimate.cpp
@@ -0,0 +1,50 @@
+#include <LibSteering/servicetimeestimate.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <cstdint>
+
+namespace Trefoil
+{
+
+namespace
+{
+
+/// Weights of the newest sample, as in TCP's retransmission time-out (RFC 6298).
+constexpr double s_meanGain = 1.0 / 8;
+constexpr double s_deviationGain = 1.0 / 4;
+/// Mean deviations above the mean, from the same source.
+constexpr double s_deviations = 4;
+/// Sample of an unanswered request, in parts of the estimate, at most.
+constexpr int s_largestGrowth = 2;
+
+} // namespace
+
+void ServiceTimeEstimate::record(std::chrono::nanoseconds time)
+{
+    assert(time.count() >= 0);
+    const auto sample = static_cast<double>(time.count());
+    if (!m_hasSample) {
+        m_hasSample = true;
+        m_meanNanoseconds = sample;
+        m_deviationNanoseconds = sample / 2;
+        return;
+    }
+    m_deviationNanoseconds += (std::abs(sample - m_meanNanoseconds) - m_deviationNanoseconds) * s_deviationGain;
+    m_meanNanoseconds += (sample - m_meanNanoseconds) * s_meanGain;
+}
+
+void ServiceTimeEstimate::recordUnanswered(std::chrono::nanoseconds time)
+{
+    if (m_hasSample) {
+        record(std::min(time, s_largestGrowth * likelyLongest()));
+    }
+}
+
+std::chrono::nanoseconds ServiceTimeEstimate::likelyLongest() const
+{
+    return std::chrono::nanoseconds(static_cast<std::int64_t>(m_meanNanoseconds + s_deviations * m_deviationNanoseconds));
+}
+
+} // namespace Trefoil
--- a/Services/trefoilmountd/admission.cpp
+++ b/Services/trefoilmountd/admission.cpp
@@ -15,8 +15,6 @@
 constexpr std::size_t s_queueCapacity = 512;
 /// While requests are queued, grants and deadlines are looked at this often; freed slots are signalled at once.
 constexpr std::chrono::milliseconds s_tick{2};
-/// Weight of the newest measurement in the mean service time.
-constexpr double s_serviceTimeGain = 0.1;
 
 SlotRefusal toSlotRefusal(DispatchRefusal refusal)
 {
@@ -232,12 +230,18 @@
     return count;
 }
 
-void Admission::recordServiceTime(const ServiceId &service, std::chrono::nanoseconds time)
+void Admission::recordAnswered(const ServiceId &service, std::chrono::nanoseconds time)
 {
     ServiceQueue &measured = m_services[service];
-    const auto newest = static_cast<double>(time.count());
-    measured.serviceTimeNanoseconds += (newest - measured.serviceTimeNanoseconds) * s_serviceTimeGain;
-    measured.queue.setServiceTime(std::chrono::nanoseconds(static_cast<std::int64_t>(measured.serviceTimeNanoseconds)));
+    measured.serviceTime.record(time);
+    measured.queue.setServiceTime(measured.serviceTime.likelyLongest());
+}
+
+void Admission::recordUnanswered(const ServiceId &service, std::chrono::nanoseconds time)
+{
+    ServiceQueue &measured = m_services[service];
+    measured.serviceTime.recordUnanswered(time);
+    measured.queue.setServiceTime(measured.serviceTime.likelyLongest());
 }
 
 } // namespace Trefoil
--- a/Services/trefoilmountd/admission.h
+++ b/Services/trefoilmountd/admission.h
@@ -2,6 +2,7 @@
 
 #include <LibHttp/cancellation.h>
 #include <LibSteering/admissionqueue.h>
+#include <LibSteering/servicetimeestimate.h>
 #include <Services/trefoilmountd/hoststate.h>
 #include <Services/trefoilmountd/requestmodel.h>
 #include <Services/trefoilmountd/slotsignal.h>
@@ -56,8 +57,11 @@
     /// Gives queued requests the slots that became free. Precondition: called after each release of a slot.
     void slotFreed();
 
-    /// Takes the service time of a request that was answered, for the estimate of what can still be met.
-    void recordServiceTime(const ServiceId &service, std::chrono::nanoseconds time);
+    /// Takes the time of a request that was answered, for the estimate of what can still be met. Precondition: time is not negative.
+    void recordAnswered(const ServiceId &service, std::chrono::nanoseconds time);
+
+    /// The same for a request that was sent and had no response by its deadline. Precondition: as for recordAnswered().
+    void recordUnanswered(const ServiceId &service, std::chrono::nanoseconds time);
 
     /// The refusal as the end of a request. Thread safety: safe from any thread.
     static NotRun toNotRun(SlotRefusal refusal);
@@ -82,7 +86,7 @@
 
         AdmissionQueue queue;
         std::unordered_map<std::uint64_t, Waiter *> waiters;
-        double serviceTimeNanoseconds = 0;
+        ServiceTimeEstimate serviceTime;
     };
 
     SlotDecision reserve(const ClassifiedRequest &request);
--- a/Services/trefoilmountd/requestpath.cpp
+++ b/Services/trefoilmountd/requestpath.cpp
@@ -336,7 +336,11 @@
     const UpstreamOutcome outcome = outcomeForHealth(result);
     ready.dispatch.selection.upstream->record(outcome, now - startedAt, now);
     if (outcome == UpstreamOutcome::Success) {
-        m_admission.recordServiceTime(journey.request.parsed.service, now - startedAt);
+        m_admission.recordAnswered(journey.request.parsed.service, now - startedAt);
+    }
+    const auto *failure = std::get_if<CallFailure>(&result);
+    if (failure && failure->anyByteWritten && failure->kind == CallFailureKind::DeadlineExceeded) {
+        m_admission.recordUnanswered(journey.request.parsed.service, now - startedAt);
     }
 }
 
--- a/Tests/LibSteering/testadmissionqueue.cpp
+++ b/Tests/LibSteering/testadmissionqueue.cpp
@@ -1,4 +1,5 @@
 #include <LibSteering/admissionqueue.h>
+#include <LibSteering/servicetimeestimate.h>
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -160,3 +161,79 @@
         }
     }
 }
+
+// Guards against slots that are lost to work which was dispatched too late to end in time, when demand is three times the capacity.
+struct OverloadCase
+{
+    char name[24];
+    /// Time from the dispatch to the response: a fixed part, and a random one of up to the second.
+    std::chrono::microseconds fixed;
+    std::chrono::microseconds spread;
+    /// One in this many takes ten times as long; 0 for none.
+    std::uint32_t slowOneIn;
+    /// Upstreams take this many times as long in the second half.
+    int slowdown;
+};
+
+ParameterizedTestParameters(AdmissionQueue, dispatchedWorkEndsInTime)
+{
+    static OverloadCase cases[] = {
+        {"even", 20ms, 100us, 0, 1},
+        {"small spread", 20ms, 2ms, 0, 1},
+        {"large spread", 20ms, 20ms, 0, 1},
+        {"busy host", 22ms, 60ms, 0, 1},
+        {"slow ones", 20ms, 2ms, 50, 1},
+        {"upstreams slow down", 20ms, 2ms, 0, 3},
+    };
+    return cr_make_param_array(OverloadCase, cases, std::size(cases));
+}
+
+ParameterizedTest(OverloadCase *load, AdmissionQueue, dispatchedWorkEndsInTime)
+{
+    constexpr std::size_t slots = 6;
+    constexpr auto deadline = 800ms;
+    constexpr int tenthsAnswered = 9;
+    constexpr std::uint64_t requests = 6000;
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        pcg32 generator(seed);
+        AdmissionQueue queue(512);
+        ServiceTimeEstimate estimate;
+        const auto mean = load->fixed + load->spread / 2;
+        const auto gap = mean / static_cast<int>(slots) / 3;
+        std::multimap<BootTime, std::pair<BootTime, BootTime>> running;
+        int dispatched = 0;
+        int answered = 0;
+        BootTime now = s_start;
+        for (std::uint64_t ticket = 1; ticket <= requests; ++ticket) {
+            now += gap;
+            while (!running.empty() && running.begin()->first <= now) {
+                const auto [startedAt, limit] = running.begin()->second;
+                const BootTime endedAt = running.begin()->first;
+                running.erase(running.begin());
+                const bool isAnswered = endedAt <= limit;
+                answered += isAnswered ? 1 : 0;
+                if (isAnswered) {
+                    estimate.record(endedAt - startedAt);
+                } else {
+                    estimate.recordUnanswered(limit - startedAt);
+                }
+                queue.setServiceTime(estimate.likelyLongest());
+            }
+            queue.push(work(ticket, "a", false, now + deadline), now);
+            queue.expire(now);
+            while (running.size() < slots) {
+                const auto next = queue.pop(now);
+                if (!next) {
+                    break;
+                }
+                ++dispatched;
+                auto time = load->fixed + std::chrono::microseconds(generator(static_cast<std::uint32_t>(load->spread.count()) + 1));
+                time *= load->slowOneIn > 0 && generator(load->slowOneIn) == 0 ? 10 : 1;
+                time *= ticket > requests / 2 ? load->slowdown : 1;
+                running.emplace(now + time, std::pair(now, next->deadline));
+            }
+        }
+        cr_assert_geq(
+            answered * 10, dispatched * tenthsAnswered, "%s, seed %u: %d of %d dispatched requests ended in time", load->name, seed, answered, dispatched);
+    }
+}
