Tests: Let p2-flood reach both hosts

The scenario says that 600 requests/s are possible, and asks for more than 1,800 in 6 s. All its callers were of one block, whose look-up names the same host first, and the other host did nothing (0.1% of a core).

--- a/Tests/Scenarios/deployment.lua
+++ b/Tests/Scenarios/deployment.lua
@@ -20,7 +20,7 @@
 -- Lays out a deployment; nothing is started. Options and defaults are in docs/scenarios.md.
 function deployment(options)
     defaults(options, {
-        regions = { "gulf", "plains", "hill" }, hosts = 2, zones = 2, threads = 1, delay_ms = 0, link = "4Gbps",
+        regions = { "gulf", "plains", "hill" }, hosts = 2, zones = 2, threads = 1, blocks = 1, delay_ms = 0, link = "4Gbps",
         classes = { browse = "may-repeat yes deadline 3s progress-timeout 1s", order = "may-repeat no deadline 3s progress-timeout 1s",
             batch = "may-wait yes may-repeat yes deadline 5s progress-timeout 1s" },
         tenants = { "museum", "school" },
@@ -112,16 +112,18 @@
         line("declare tenant %s", tenant)
     end
     for r, region in ipairs(options.regions) do
-        line("declare block 198.51.%d.0/24 region %s", r, region)
+        for b = 1, options.blocks do
+            line("declare block 198.%d.%d.0/24 region %s", 50 + b, r, region)
+        end
     end
     return table.concat(lines, "\n")
 end
 
--- A client address whose home is the region.
-function client_of(region)
+-- A client address whose home is the region, in the first or the given one of the region's blocks.
+function client_of(region, block)
     for r, name in ipairs(deployed.options.regions) do
         if name == region then
-            return "198.51." .. r .. ".7"
+            return string.format("198.%d.%d.7", 50 + (block or 1), r)
         end
     end
     error("unknown region " .. region)
