LibGateway: Await beacons before the first look-up for a zone is answered

Callers: one whose zone nobody had asked this host about for 10 s was sent to hosts of this host's zone for about a second, also when that is in another region: the directory knew only hosts that it had heard within 3.2 s, and asked for beacons with the next round.

HostLookup asks the zone's hosts at once, again after 100 ms, and answers with the first replies; hosts that were asked for 0.3 s in vain are silent until a pause in the questions makes that old. So no host is named that wasn't heard within 3.2 s, as before. Ruled out: naming registered hosts until a reply is due, since a dead host's row stays for 60 s and each host's first look-up would name it; beacons to all zones, 750,000 datagrams/s at 1,500 hosts if a dead host is to be left out in time (computed). Price: 50 questions and 50 replies for a first look-up at that size, 150 questions if the zone is dead (computed); the look-up waits for a round trip, 0.3 s if nobody replies.

Before, with the wait switched off: 5 of 6 cases of HostLookup failed ("the zone's host lives: self"). After: TestGateway 122 of 122, TestPlatform 42 of 42. testcallerapi.cpp passes the directory as a function; its checks are unchanged.

--- a/Libraries/LibGateway/beacon.cpp
+++ b/Libraries/LibGateway/beacon.cpp
@@ -12,6 +12,14 @@
 namespace asio = boost::asio;
 using udp = asio::ip::udp;
 
+namespace
+{
+
+/// Makes good a datagram that was lost, well before the host is taken for silent.
+constexpr std::chrono::milliseconds s_askInterval{100};
+
+} // namespace
+
 std::string encodeBeacon(const Beacon &beacon)
 {
     const auto bytes = nlohmann::json::to_cbor(
@@ -73,14 +81,46 @@
     m_readsStore = readsStore;
     const std::string asking = encodeBeacon({m_self, phase, readsStore, true});
     const std::string telling = encodeBeacon({m_self, phase, readsStore, false});
-    for (const BeaconTarget &target : m_directory.beaconTargets(BootClock::now())) {
-        const auto endpoint = parseEndpoint(target.report.peerAddress);
-        if (endpoint.has_error()) {
-            writeLog(LogLevel::Warning, "peer-address-unreadable", {{"peer", target.report.id.value()}, {"address", target.report.peerAddress}});
+    const BootTime now = BootClock::now();
+    for (const BeaconTarget &target : m_directory.beaconTargets(now)) {
+        if (target.wantsReply) {
+            m_directory.noteAsked(target.report.id, now);
+        }
+        sendTo(target.report, target.wantsReply ? asking : telling);
+    }
+}
+
+void BeaconSocket::ask(const std::vector<HostReport> &hosts)
+{
+    const BootTime now = BootClock::now();
+    for (auto it = m_askedAt.begin(); it != m_askedAt.end();) {
+        it = now - it->second < s_askInterval ? std::next(it) : m_askedAt.erase(it);
+    }
+    const std::string asking = encodeBeacon({m_self, m_phase, m_readsStore, true});
+    for (const HostReport &host : hosts) {
+        if (!m_askedAt.emplace(host.id, now).second) {
             continue;
         }
-        send(target.wantsReply ? asking : telling, udp::endpoint(endpoint.value().address(), endpoint.value().port()));
+        m_directory.noteAsked(host.id, now);
+        sendTo(host, asking);
+    }
+}
+
+std::string BeaconSocket::address() const
+{
+    boost::system::error_code error;
+    const udp::endpoint endpoint = m_socket.local_endpoint(error);
+    return error ? std::string() : endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+void BeaconSocket::sendTo(const HostReport &host, const std::string &bytes)
+{
+    const auto endpoint = parseEndpoint(host.peerAddress);
+    if (endpoint.has_error()) {
+        writeLog(LogLevel::Warning, "peer-address-unreadable", {{"peer", host.id.value()}, {"address", host.peerAddress}});
+        return;
     }
+    send(bytes, udp::endpoint(endpoint.value().address(), endpoint.value().port()));
 }
 
 void BeaconSocket::send(const std::string &bytes, const udp::endpoint &to)
--- a/Libraries/LibGateway/beacon.h
+++ b/Libraries/LibGateway/beacon.h
@@ -40,9 +40,16 @@
     /// Sends a beacon to all hosts that are to hear one now. Precondition: none.
     void sendAll(HostPhase phase, bool readsStore);
 
+    /// Asks hosts for a beacon, each at most every 100 ms. Precondition: none.
+    void ask(const std::vector<HostReport> &hosts);
+
+    /// Address at which beacons are received, IP:port. Precondition: none.
+    std::string address() const;
+
 private:
     BeaconSocket(boost::asio::io_context &context, HostId self, HostDirectory &directory);
     void receive();
+    void sendTo(const HostReport &host, const std::string &bytes);
     void send(const std::string &bytes, const boost::asio::ip::udp::endpoint &to);
 
     boost::asio::ip::udp::socket m_socket;
@@ -52,6 +59,7 @@
     boost::asio::ip::udp::endpoint m_sender;
     HostPhase m_phase = HostPhase::Starting;
     bool m_readsStore = false;
+    std::map<HostId, BootTime> m_askedAt;
 };
 
 } // namespace Trefoil
--- a/Libraries/LibGateway/hostdirectory.cpp
+++ b/Libraries/LibGateway/hostdirectory.cpp
@@ -37,6 +37,7 @@
     if (known.report.incarnation != report.incarnation) {
         known.phase = HostPhase::Serving;
         known.registeredAt = now;
+        known.askedAt = {};
     }
     known.report = report;
 }
@@ -50,6 +51,19 @@
     m_hosts.erase(id);
 }
 
+void HostDirectory::noteAsked(const HostId &id, BootTime now)
+{
+    const auto found = m_hosts.find(id);
+    if (found == m_hosts.end()) {
+        return;
+    }
+    Known &known = found->second;
+    if (!isAsked(known, now)) {
+        known.askedSince = now;
+    }
+    known.askedAt = now;
+}
+
 void HostDirectory::heard(const HostId &id, HostPhase phase, bool readsStore, BootTime now)
 {
     const auto found = m_hosts.find(id);
@@ -80,6 +94,34 @@
     return known.phase == HostPhase::Serving && wasHeard(known, now);
 }
 
+bool HostDirectory::isAsked(const Known &known, BootTime now) const
+{
+    // What was asked before a pause says nothing about now.
+    return known.askedAt != BootTime{} && now - known.askedAt < m_settings.silenceLimit && known.heardAt < known.askedSince;
+}
+
+bool HostDirectory::isSilent(const Known &known, BootTime now) const
+{
+    return isAsked(known, now) && now - known.askedSince >= m_settings.replyLimit;
+}
+
+std::vector<HostReport> HostDirectory::unknownHosts(const ZoneId &zone, BootTime now) const
+{
+    std::vector<HostReport> unknown;
+    for (const auto &[id, known] : m_hosts) {
+        if (known.report.zone != zone) {
+            continue;
+        }
+        if (isLive(known, now)) {
+            return {};
+        }
+        if (id != m_settings.self && !wasHeard(known, now) && !isSilent(known, now)) {
+            unknown.push_back(known.report);
+        }
+    }
+    return unknown;
+}
+
 std::vector<std::string> HostDirectory::addressesFor(const RegionId &region, const ZoneId &zone, BootTime now)
 {
     m_askedAt[zone] = now;
--- a/Libraries/LibGateway/hostdirectory.h
+++ b/Libraries/LibGateway/hostdirectory.h
@@ -53,6 +53,8 @@
     std::chrono::milliseconds silenceLimit{3200};
     /// After a look-up for another availability zone, its hosts are asked for beacons for this long.
     std::chrono::milliseconds interestTime{10000};
+    /// A host that was asked for this long and sent no beacon is taken for silent: several round trips between regions.
+    std::chrono::milliseconds replyLimit{300};
     /// The row of a host that was silent for this long is removed. A host that lives after all writes it again.
     std::chrono::milliseconds abandonedAfter{60000};
     /// Most addresses of one answer.
@@ -77,6 +79,9 @@
     /// Takes that a row was removed. Precondition: none.
     void remove(const HostId &id);
 
+    /// Notes that a host was asked for a beacon. Precondition: now does not go back.
+    void noteAsked(const HostId &id, BootTime now);
+
     /// Notes a beacon of a host. Precondition: now does not go back.
     void heard(const HostId &id, HostPhase phase, bool readsStore, BootTime now);
 
@@ -87,6 +92,10 @@
     /// own zone. Precondition: now does not go back.
     std::vector<std::string> addressesFor(const RegionId &region, const ZoneId &zone, BootTime now);
 
+    /// Hosts whose beacons a look-up for an availability zone has to await: those of the zone while none of them is known to live,
+    /// unless they were asked in vain. Precondition: none.
+    std::vector<HostReport> unknownHosts(const ZoneId &zone, BootTime now) const;
+
     /// Hosts to send a beacon to now: those of the own zone, and those of zones that callers asked for. Precondition: none.
     std::vector<BeaconTarget> beaconTargets(BootTime now) const;
 
@@ -125,12 +134,17 @@
         HostReport report;
         BootTime registeredAt{};
         BootTime heardAt{};
+        /// First and last of the beacons that asked it for one since it was heard.
+        BootTime askedSince{};
+        BootTime askedAt{};
         HostPhase phase = HostPhase::Serving;
         bool readsStore = false;
     };
 
     bool wasHeard(const Known &known, BootTime now) const;
     bool isLive(const Known &known, BootTime now) const;
+    bool isAsked(const Known &known, BootTime now) const;
+    bool isSilent(const Known &known, BootTime now) const;
 
     HostDirectorySettings m_settings;
     std::map<HostId, Known> m_hosts;
--- a/Tests/LibGateway/testhostdirectory.cpp
+++ b/Tests/LibGateway/testhostdirectory.cpp
@@ -102,6 +102,33 @@
     cr_assert_eq(own(s_start + 6s), "");
 }
 
+// Guards against look-ups that wait for hosts that are known to be silent, and against old silence that is taken for death.
+Test(HostDirectory, hostsAreUnknownUntilTheyReplyOrStaySilent)
+{
+    HostDirectory hosts = directory();
+    const auto unknown = [&hosts](BootTime now) { return hosts.unknownHosts(ZoneId("hill-a"), now).size(); };
+    cr_assert_eq(hosts.unknownHosts(ZoneId("gulf-a"), s_start).size(), 0, "this host is one of the zone");
+    cr_assert_eq(hosts.unknownHosts(ZoneId("moon-a"), s_start).size(), 0);
+    cr_assert_eq(unknown(s_start), 1);
+    hosts.noteAsked(HostId("far"), s_start);
+    cr_assert_eq(unknown(s_start + 299ms), 1);
+    cr_assert_eq(unknown(s_start + 300ms), 0, "asked in vain");
+    for (int second = 1; second < 10; ++second) {
+        hosts.noteAsked(HostId("far"), s_start + std::chrono::seconds(second));
+        cr_assert_eq(unknown(s_start + std::chrono::seconds(second)), 0, "still asked in vain");
+    }
+    cr_assert_eq(unknown(s_start + 20s), 1, "not asked for long");
+    hosts.noteAsked(HostId("far"), s_start + 20s);
+    hosts.add(report("far", "hill-a", "hill", 2), s_start + 21s);
+    cr_assert_eq(unknown(s_start + 21s), 1, "another process");
+    hosts.noteAsked(HostId("far"), s_start + 21s);
+    hosts.heard(HostId("far"), HostPhase::Serving, true, s_start + 21s + 50ms);
+    cr_assert_eq(unknown(s_start + 22s), 0, "it lives");
+    cr_assert_eq(unknown(s_start + 26s), 1, "not heard for long");
+    hosts.heard(HostId("far"), HostPhase::Stopping, true, s_start + 27s);
+    cr_assert_eq(unknown(s_start + 27s), 0, "it is known to stop");
+}
+
 // Guards against beacons to all hosts, whose number grows with the square of the hosts.
 Test(HostDirectory, beaconsGoToTheOwnZoneAndToThoseAskedFor)
 {
--- /dev/null
+++ b/Tests/LibGateway/testhostlookup.cpp
@@ -0,0 +1,153 @@
+#include <LibCore/sleep.h>
+#include <LibGateway/hostlookup.h>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace Trefoil;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A host that sends and receives beacons on a port of its own.
+struct Participant
+{
+    Participant(boost::asio::io_context &context, const std::string &id, const std::string &zone, const std::string &address = "127.0.0.1:0")
+        : report{HostId(id), id + ":80", "", ZoneId(zone), RegionId(zone.substr(0, zone.find('-'))), 1}
+        , directory({report.id, report.zone, report.region})
+    {
+        auto socket = BeaconSocket::create(context, address, report.id, directory);
+        cr_assert(socket.has_value());
+        beacons = std::move(socket.value());
+        report.peerAddress = beacons->address();
+        directory.setSelf(report, HostPhase::Serving);
+        beacons->sendAll(HostPhase::Serving, true);
+    }
+
+    HostReport report;
+    HostDirectory directory;
+    std::unique_ptr<BeaconSocket> beacons;
+};
+
+std::string joined(const std::vector<std::string> &addresses)
+{
+    std::string text;
+    for (const std::string &address : addresses) {
+        text += address.substr(0, address.find(':')) + " ";
+    }
+    return text;
+}
+
+struct LookupCase
+{
+    char name[48];
+    /// Availability zones of registered hosts that live, and of ones that don't.
+    char live[24];
+    char dead[24];
+    char expected[24];
+    /// Bounds of the time to the answer.
+    int shortestMs;
+    int longestMs;
+};
+
+/// A deployment with one host in each zone, asked by a caller of hill-a at the host of gulf-a.
+struct Deployment
+{
+    Deployment(const std::string &live, const std::string &dead)
+    {
+        for (const char *zone : {"hill-a", "hill-b", "gulf-b"}) {
+            const bool isLive = live.find(zone) != std::string::npos;
+            if (!isLive && dead.find(zone) == std::string::npos) {
+                continue;
+            }
+            auto participant = std::make_unique<Participant>(context, zone, zone);
+            reports.push_back(participant->report);
+            if (isLive) {
+                others.push_back(std::move(participant));
+            }
+        }
+        for (const auto &participant : others) {
+            participant->directory.setRegistered(reports, BootClock::now());
+        }
+        self.directory.setRegistered(reports, BootClock::now());
+    }
+
+    std::string lookUp(const boost::asio::yield_context &yield)
+    {
+        return joined(lookup.addressesFor(RegionId("hill"), ZoneId("hill-a"), yield));
+    }
+
+    template<typename Function>
+    void run(Function function)
+    {
+        boost::asio::spawn(context, [&](const boost::asio::yield_context &yield) {
+            function(yield);
+            context.stop();
+        });
+        context.run();
+    }
+
+    boost::asio::io_context context{1};
+    Participant self{context, "self", "gulf-a"};
+    std::vector<std::unique_ptr<Participant>> others;
+    std::vector<HostReport> reports{self.report};
+    HostLookup lookup{context, self.directory, *self.beacons};
+};
+
+} // namespace
+
+// Guards against first look-ups after a pause that name hosts of another region, or dead ones.
+ParameterizedTestParameters(HostLookup, firstLookups)
+{
+    static LookupCase cases[] = {
+        {"the zone's host lives", "hill-a", "", "hill-a ", 0, 250},
+        {"other zones live too", "hill-a gulf-b", "", "hill-a ", 0, 250},
+        {"the zone's host is dead", "gulf-b", "hill-a", "self ", 250, 700},
+        {"no host of the zone is registered", "gulf-b", "", "self ", 0, 100},
+    };
+    return cr_make_param_array(LookupCase, cases, std::size(cases));
+}
+
+ParameterizedTest(LookupCase *testCase, HostLookup, firstLookups)
+{
+    Deployment deployment(testCase->live, testCase->dead);
+    deployment.run([&](const boost::asio::yield_context &yield) {
+        const BootTime start = BootClock::now();
+        const std::string answer = deployment.lookUp(yield);
+        const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - start).count();
+        cr_assert_eq(answer, testCase->expected, "%s: %s", testCase->name, answer.c_str());
+        cr_assert(time >= testCase->shortestMs && time <= testCase->longestMs, "%s: %lld ms", testCase->name, static_cast<long long>(time));
+        const BootTime again = BootClock::now();
+        cr_assert_eq(deployment.lookUp(yield), testCase->expected, "%s", testCase->name);
+        cr_assert(BootClock::now() - again < 20ms, "%s: the second look-up waits", testCase->name);
+    });
+}
+
+// Guards against a first look-up that names hosts of another region because one datagram was lost.
+Test(HostLookup, lostBeaconIsMadeGood)
+{
+    Deployment deployment("", "hill-a");
+    std::unique_ptr<Participant> late;
+    boost::asio::spawn(deployment.context, [&](const boost::asio::yield_context &yield) {
+        sleepFor(deployment.context, 50ms, yield);
+        late = std::make_unique<Participant>(deployment.context, "hill-a", "hill-a", deployment.reports.back().peerAddress);
+        late->directory.setRegistered(deployment.reports, BootClock::now());
+    });
+    deployment.run([&](const boost::asio::yield_context &yield) { cr_assert_eq(deployment.lookUp(yield), "hill-a "); });
+}
+
+// Guards against callers that wait because others ask for the same zone, and against a datagram for each of them.
+Test(HostLookup, concurrentLookupsShareTheirQuestions)
+{
+    Deployment deployment("hill-a", "");
+    int answered = 0;
+    for (int i = 0; i < 50; ++i) {
+        boost::asio::spawn(deployment.context, [&](const boost::asio::yield_context &yield) {
+            cr_assert_eq(deployment.lookUp(yield), "hill-a ");
+            ++answered;
+        });
+    }
+    deployment.run([&](const boost::asio::yield_context &yield) { sleepFor(deployment.context, 200ms, yield); });
+    cr_assert_eq(answered, 50);
+}
--- a/Tests/Platform/testcallerapi.cpp
+++ b/Tests/Platform/testcallerapi.cpp
@@ -1,3 +1,4 @@
+#include <LibGateway/hostdirectory.h>
 #include <platform/callerapi.h>
 #include <platform/hostrows.h>
 
@@ -44,7 +45,8 @@
         {HostId("self"), "10.0.0.1:80", "10.0.0.1:81", ZoneId("gulf-a"), RegionId("gulf"), 1}, testCase->isReady ? HostPhase::Serving : HostPhase::Starting);
     const HttpRequest request{"GET", testCase->target, {}, {}};
     cr_assert_eq(answerReadiness(request, testCase->isReady).status, testCase->readiness, "%s", testCase->target);
-    const HttpResponse lookup = answerLookup(request, hosts, std::chrono::milliseconds(2000));
+    const auto addressesFor = [&hosts](const RegionId &region, const ZoneId &zone) { return hosts.addressesFor(region, zone, BootClock::now()); };
+    const HttpResponse lookup = answerLookup(request, addressesFor, std::chrono::milliseconds(2000));
     cr_assert_eq(lookup.status, testCase->lookup, "%s", testCase->target);
     if (lookup.status == 200) {
         const auto body = nlohmann::json::parse(lookup.body);
