LibGateway: Ask the region's hosts when a zone has no live one

Callers: those of a zone that is dead, or that has no hosts, in another region than the host that they asked were sent to that host's zone for as long as the zone was dead, although their own region had live hosts. A look-up asked only the zone that it named for beacons, so that the rest of the region was never heard.

--- a/Libraries/LibGateway/hostdirectory.cpp
+++ b/Libraries/LibGateway/hostdirectory.cpp
@@ -105,11 +105,12 @@
     return isAsked(known, now) && now - known.askedSince >= m_settings.replyLimit;
 }
 
-std::vector<HostReport> HostDirectory::unknownHosts(const ZoneId &zone, BootTime now) const
+template<typename Predicate>
+std::vector<HostReport> HostDirectory::unknownAmong(Predicate isMeant, BootTime now) const
 {
     std::vector<HostReport> unknown;
     for (const auto &[id, known] : m_hosts) {
-        if (known.report.zone != zone) {
+        if (!isMeant(known.report)) {
             continue;
         }
         if (isLive(known, now)) {
@@ -122,6 +123,25 @@
     return unknown;
 }
 
+std::vector<HostReport> HostDirectory::unknownHosts(const RegionId &region, const ZoneId &zone, BootTime now) const
+{
+    const auto isLiveInZone = [&](const auto &entry) { return entry.second.report.zone == zone && isLive(entry.second, now); };
+    if (std::any_of(m_hosts.begin(), m_hosts.end(), isLiveInZone)) {
+        return {};
+    }
+    auto unknown = unknownAmong([&zone](const HostReport &report) { return report.zone == zone; }, now);
+    return !unknown.empty() ? unknown : unknownAmong([&region](const HostReport &report) { return report.region == region; }, now);
+}
+
+void HostDirectory::noteRegionAskedFor(const RegionId &region, BootTime now)
+{
+    for (const auto &[id, known] : m_hosts) {
+        if (known.report.region == region) {
+            m_askedAt[known.report.zone] = now;
+        }
+    }
+}
+
 std::vector<std::string> HostDirectory::addressesFor(const RegionId &region, const ZoneId &zone, BootTime now)
 {
     m_askedAt[zone] = now;
@@ -142,6 +162,9 @@
             inOwnZone.push_back(known.report.address);
         }
     }
+    if (inZone.empty()) {
+        noteRegionAskedFor(region, now);
+    }
     auto &chosen = !inZone.empty() ? inZone : !inRegion.empty() ? inRegion : inOwnZone;
     if (chosen.size() > m_settings.maximumAddresses) {
         // Each answer begins where the last one ended, so that callers spread over all hosts of a large zone.
--- a/Libraries/LibGateway/hostdirectory.h
+++ b/Libraries/LibGateway/hostdirectory.h
@@ -51,7 +51,8 @@
     RegionId region;
     /// A host that was not heard for this long is taken for dead: three beacons that came in vain or not at all.
     std::chrono::milliseconds silenceLimit{3200};
-    /// After a look-up for another availability zone, its hosts are asked for beacons for this long.
+    /// After a look-up for another availability zone, its hosts are asked for beacons for this long, and those of its region while
+    /// none of the zone lives.
     std::chrono::milliseconds interestTime{10000};
     /// A host that was asked for this long and sent no beacon is taken for silent: several round trips between regions.
     std::chrono::milliseconds replyLimit{300};
@@ -93,8 +94,8 @@
     std::vector<std::string> addressesFor(const RegionId &region, const ZoneId &zone, BootTime now);
 
     /// Hosts whose beacons a look-up for an availability zone has to await: those of the zone while none of them is known to live,
-    /// unless they were asked in vain. Precondition: none.
-    std::vector<HostReport> unknownHosts(const ZoneId &zone, BootTime now) const;
+    /// then those of the region, unless they were asked in vain. Precondition: none.
+    std::vector<HostReport> unknownHosts(const RegionId &region, const ZoneId &zone, BootTime now) const;
 
     /// Hosts to send a beacon to now: those of the own zone, and those of zones that callers asked for. Precondition: none.
     std::vector<BeaconTarget> beaconTargets(BootTime now) const;
@@ -141,9 +142,12 @@
         bool readsStore = false;
     };
 
+    template<typename Predicate>
+    std::vector<HostReport> unknownAmong(Predicate isMeant, BootTime now) const;
     bool wasHeard(const Known &known, BootTime now) const;
     bool isLive(const Known &known, BootTime now) const;
     bool isAsked(const Known &known, BootTime now) const;
+    void noteRegionAskedFor(const RegionId &region, BootTime now);
     bool isSilent(const Known &known, BootTime now) const;
 
     HostDirectorySettings m_settings;
--- a/Libraries/LibGateway/hostlookup.cpp
+++ b/Libraries/LibGateway/hostlookup.cpp
@@ -9,7 +9,7 @@
 {
 
 /// Callers give a look-up one second and ask another host then.
-constexpr std::chrono::milliseconds s_longestWait{500};
+constexpr std::chrono::milliseconds s_longestWait{700};
 /// Replies of one zone come within a few milliseconds of each other, so that an answer names more than the first of them.
 constexpr std::chrono::milliseconds s_poll{20};
 
@@ -26,7 +26,7 @@
 {
     const BootTime deadline = BootClock::now() + s_longestWait;
     while (BootClock::now() < deadline) {
-        const auto unknown = m_directory.unknownHosts(zone, BootClock::now());
+        const auto unknown = m_directory.unknownHosts(region, zone, BootClock::now());
         if (unknown.empty()) {
             break;
         }
--- a/Libraries/LibGateway/hostlookup.h
+++ b/Libraries/LibGateway/hostlookup.h
@@ -16,7 +16,7 @@
     /// Precondition: context, directory and beacons outlive the object.
     HostLookup(boost::asio::io_context &context, HostDirectory &directory, BeaconSocket &beacons);
 
-    /// Addresses for callers of an availability zone, as HostDirectory::addressesFor() chooses them, after half a second at most.
+    /// Addresses for callers of an availability zone, as HostDirectory::addressesFor() chooses them, after 0.7 s at most.
     /// Precondition: the coroutine runs on the context.
     std::vector<std::string> addressesFor(const RegionId &region, const ZoneId &zone, const boost::asio::yield_context &yield);
 
--- a/Tests/LibGateway/testhostdirectory.cpp
+++ b/Tests/LibGateway/testhostdirectory.cpp
@@ -106,9 +106,9 @@
 Test(HostDirectory, hostsAreUnknownUntilTheyReplyOrStaySilent)
 {
     HostDirectory hosts = directory();
-    const auto unknown = [&hosts](BootTime now) { return hosts.unknownHosts(ZoneId("hill-a"), now).size(); };
-    cr_assert_eq(hosts.unknownHosts(ZoneId("gulf-a"), s_start).size(), 0, "this host is one of the zone");
-    cr_assert_eq(hosts.unknownHosts(ZoneId("moon-a"), s_start).size(), 0);
+    const auto unknown = [&hosts](BootTime now) { return hosts.unknownHosts(RegionId("hill"), ZoneId("hill-a"), now).size(); };
+    cr_assert_eq(hosts.unknownHosts(RegionId("gulf"), ZoneId("gulf-a"), s_start).size(), 0, "this host is one of the zone");
+    cr_assert_eq(hosts.unknownHosts(RegionId("moon"), ZoneId("moon-a"), s_start).size(), 0);
     cr_assert_eq(unknown(s_start), 1);
     hosts.noteAsked(HostId("far"), s_start);
     cr_assert_eq(unknown(s_start + 299ms), 1);
@@ -139,6 +139,20 @@
     cr_assert_eq(hosts.beaconTargets(s_start + 11s).size(), 1);
 }
 
+// Guards against callers of a dead zone that are sent to another region as soon as the first beacons of their own region are old.
+Test(HostDirectory, theRegionOfADeadZoneIsAskedToo)
+{
+    HostDirectory hosts = directory();
+    hosts.add(report("reserve", "hill-b", "hill"), s_start);
+    hosts.heard(HostId("far"), HostPhase::Serving, true, s_start);
+    hosts.addressesFor(RegionId("hill"), ZoneId("hill-a"), s_start);
+    cr_assert_eq(hosts.beaconTargets(s_start).size(), 2, "the zone's host lives");
+    hosts.heard(HostId("reserve"), HostPhase::Serving, true, s_start + 4s);
+    cr_assert_eq(joined(hosts.addressesFor(RegionId("hill"), ZoneId("hill-a"), s_start + 4s)), "reserve ");
+    cr_assert_eq(hosts.beaconTargets(s_start + 5s).size(), 3);
+    cr_assert_eq(hosts.beaconTargets(s_start + 15s).size(), 1);
+}
+
 // Guards against two datagrams a second between hosts that hear each other anyway, and against a host that starts and hears nobody.
 Test(HostDirectory, repliesAreAskedOfHostsThatAreNotHeard)
 {
--- a/Tests/LibGateway/testhostlookup.cpp
+++ b/Tests/LibGateway/testhostlookup.cpp
@@ -105,6 +105,9 @@
         {"other zones live too", "hill-a gulf-b", "", "hill-a ", 0, 250},
         {"the zone's host is dead", "gulf-b", "hill-a", "self ", 250, 700},
         {"no host of the zone is registered", "gulf-b", "", "self ", 0, 100},
+        {"the zone is dead, its region lives", "gulf-b hill-b", "hill-a", "hill-b ", 250, 700},
+        {"only its region has hosts", "gulf-b hill-b", "", "hill-b ", 0, 250},
+        {"the region is dead", "gulf-b", "hill-a hill-b", "self ", 550, 900},
     };
     return cr_make_param_array(LookupCase, cases, std::size(cases));
 }
