--- a/Tests/Platform/testplatformtables.cpp
+++ b/Tests/Platform/testplatformtables.cpp
@@ -190,3 +190,59 @@
         cr_assert_lt(time.count(), testCase->mostMilliseconds, "%s: known after %d ms", testCase->name, static_cast<int>(time.count()));
     });
 }
+
+namespace
+{
+
+struct RefusedCase
+{
+    char name[32];
+    char value[96];
+};
+
+/// Value of a sample without labels; nothing when the scrape has no such metric.
+std::optional<double> sampleOf(const std::string &scrape, const std::string &name)
+{
+    const auto start = scrape.find("\n" + name + " ");
+    return start == std::string::npos ? std::nullopt : std::optional(std::stod(scrape.substr(start + name.size() + 2)));
+}
+
+} // namespace
+
+// Guards against hosts that keep an older configuration because they can't read the newest, while no metric tells.
+ParameterizedTestParameters(PlatformTables, refusedConfigurationIsSeenInTheMetrics)
+{
+    static RefusedCase cases[] = {
+        {"no document", "{"},
+        {"no version", R"({"routes": [], "services": []})"},
+        {"a field of another type", R"({"version": "r2", "routes": 7, "services": []})"},
+    };
+    return cr_make_param_array(RefusedCase, cases, std::size(cases));
+}
+
+ParameterizedTest(RefusedCase *testCase, PlatformTables, refusedConfigurationIsSeenInTheMetrics)
+{
+    Fixture fixture;
+    const auto metric = [&fixture](const char *name) {
+        ScrapeWriter writer;
+        fixture.metrics.writeTo(writer, fixture.state, BootClock::now());
+        fixture.tables.writeTo(writer, BootClock::now());
+        return sampleOf(writer.text(), name);
+    };
+    const auto refused = [&] { return metric("trefoil_configuration_refused_seconds").value_or(-1); };
+    fixture.run([&](const asio::yield_context &yield) {
+        cr_assert_lt(fixture.timeUntil([&] { return fixture.usable() == 1; }, 5s, yield).count(), 5000);
+        cr_assert_eq(refused(), 0, "%s: refused before", testCase->name);
+        fixture.store.set(operatorTable, configurationKey, testCase->value);
+        cr_assert_lt(fixture.timeUntil([&] { return refused() > 0; }, 5s, yield).count(), 2000, "%s: not told", testCase->name);
+        sleepFor(fixture.context, 500ms, yield);
+        fixture.store.set(operatorTable, configurationKey, "[]");
+        sleepFor(fixture.context, 1s, yield);
+        cr_assert_geq(refused(), 1.5, "%s: a second refusal hides the first: %g s", testCase->name, refused());
+        cr_assert_eq(metric("trefoil_configuration_version").value_or(-1), 1, "%s", testCase->name);
+        cr_assert_eq(fixture.usable(), 1, "%s", testCase->name);
+        fixture.declare(3, "east");
+        cr_assert_lt(fixture.timeUntil([&] { return refused() == 0; }, 5s, yield).count(), 2000, "%s: still refused", testCase->name);
+        cr_assert_eq(metric("trefoil_configuration_version").value_or(-1), 3, "%s", testCase->name);
+    });
+}
