LibMembership: Let renewals in the store prove the configuration

The change is accepted by the majority of its region without it, and its lease was renewed in the store each second: a renewal proved that the host wasn't reclaimed, not that its configuration was the newest.

The renewals of a host whose guardians don't confirm now have the head's row as a further condition, and extend the lease only then: a renewal that takes effect after the change can't pass. A host that sees a newer head renews its row without that, so that it isn't reclaimed, and proves it again when the configuration is in force. A join no longer confirms the lease; a renewal follows at once. Ruled out: reading the head more often, 1,500 reads/s for all hosts, and plain reads of the store may lag; the condition on all renewals, which fails once a host and change, 150 writes/s more for 10 s at 1,500 hosts (computed). Price: one more write when a host starts, and one a change for a host without guardians; no more reads.

--- a/Libraries/LibMembership/hostrow.h
+++ b/Libraries/LibMembership/hostrow.h
@@ -33,6 +33,9 @@
 /// Key of the row with a region's grants.
 std::string grantsRowKey(const RegionId &region);
 
+/// Key of the row that names the committed configuration; its value has the configuration's number in "version".
+constexpr const char *configurationHeadKey = "configuration/head";
+
 /// Key of a small row that is written together with the grants, so that a host learns of a change without reading all grants.
 std::string grantsVersionRowKey(const RegionId &region);
 
--- a/Libraries/LibMembership/member.cpp
+++ b/Libraries/LibMembership/member.cpp
@@ -74,7 +74,11 @@
 
 void Member::setConfiguration(ConfigurationVersion version, std::vector<Resource> resources, BootTime now)
 {
+    const bool catchesUp = m_configuration < m_headVersion && version >= m_headVersion;
     m_configuration = version;
+    if (catchesUp && !guardiansConfirm(now)) {
+        m_lastRenewal = BootTime();
+    }
     m_grants.setResources(std::move(resources), now);
     m_nextUpdate = now;
 }
@@ -144,7 +148,7 @@
     }
     m_joining = true;
     m_outbox.read(
-        {hostRowKey(m_settings.host), grantsRowKey(m_settings.region), grantsVersionRowKey(m_settings.region)},
+        {hostRowKey(m_settings.host), grantsRowKey(m_settings.region), grantsVersionRowKey(m_settings.region), configurationHeadKey},
         now + s_storeDeadline,
         [this](const std::vector<TableRow> &rows, BootTime then) { joinRowsRead(rows, then); },
         [this](BootTime then) { retryJoin(then); });
@@ -158,6 +162,7 @@
 
 void Member::joinRowsRead(const std::vector<TableRow> &rows, BootTime now)
 {
+    noteHead(rows);
     auto present = grantRowsFrom(rows, m_settings.region);
     if (present.has_error()) {
         retryJoin(now);
@@ -191,12 +196,10 @@
     transaction.conditions.push_back({hostRowKey(m_settings.host), 0});
     transaction.puts.push_back({hostRowKey(m_settings.host), toJson(ownRow())});
     addGrantsUpdate(transaction, m_settings.region, present, table);
-    m_outbox.transact(std::move(transaction), now + s_storeDeadline, [this, table, sentAt = now](const StoreReply &reply, BootTime then) {
-        joined(reply, table, sentAt, then);
-    });
+    m_outbox.transact(std::move(transaction), now + s_storeDeadline, [this, table](const StoreReply &reply, BootTime then) { joined(reply, table, then); });
 }
 
-void Member::joined(const StoreReply &reply, GrantTable table, BootTime sentAt, BootTime now)
+void Member::joined(const StoreReply &reply, GrantTable table, BootTime now)
 {
     const auto *committed = std::get_if<Committed>(&reply);
     const auto row = committed == nullptr ? std::map<std::string, RowVersion>::const_iterator() : committed->versions.find(hostRowKey(m_settings.host));
@@ -204,7 +207,6 @@
         retryJoin(now);
         return;
     }
-    m_lease.confirmationFromStore(sentAt);
     if (auto rows = committedRows(reply, std::move(table))) {
         adoptGrants(std::move(*rows), now);
     } else {
@@ -223,8 +225,9 @@
     m_proposedGuardians.reset();
     m_lease.setGuardians(std::move(guardians));
     m_directory.setRegionMembers(m_grants.rows().table.members());
-    m_lastRenewal = now;
-    m_renewSoon = m_lease.validUntil() == BootTime();
+    // The join doesn't confirm the lease, since it doesn't prove that the configuration is the newest; a renewal follows at once.
+    m_lastRenewal = BootTime();
+    m_renewSoon = true;
     m_nextUpdate = now;
     m_nextRevision = now + jitter(s_incompleteRevisionInterval);
 }
@@ -445,12 +448,17 @@
         m_leaving};
 }
 
+bool Member::guardiansConfirm(BootTime now) const
+{
+    return now - m_lease.lastGuardianConfirmation() < s_confirmedFor;
+}
+
 BootClock::duration Member::renewalInterval(BootTime now)
 {
     if (m_renewSoon && m_proposedGuardians && m_lease.guardians().size() < s_wantedGuardians) {
         return s_incompleteRevisionInterval;
     }
-    if (now - m_lease.lastGuardianConfirmation() < s_confirmedFor) {
+    if (guardiansConfirm(now)) {
         return m_renewSoon || m_leaving != m_leavingWritten ? s_unconfirmedRenewalInterval : s_renewalInterval - m_renewalJitter;
     }
     return m_renewalIsSlow ? s_slowRenewalInterval : s_unconfirmedRenewalInterval;
@@ -469,12 +477,18 @@
     Transaction transaction;
     transaction.conditions.push_back({hostRowKey(m_settings.host), m_rowVersion});
     transaction.puts.push_back({hostRowKey(m_settings.host), toJson(row)});
-    m_outbox.transact(std::move(transaction), now + s_storeDeadline, [this, row, sentAt = now](const StoreReply &reply, BootTime then) {
-        renewed(reply, row, sentAt, then);
+    // A host without its guardians may hear of no change. Its renewals extend the lease only together with the proof that the
+    // configuration in force is the store's newest; the others would fail once for each change, for nothing.
+    const bool provesConfiguration = !guardiansConfirm(now) && m_headVersion <= m_configuration;
+    if (provesConfiguration) {
+        transaction.conditions.push_back({configurationHeadKey, m_headRow});
+    }
+    m_outbox.transact(std::move(transaction), now + s_storeDeadline, [this, row, provesConfiguration, sentAt = now](const StoreReply &reply, BootTime then) {
+        renewed(reply, row, provesConfiguration, sentAt, then);
     });
 }
 
-void Member::renewed(const StoreReply &reply, const HostRow &row, BootTime sentAt, BootTime now)
+void Member::renewed(const StoreReply &reply, const HostRow &row, bool provesConfiguration, BootTime sentAt, BootTime now)
 {
     m_renewing = false;
     m_renewalIsSlow = now - sentAt > s_unconfirmedRenewalInterval;
@@ -482,6 +496,9 @@
         return;
     }
     if (const auto *failed = std::get_if<ConditionFailed>(&reply)) {
+        if (noteHead(failed->rows)) {
+            m_lastRenewal = BootTime();
+        }
         adoptOwnRow(failed->rows, now);
         return;
     }
@@ -492,7 +509,7 @@
         return;
     }
     m_rowVersion = version->second;
-    if (m_phase == Phase::Member) {
+    if (m_phase == Phase::Member && provesConfiguration) {
         m_lease.confirmationFromStore(sentAt);
     }
     m_leavingWritten = row.leaving;
@@ -506,6 +523,20 @@
     }
 }
 
+bool Member::noteHead(const std::vector<TableRow> &rows)
+{
+    const TableRow *head = findRow(rows, configurationHeadKey);
+    // Plain reads of the store may show an earlier row.
+    if (head == nullptr || head->version <= m_headRow) {
+        return false;
+    }
+    m_headRow = head->version;
+    if (head->value.is_object() && head->value.contains("version") && head->value["version"].is_number_unsigned()) {
+        m_headVersion = ConfigurationVersion(head->value["version"].get<std::uint64_t>());
+    }
+    return true;
+}
+
 void Member::adoptOwnRow(const std::vector<TableRow> &rows, BootTime now)
 {
     const TableRow *own = findRow(rows, hostRowKey(m_settings.host));
--- a/Libraries/LibMembership/member.h
+++ b/Libraries/LibMembership/member.h
@@ -107,7 +107,7 @@
     void tickAbsent(BootTime now);
     void joinRowsRead(const std::vector<TableRow> &rows, BootTime now);
     void join(const GrantRows &present, BootTime now);
-    void joined(const StoreReply &reply, GrantTable table, BootTime sentAt, BootTime now);
+    void joined(const StoreReply &reply, GrantTable table, BootTime now);
     void retryJoin(BootTime now);
     void becomeMember(RowVersion version, std::vector<HostId> guardians, BootTime now);
     void fenced(BootTime now);
@@ -120,9 +120,12 @@
     void reviseGuardians(BootTime now);
 
     HostRow ownRow() const;
+    bool guardiansConfirm(BootTime now) const;
     BootClock::duration renewalInterval(BootTime now);
     void renew(BootTime now);
-    void renewed(const StoreReply &reply, const HostRow &row, BootTime sentAt, BootTime now);
+    void renewed(const StoreReply &reply, const HostRow &row, bool provesConfiguration, BootTime sentAt, BootTime now);
+    /// True when the rows show a newer head.
+    bool noteHead(const std::vector<TableRow> &rows);
     void adoptOwnRow(const std::vector<TableRow> &rows, BootTime now);
 
     void poll(BootTime now);
@@ -145,6 +148,9 @@
     Epoch m_proposedEpoch;
     RowVersion m_rowVersion = 0;
     ConfigurationVersion m_configuration;
+    /// Of the row configuration/head, as last seen.
+    ConfigurationVersion m_headVersion;
+    RowVersion m_headRow = 0;
 
     GuardianLedger m_ledger;
     HostLease m_lease;
--- a/Services/trefoilmountd/configurationstore.cpp
+++ b/Services/trefoilmountd/configurationstore.cpp
@@ -2,6 +2,7 @@
 
 #include <LibConfiguration/digest.h>
 #include <LibConfiguration/json.h>
+#include <LibMembership/hostrow.h>
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -14,7 +15,7 @@
 namespace
 {
 
-const char *const s_headKey = "configuration/head";
+const char *const s_headKey = configurationHeadKey;
 /// Far more changes than are made while one change waits for the store.
 constexpr std::size_t s_rememberedOperations = 16;
 
--- a/Tests/LibMembership/testmembership.cpp
+++ b/Tests/LibMembership/testmembership.cpp
@@ -251,6 +251,61 @@
     cr_assert(world.processes().front()->member->grants().toJson() == before);
 }
 
+namespace
+{
+
+struct IsolationCase
+{
+    /// How long the host is without its peers when the new configuration is committed.
+    int isolatedMilliseconds;
+    std::uint64_t firstSeed;
+};
+
+void commitConfiguration(World &world, std::uint64_t version)
+{
+    const auto rows = nlohmann::json::parse(world.store.read({{"keys", {configurationHeadKey}}}).body)["rows"];
+    const auto present = rows.empty() ? RowVersion(0) : rows[0]["version"].get<RowVersion>();
+    const auto reply = world.store.transact({{"transaction", fmt::format("commit-{}", version)},
+        {"conditions", {{{"key", configurationHeadKey}, {"version", present}}}},
+        {"puts", {{{"key", configurationHeadKey}, {"value", {{"version", version}}}}}},
+        {"deletes", nlohmann::json::array()}});
+    cr_assert_eq(reply.status, 200, "%s", reply.body.c_str());
+}
+
+} // namespace
+
+// Guards against a host that reaches the store but no peer and serves under a configuration that was replaced more than 3 s before.
+ParameterizedTestParameters(Membership, hostWithoutPeersObeysTheStoresConfiguration)
+{
+    static IsolationCase cases[] = {{0, 2000}, {700, 2010}, {1600, 2020}, {3500, 2030}, {20000, 2040}};
+    return cr_make_param_array(IsolationCase, cases, std::size(cases));
+}
+
+ParameterizedTest(IsolationCase *testCase, Membership, hostWithoutPeersObeysTheStoresConfiguration)
+{
+    for (std::uint64_t seed = testCase->firstSeed; seed < testCase->firstSeed + 10; ++seed) {
+        Shape shape;
+        shape.resources = resources();
+        World world(shape, seed);
+        commitConfiguration(world, 1);
+        world.runUntil(world.now() + seconds(15) + world.between(seconds(0), seconds(10)));
+        Process &isolated = *world.processes().front();
+        isolated.cutFromPeers = true;
+        world.runUntil(world.now() + milliseconds(testCase->isolatedMilliseconds));
+        cr_assert(world.now() < isolated.member->leaseValidUntil(), "seed %lu: no lease before the change", seed);
+        commitConfiguration(world, 2);
+        const BootTime committedAt = world.now();
+        while (world.now() < committedAt + seconds(20)) {
+            world.runUntil(world.now() + milliseconds(50));
+            const auto excess = std::chrono::duration_cast<milliseconds>(isolated.member->leaseValidUntil() - committedAt - seconds(3));
+            cr_assert_leq(excess.count(), 0, "seed %lu: the lease lasts %ld ms too long", seed, excess.count());
+        }
+        isolated.member->setConfiguration(ConfigurationVersion(2), resources(), world.now());
+        world.runUntil(world.now() + seconds(2));
+        cr_assert(isolated.member->isMember() && world.now() < isolated.member->leaseValidUntil(), "seed %lu: no lease under the new configuration", seed);
+    }
+}
+
 // Guards against a region that stops serving when it is cut off soon after its hosts joined: its hosts need enough guardians
 // within the region by then.
 Test(Membership, regionCutOffSoonAfterJoiningKeepsItsLeases)
