LibReplication: Pause when full reads lag behind the store's history

A store that has dropped its history and shows old full reads was called without a pause: the full read succeeded, the call for changes said that the history is lost, and both were repeated at once. A host that starts, or that knows less than the reads show, reaches this state. All hosts share the rate that the store grants, so that one of them can cost the others their calls, and with them configurations.

A full read that no call for changes has continued is now followed by the back-off, which starts anew only when such a call was answered. The first loss of history is still followed by a full read at once.

Ruled out: a change that is missed; the full read is repeated until the history continues it.

PlatformTables::readsFromThePastAreNotRepeatedAtOnce (one host, three tables, 2 s): 28,647 calls before, fails; passes now, with a configuration known in time after the reads are current again. TestPlatform 42 of 42 of the tests that were there.

--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -56,7 +56,9 @@
     while (!m_context.stopped()) {
         const BootTime calledAt = BootClock::now();
         const bool succeeded = m_needsAll ? readAll(yield) : readChanges(yield);
-        if (!succeeded) {
+        // The history that the store keeps may begin after the time that its full reads show.
+        const bool isReadInVain = m_needsAll && m_isReadUncontinued;
+        if (!succeeded || isReadInVain) {
             pause(calledAt, yield);
         }
     }
@@ -71,7 +73,6 @@
 
 void TableWatch::noteSuccess()
 {
-    m_backoff.reset();
     m_confirmedAt = BootClock::now();
     m_sharing.server().confirm(m_table, m_confirmedAt);
     if (!m_isReachable) {
@@ -113,6 +114,7 @@
     m_version = read.version;
     m_sharing.server().reset(m_table, m_version);
     m_needsAll = false;
+    m_isReadUncontinued = true;
     return true;
 }
 
@@ -191,6 +193,8 @@
         m_needsAll = true;
         return false;
     }
+    m_backoff.reset();
+    m_isReadUncontinued = false;
     noteSuccess();
     // Another host may have told more since the call began.
     if (read->version < m_version) {
--- a/Libraries/LibReplication/tablewatch.h
+++ b/Libraries/LibReplication/tablewatch.h
@@ -86,6 +86,8 @@
     FeedVersion m_version = 0;
     BootTime m_confirmedAt{};
     bool m_needsAll = true;
+    /// No call for changes was answered since the last full read.
+    bool m_isReadUncontinued = false;
     bool m_isReachable = true;
     std::shared_ptr<Probes> m_probes;
     Backoff m_backoff;
--- a/Tests/Platform/testplatformtables.cpp
+++ b/Tests/Platform/testplatformtables.cpp
@@ -190,3 +190,26 @@
         cr_assert_lt(time.count(), testCase->mostMilliseconds, "%s: known after %d ms", testCase->name, static_cast<int>(time.count()));
     });
 }
+
+// Guards against a host that calls the store without a pause while full reads show a time before the history that the store keeps.
+Test(PlatformTables, readsFromThePastAreNotRepeatedAtOnce)
+{
+    Fixture fixture;
+    fixture.store.freezeReads(true);
+    fixture.declare(2, "west");
+    fixture.registerUpstream("ready", 2);
+    fixture.store.set(hostTable, "other", "");
+    fixture.store.loseHistory();
+    fixture.run([&](const asio::yield_context &yield) {
+        sleepFor(fixture.context, 2s, yield);
+        const int calls = fixture.store.reads + fixture.store.feeds;
+        // What the store grants ten hosts together, divided among them.
+        constexpr int granted = 2 * 2000 / 10;
+        cr_expect_leq(calls, granted, "%d calls in 2 s", calls);
+        fixture.store.freezeReads(false);
+        fixture.declare(3, "west");
+        const auto isKnown = [&] { return fixture.state.routes() && fixture.state.routes()->configuration().version == ConfigurationVersion(3); };
+        const auto time = fixture.timeUntil(isKnown, 10s, yield);
+        cr_expect_lt(time.count(), fixture.limits.configurationApply.count(), "known after %d ms", static_cast<int>(time.count()));
+    });
+}
