LibReplication: Let full reads overlap like other calls after a failure

A full read that the store takes and never answers was waited for during 2 s, and a host reads nothing else meanwhile: a host with a configuration whose history the store has dropped, and a host that starts while the store is silent, learned of the store's return that much later.

Full reads now overlap in the same way: each is awaited for 2 s, and the next one follows within 0.6 of the time in which a change must be in force. A store that needs longer than 0.8 s for a whole table gets a second read meanwhile.

Ruled out: a shorter limit alone, with which a slow store would never be read.

--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -23,11 +23,11 @@
 
 } // namespace
 
-/// Calls after a failure. Each is followed by the next one before a slow store would answer it, so that neither a call that is lost
-/// nor a slow answer delays what the other tells.
-struct TableWatch::Probes
+/// Full reads, or calls for changes after a failure, never both. Each is followed by the next one before a slow store would answer
+/// it, so that neither a call that is lost nor a slow answer delays what the other tells.
+struct TableWatch::OverlappingCalls
 {
-    explicit Probes(boost::asio::io_context &context)
+    explicit OverlappingCalls(boost::asio::io_context &context)
         : wait(context)
     {
     }
@@ -59,7 +59,7 @@
     , m_table(std::move(table))
     , m_pace(pace)
     , m_handlers(std::move(handlers))
-    , m_probes(std::make_shared<Probes>(context))
+    , m_overlapping(std::make_shared<OverlappingCalls>(context))
     , m_backoff(s_firstRetry, std::max(s_firstRetry, pace.longestRetry))
     , m_random(std::random_device{}())
 {
@@ -82,7 +82,7 @@
 void TableWatch::pause(BootTime failedCall, const boost::asio::yield_context &yield)
 {
     // A call that failed late has already waited; one that failed at once must not be repeated at once.
-    m_probes->waitFor(failedCall + m_backoff.next(m_random) - BootClock::now(), yield);
+    m_overlapping->waitFor(failedCall + m_backoff.next(m_random) - BootClock::now(), yield);
 }
 
 void TableWatch::noteSuccess()
@@ -113,7 +113,7 @@
 bool TableWatch::readAll(const boost::asio::yield_context &yield)
 {
     const BootTime calledAt = BootClock::now();
-    const ReadResult result = m_store.readTable(m_table, s_patientAnswer, yield);
+    const FeedResult result = awaitAnswer(yield);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         noteFailure(failure->reason, calledAt, {});
         return false;
@@ -175,39 +175,57 @@
 bool TableWatch::probe(const boost::asio::yield_context &yield)
 {
     const BootTime calledAt = BootClock::now();
-    if (!m_probes->answer) {
-        startProbe();
-        if (!m_probes->failure) {
-            m_probes->waitFor(m_pace.answerTime, yield);
-        }
-    }
-    if (!m_probes->answer) {
-        noteFailure(m_probes->failure ? m_probes->failure->reason : "no answer yet", calledAt, s_probeHold);
+    const FeedResult result = awaitAnswer(yield);
+    if (const auto *failure = std::get_if<StoreFailure>(&result)) {
+        noteFailure(failure->reason, calledAt, s_probeHold);
         return false;
     }
-    const auto answered = std::exchange(m_probes, std::make_shared<Probes>(m_context));
-    takeResult(*answered->answer);
+    takeResult(result);
     return true;
 }
 
-void TableWatch::startProbe()
+FeedResult TableWatch::awaitAnswer(const boost::asio::yield_context &yield)
 {
-    m_probes->failure.reset();
-    boost::asio::spawn(m_context, [this, probes = m_probes, number = ++m_probes->latest](const boost::asio::yield_context &callYield) {
-        FeedResult result = m_store.awaitChanges(m_table, m_version, {s_probeHold, s_patientAnswer}, callYield);
+    if (!m_overlapping->answer) {
+        startCall();
+        if (!m_overlapping->failure) {
+            m_overlapping->waitFor(m_pace.answerTime, yield);
+        }
+    }
+    if (m_overlapping->answer) {
+        const auto answered = std::exchange(m_overlapping, std::make_shared<OverlappingCalls>(m_context));
+        return std::move(*answered->answer);
+    }
+    return m_overlapping->failure.value_or(StoreFailure{"no answer yet"});
+}
+
+void TableWatch::startCall()
+{
+    m_overlapping->failure.reset();
+    boost::asio::spawn(m_context, [this, calls = m_overlapping, number = ++m_overlapping->latest](const boost::asio::yield_context &callYield) {
+        FeedResult result = callOnce(callYield);
         const auto *failure = std::get_if<StoreFailure>(&result);
-        if (probes->answer || (failure && number != probes->latest)) {
+        if (calls->answer || (failure && number != calls->latest)) {
             return;
         }
         if (failure) {
-            probes->failure = *failure;
+            calls->failure = *failure;
         } else {
-            probes->answer = std::move(result);
+            calls->answer = std::move(result);
         }
-        probes->wait.cancel();
+        calls->wait.cancel();
     });
 }
 
+FeedResult TableWatch::callOnce(const boost::asio::yield_context &yield)
+{
+    if (!m_needsAll) {
+        return m_store.awaitChanges(m_table, m_version, {s_probeHold, s_patientAnswer}, yield);
+    }
+    ReadResult read = m_store.readTable(m_table, s_patientAnswer, yield);
+    return std::visit([](auto &&result) -> FeedResult { return std::move(result); }, std::move(read));
+}
+
 bool TableWatch::takeResult(const FeedResult &result)
 {
     const auto *read = std::get_if<FeedRows>(&result);
@@ -229,7 +247,7 @@
 bool TableWatch::follow(const HostId &publisher, const boost::asio::yield_context &yield)
 {
     // An answer that comes meanwhile would later pass for one of that time.
-    m_probes = std::make_shared<Probes>(m_context);
+    m_overlapping = std::make_shared<OverlappingCalls>(m_context);
     if (const auto changes = m_sharing.awaitChanges(publisher, m_table, m_version, yield)) {
         m_confirmedAt = BootClock::now();
         take(*changes);
--- a/Libraries/LibReplication/tablewatch.h
+++ b/Libraries/LibReplication/tablewatch.h
@@ -64,7 +64,7 @@
     }
 
 private:
-    struct Probes;
+    struct OverlappingCalls;
 
     void noteSuccess();
     void noteFailure(const std::string &reason, BootTime calledAt, std::chrono::milliseconds wait);
@@ -73,7 +73,9 @@
     bool readChanges(const boost::asio::yield_context &yield);
     bool readFeed(std::chrono::milliseconds held, std::chrono::milliseconds batchPause, const boost::asio::yield_context &yield);
     bool probe(const boost::asio::yield_context &yield);
-    void startProbe();
+    FeedResult awaitAnswer(const boost::asio::yield_context &yield);
+    void startCall();
+    FeedResult callOnce(const boost::asio::yield_context &yield);
     bool takeResult(const FeedResult &result);
     bool follow(const HostId &publisher, const boost::asio::yield_context &yield);
     void take(const FeedRows &changes);
@@ -90,7 +92,7 @@
     /// No call for changes was answered since the last full read.
     bool m_isReadUncontinued = false;
     bool m_isReachable = true;
-    std::shared_ptr<Probes> m_probes;
+    std::shared_ptr<OverlappingCalls> m_overlapping;
     Backoff m_backoff;
     pcg32 m_random;
 };
--- a/Tests/Platform/storestandin.cpp
+++ b/Tests/Platform/storestandin.cpp
@@ -119,6 +119,10 @@
     const std::string table = parameter(request.target, "table");
     if (path == "/api/rows-get") {
         ++reads;
+        if (losesReads) {
+            ++lostReads[table];
+            sleepFor(m_context, s_lostAnswer, yield);
+        }
         return answerRead(table, parameter(request.target, "from"), std::stoul(parameter(request.target, "limit")));
     }
     if (path == "/api/rows-feed") {
--- a/Tests/Platform/storestandin.h
+++ b/Tests/Platform/storestandin.h
@@ -39,6 +39,8 @@
     bool isDown = false;
     /// Calls take effect, and the answers are lost to those that come or end meanwhile.
     bool losesAnswers = false;
+    /// Full reads are never answered.
+    bool losesReads = false;
     /// Only the first page of a full read shows the tables as they are; freezeReads() was called for the others.
     bool firstPageIsFresh = false;
     /// IP numbers of hosts whose calls are never answered.
@@ -50,6 +52,8 @@
     /// Calls to the feed of a table that are held now, and those that came while the store was silent.
     std::map<std::string, int> heldFeeds;
     std::map<std::string, int> swallowedFeeds;
+    /// Full reads of a table that were lost.
+    std::map<std::string, int> lostReads;
 
 private:
     struct Change
--- a/Tests/Platform/testplatformtables.cpp
+++ b/Tests/Platform/testplatformtables.cpp
@@ -248,3 +248,23 @@
         cr_assert(time < limit, "%d calls lost: known after %d ms", testCase->count, static_cast<int>(time.count()));
     });
 }
+
+// Guards against a host that learns of a configuration too late because a full read was lost after the store lost its history.
+Test(PlatformTables, lostFullReadsDelayNoChange)
+{
+    Fixture fixture;
+    fixture.run([&](const asio::yield_context &yield) {
+        const std::string table = operatorTable;
+        cr_assert_lt(fixture.timeUntil([&] { return fixture.usable() == 1 && fixture.store.heldFeeds[table] == 1; }, 5s, yield).count(), 5000);
+        fixture.store.losesReads = true;
+        fixture.store.set("other", "row", "");
+        fixture.store.loseHistory();
+        cr_assert_lt(fixture.timeUntil([&] { return fixture.store.lostReads[table] == 1; }, 5s, yield).count(), 5000);
+        fixture.store.losesReads = false;
+        fixture.declare(2, "west");
+        const auto time = fixture.timeUntil([&] { return fixture.usable() == 0; }, 10s, yield);
+        // As for calls for changes.
+        const auto limit = fixture.limits.configurationApply * 6 / 10 + 100ms;
+        cr_assert(time < limit, "known after %d ms", static_cast<int>(time.count()));
+    });
+}
