--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <optional>
 #include <utility>
 
 namespace Trefoil
@@ -22,18 +23,32 @@
 
 } // namespace
 
-/// Calls after a failure. Each is followed by the next one before a slow store would answer it, so that neither a call that is lost
-/// nor a slow answer delays what the other tells.
-struct TableWatch::Probes
+/// Full reads, or calls for changes after a failure, never both. Each is followed by the next one before a slow store would answer
+/// it, so that neither a call that is lost nor a slow answer delays what the other tells.
+struct TableWatch::OverlappingCalls
 {
-    explicit Probes(boost::asio::io_context &context)
-        : ended(context)
+    explicit OverlappingCalls(boost::asio::io_context &context)
+        : wait(context)
     {
     }
 
-    /// Ends early when a call ends.
-    boost::asio::steady_timer ended;
-    std::vector<FeedResult> results;
+    /// Waits for a time, or less when a call is answered or the latest one fails.
+    void waitFor(BootClock::duration time, const boost::asio::yield_context &yield)
+    {
+        if (answer) {
+            return;
+        }
+        wait.expires_after(std::max(time, BootClock::duration(0)));
+        boost::system::error_code cancelledByCall;
+        wait.async_wait(yield[cancelledByCall]);
+    }
+
+    boost::asio::steady_timer wait;
+    int latest = 0;
+    /// The first answer; what the other calls tell is older.
+    std::optional<FeedResult> answer;
+    /// Set when the latest call has failed. Earlier ones, whose losses are noticed late, say nothing about the store's state now.
+    std::optional<StoreFailure> failure;
 };
 
 TableWatch::TableWatch(
@@ -44,7 +59,7 @@
     , m_table(std::move(table))
     , m_pace(pace)
     , m_handlers(std::move(handlers))
-    , m_probes(std::make_shared<Probes>(context))
+    , m_overlapping(std::make_shared<OverlappingCalls>(context))
     , m_backoff(s_firstRetry, std::max(s_firstRetry, pace.longestRetry))
     , m_random(std::random_device{}())
 {
@@ -56,7 +71,9 @@
     while (!m_context.stopped()) {
         const BootTime calledAt = BootClock::now();
         const bool succeeded = m_needsAll ? readAll(yield) : readChanges(yield);
-        if (!succeeded) {
+        // The history that the store keeps may begin after the time that its full reads show.
+        const bool isReadInVain = m_needsAll && m_isReadUncontinued;
+        if (!succeeded || isReadInVain) {
             pause(calledAt, yield);
         }
     }
@@ -65,13 +82,11 @@
 void TableWatch::pause(BootTime failedCall, const boost::asio::yield_context &yield)
 {
     // A call that failed late has already waited; one that failed at once must not be repeated at once.
-    const auto left = failedCall + m_backoff.next(m_random) - BootClock::now();
-    sleepFor(m_context, std::max(std::chrono::duration_cast<std::chrono::milliseconds>(left), std::chrono::milliseconds(0)), yield);
+    m_overlapping->waitFor(failedCall + m_backoff.next(m_random) - BootClock::now(), yield);
 }
 
 void TableWatch::noteSuccess()
 {
-    m_backoff.reset();
     m_confirmedAt = BootClock::now();
     m_sharing.server().confirm(m_table, m_confirmedAt);
     if (!m_isReachable) {
@@ -98,7 +113,7 @@
 bool TableWatch::readAll(const boost::asio::yield_context &yield)
 {
     const BootTime calledAt = BootClock::now();
-    const ReadResult result = m_store.readTable(m_table, s_patientAnswer, yield);
+    const FeedResult result = awaitAnswer(yield);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         noteFailure(failure->reason, calledAt, {});
         return false;
@@ -113,6 +128,7 @@
     m_version = read.version;
     m_sharing.server().reset(m_table, m_version);
     m_needsAll = false;
+    m_isReadUncontinued = true;
     return true;
 }
 
@@ -159,29 +175,55 @@
 bool TableWatch::probe(const boost::asio::yield_context &yield)
 {
     const BootTime calledAt = BootClock::now();
-    boost::asio::spawn(m_context, [this, probes = m_probes](const boost::asio::yield_context &callYield) {
-        probes->results.push_back(m_store.awaitChanges(m_table, m_version, {s_probeHold, s_patientAnswer}, callYield));
-        probes->ended.cancel();
-    });
-    if (m_probes->results.empty()) {
-        m_probes->ended.expires_after(m_pace.answerTime);
-        // Cancelled by the end of a call.
-        boost::system::error_code ignored;
-        m_probes->ended.async_wait(yield[ignored]);
-    }
-    std::string reason = "no answer yet";
-    for (const FeedResult &result : std::exchange(m_probes->results, {})) {
-        if (const auto *failure = std::get_if<StoreFailure>(&result)) {
-            reason = failure->reason;
-            continue;
+    const FeedResult result = awaitAnswer(yield);
+    if (const auto *failure = std::get_if<StoreFailure>(&result)) {
+        noteFailure(failure->reason, calledAt, s_probeHold);
+        return false;
+    }
+    takeResult(result);
+    return true;
+}
+
+FeedResult TableWatch::awaitAnswer(const boost::asio::yield_context &yield)
+{
+    if (!m_overlapping->answer) {
+        startCall();
+        if (!m_overlapping->failure) {
+            m_overlapping->waitFor(m_pace.answerTime, yield);
         }
-        // What the other calls tell is older.
-        m_probes = std::make_shared<Probes>(m_context);
-        takeResult(result);
-        return true;
     }
-    noteFailure(reason, calledAt, s_probeHold);
-    return false;
+    if (m_overlapping->answer) {
+        const auto answered = std::exchange(m_overlapping, std::make_shared<OverlappingCalls>(m_context));
+        return std::move(*answered->answer);
+    }
+    return m_overlapping->failure.value_or(StoreFailure{"no answer yet"});
+}
+
+void TableWatch::startCall()
+{
+    m_overlapping->failure.reset();
+    boost::asio::spawn(m_context, [this, calls = m_overlapping, number = ++m_overlapping->latest](const boost::asio::yield_context &callYield) {
+        FeedResult result = callOnce(callYield);
+        const auto *failure = std::get_if<StoreFailure>(&result);
+        if (calls->answer || (failure && number != calls->latest)) {
+            return;
+        }
+        if (failure) {
+            calls->failure = *failure;
+        } else {
+            calls->answer = std::move(result);
+        }
+        calls->wait.cancel();
+    });
+}
+
+FeedResult TableWatch::callOnce(const boost::asio::yield_context &yield)
+{
+    if (!m_needsAll) {
+        return m_store.awaitChanges(m_table, m_version, {s_probeHold, s_patientAnswer}, yield);
+    }
+    ReadResult read = m_store.readTable(m_table, s_patientAnswer, yield);
+    return std::visit([](auto &&result) -> FeedResult { return std::move(result); }, std::move(read));
 }
 
 bool TableWatch::takeResult(const FeedResult &result)
@@ -191,6 +233,8 @@
         m_needsAll = true;
         return false;
     }
+    m_backoff.reset();
+    m_isReadUncontinued = false;
     noteSuccess();
     // Another host may have told more since the call began.
     if (read->version < m_version) {
@@ -202,6 +246,8 @@
 
 bool TableWatch::follow(const HostId &publisher, const boost::asio::yield_context &yield)
 {
+    // An answer that comes meanwhile would later pass for one of that time.
+    m_overlapping = std::make_shared<OverlappingCalls>(m_context);
     if (const auto changes = m_sharing.awaitChanges(publisher, m_table, m_version, yield)) {
         m_confirmedAt = BootClock::now();
         take(*changes);
--- a/Tests/Platform/testplatformtables.cpp
+++ b/Tests/Platform/testplatformtables.cpp
@@ -246,3 +246,81 @@
         cr_assert_eq(metric("trefoil_configuration_version").value_or(-1), 3, "%s", testCase->name);
     });
 }
+
+// Guards against a host that calls the store without a pause while full reads show a time before the history that the store keeps.
+Test(PlatformTables, readsFromThePastAreNotRepeatedAtOnce)
+{
+    Fixture fixture;
+    fixture.store.freezeReads(true);
+    fixture.declare(2, "west");
+    fixture.registerUpstream("ready", 2);
+    fixture.store.set(hostTable, "other", "");
+    fixture.store.loseHistory();
+    fixture.run([&](const asio::yield_context &yield) {
+        sleepFor(fixture.context, 2s, yield);
+        const int calls = fixture.store.reads + fixture.store.feeds;
+        // What the store grants ten hosts together, divided among them.
+        constexpr int granted = 2 * 2000 / 10;
+        cr_expect_leq(calls, granted, "%d calls in 2 s", calls);
+        fixture.store.freezeReads(false);
+        fixture.declare(3, "west");
+        const auto isKnown = [&] { return fixture.state.routes() && fixture.state.routes()->configuration().version == ConfigurationVersion(3); };
+        const auto time = fixture.timeUntil(isKnown, 10s, yield);
+        cr_expect_lt(time.count(), fixture.limits.configurationApply.count(), "known after %d ms", static_cast<int>(time.count()));
+    });
+}
+
+namespace
+{
+
+struct LostProbes
+{
+    int count;
+};
+
+} // namespace
+
+// Guards against a host that, after a long silence of the store, leaves an answer aside because an earlier call has failed.
+ParameterizedTestParameters(PlatformTables, theReturnOfTheStoreIsSeenByTheNextCall)
+{
+    static LostProbes cases[] = {{3}, {4}, {5}, {6}, {7}, {8}, {9}, {10}};
+    return cr_make_param_array(LostProbes, cases, std::size(cases));
+}
+
+ParameterizedTest(LostProbes *testCase, PlatformTables, theReturnOfTheStoreIsSeenByTheNextCall)
+{
+    Fixture fixture;
+    const std::string table = operatorTable;
+    fixture.run([&](const asio::yield_context &yield) {
+        cr_assert_lt(fixture.timeUntil([&] { return fixture.usable() == 1 && fixture.store.heldFeeds[table] == 1; }, 5s, yield).count(), 5000);
+        fixture.store.setSilent(true);
+        const auto isSwallowed = [&] { return fixture.store.swallowedFeeds[table] >= testCase->count; };
+        cr_assert_lt(fixture.timeUntil(isSwallowed, 60s, yield).count(), 60000, "%d: the host stopped calling", testCase->count);
+        fixture.store.setSilent(false);
+        fixture.declare(2, "west");
+        const auto time = fixture.timeUntil([&] { return fixture.usable() == 0; }, 10s, yield);
+        // Between the starts of two calls, 0.6 of the time in which a change must be in force, and the next call itself.
+        const auto limit = fixture.limits.configurationApply * 6 / 10 + 100ms;
+        cr_assert(time < limit, "%d calls lost: known after %d ms", testCase->count, static_cast<int>(time.count()));
+    });
+}
+
+// Guards against a host that learns of a configuration too late because a full read was lost after the store lost its history.
+Test(PlatformTables, lostFullReadsDelayNoChange)
+{
+    Fixture fixture;
+    fixture.run([&](const asio::yield_context &yield) {
+        const std::string table = operatorTable;
+        cr_assert_lt(fixture.timeUntil([&] { return fixture.usable() == 1 && fixture.store.heldFeeds[table] == 1; }, 5s, yield).count(), 5000);
+        fixture.store.losesReads = true;
+        fixture.store.set("other", "row", "");
+        fixture.store.loseHistory();
+        cr_assert_lt(fixture.timeUntil([&] { return fixture.store.lostReads[table] == 1; }, 5s, yield).count(), 5000);
+        fixture.store.losesReads = false;
+        fixture.declare(2, "west");
+        const auto time = fixture.timeUntil([&] { return fixture.usable() == 0; }, 10s, yield);
+        // As for calls for changes.
+        const auto limit = fixture.limits.configurationApply * 6 / 10 + 100ms;
+        cr_assert(time < limit, "known after %d ms", static_cast<int>(time.count()));
+    });
+}
