Tests: Let the soak show configurations that come in force late

- No fault of the soak loses calls: its silent store is a cut link, which delivers the bytes later or is noticed by TCP within 3 s.
- Faults of the store follow each other every 3 s on average, and the checks of routes were left out during all of them.
The time for a change was counted twice after each: a host could use an old configuration for 2 s + 2 s + 2.5 s after the store's return.
The loss lasts 7 s at most.
- No route had regions.

Series of faults now begin with a store that takes calls and never answers them, with up to three configurations meanwhile and up to four hosts that restart one after the other. Nothing else happens to the store until 8 s after its return.

Two routes with nested prefixes allow one region each, which changes every and every second version. For each version the soak computes when it must be in force at a host: 2 s after it was written, counted from the end of a disturbance that falls into this time (for the store 2 s later, as before), plus the tolerance of 0.5 s. Requests must not reach an upstream that none of the versions that may be in force allows, compared when the upstream receives the request. The check of services uses the same times. No allowance is longer than before; that after a disturbance of the store falls from 6.5 s to 4.5 s.

--- a/Tests/Platform/Soak/main.cpp
+++ b/Tests/Platform/Soak/main.cpp
@@ -16,12 +16,15 @@
     std::uint64_t runs = 1;
     int seconds = 20;
     int gap = 700;
+    int seriesGap = static_cast<int>(settings.plan.meanSeriesGap.count());
     std::string folder = TREFOIL_BUILD_FOLDER "/soak";
     CLI::App application("Plays seeded faults against trefoilmountd and checks its promises.");
     application.add_option("--seed", firstSeed, "seed of the first run");
     application.add_option("--runs", runs, "number of runs, with seeds that follow each other")->check(CLI::PositiveNumber);
     application.add_option("--seconds", seconds, "time with faults, s")->check(CLI::Range(1, 3600));
     application.add_option("--gap", gap, "mean time between the starts of two faults, ms")->check(CLI::Range(10, 100000));
+    application.add_option("--series-gap", seriesGap, "mean time between two series of faults around a store that hangs, ms; 0 for none")
+        ->check(CLI::NonNegativeNumber);
     application.add_option("--hosts", settings.hosts, "number of hosts")->check(CLI::Range(1, 200));
     application.add_option("--upstreams", settings.upstreams, "number of upstreams")->check(CLI::Range(2, 200));
     application.add_option("--rate", settings.requestRate, "requests a second")->check(CLI::PositiveNumber);
@@ -34,6 +37,7 @@
 
     settings.plan.length = std::chrono::seconds(seconds);
     settings.plan.meanGap = std::chrono::milliseconds(gap);
+    settings.plan.meanSeriesGap = std::chrono::milliseconds(seriesGap);
     bool isBroken = false;
     for (std::uint64_t seed = firstSeed; seed < firstSeed + runs; ++seed) {
         settings.plan.seed = seed;
--- a/Tests/Platform/Soak/promises.cpp
+++ b/Tests/Platform/Soak/promises.cpp
@@ -75,23 +75,43 @@
     return isCalm(host, from, until) && !anyOverlaps(m_store, from, until);
 }
 
-std::set<std::string> Promises::allowedServices(const std::string &route, BootTime from, BootTime until) const
+BootTime Promises::inForceBy(std::size_t host, BootTime writtenAt) const
+{
+    static const std::vector<Disturbance> none;
+    const auto own = m_hosts.find(host);
+    const std::vector<Disturbance> &ofHost = own == m_hosts.end() ? none : own->second;
+    BootTime knownAt = writtenAt;
+    BootTime before;
+    do {
+        before = knownAt;
+        for (const std::vector<Disturbance> *disturbances : {&m_store, &ofHost}) {
+            for (const Disturbance &disturbance : *disturbances) {
+                if (overlaps(disturbance, knownAt, knownAt + s_changeBound + s_tolerance)) {
+                    knownAt = std::max(knownAt, disturbance.until);
+                }
+            }
+        }
+    } while (knownAt != before);
+    return knownAt + s_changeBound + s_tolerance;
+}
+
+std::vector<RouteChange> Promises::versionsInForce(const CallerRequest &request, BootTime from, BootTime until) const
 {
-    std::set<std::string> allowed;
-    const auto changes = m_routes.find(route);
+    const auto changes = m_routes.find(request.route);
     if (changes == m_routes.end()) {
-        return allowed;
+        return {};
     }
-    for (const RouteChange &change : changes->second) {
-        if (change.at > until) {
-            break;
+    std::vector<RouteChange> versions;
+    for (auto change = changes->second.rbegin(); change != changes->second.rend(); ++change) {
+        if (change->at > until) {
+            continue;
         }
-        if (change.at <= from) {
-            allowed.clear();
+        versions.push_back(*change);
+        if (inForceBy(request.host, change->at) <= from) {
+            return versions;
         }
-        allowed.insert(change.service);
     }
-    return allowed;
+    return {};
 }
 
 void Promises::checkCount(const CallerRequest &request, std::size_t executions, std::vector<std::string> &found) const
@@ -125,6 +145,30 @@
     }
 }
 
+void Promises::checkRoute(const CallerRequest &request, const Execution &execution, BootTime reachedAt, std::vector<std::string> &found) const
+{
+    if (!isCalm(request.host, request.sentAt, execution.begunAt)) {
+        return;
+    }
+    const auto goesToService = [&execution](const RouteChange &version) { return version.service == execution.service; };
+    const auto allowsRegion = [&execution](const RouteChange &version) {
+        return version.regions.empty() || std::find(version.regions.begin(), version.regions.end(), execution.region) != version.regions.end();
+    };
+    const auto ofRequest = versionsInForce(request, request.sentAt, execution.begunAt);
+    if (!ofRequest.empty() && std::none_of(ofRequest.begin(), ofRequest.end(), goesToService)) {
+        found.push_back(fmt::format("{}: went to {} after the configuration had changed", request.id, execution.service));
+    }
+    const auto ofExecution = versionsInForce(request, reachedAt, execution.begunAt);
+    if (!ofExecution.empty() && std::none_of(ofExecution.begin(), ofExecution.end(), allowsRegion)) {
+        found.push_back(fmt::format("{}: host {} sent it to {} in {}, which no configuration in force allows for {}",
+            request.id,
+            request.host,
+            execution.upstream,
+            execution.region,
+            request.route));
+    }
+}
+
 void Promises::checkExecution(const CallerRequest &request, const Execution &execution, std::vector<std::string> &found) const
 {
     const auto links = m_links.find(execution.upstream);
@@ -135,14 +179,12 @@
         && *execution.timeLeft > request.timeout - (execution.begunAt - request.sentAt) + s_tolerance) {
         found.push_back(fmt::format("{}: its time left grew to {} ms", request.id, execution.timeLeft->count()));
     }
+    // Bytes that a link holds back left the host earlier.
+    checkRoute(request, execution, arrivedAtOnce ? execution.begunAt : request.sentAt, found);
     const BootTime settled = request.sentAt - s_changeBound - s_tolerance;
     if (!knowsChanges(request.host, settled, execution.begunAt)) {
         return;
     }
-    const auto allowed = allowedServices(request.route, settled, execution.begunAt);
-    if (!allowed.empty() && allowed.count(execution.service) == 0) {
-        found.push_back(fmt::format("{}: went to {} after the configuration had changed", request.id, execution.service));
-    }
     const auto bans = m_bans.equal_range(execution.upstream);
     for (auto ban = bans.first; ban != bans.second; ++ban) {
         if (ban->second.from <= settled && execution.begunAt < ban->second.until) {
--- a/Tests/Platform/Soak/promises.h
+++ b/Tests/Platform/Soak/promises.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -49,6 +48,8 @@
     BootTime begunAt;
     /// Time that the request still has, as the host told; absent when it told none.
     std::optional<std::chrono::milliseconds> timeLeft{};
+    /// Region of the upstream.
+    std::string region{};
 };
 
 /// A time in which less is promised.
@@ -58,11 +59,13 @@
     BootTime until;
 };
 
-/// Since when a version of the configuration sends a route to a service.
+/// What a version of the configuration says of a route, and when it was written.
 struct RouteChange
 {
     BootTime at;
     std::string service;
+    /// Regions that the route allows; empty when it allows all.
+    std::vector<std::string> regions{};
 };
 
 /// How long the system may take until a change is in force everywhere.
@@ -84,10 +87,10 @@
     /// Bytes to the upstream arrived late or not at all. Precondition: from <= until.
     void linkDisturbed(const std::string &upstream, Disturbance disturbance);
 
-    /// Hosts could not learn of changes. Precondition: from <= until.
+    /// Hosts could not learn of changes; those of this time have s_changeBound from its end. Precondition: from <= until.
     void storeDisturbed(Disturbance disturbance);
 
-    /// The route goes to the service from now on; calls come in the order of their times.
+    /// A version of the configuration changes the route. Precondition: calls come in the order of their times.
     void routeChanged(const std::string &route, RouteChange change);
 
     /// The upstream must get no further request. Precondition: until is when the ban ends.
@@ -115,7 +118,11 @@
     void checkExecution(const CallerRequest &request, const Execution &execution, std::vector<std::string> &found) const;
     bool isCalm(std::size_t host, BootTime from, BootTime until) const;
     bool knowsChanges(std::size_t host, BootTime from, BootTime until) const;
-    std::set<std::string> allowedServices(const std::string &route, BootTime from, BootTime until) const;
+    void checkRoute(const CallerRequest &request, const Execution &execution, BootTime reachedAt, std::vector<std::string> &found) const;
+    /// When the host must know what was written at a time.
+    BootTime inForceBy(std::size_t host, BootTime writtenAt) const;
+    /// Versions that may be in force at the host at some moment of a time; empty when any may be.
+    std::vector<RouteChange> versionsInForce(const CallerRequest &request, BootTime from, BootTime until) const;
 
     std::vector<CallerRequest> m_requests;
     std::multimap<std::string, Execution> m_executions;
--- a/Tests/Platform/Soak/soakplan.cpp
+++ b/Tests/Platform/Soak/soakplan.cpp
@@ -1,5 +1,6 @@
 #include <Platform/Soak/soakplan.h>
 
+#include <algorithm>
 #include <pcg_random.hpp>
 #include <random>
 
@@ -50,12 +51,87 @@
         {FaultKind::Configuration, "configuration", 2, milliseconds(0), milliseconds(1)},
         {FaultKind::ConfigurationUnreadable, "configuration-unreadable", 0.5, milliseconds(100), milliseconds(2000)},
         {FaultKind::ZoneEvacuated, "zone-evacuated", 0.7, milliseconds(3000), milliseconds(5000)},
+        {FaultKind::StoreHangs, "store-hangs", 0, milliseconds(1000), milliseconds(8000)},
     };
     return all;
 }
 
 constexpr double s_repeatShare = 0.25;
 
+/// Series have random numbers of their own, so that the other faults of a seed don't depend on them.
+constexpr std::uint64_t s_seriesStream = 17;
+/// After the store's return: the time until changes must be in force, and some seconds of requests that show whether they are.
+constexpr milliseconds s_seriesCalm{8000};
+constexpr std::uint32_t s_mostSeriesConfigurations = 3;
+constexpr std::uint32_t s_mostSeriesRestarts = 4;
+constexpr milliseconds s_restartGap{1000};
+
+const KindDescription &description(FaultKind kind)
+{
+    const auto &all = descriptions();
+    return *std::find_if(all.begin(), all.end(), [kind](const KindDescription &candidate) { return candidate.kind == kind; });
+}
+
+milliseconds drawDuration(const KindDescription &kind, double share)
+{
+    const auto range = static_cast<double>((kind.longest - kind.shortest).count());
+    return kind.shortest + milliseconds(static_cast<std::int64_t>(share * range));
+}
+
+bool isStoreFault(FaultKind kind)
+{
+    switch (kind) {
+    case FaultKind::StoreDown:
+    case FaultKind::StoreSilent:
+    case FaultKind::StoreSlow:
+    case FaultKind::StoreAnswersLost:
+    case FaultKind::StoreHistoryLost:
+    case FaultKind::StoreReadsOld:
+    case FaultKind::StoreHangs:
+    case FaultKind::StoreCutFromHost:
+        return true;
+    default:
+        return false;
+    }
+}
+
+/// Adds one series that begins with the hang. Returns when the next one may begin.
+milliseconds addSeries(std::vector<Fault> &faults, milliseconds at, pcg32 &random)
+{
+    std::uniform_real_distribution<double> drawShare(0, 1);
+    const milliseconds silence = drawDuration(description(FaultKind::StoreHangs), drawShare(random));
+    const milliseconds end = at + silence + s_seriesCalm;
+    const auto disturbsSeries = [at, end](const Fault &fault) { return isStoreFault(fault.kind) && fault.at < end && at < fault.at + fault.duration; };
+    faults.erase(std::remove_if(faults.begin(), faults.end(), disturbsSeries), faults.end());
+    faults.push_back({FaultKind::StoreHangs, at, silence, 0});
+    const std::uint32_t configurations = random(s_mostSeriesConfigurations + 1);
+    for (std::uint32_t i = 0; i < configurations; ++i) {
+        const milliseconds offset(static_cast<std::int64_t>(drawShare(random) * static_cast<double>(silence.count())));
+        faults.push_back({FaultKind::Configuration, at + offset, milliseconds(0), 0});
+    }
+    const std::uint32_t restarts = random(s_mostSeriesRestarts + 1);
+    const std::size_t firstHost = random();
+    for (std::uint32_t i = 0; i < restarts; ++i) {
+        const FaultKind kind = drawShare(random) < 0.5 ? FaultKind::HostStopped : FaultKind::HostKilled;
+        faults.push_back({kind, at + s_restartGap * i, drawDuration(description(kind), drawShare(random)), firstHost + i});
+    }
+    return end;
+}
+
+void addAllSeries(std::vector<Fault> &faults, const PlanSettings &settings)
+{
+    if (settings.meanSeriesGap == milliseconds(0)) {
+        return;
+    }
+    pcg32 random(settings.seed, s_seriesStream);
+    std::exponential_distribution<double> drawGap(1.0 / static_cast<double>(settings.meanSeriesGap.count()));
+    milliseconds at(static_cast<std::int64_t>(drawGap(random)));
+    while (at < settings.length) {
+        at = addSeries(faults, at, random) + milliseconds(static_cast<std::int64_t>(drawGap(random)));
+    }
+    std::stable_sort(faults.begin(), faults.end(), [](const Fault &left, const Fault &right) { return left.at < right.at; });
+}
+
 } // namespace
 
 const std::vector<FaultKind> &allFaultKinds()
@@ -92,13 +168,13 @@
     std::uniform_real_distribution<double> drawShare(0, 1);
     std::vector<Fault> faults;
     for (milliseconds at(static_cast<std::int64_t>(drawGap(random))); at < settings.length; at += milliseconds(static_cast<std::int64_t>(drawGap(random)))) {
-        const KindDescription &description = descriptions()[drawKind(random)];
-        const auto range = static_cast<double>((description.longest - description.shortest).count());
-        const milliseconds duration = description.shortest + milliseconds(static_cast<std::int64_t>(drawShare(random) * range));
+        const KindDescription &drawn = descriptions()[drawKind(random)];
+        const milliseconds duration = drawDuration(drawn, drawShare(random));
         const bool repeats = !faults.empty() && drawShare(random) < s_repeatShare;
         const std::size_t target = repeats ? faults.back().target : random();
-        faults.push_back({description.kind, at, duration, target});
+        faults.push_back({drawn.kind, at, duration, target});
     }
+    addAllSeries(faults, settings);
     return faults;
 }
 
--- a/Tests/Platform/Soak/soakplan.h
+++ b/Tests/Platform/Soak/soakplan.h
@@ -22,6 +22,8 @@
     StoreAnswersLost,
     StoreHistoryLost,
     StoreReadsOld,
+    /// Takes calls and never answers them, not even after its return. Comes in series only.
+    StoreHangs,
     StoreCutFromHost,
     UpstreamReset,
     UpstreamSilent,
@@ -64,10 +66,13 @@
     std::chrono::milliseconds length{20000};
     /// Mean time between the starts of two faults.
     std::chrono::milliseconds meanGap{700};
+    /// Mean time between a series and the next one; 0 for none.
+    std::chrono::milliseconds meanSeriesGap{8000};
 };
 
 /// Draws the faults of one run, in the order of their times. Faults overlap; one in four repeats its predecessor's target.
-/// Precondition: length and meanGap are positive. Thread safety: safe from any thread.
+/// In a series the store hangs while configurations change and hosts restart one after the other; nothing else happens to the store
+/// until what hosts then know was seen. Precondition: length and meanGap are positive, meanSeriesGap is not negative. Thread safety: safe from any thread.
 std::vector<Fault> planFaults(const PlanSettings &settings);
 
 } // namespace Trefoil::Soak
--- a/Tests/Platform/Soak/soakrun.cpp
+++ b/Tests/Platform/Soak/soakrun.cpp
@@ -30,6 +30,17 @@
 /// Zones and their regions; hosts and upstreams take turns.
 const std::vector<std::pair<std::string, std::string>> s_zones = {{"east-a", "east"}, {"east-b", "east"}, {"west-a", "west"}};
 const std::vector<std::string> s_services = {"alpha", "beta"};
+const std::vector<std::string> s_regions = {"east", "west"};
+
+/// A route that one region serves, and which one it is stays the same for a number of versions.
+struct RegionalRoute
+{
+    std::string name;
+    std::size_t versions;
+};
+
+/// With both, a version differs from each of the three before it. Their prefixes are nested.
+const std::vector<RegionalRoute> s_regionalRoutes = {{"home", 1}, {"home/inner", 2}};
 
 constexpr std::chrono::milliseconds s_requestTimeout{1500};
 /// Callers wait this much longer than the request may take, to see whether it is held.
@@ -96,9 +107,10 @@
     }
     for (std::size_t i = 0; i < m_settings.upstreams; ++i) {
         UpstreamPlace place;
-        place.zone = s_zones[i / s_services.size() % s_zones.size()].first;
+        const auto &[zone, region] = s_zones[i / s_services.size() % s_zones.size()];
+        place.zone = zone;
         place.ip = fmt::format("{}.2.{}", m_settings.network, i + 1);
-        place.upstream = std::make_unique<SoakUpstream>(m_context, m_promises, s_services[i % s_services.size()], endpoint(place.ip, s_upstreamPort));
+        place.upstream = std::make_unique<SoakUpstream>(m_context, m_promises, s_services[i % s_services.size()], region, endpoint(place.ip, s_upstreamPort));
         m_upstreams.push_back(std::move(place));
     }
 }
@@ -231,12 +243,20 @@
     for (const std::string &service : s_services) {
         services.push_back({{"name", service}});
     }
+    Json routes = Json::array({routeDocument("read", "safe", "alpha"), routeDocument("write", "unsafe", "beta"), routeDocument("moving", "safe", moving)});
+    const BootTime now = BootClock::now();
+    for (const RegionalRoute &route : s_regionalRoutes) {
+        const std::string &region = s_regions[static_cast<std::size_t>(m_version) / route.versions % s_regions.size()];
+        routes.push_back(routeDocument(route.name, "safe", "alpha"));
+        routes.back()["allowed_regions"] = Json::array({region});
+        m_promises.routeChanged(route.name, {now, "alpha", {region}});
+    }
     const Json document = {{"version", fmt::format("r{}", m_version)},
-        {"routes", {routeDocument("read", "safe", "alpha"), routeDocument("write", "unsafe", "beta"), routeDocument("moving", "safe", moving)}},
+        {"routes", routes},
         {"services", services},
         {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 1048576}, {"header_timeout", "3000ms"}, {"idle_timeout", "15000ms"}}}};
     m_store.set("op", "config", document.dump());
-    m_promises.routeChanged("moving", {BootClock::now(), moving});
+    m_promises.routeChanged("moving", {now, moving});
 }
 
 void SoakRun::killHost(std::size_t index, std::chrono::milliseconds pause, const boost::asio::yield_context &yield)
@@ -304,7 +324,7 @@
         link(host.name, "store", "cut");
         sleepFor(m_context, fault.duration, yield);
         link(host.name, "store", "normal");
-        m_promises.storeDisturbed({from, BootClock::now() + s_changeBound});
+        m_promises.storeDisturbed({from, BootClock::now() + s_lostAnswer});
         break;
     default:
         killHost(index, fault.duration, yield);
@@ -336,6 +356,9 @@
     case FaultKind::StoreReadsOld:
         m_store.freezeReads(true);
         break;
+    case FaultKind::StoreHangs:
+        m_store.setSilent(true);
+        break;
     default:
         m_store.loseHistory();
         break;
@@ -345,9 +368,10 @@
     m_store.losesAnswers = false;
     m_store.delay = 0ms;
     m_store.freezeReads(false);
+    m_store.setSilent(false);
     link("hosts", "store", "normal");
     // A call that hangs is given up first; then the changes have their usual time.
-    m_promises.storeDisturbed({from, BootClock::now() + s_lostAnswer + s_changeBound});
+    m_promises.storeDisturbed({from, BootClock::now() + s_lostAnswer});
     m_storeIsBusy = false;
 }
 
@@ -458,6 +482,7 @@
     case FaultKind::StoreAnswersLost:
     case FaultKind::StoreHistoryLost:
     case FaultKind::StoreReadsOld:
+    case FaultKind::StoreHangs:
         applyToStore(fault, yield);
         return;
     case FaultKind::Configuration:
@@ -480,7 +505,7 @@
 
 void SoakRun::call(const boost::asio::yield_context &yield)
 {
-    static const std::vector<std::string> routes = {"read", "write", "moving"};
+    static const std::vector<std::string> routes = {"read", "write", "moving", s_regionalRoutes[0].name, s_regionalRoutes[1].name};
     CallerRequest request;
     request.id = fmt::format("{:x}-{}", m_settings.plan.seed, ++m_sent);
     request.route = routes[m_random(static_cast<std::uint32_t>(routes.size()))];
--- a/Tests/Platform/Soak/soakupstream.cpp
+++ b/Tests/Platform/Soak/soakupstream.cpp
@@ -18,10 +18,11 @@
 
 } // namespace
 
-SoakUpstream::SoakUpstream(boost::asio::io_context &context, Promises &promises, std::string service, std::string address)
+SoakUpstream::SoakUpstream(boost::asio::io_context &context, Promises &promises, std::string service, std::string region, std::string address)
     : m_context(context)
     , m_promises(promises)
     , m_service(std::move(service))
+    , m_region(std::move(region))
     , m_address(std::move(address))
 {
 }
@@ -61,7 +62,7 @@
         response.headers.add(names.notRun, "1");
         return response;
     }
-    m_promises.began({requestId, m_service, m_id, BootClock::now(), parseMilliseconds(request.headers.value(names.timeLeft))});
+    m_promises.began({requestId, m_service, m_id, BootClock::now(), parseMilliseconds(request.headers.value(names.timeLeft)), m_region});
     ++m_running;
     sleepFor(m_context, std::chrono::duration_cast<std::chrono::steady_clock::duration>(s_workTime * behaviour.slowness), yield);
     --m_running;
--- a/Tests/Platform/Soak/soakupstream.h
+++ b/Tests/Platform/Soak/soakupstream.h
@@ -22,7 +22,7 @@
 {
 public:
     /// Precondition: the objects behind the references outlive the upstream and all work of the context.
-    SoakUpstream(boost::asio::io_context &context, Promises &promises, std::string service, std::string address);
+    SoakUpstream(boost::asio::io_context &context, Promises &promises, std::string service, std::string region, std::string address);
 
     /// Starts a process of the upstream with a new id. Precondition: none runs.
     void start(const std::string &id);
@@ -51,6 +51,7 @@
     boost::asio::io_context &m_context;
     Promises &m_promises;
     std::string m_service;
+    std::string m_region;
     std::string m_address;
     std::string m_id;
     int m_running = 0;
--- a/Tests/Platform/Soak/testsoak.cpp
+++ b/Tests/Platform/Soak/testsoak.cpp
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
+#include <set>
 
 using namespace Trefoil;
 using namespace Trefoil::Soak;
@@ -66,6 +67,69 @@
             promises.storeDisturbed({s_now - 4s, s_now - 1s});
         },
         ""},
+    {"other-region",
+        [](CallerRequest &, Execution &execution, Promises &promises) {
+            promises.routeChanged("read", {s_now - 10s, "alpha", {"west"}});
+            execution.region = "east";
+        },
+        "which no configuration in force allows"},
+    {"region-of-older-version",
+        [](CallerRequest &, Execution &execution, Promises &promises) {
+            promises.routeChanged("read", {s_now - 10s, "alpha", {"east"}});
+            promises.routeChanged("read", {s_now - 3s, "alpha", {"west"}});
+            execution.region = "east";
+        },
+        "which no configuration in force allows"},
+    {"region-of-version-that-may-be-in-force",
+        [](CallerRequest &, Execution &execution, Promises &promises) {
+            promises.routeChanged("read", {s_now - 10s, "alpha", {"east"}});
+            promises.routeChanged("read", {s_now - 2s, "alpha", {"west"}});
+            execution.region = "east";
+        },
+        ""},
+    {"region-changed-while-request-waited",
+        [](CallerRequest &, Execution &execution, Promises &promises) {
+            promises.routeChanged("read", {s_now - 10s, "alpha", {"east"}});
+            promises.routeChanged("read", {s_now - 2s, "alpha", {"west"}});
+            execution.region = "east";
+            execution.begunAt = s_now + 600ms;
+            execution.timeLeft = 400ms;
+        },
+        "which no configuration in force allows"},
+    {"region-changed-while-bytes-were-held-back",
+        [](CallerRequest &, Execution &execution, Promises &promises) {
+            promises.routeChanged("read", {s_now - 10s, "alpha", {"east"}});
+            promises.routeChanged("read", {s_now - 2s, "alpha", {"west"}});
+            promises.linkDisturbed("u", {s_now, s_now + 600ms});
+            execution.region = "east";
+            execution.begunAt = s_now + 600ms;
+            execution.timeLeft = 400ms;
+        },
+        ""},
+    {"region-changed-while-store-was-away",
+        [](CallerRequest &, Execution &execution, Promises &promises) {
+            promises.routeChanged("read", {s_now - 20s, "alpha", {"east"}});
+            promises.routeChanged("read", {s_now - 5s, "alpha", {"west"}});
+            promises.storeDisturbed({s_now - 8s, s_now - 2s});
+            execution.region = "east";
+        },
+        ""},
+    {"region-unknown-after-stores-return",
+        [](CallerRequest &, Execution &execution, Promises &promises) {
+            promises.routeChanged("read", {s_now - 20s, "alpha", {"east"}});
+            promises.routeChanged("read", {s_now - 5s, "alpha", {"west"}});
+            promises.storeDisturbed({s_now - 8s, s_now - 3s});
+            execution.region = "east";
+        },
+        "which no configuration in force allows"},
+    {"region-forgotten-while-store-is-away",
+        [](CallerRequest &, Execution &execution, Promises &promises) {
+            promises.routeChanged("read", {s_now - 20s, "alpha", {"east"}});
+            promises.routeChanged("read", {s_now - 10s, "alpha", {"west"}});
+            promises.storeDisturbed({s_now - 5s, s_now + 1s});
+            execution.region = "east";
+        },
+        "which no configuration in force allows"},
     {"left",
         [](CallerRequest &, Execution &, Promises &promises) {
             promises.upstreamBanned("u", {s_now - 3s, s_now + 1s});
@@ -103,6 +167,57 @@
     cr_assert(violations.front().find(change.violation) != std::string::npos, "%s: %s", change.name, violations.front().c_str());
 }
 
+// Guards against series in which other faults of the store extend the time without promises, so that a late change is never seen.
+Test(Soak, nothingElseDisturbsTheStoreInASeries)
+{
+    const auto isOfStore = [](const Fault &fault) { return toText(fault.kind).substr(0, 5) == "store"; };
+    std::size_t configurations = 0;
+    std::size_t restarts = 0;
+    PlanSettings settings;
+    settings.length = 600s;
+    const auto faults = planFaults(settings);
+    for (const Fault &hang : faults) {
+        if (hang.kind != FaultKind::StoreHangs) {
+            continue;
+        }
+        const auto end = hang.at + hang.duration;
+        for (const Fault &fault : faults) {
+            const bool isDuring = fault.at >= hang.at && fault.at < end;
+            configurations += isDuring && fault.kind == FaultKind::Configuration ? 1 : 0;
+            restarts += isDuring && (fault.kind == FaultKind::HostStopped || fault.kind == FaultKind::HostKilled) ? 1 : 0;
+            if (&fault != &hang && isOfStore(fault)) {
+                cr_assert(fault.at >= end + 8s || fault.at + fault.duration <= hang.at, "%s", std::string(toText(fault.kind)).c_str());
+            }
+        }
+    }
+    cr_assert_gt(configurations, 0U);
+    cr_assert_gt(restarts, 0U);
+}
+
+// Guards against kept seeds that no longer play the faults for which they were kept.
+Test(Soak, seriesLeaveOtherFaultsAsTheyAre)
+{
+    const auto ofOthers = [](std::chrono::milliseconds meanSeriesGap) {
+        PlanSettings settings;
+        settings.length = 60s;
+        settings.meanSeriesGap = meanSeriesGap;
+        std::vector<Fault> faults;
+        for (const Fault &fault : planFaults(settings)) {
+            if (toText(fault.kind).substr(0, 8) == "upstream") {
+                faults.push_back(fault);
+            }
+        }
+        return faults;
+    };
+    const auto alone = ofOthers(0ms);
+    const auto between = ofOthers(8s);
+    cr_assert_eq(alone.size(), between.size());
+    for (std::size_t i = 0; i < alone.size(); ++i) {
+        cr_assert(alone[i].kind == between[i].kind && alone[i].at == between[i].at && alone[i].duration == between[i].duration
+            && alone[i].target == between[i].target);
+    }
+}
+
 // Guards against faults that can't be played again, and kinds that are never drawn.
 Test(Soak, plansAreRepeatableAndReachAllKinds)
 {
