--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -183,6 +183,58 @@
     });
 }
 
+// Guards against an answer that came while the host followed another one, and passes for a new one when the store is silent.
+Test(TableWatch, answersOfThePastAreLeftAside)
+{
+    asio::io_context context{1};
+    StoreStandIn store(context);
+    MetadataStore client(context, store.address(), "127.0.0.1");
+    std::vector<HostId> live{HostId("alone")};
+    FeedSharing *self = nullptr;
+    const auto send = [&](const HostId &to, const PeerMessage &message) {
+        const auto *request = std::get_if<AwaitChanges>(&message);
+        if (!request) {
+            return;
+        }
+        ChangesSince answer;
+        answer.sequence = request->sequence;
+        answer.isServed = true;
+        answer.version = request->after;
+        asio::spawn(context, [&self, &context, to, answer](const asio::yield_context &yield) {
+            sleepFor(context, 50ms, yield);
+            self->receive(to, answer, BootClock::now());
+        });
+    };
+    FeedSharing sharing(context, {HostId("alone")}, send, [&live] { return live; });
+    self = &sharing;
+    std::string reachability;
+    const auto ignore = [](const std::vector<FeedRow> &) {};
+    const auto note = [&reachability](bool isReachable, const std::string &) { reachability += isReachable ? "+" : "-"; };
+    TableWatch watch(context, client, sharing, "things", s_pace, {ignore, ignore, note});
+    asio::spawn(context, [&watch](const asio::yield_context &yield) { watch.run(yield); });
+    asio::spawn(context, [&](const asio::yield_context &yield) {
+        sleepFor(context, 500ms, yield);
+        store.delay = 1500ms;
+        // The calls that failed first are answered after the host has begun to follow.
+        sleepFor(context, 1500ms, yield);
+        cr_expect_eq(reachability, "-");
+        for (int i = 0; !std::holds_alternative<Subscribes>(sharing.role(BootClock::now())); ++i) {
+            live = {HostId("alone")};
+            for (int j = 0; j < 5; ++j) {
+                live.emplace_back("host-" + std::to_string(5 * i + j));
+            }
+        }
+        sleepFor(context, 3000ms, yield);
+        cr_expect_eq(reachability, "-");
+        store.setSilent(true);
+        live = {HostId("alone")};
+        sleepFor(context, 600ms, yield);
+        cr_expect_eq(reachability, "-", "%s", reachability.c_str());
+        context.stop();
+    });
+    context.run();
+}
+
 // Guards against writes that don't arrive as they were meant.
 Test(MetadataStore, putAndRemove)
 {
