--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -223,7 +223,10 @@
         return m_store.awaitChanges(m_table, m_version, {s_probeHold, s_patientAnswer}, yield);
     }
     ReadResult read = m_store.readTable(m_table, s_patientAnswer, yield);
-    return std::visit([](auto &&result) -> FeedResult { return std::move(result); }, std::move(read));
+    if (auto *failure = std::get_if<StoreFailure>(&read)) {
+        return std::move(*failure);
+    }
+    return std::move(std::get<FeedRows>(read));
 }
 
 bool TableWatch::takeResult(const FeedResult &result)
