trefoilmountd: End the lease of a host whose configuration is old

The lease now ends with its condition and comes back with it; configuration-outdated tells so in the log.

Before: MembershipService::leaseEndsWithItsCondition failed, the lease went on 0.3 s after the condition.

--- a/Services/trefoilmountd/configurationservice.h
+++ b/Services/trefoilmountd/configurationservice.h
@@ -111,8 +111,8 @@
     /// Thread safety: control thread only.
     bool isStarted() const;
 
-    /// False when a newer version has been known for 2 s and could not be fetched. The lease of such a host must not be
-    /// extended, so that no host acts on an old configuration 3 s after the acceptance of a new one.
+    /// False when a newer version has been known for 2 s and could not be fetched. The lease of such a host must
+    /// end, so that no host acts on an old configuration 3 s after the acceptance of a new one.
     /// Thread safety: control thread only.
     bool isCurrent(BootTime now) const;
 
--- a/Services/trefoilmountd/membershipservice.cpp
+++ b/Services/trefoilmountd/membershipservice.cpp
@@ -235,13 +235,11 @@
 
     void publishLease()
     {
-        if (m_leaseCondition && !m_leaseCondition(BootClock::now())) {
-            return;
-        }
-        const BootTime validUntil = m_member.isMember() ? m_member.leaseValidUntil() : BootTime();
+        const bool isConditionMet = !m_leaseCondition || m_leaseCondition(BootClock::now());
+        const BootTime validUntil = isConditionMet && m_member.isMember() ? m_member.leaseValidUntil() : BootTime();
         if (validUntil < m_publishedLease) {
             m_state.lease.revoke();
-            writeLog(LogLevel::Warning, "membership-lost");
+            writeLog(LogLevel::Warning, isConditionMet ? "membership-lost" : "configuration-outdated");
         }
         if (validUntil > m_publishedLease) {
             m_state.lease.extend(validUntil);
--- a/Services/trefoilmountd/membershipservice.h
+++ b/Services/trefoilmountd/membershipservice.h
@@ -47,7 +47,7 @@
     /// Sets how many connections to an upstream are open; without it they count as none.
     void setConnectionUsage(std::function<ConnectionCount(const UpstreamId &upstream)> usage);
 
-    /// Sets what must hold, besides the membership, for the lease to be extended. Precondition: called before start().
+    /// Sets what must hold, besides the membership, for the lease; it ends as soon as that fails. Precondition: called before start().
     void setLeaseCondition(std::function<bool(BootTime now)> condition);
 
     /// Sets a function that is called with each newer version of the configuration that the store is seen to hold.
--- /dev/null
+++ b/Tests/trefoilmountd/testmembershipservice.cpp
@@ -0,0 +1,71 @@
+#include <Services/trefoilmountd/membershipservice.h>
+
+#include <StandIns/hostlist.h>
+#include <StandIns/tablestore.h>
+
+#include <criterion/criterion.h>
+
+using namespace Trefoil;
+
+namespace
+{
+
+/// The membership of one host without peers, with the platform's stand-ins.
+struct Alone
+{
+    Alone()
+    {
+        HostSettings settings;
+        settings.host = HostId("alone");
+        settings.region = RegionId("gulf");
+        settings.zone = ZoneId("gulf-a");
+        settings.sourceAddress = "127.0.0.1";
+        settings.tableAddress = tableServer.address();
+        settings.hostListAddress = listServer.address();
+        auto result = MembershipService::create(
+            context, settings, Incarnation(1), state, {[](const HostId &, const PeerMessage &) {}, [](const std::vector<PeerEndpoint> &) {}});
+        cr_assert(result.has_value());
+        service = std::move(result.value());
+        service->setLeaseCondition([this](BootTime) { return isCurrent; });
+        service->start();
+    }
+
+    bool hasLease() const
+    {
+        return state.lease.isValid(BootClock::now());
+    }
+
+    bool reaches(bool lease, std::chrono::milliseconds limit)
+    {
+        const BootTime end = BootClock::now() + limit;
+        while (hasLease() != lease && BootClock::now() < end) {
+            context.run_for(std::chrono::milliseconds(5));
+        }
+        return hasLease() == lease;
+    }
+
+    boost::asio::io_context context;
+    SnapshotReaderThread readerThread;
+    StandIns::TableStore tableStore;
+    StandIns::HostList hostList;
+    StandIns::PlatformServer tableServer{context, "127.0.0.1:0", StandIns::tableService(tableStore)};
+    StandIns::PlatformServer listServer{context, "127.0.0.1:0", StandIns::hostListService(hostList)};
+    HostState state{HostId("alone"), RegionId("gulf"), ZoneId("gulf-a")};
+    bool isCurrent = true;
+    std::unique_ptr<MembershipService> service;
+};
+
+} // namespace
+
+// Guards against a host that has known for 2 s that its configuration is old and serves under it until its lease of 3 s ends.
+Test(MembershipService, leaseEndsWithItsCondition)
+{
+    Alone alone;
+    cr_assert(alone.reaches(true, std::chrono::milliseconds(3000)), "no lease");
+    alone.isCurrent = false;
+    cr_assert(alone.reaches(false, std::chrono::milliseconds(300)), "the lease goes on");
+    alone.context.run_for(std::chrono::milliseconds(1500));
+    cr_assert_not(alone.hasLease(), "a renewal brings the lease back");
+    alone.isCurrent = true;
+    cr_assert(alone.reaches(true, std::chrono::milliseconds(1500)), "the lease doesn't come back");
+}
