--- a/Services/trefoilmountd/configurationservice.h
+++ b/Services/trefoilmountd/configurationservice.h
@@ -90,6 +90,10 @@
     /// services are passed over. Thread safety: control thread only.
     void handle(const HostId &from, const PeerMessage &message);
 
+    /// Takes that the store holds a version, and fetches it when it is newer than the one in force.
+    /// Thread safety: control thread only.
+    void noteCommitted(ConfigurationVersion version);
+
     /// Checks, prepares, commits and publishes a change. Without a base version the one in force here is taken.
     /// The callback is called once, on the control thread, at most about 8 s later.
     /// Thread safety: control thread only.
@@ -107,8 +111,8 @@
     /// Thread safety: control thread only.
     bool isStarted() const;
 
-    /// False when a newer version has been known for 2 s and could not be fetched. The lease of such a host must not be
-    /// extended, so that no host acts on an old configuration 3 s after the acceptance of a new one.
+    /// False when a newer version has been known for 2 s and could not be fetched. The lease of such a host must
+    /// end, so that no host acts on an old configuration 3 s after the acceptance of a new one.
     /// Thread safety: control thread only.
     bool isCurrent(BootTime now) const;
 
--- a/Services/trefoilmountd/membershipservice.cpp
+++ b/Services/trefoilmountd/membershipservice.cpp
@@ -101,6 +101,11 @@
         m_leaseCondition = std::move(condition);
     }
 
+    void setConfigurationListener(std::function<void(ConfigurationVersion)> listener)
+    {
+        m_configurationListener = std::move(listener);
+    }
+
     void requestStop()
     {
         if (m_stopRequested != BootTime()) {
@@ -196,6 +201,16 @@
         publishLease();
         publishLimits();
         publishHosts();
+        announceConfiguration();
+    }
+
+    void announceConfiguration()
+    {
+        const ConfigurationVersion newest = m_member.newestConfiguration();
+        if (newest > m_announcedConfiguration && m_configurationListener) {
+            m_announcedConfiguration = newest;
+            m_configurationListener(newest);
+        }
     }
 
     void request(const StoreRequest &request)
@@ -220,13 +235,11 @@
 
     void publishLease()
     {
-        if (m_leaseCondition && !m_leaseCondition(BootClock::now())) {
-            return;
-        }
-        const BootTime validUntil = m_member.isMember() ? m_member.leaseValidUntil() : BootTime();
+        const bool isConditionMet = !m_leaseCondition || m_leaseCondition(BootClock::now());
+        const BootTime validUntil = isConditionMet && m_member.isMember() ? m_member.leaseValidUntil() : BootTime();
         if (validUntil < m_publishedLease) {
             m_state.lease.revoke();
-            writeLog(LogLevel::Warning, "membership-lost");
+            writeLog(LogLevel::Warning, isConditionMet ? "membership-lost" : "configuration-outdated");
         }
         if (validUntil > m_publishedLease) {
             m_state.lease.extend(validUntil);
@@ -377,6 +390,8 @@
     HostListClient m_list;
     std::function<ConnectionCount(const UpstreamId &)> m_connectionUsage;
     std::function<bool(BootTime)> m_leaseCondition;
+    std::function<void(ConfigurationVersion)> m_configurationListener;
+    ConfigurationVersion m_announcedConfiguration;
     std::map<UpstreamId, std::shared_ptr<UpstreamSlots>> m_slots;
     Member m_member;
     asio::steady_timer m_tickTimer;
@@ -439,6 +454,11 @@
     m_implementation->setLeaseCondition(std::move(condition));
 }
 
+void MembershipService::setConfigurationListener(std::function<void(ConfigurationVersion version)> listener)
+{
+    m_implementation->setConfigurationListener(std::move(listener));
+}
+
 void MembershipService::requestStop()
 {
     m_implementation->requestStop();
