--- a/Libraries/LibReplication/feedsharing.cpp
+++ b/Libraries/LibReplication/feedsharing.cpp
@@ -1,5 +1,6 @@
 #include <LibReplication/feedsharing.h>
 
+#include <LibCore/sleep.h>
 #include <LibTelemetry/log.h>
 
 namespace Trefoil
@@ -12,11 +13,16 @@
 constexpr std::chrono::milliseconds s_silentPublisherPause{5000};
 /// The same for one that refused: it may have become a publisher just now.
 constexpr std::chrono::milliseconds s_refusingPublisherPause{1000};
+/// How often a host looks for subscribers that have waited long enough, or must learn that it has lost the store; and how often for
+/// the first of them.
+constexpr std::chrono::milliseconds s_subscriberInterval{50};
+constexpr std::chrono::milliseconds s_noSubscriberInterval{500};
 
 } // namespace
 
 FeedSharing::FeedSharing(boost::asio::io_context &context, PublisherChoiceSettings choice, const PeerFeed::Send &send, LiveHosts liveHosts)
-    : m_choice(std::move(choice))
+    : m_context(context)
+    , m_choice(std::move(choice))
     , m_feed(context, send)
     , m_server([send](const HostId &to, const ChangesSince &answer) { send(to, answer); })
     , m_liveHosts(std::move(liveHosts))
@@ -53,4 +59,12 @@
     }
 }
 
+void FeedSharing::answerSubscribers(const boost::asio::yield_context &yield)
+{
+    while (!m_context.stopped()) {
+        m_server.answerDue(BootClock::now());
+        sleepFor(m_context, m_server.hasWaiting() ? s_subscriberInterval : s_noSubscriberInterval, yield);
+    }
+}
+
 } // namespace Trefoil
--- a/Libraries/LibReplication/feedsharing.h
+++ b/Libraries/LibReplication/feedsharing.h
@@ -45,6 +45,10 @@
     /// Takes a message of another host; those that don't concern feeds are ignored. Precondition: none.
     void receive(const HostId &from, const PeerMessage &message, BootTime now);
 
+    /// Answers subscribers that have waited long enough, or must learn that this host has lost the store, until the context stops.
+    /// Precondition: runs in a coroutine of the context.
+    void answerSubscribers(const boost::asio::yield_context &yield);
+
     /// Changes for the hosts that follow this one. Precondition: none.
     ChangeServer &server()
     {
@@ -52,6 +56,7 @@
     }
 
 private:
+    boost::asio::io_context &m_context;
     PublisherChoice m_choice;
     PeerFeed m_feed;
     ChangeServer m_server;
