Tests: Keep the store's stand-in from skipping a change

A feed without changes was answered with the current version after a last pause of 5 ms, in which a change was counted, but not told: no host ever learned of it. The rows and the version now come from one moment.

The stand-in can also lose single calls of one host, and counts the calls of each host and the answers.

--- a/Tests/Platform/storestandin.cpp
+++ b/Tests/Platform/storestandin.cpp
@@ -96,10 +96,16 @@
     if (isDown) {
         return errorResponse(503, "down", "", "");
     }
-    if (m_isSilent) {
-        if (request.target.find("rows-feed") != std::string::npos) {
-            ++swallowedFeeds[parameter(request.target, "table")];
-        }
+    const bool isFeed = request.target.find("rows-feed") != std::string::npos;
+    bool isLostFeed = false;
+    if (isFeed) {
+        const HostTable call(caller, parameter(request.target, "table"));
+        ++arrivedFeeds[call];
+        swallowedFeeds[call.second] += m_isSilent ? 1 : 0;
+        isLostFeed = feedsToLose[call] > 0;
+        feedsToLose[call] -= isLostFeed ? 1 : 0;
+    }
+    if (m_isSilent || isLostFeed) {
         sleepFor(m_context, s_lostAnswer, yield);
     }
     const int silences = m_silences;
@@ -110,6 +116,9 @@
         // Longer than any client waits.
         sleepFor(m_context, s_lostAnswer, yield);
     }
+    if (isFeed) {
+        ++answeredFeeds[parameter(request.target, "table")];
+    }
     return response;
 }
 
@@ -147,7 +156,7 @@
 HttpResponse StoreStandIn::answerFeed(const std::string &table, FeedVersion after, std::chrono::milliseconds wait, const boost::asio::yield_context &yield)
 {
     const BootTime end = BootClock::now() + wait;
-    while (BootClock::now() < end && !isDown) {
+    while (!isDown) {
         if (after < m_oldestHistory) {
             return errorResponse(410, "history-lost", "", "");
         }
@@ -157,12 +166,12 @@
                 rows.push_back(entryOf(change.row));
             }
         }
-        if (!rows.empty()) {
+        if (!rows.empty() || BootClock::now() >= end) {
             return jsonResponse(200, Json{{"rows", rows}, {"ver", m_version}, {"now", "1ms"}}.dump());
         }
         sleepFor(m_context, s_feedPoll, yield);
     }
-    return isDown ? errorResponse(503, "down", "", "") : jsonResponse(200, Json{{"rows", Json::array()}, {"ver", m_version}, {"now", "1ms"}}.dump());
+    return errorResponse(503, "down", "", "");
 }
 
 HttpResponse StoreStandIn::answerTransaction(const std::string &body)
--- a/Tests/Platform/storestandin.h
+++ b/Tests/Platform/storestandin.h
@@ -15,6 +15,9 @@
 class StoreStandIn
 {
 public:
+    /// IP number of a host, and a table.
+    using HostTable = std::pair<std::string, std::string>;
+
     explicit StoreStandIn(boost::asio::io_context &context);
 
     std::string address() const
@@ -41,6 +44,10 @@
     bool losesAnswers = false;
     /// IP numbers of hosts whose calls are never answered.
     std::set<std::string> silentTo;
+    /// How many of the next calls of a host to the feed of a table are taken and never answered.
+    std::map<HostTable, int> feedsToLose;
+    /// Calls of a host to the feed of a table that have come, whether they are answered or not.
+    std::map<HostTable, int> arrivedFeeds;
     /// Extra time of each call.
     std::chrono::milliseconds delay{0};
     int reads = 0;
@@ -48,6 +55,8 @@
     /// Calls to the feed of a table that are held now, and those that came while the store was silent.
     std::map<std::string, int> heldFeeds;
     std::map<std::string, int> swallowedFeeds;
+    /// Calls to the feed of a table whose answers were handed to the connection.
+    std::map<std::string, int> answeredFeeds;
 
 private:
     struct Change
