LibReplication: Use the answer to a probe when it comes

While the store is away a watch sends probes that overlap: the next one goes out while earlier ones are still awaited. Between two probes the watch pauses for up to 1.2 s, and it looked at answers only after the pause. An earlier probe that failed meanwhile ended the wait for the next one at once, so that the answer to the latter lay unread for the whole pause: the lost probe and the pause together could take 2.4 s, more than the 2 s in which a change must be in force.

Probes now go out from a coroutine of their own until the store has answered one, and an answer is used when it comes. Rows that are known already are left out, since the store and another host may tell the same ones.

--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <iterator>
+#include <optional>
 #include <utility>
 
 namespace Trefoil
@@ -22,18 +24,34 @@
 
 } // namespace
 
-/// Calls after a failure. Each is followed by the next one before a slow store would answer it, so that neither a call that is lost
-/// nor a slow answer delays what the other tells.
+/// Calls after a failure, until the store has answered one. Each is followed by the next one before a slow store would answer it, so
+/// that neither a call that is lost nor a slow answer delays what the other tells.
 struct TableWatch::Probes
 {
     explicit Probes(boost::asio::io_context &context)
-        : ended(context)
+        : callEnded(context)
+        , answered(context)
     {
     }
 
-    /// Ends early when a call ends.
-    boost::asio::steady_timer ended;
-    std::vector<FeedResult> results;
+    /// Waits until a timer is cancelled with the condition met, or until a time.
+    template<typename Condition>
+    static void await(boost::asio::steady_timer &timer, Condition condition, BootTime until, const boost::asio::yield_context &yield)
+    {
+        for (BootTime now = BootClock::now(); !condition() && now < until; now = BootClock::now()) {
+            timer.expires_after(until - now);
+            // Cancelled by the end of a call.
+            boost::system::error_code ignored;
+            timer.async_wait(yield[ignored]);
+        }
+    }
+
+    boost::asio::steady_timer callEnded;
+    boost::asio::steady_timer answered;
+    bool isAnswered = false;
+    int calls = 0;
+    /// Why the latest call failed.
+    std::optional<std::string> failure{};
 };
 
 TableWatch::TableWatch(
@@ -44,7 +62,6 @@
     , m_table(std::move(table))
     , m_pace(pace)
     , m_handlers(std::move(handlers))
-    , m_probes(std::make_shared<Probes>(context))
     , m_backoff(s_firstRetry, std::max(s_firstRetry, pace.longestRetry))
     , m_random(std::random_device{}())
 {
@@ -142,7 +159,9 @@
 bool TableWatch::readFeed(std::chrono::milliseconds held, std::chrono::milliseconds batchPause, const boost::asio::yield_context &yield)
 {
     if (!m_isReachable) {
-        return probe(yield);
+        startProbing();
+        awaitProbes(yield);
+        return true;
     }
     const BootTime calledAt = BootClock::now();
     const FeedResult result = m_store.awaitChanges(m_table, m_version, {held, m_pace.answerTime}, yield);
@@ -156,32 +175,60 @@
     return true;
 }
 
-bool TableWatch::probe(const boost::asio::yield_context &yield)
+void TableWatch::startProbing()
 {
-    const BootTime calledAt = BootClock::now();
-    boost::asio::spawn(m_context, [this, probes = m_probes](const boost::asio::yield_context &callYield) {
-        probes->results.push_back(m_store.awaitChanges(m_table, m_version, {s_probeHold, s_patientAnswer}, callYield));
-        probes->ended.cancel();
+    if (m_probes) {
+        return;
+    }
+    m_probes = std::make_shared<Probes>(m_context);
+    boost::asio::spawn(m_context, [this, probes = m_probes](const boost::asio::yield_context &yield) {
+        while (!probes->isAnswered && !m_context.stopped()) {
+            probe(*probes, yield);
+        }
     });
-    if (m_probes->results.empty()) {
-        m_probes->ended.expires_after(m_pace.answerTime);
-        // Cancelled by the end of a call.
-        boost::system::error_code ignored;
-        m_probes->ended.async_wait(yield[ignored]);
-    }
-    std::string reason = "no answer yet";
-    for (const FeedResult &result : std::exchange(m_probes->results, {})) {
+}
+
+void TableWatch::probe(Probes &probes, const boost::asio::yield_context &yield)
+{
+    const BootTime calledAt = BootClock::now();
+    const int call = ++probes.calls;
+    probes.failure.reset();
+    boost::asio::spawn(m_context, [this, call, shared = m_probes](const boost::asio::yield_context &callYield) {
+        const FeedResult result = m_store.awaitChanges(m_table, m_version, {s_probeHold, s_patientAnswer}, callYield);
+        if (shared->isAnswered) {
+            // What this call tells is older.
+            return;
+        }
         if (const auto *failure = std::get_if<StoreFailure>(&result)) {
-            reason = failure->reason;
-            continue;
+            if (call == shared->calls) {
+                shared->failure = failure->reason;
+            }
+        } else {
+            shared->isAnswered = true;
+            m_probes.reset();
+            takeResult(result);
+            shared->answered.cancel();
         }
-        // What the other calls tell is older.
-        m_probes = std::make_shared<Probes>(m_context);
-        takeResult(result);
-        return true;
+        shared->callEnded.cancel();
+    });
+    const auto isAnswered = [&probes] { return probes.isAnswered; };
+    Probes::await(
+        probes.callEnded, [&probes] { return probes.isAnswered || probes.failure; }, calledAt + m_pace.answerTime, yield);
+    if (isAnswered()) {
+        return;
+    }
+    noteFailure(probes.failure.value_or("no answer yet"), calledAt, s_probeHold);
+    // A call that failed late has already waited; one that failed at once must not be repeated at once.
+    Probes::await(probes.callEnded, isAnswered, calledAt + m_backoff.next(m_random), yield);
+}
+
+void TableWatch::awaitProbes(const boost::asio::yield_context &yield)
+{
+    if (const auto probes = m_probes) {
+        // The role of this host may change meanwhile.
+        Probes::await(
+            probes->answered, [&probes] { return probes->isAnswered; }, BootClock::now() + m_pace.answerTime, yield);
     }
-    noteFailure(reason, calledAt, s_probeHold);
-    return false;
 }
 
 bool TableWatch::takeResult(const FeedResult &result)
@@ -192,12 +239,7 @@
         return false;
     }
     noteSuccess();
-    // Another host may have told more since the call began.
-    if (read->version < m_version) {
-        return false;
-    }
-    take(*read);
-    return !read->rows.empty();
+    return take(*read);
 }
 
 bool TableWatch::follow(const HostId &publisher, const boost::asio::yield_context &yield)
@@ -210,13 +252,19 @@
     return true;
 }
 
-void TableWatch::take(const FeedRows &changes)
+bool TableWatch::take(const FeedRows &changes)
 {
-    m_version = std::max(m_version, changes.version);
-    m_sharing.server().append(m_table, changes, BootClock::now());
-    if (!changes.rows.empty()) {
-        m_handlers.change(changes.rows);
+    // The store or another host may have told some of them since the call began.
+    FeedRows fresh;
+    fresh.version = std::max(m_version, changes.version);
+    std::copy_if(changes.rows.begin(), changes.rows.end(), std::back_inserter(fresh.rows), [this](const FeedRow &row) { return row.version > m_version; });
+    m_version = fresh.version;
+    m_sharing.server().append(m_table, fresh, BootClock::now());
+    if (fresh.rows.empty()) {
+        return false;
     }
+    m_handlers.change(fresh.rows);
+    return true;
 }
 
 } // namespace Trefoil
--- a/Libraries/LibReplication/tablewatch.h
+++ b/Libraries/LibReplication/tablewatch.h
@@ -72,10 +72,13 @@
     bool readAll(const boost::asio::yield_context &yield);
     bool readChanges(const boost::asio::yield_context &yield);
     bool readFeed(std::chrono::milliseconds held, std::chrono::milliseconds batchPause, const boost::asio::yield_context &yield);
-    bool probe(const boost::asio::yield_context &yield);
+    void startProbing();
+    void probe(Probes &probes, const boost::asio::yield_context &yield);
+    void awaitProbes(const boost::asio::yield_context &yield);
     bool takeResult(const FeedResult &result);
     bool follow(const HostId &publisher, const boost::asio::yield_context &yield);
-    void take(const FeedRows &changes);
+    /// True when some of the changes were not known.
+    bool take(const FeedRows &changes);
 
     boost::asio::io_context &m_context;
     FeedStore &m_store;
@@ -87,6 +90,7 @@
     BootTime m_confirmedAt{};
     bool m_needsAll = true;
     bool m_isReachable = true;
+    /// Set while calls after a failure go out.
     std::shared_ptr<Probes> m_probes;
     Backoff m_backoff;
     pcg32 m_random;
--- a/Tests/Platform/testplatformtables.cpp
+++ b/Tests/Platform/testplatformtables.cpp
@@ -152,6 +152,31 @@
     });
 }
 
+// Guards against an answer that is left unread while the host pauses after an earlier call that failed.
+ParameterizedTestParameters(PlatformTables, answersOfAReturnedStoreAreReadAtOnce)
+{
+    // Calls to the feed that the store receives while it is silent.
+    static int cases[] = {4, 5, 6, 7, 8, 9, 10, 11};
+    return cr_make_param_array(int, cases, std::size(cases));
+}
+
+ParameterizedTest(int *swallowed, PlatformTables, answersOfAReturnedStoreAreReadAtOnce)
+{
+    Fixture fixture;
+    fixture.run([&](const asio::yield_context &yield) {
+        cr_assert_lt(fixture.timeUntil([&] { return fixture.usable() == 1 && fixture.store.heldFeeds[operatorTable] == 1; }, 5s, yield).count(), 5000);
+        fixture.store.setSilent(true);
+        const auto isSwallowed = [&] { return fixture.store.swallowedFeeds[operatorTable] >= *swallowed; };
+        cr_assert_lt(fixture.timeUntil(isSwallowed, 60s, yield).count(), 60000, "the host stopped calling");
+        fixture.store.setSilent(false);
+        fixture.declare(2, "west");
+        const int feeds = fixture.store.answeredFeeds[operatorTable];
+        fixture.timeUntil([&] { return fixture.store.answeredFeeds[operatorTable] > feeds; }, 10s, yield);
+        const auto time = fixture.timeUntil([&] { return fixture.usable() == 0; }, 10s, yield);
+        cr_assert_lt(time.count(), 100, "%d calls lost: read %d ms after the answer", *swallowed, static_cast<int>(time.count()));
+    });
+}
+
 namespace
 {
 
