LibReplication: Ask the store at once when a publisher fails

A subscriber whose publisher failed asked the next publisher, and the store only once all had failed, with the patience of a first call: each publisher that hung cost 0.9 s, and a lost call to the store another 1.7 s, so that a change was known later than the 2 s in which it must be in force.

Ruled out by the same test: a lost call, pause, death or silent link of one publisher, two publishers that lose the store, and silences of the store, which stayed below 2 s before as well.

A publisher's failure now starts probes of the store beside the request to the next publisher, and the first of them is followed by the next one after a quarter of the time, so that one lost call leaves time for another.

--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -160,6 +160,8 @@
 {
     if (!m_isReachable) {
         startProbing();
+    }
+    if (m_probes) {
         awaitProbes(yield);
         return true;
     }
@@ -213,7 +215,7 @@
     });
     const auto isAnswered = [&probes] { return probes.isAnswered; };
     Probes::await(
-        probes.callEnded, [&probes] { return probes.isAnswered || probes.failure; }, calledAt + m_pace.answerTime, yield);
+        probes.callEnded, [&probes] { return probes.isAnswered || probes.failure; }, calledAt + m_pace.probeTime, yield);
     if (isAnswered()) {
         return;
     }
@@ -227,7 +229,7 @@
     if (const auto probes = m_probes) {
         // The role of this host may change meanwhile.
         Probes::await(
-            probes->answered, [&probes] { return probes->isAnswered; }, BootClock::now() + m_pace.answerTime, yield);
+            probes->answered, [&probes] { return probes->isAnswered; }, BootClock::now() + m_pace.probeTime, yield);
     }
 }
 
@@ -247,8 +249,10 @@
     if (const auto changes = m_sharing.awaitChanges(publisher, m_table, m_version, yield)) {
         m_confirmedAt = BootClock::now();
         take(*changes);
+    } else {
+        // The next publisher may fail as well, and so may a call to the store.
+        startProbing();
     }
-    // Without changes the next call goes to another publisher or to the store, at once.
     return true;
 }
 
--- a/Libraries/LibReplication/tablewatch.h
+++ b/Libraries/LibReplication/tablewatch.h
@@ -22,8 +22,8 @@
 };
 
 /// How often a watch calls the store, whose calls are limited. A call that the store has lost looks like one that it holds: it is
-/// noticed, and the change that it would have told is known, after the sum of longestWait and answerTime. After a failure calls aren't
-/// held, so that a store that has returned answers at once.
+/// noticed, and the change that it would have told is known, after the sum of longestWait and answerTime. After a failure, of the store
+/// or of the host that was followed, calls aren't held, so that a store that can be reached answers at once.
 struct WatchPace
 {
     /// After a change, further ones are left to gather for this long.
@@ -35,6 +35,8 @@
     std::chrono::milliseconds answerTime;
     /// From the start of a call that failed to the start of the next one, at most; a call may itself take longer.
     std::chrono::milliseconds longestRetry;
+    /// After a failure of the store or of a publisher, how long the answer to a call is awaited before the next one follows.
+    std::chrono::milliseconds probeTime;
     /// Takes the place of batchPause and longestWait while this host reads for others.
     PublisherPace publisher;
 };
@@ -90,7 +92,7 @@
     BootTime m_confirmedAt{};
     bool m_needsAll = true;
     bool m_isReachable = true;
-    /// Set while calls after a failure go out.
+    /// Set while calls after a failure go out, also beside the requests to another publisher.
     std::shared_ptr<Probes> m_probes;
     Backoff m_backoff;
     pcg32 m_random;
--- /dev/null
+++ b/Tests/Platform/testsharedtables.cpp
@@ -0,0 +1,658 @@
+#include "storestandin.h"
+#include <LibCore/sleep.h>
+#include <platform/decode.h>
+#include <platform/hostrows.h>
+#include <platform/platformtables.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/spawn.hpp>
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <fmt/format.h>
+#include <set>
+#include <thread>
+
+using namespace Trefoil;
+using namespace Trefoil::Platform;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr auto s_configuration = R"({{"version": "r{}", "routes": [{{"name": "route", "host": "example", "prefix": "/", "kind": "safe", "timeout": "1s",
+    "service": "service", "allowed_regions": ["east"]}}], "services": [{{"name": "service"}}],
+    "limits": {{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout": "3s", "idle_timeout": "15s"}}}})";
+constexpr auto s_registration = R"({{"service": "service", "address": "127.0.0.1:1", "zone": "east-a", "version": "v1", "max_concurrency": 4,
+    "state": "{}", "cold_remaining": "0ms", "seq_no": {}}})";
+constexpr std::chrono::milliseconds s_beaconInterval{1000};
+/// Spreads the calls of the hosts over the time for which publishers hold them.
+constexpr std::chrono::milliseconds s_startDelay{90};
+/// A change that isn't known by then counts as never known.
+constexpr std::chrono::milliseconds s_longestWait{8000};
+
+enum class Change {
+    Configuration,
+    LeavingUpstream,
+};
+
+/// A host's copies of the store's tables and its part in sharing them. It has a context of its own, so that it can be paused.
+struct Host
+{
+    Host(HostId hostId, std::string sourceAddress, const std::string &storeAddress, std::chrono::milliseconds startDelay, const PeerFeed::Send &send)
+        : id(std::move(hostId))
+        , address(std::move(sourceAddress))
+        , client(context, storeAddress, address)
+        , sharing(context, choice(id), send, [this] { return state.directory().publisherCandidates(BootClock::now()); })
+        , state(stateSettings(id))
+        , tables(context, client, sharing, limits, state, metrics, [](const HttpInputLimits &) {})
+    {
+        state.directory().setSelf(report(), HostPhase::Serving);
+        asio::spawn(context, [this](const asio::yield_context &yield) { sharing.answerSubscribers(yield); });
+        asio::spawn(context, [this, startDelay](const asio::yield_context &yield) {
+            sleepFor(context, startDelay, yield);
+            tables.start();
+        });
+    }
+
+    static PublisherChoiceSettings choice(const HostId &self)
+    {
+        PublisherChoiceSettings settings;
+        settings.self = self;
+        return settings;
+    }
+
+    static GatewayStateSettings stateSettings(const HostId &self)
+    {
+        GatewayStateSettings settings;
+        settings.host = self;
+        settings.placement.zone = ZoneId("east-a");
+        settings.placement.region = RegionId("east");
+        settings.regions = {{ZoneId("east-a"), RegionId("east")}};
+        return settings;
+    }
+
+    HostReport report() const
+    {
+        HostReport report;
+        report.id = id;
+        report.address = address + ":1";
+        report.peerAddress = address + ":2";
+        report.zone = ZoneId("east-a");
+        report.region = RegionId("east");
+        report.incarnation = 1;
+        return report;
+    }
+
+    /// Version of the configuration in force; 0 for none.
+    std::uint64_t configuration() const
+    {
+        const auto routes = state.routes();
+        return routes ? routes->configuration().version.value() : 0;
+    }
+
+    bool hasUpstream()
+    {
+        const auto routes = state.routes();
+        const Route *route = routes ? routes->match("example", "/") : nullptr;
+        return route && !state.usableUpstreams(ServiceId("service"), *route, {}, BootClock::now()).empty();
+    }
+
+    asio::io_context context{1};
+    HostId id;
+    /// Calls of the host to the store come from this address.
+    std::string address;
+    MetadataStore client;
+    FeedSharing sharing;
+    GatewayLimits limits;
+    GatewayState state;
+    GatewayMetrics metrics;
+    PlatformTables tables;
+    /// Nothing of the host runs.
+    bool isPaused = false;
+    /// The host takes requests of subscribers and answers none.
+    bool dropsAnswers = false;
+    /// When the store last began to serve this host again.
+    BootTime regainedAt{};
+    BootTime knownAt{};
+};
+
+/// Hosts of one availability zone that share the feeds of the store. Messages between them take no time.
+class Zone
+{
+public:
+    Zone(std::size_t count, Change change)
+        : store(m_context)
+        , m_change(change)
+        , m_table(change == Change::Configuration ? operatorTable : registrationTable)
+    {
+        store.set(operatorTable, configurationKey, fmt::format(s_configuration, 1));
+        store.set(registrationTable, "upstream", fmt::format(s_registration, "ready", 1));
+        for (std::size_t i = 0; i < count; ++i) {
+            const HostId id("host-" + std::to_string(i));
+            const auto send = [this, id](const HostId &to, const PeerMessage &message) { deliver(id, to, message); };
+            hosts.push_back(std::make_unique<Host>(id, "127.0.0." + std::to_string(10 + i), store.address(), s_startDelay * static_cast<int>(i), send));
+            store.set(hostTable, id.value(), encodeHostReport(hosts.back()->report()));
+        }
+    }
+
+    void run(const std::function<void(const asio::yield_context &yield)> &body)
+    {
+        asio::spawn(m_context, [this](const asio::yield_context &yield) { beaconLoop(yield); });
+        asio::spawn(m_context, [this, &body](const asio::yield_context &yield) {
+            awaitSharing(yield);
+            body(yield);
+            m_context.stop();
+        });
+        while (!m_context.stopped()) {
+            m_context.poll();
+            for (const auto &host : hosts) {
+                if (!host->isPaused) {
+                    host->context.poll();
+                }
+            }
+            std::this_thread::sleep_for(500us);
+        }
+    }
+
+    void sleep(std::chrono::milliseconds time, const asio::yield_context &yield)
+    {
+        sleepFor(m_context, time, yield);
+    }
+
+    template<typename Condition>
+    bool await(Condition condition, std::chrono::milliseconds longest, const asio::yield_context &yield)
+    {
+        const BootTime start = BootClock::now();
+        while (!condition() && BootClock::now() - start < longest) {
+            sleep(1ms, yield);
+        }
+        return condition();
+    }
+
+    /// The hosts that read the store for others, as they see it themselves.
+    std::vector<Host *> publishers() const
+    {
+        std::vector<Host *> found;
+        for (const auto &host : hosts) {
+            if (std::holds_alternative<ReadsForOthers>(host->sharing.role(BootClock::now()))) {
+                found.push_back(host.get());
+            }
+        }
+        return found;
+    }
+
+    std::vector<Host *> subscribers() const
+    {
+        std::vector<Host *> found;
+        for (const auto &host : hosts) {
+            if (!std::holds_alternative<ReadsForOthers>(host->sharing.role(BootClock::now()))) {
+                found.push_back(host.get());
+            }
+        }
+        return found;
+    }
+
+    /// Waits until the next call of a host to the feed has reached the store.
+    void awaitCall(const Host &host, const asio::yield_context &yield)
+    {
+        const int before = callsOf(host);
+        cr_assert(await([&] { return callsOf(host) > before; }, 10s, yield), "%s stopped calling the store", host.id.value().c_str());
+    }
+
+    /// Waits until a request for changes has reached a host from another one.
+    void awaitRequest(const Host &host, const asio::yield_context &yield)
+    {
+        const int before = m_requests[host.id];
+        cr_assert(await([&] { return m_requests[host.id] > before; }, 15s, yield), "%s is followed by no host", host.id.value().c_str());
+    }
+
+    /// The next call of a host to the feed is lost.
+    void loseNextCall(const Host &host)
+    {
+        store.feedsToLose[{host.address, m_table}] = 1;
+    }
+
+    bool isCallLost(const Host &host)
+    {
+        return store.feedsToLose[{host.address, m_table}] == 0;
+    }
+
+    void cutLink(const Host &a, const Host &b)
+    {
+        m_cutLinks.insert({a.id, b.id});
+        m_cutLinks.insert({b.id, a.id});
+    }
+
+    /// The store serves no host, until it is called with false.
+    void setSilent(bool isSilent)
+    {
+        store.setSilent(isSilent);
+        for (const auto &host : hosts) {
+            host->regainedAt = BootClock::now();
+        }
+    }
+
+    /// The store acknowledges a change.
+    void change()
+    {
+        m_changedAt = BootClock::now();
+        if (m_change == Change::Configuration) {
+            store.set(operatorTable, configurationKey, fmt::format(s_configuration, 2));
+        } else {
+            store.set(registrationTable, "upstream", fmt::format(s_registration, "draining", 2));
+        }
+    }
+
+    /// Waits until the hosts know the change. Returns those that knew it too late, with the time since the store acknowledged it and
+    /// served the host.
+    std::string lateHosts(const std::set<Host *> &excluded, const asio::yield_context &yield)
+    {
+        const auto countUnknown = [&] {
+            return std::count_if(hosts.begin(), hosts.end(), [&](const auto &host) { return !knows(*host) && excluded.count(host.get()) == 0; });
+        };
+        await([&] { return countUnknown() == 0; }, s_longestWait, yield);
+        const auto limit = m_change == Change::Configuration ? hosts.front()->limits.configurationApply : hosts.front()->limits.drainNotice;
+        std::string late;
+        for (const auto &host : hosts) {
+            if (excluded.count(host.get()) > 0) {
+                continue;
+            }
+            const BootTime known = knows(*host) ? host->knownAt : BootClock::now();
+            const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(known - std::max(m_changedAt, host->regainedAt));
+            if (time >= limit) {
+                late += fmt::format(" {} after {} ms{}", host->id.value(), time.count(), knows(*host) ? "" : " never");
+            }
+        }
+        return late;
+    }
+
+private:
+    /// Must outlive what runs on it.
+    asio::io_context m_context{1};
+
+public:
+    StoreStandIn store;
+    std::vector<std::unique_ptr<Host>> hosts;
+
+private:
+    int callsOf(const Host &host)
+    {
+        return store.arrivedFeeds[{host.address, m_table}];
+    }
+
+    bool knows(Host &host) const
+    {
+        const bool isKnown = m_change == Change::Configuration ? host.configuration() == 2 : !host.hasUpstream();
+        if (isKnown && host.knownAt == BootTime{}) {
+            host.knownAt = BootClock::now();
+        }
+        return isKnown;
+    }
+
+    /// Waits until the publishers alone call the feed.
+    void awaitSharing(const asio::yield_context &yield)
+    {
+        const auto isShared = [&] {
+            std::map<Host *, int> before;
+            for (Host *host : subscribers()) {
+                before[host] = callsOf(*host);
+            }
+            sleep(1200ms, yield);
+            return std::all_of(before.begin(), before.end(), [&](const auto &entry) { return callsOf(*entry.first) == entry.second; })
+                && std::all_of(hosts.begin(), hosts.end(), [](const auto &host) { return host->configuration() == 1 && host->hasUpstream(); })
+                && subscribers().size() < hosts.size();
+        };
+        cr_assert(await(isShared, 20s, yield), "the hosts don't share the feed");
+    }
+
+    void beaconLoop(const asio::yield_context &yield)
+    {
+        while (!m_context.stopped()) {
+            for (const auto &from : hosts) {
+                if (from->isPaused) {
+                    continue;
+                }
+                const bool readsStore = from->tables.readsStore();
+                for (const auto &to : hosts) {
+                    asio::post(to->context,
+                        [&to = *to, &from = *from, readsStore] { to.state.directory().heard(from.id, HostPhase::Serving, readsStore, BootClock::now()); });
+                }
+            }
+            sleep(s_beaconInterval, yield);
+        }
+    }
+
+    void deliver(const HostId &from, const HostId &to, const PeerMessage &message)
+    {
+        const auto host = [this](const HostId &id) -> Host & {
+            return **std::find_if(hosts.begin(), hosts.end(), [&id](const auto &other) { return other->id == id; });
+        };
+        if (m_cutLinks.count({from, to}) > 0 || host(from).dropsAnswers) {
+            return;
+        }
+        asio::post(host(to).context, [this, &receiver = host(to), from, message] {
+            const auto *request = std::get_if<AwaitChanges>(&message);
+            m_requests[receiver.id] += request && request->table == m_table ? 1 : 0;
+            receiver.sharing.receive(from, message, BootClock::now());
+        });
+    }
+
+    Change m_change;
+    std::string m_table;
+    BootTime m_changedAt{};
+    std::set<std::pair<HostId, HostId>> m_cutLinks;
+    std::map<HostId, int> m_requests;
+};
+
+using Excluded = std::set<Host *>;
+
+/// What happens before and at the change. Returns the hosts that can't know it.
+using Script = Excluded (*)(Zone &zone, const asio::yield_context &yield);
+
+struct Trouble
+{
+    const char *name;
+    std::size_t hosts;
+    Change change;
+    Script play;
+};
+
+void hang(const std::vector<Host *> &publishers)
+{
+    for (Host *publisher : publishers) {
+        publisher->dropsAnswers = true;
+    }
+}
+
+Excluded loseStore(Zone &zone, const std::vector<Host *> &publishers)
+{
+    for (const Host *publisher : publishers) {
+        zone.store.silentTo.insert(publisher->address);
+    }
+    return {publishers.begin(), publishers.end()};
+}
+
+Excluded publisherCallLost(Zone &zone, const asio::yield_context &yield)
+{
+    Host &publisher = *zone.publishers().front();
+    zone.loseNextCall(publisher);
+    zone.awaitCall(publisher, yield);
+    zone.change();
+    return {};
+}
+
+Excluded publishersLoseStore(Zone &zone, const asio::yield_context &yield)
+{
+    const auto publishers = zone.publishers();
+    zone.awaitCall(*publishers.front(), yield);
+    Excluded excluded = loseStore(zone, publishers);
+    zone.change();
+    return excluded;
+}
+
+Excluded publisherLosesStoreEarlier(Zone &zone, const asio::yield_context &yield)
+{
+    Excluded excluded = loseStore(zone, zone.publishers());
+    zone.sleep(4700ms, yield);
+    zone.change();
+    return excluded;
+}
+
+void silenceUntilCallOf(Zone &zone, const Host &host, std::chrono::milliseconds silence, const asio::yield_context &yield)
+{
+    zone.setSilent(true);
+    zone.sleep(silence, yield);
+    zone.awaitCall(host, yield);
+    zone.setSilent(false);
+}
+
+template<int Milliseconds>
+Excluded silenceUntilPublisherCalls(Zone &zone, const asio::yield_context &yield)
+{
+    silenceUntilCallOf(zone, *zone.publishers().front(), std::chrono::milliseconds(Milliseconds), yield);
+    zone.change();
+    return {};
+}
+
+template<int Milliseconds>
+Excluded silenceUntilSubscriberCalls(Zone &zone, const asio::yield_context &yield)
+{
+    silenceUntilCallOf(zone, *zone.subscribers().front(), std::chrono::milliseconds(Milliseconds), yield);
+    zone.change();
+    return {};
+}
+
+Excluded publishersHang(Zone &zone, const asio::yield_context &yield)
+{
+    const auto publishers = zone.publishers();
+    zone.awaitRequest(*publishers.front(), yield);
+    hang(publishers);
+    zone.change();
+    return {};
+}
+
+Excluded publishersHangAndAreAskedAgain(Zone &zone, const asio::yield_context &yield)
+{
+    const auto publishers = zone.publishers();
+    hang(publishers);
+    zone.sleep(2000ms, yield);
+    zone.awaitRequest(*publishers.front(), yield);
+    zone.change();
+    return {};
+}
+
+Excluded publisherIsPaused(Zone &zone, const asio::yield_context &yield)
+{
+    Host &publisher = *zone.publishers().front();
+    zone.awaitRequest(publisher, yield);
+    publisher.isPaused = true;
+    zone.change();
+    return {&publisher};
+}
+
+Excluded publisherIsPausedAndResumes(Zone &zone, const asio::yield_context &yield)
+{
+    Host &publisher = *zone.publishers().front();
+    zone.awaitRequest(publisher, yield);
+    publisher.isPaused = true;
+    zone.sleep(850ms, yield);
+    zone.change();
+    zone.sleep(650ms, yield);
+    publisher.isPaused = false;
+    publisher.regainedAt = BootClock::now();
+    return {};
+}
+
+Excluded publisherDiesAndItsSuccessorLosesStore(Zone &zone, const asio::yield_context &yield)
+{
+    Host &publisher = *zone.publishers().front();
+    publisher.isPaused = true;
+    Host *successor = &publisher;
+    zone.await(
+        [&] {
+            const auto publishers = zone.publishers();
+            const auto found = std::find_if(publishers.begin(), publishers.end(), [&](const Host *host) { return host != &publisher; });
+            successor = found == publishers.end() ? &publisher : *found;
+            return successor != &publisher;
+        },
+        10s,
+        yield);
+    cr_assert_neq(successor, &publisher, "no host takes the place of the publisher");
+    zone.sleep(1500ms, yield);
+    zone.awaitCall(*successor, yield);
+    Excluded excluded = loseStore(zone, {successor});
+    zone.change();
+    excluded.insert(&publisher);
+    return excluded;
+}
+
+Excluded publisherCallAndSubscribersCallsLost(Zone &zone, const asio::yield_context &yield)
+{
+    Host &publisher = *zone.publishers().front();
+    for (const Host *host : zone.subscribers()) {
+        zone.loseNextCall(*host);
+    }
+    zone.loseNextCall(publisher);
+    zone.awaitCall(publisher, yield);
+    zone.change();
+    return {};
+}
+
+Excluded publishersHangAndSubscribersCallsAreLost(Zone &zone, const asio::yield_context &yield)
+{
+    const auto publishers = zone.publishers();
+    for (const Host *host : zone.subscribers()) {
+        zone.loseNextCall(*host);
+    }
+    zone.awaitRequest(*publishers.front(), yield);
+    hang(publishers);
+    zone.change();
+    return {};
+}
+
+Excluded linkGoesSilent(Zone &zone, const asio::yield_context &yield)
+{
+    Host &publisher = *zone.publishers().front();
+    zone.awaitRequest(publisher, yield);
+    for (const Host *host : zone.subscribers()) {
+        zone.cutLink(publisher, *host);
+    }
+    zone.change();
+    return {};
+}
+
+/// The change comes as the store ends the publisher's call, which it has held.
+Excluded changeAtTheEndOfACall(Zone &zone, const asio::yield_context &yield)
+{
+    zone.awaitCall(*zone.publishers().front(), yield);
+    zone.sleep(697ms, yield);
+    zone.change();
+    return {};
+}
+
+/// The publisher hangs shortly before its subscribers would learn that it has lost the store.
+Excluded publisherCallLostThenItHangs(Zone &zone, const asio::yield_context &yield)
+{
+    Host &publisher = *zone.publishers().front();
+    zone.loseNextCall(publisher);
+    zone.awaitCall(publisher, yield);
+    zone.change();
+    zone.sleep(1150ms, yield);
+    hang({&publisher});
+    return {};
+}
+
+Excluded publisherCallsLostOneAfterTheOther(Zone &zone, const asio::yield_context &yield)
+{
+    const auto publishers = zone.publishers();
+    for (const Host *publisher : publishers) {
+        zone.loseNextCall(*publisher);
+    }
+    zone.awaitCall(*publishers.front(), yield);
+    zone.change();
+    return {};
+}
+
+Excluded silenceThenPublishersHang(Zone &zone, const asio::yield_context &yield)
+{
+    const auto publishers = zone.publishers();
+    silenceUntilCallOf(zone, *publishers.front(), 3000ms, yield);
+    hang(publishers);
+    zone.change();
+    return {};
+}
+
+Excluded silenceThenPublisherRegainsAndLosesStore(Zone &zone, const asio::yield_context &yield)
+{
+    const auto publishers = zone.publishers();
+    silenceUntilCallOf(zone, *publishers.front(), 3000ms, yield);
+    zone.sleep(1900ms, yield);
+    zone.awaitCall(*publishers.front(), yield);
+    Excluded excluded = loseStore(zone, publishers);
+    zone.change();
+    return excluded;
+}
+
+Excluded publishersHangOneAfterTheOther(Zone &zone, const asio::yield_context &yield)
+{
+    const auto publishers = zone.publishers();
+    zone.awaitRequest(*publishers.front(), yield);
+    hang({publishers.front()});
+    zone.change();
+    for (std::size_t i = 1; i < publishers.size(); ++i) {
+        zone.sleep(600ms, yield);
+        hang({publishers[i]});
+    }
+    return {};
+}
+
+const std::vector<Trouble> &troubles()
+{
+    static const std::vector<Trouble> all = {
+        {"no trouble", 8, Change::Configuration, changeAtTheEndOfACall},
+        {"a publisher's call is lost", 8, Change::Configuration, publisherCallLost},
+        {"a publisher's call is lost (upstream)", 8, Change::LeavingUpstream, publisherCallLost},
+        {"the publisher loses the store", 8, Change::Configuration, publishersLoseStore},
+        {"the publisher loses the store (upstream)", 8, Change::LeavingUpstream, publishersLoseStore},
+        {"the publisher lost the store earlier", 8, Change::Configuration, publisherLosesStoreEarlier},
+        {"two publishers lose the store", 16, Change::Configuration, publishersLoseStore},
+        {"two publishers lose the store (upstream)", 16, Change::LeavingUpstream, publishersLoseStore},
+        {"two publishers lost the store earlier", 16, Change::Configuration, publisherLosesStoreEarlier},
+        {"silence of 0.1 s, the publisher's call lost", 8, Change::Configuration, silenceUntilPublisherCalls<100>},
+        {"silence of 1.3 s, the publisher's call lost", 8, Change::Configuration, silenceUntilPublisherCalls<1300>},
+        {"silence of 3 s, the publisher's call lost", 8, Change::Configuration, silenceUntilPublisherCalls<3000>},
+        {"silence of 6 s, the publisher's call lost", 8, Change::Configuration, silenceUntilPublisherCalls<6000>},
+        {"silence of 3 s, the publisher's call lost (upstream)", 8, Change::LeavingUpstream, silenceUntilPublisherCalls<3000>},
+        {"silence of 0.1 s, a subscriber's call lost", 8, Change::Configuration, silenceUntilSubscriberCalls<100>},
+        {"silence of 2 s, a subscriber's call lost", 8, Change::Configuration, silenceUntilSubscriberCalls<2000>},
+        {"silence of 3 s, a subscriber's call lost", 8, Change::Configuration, silenceUntilSubscriberCalls<3000>},
+        {"silence of 6 s, a subscriber's call lost", 8, Change::Configuration, silenceUntilSubscriberCalls<6000>},
+        {"silence of 3 s, a subscriber's call lost, 16 hosts", 16, Change::Configuration, silenceUntilSubscriberCalls<3000>},
+        {"the publisher hangs", 8, Change::Configuration, publishersHang},
+        {"the publisher hangs (upstream)", 8, Change::LeavingUpstream, publishersHang},
+        {"two publishers hang", 16, Change::Configuration, publishersHang},
+        {"three publishers hang", 26, Change::Configuration, publishersHang},
+        {"the publisher hangs and is asked again", 8, Change::Configuration, publishersHangAndAreAskedAgain},
+        {"three publishers hang and are asked again", 26, Change::Configuration, publishersHangAndAreAskedAgain},
+        {"the publisher is paused or dies", 8, Change::Configuration, publisherIsPaused},
+        {"the publisher is paused or dies (upstream)", 8, Change::LeavingUpstream, publisherIsPaused},
+        {"the publisher is paused and resumes", 8, Change::Configuration, publisherIsPausedAndResumes},
+        {"the publisher dies, its successor loses the store", 8, Change::Configuration, publisherDiesAndItsSuccessorLosesStore},
+        {"the publisher's and the subscribers' calls are lost", 8, Change::Configuration, publisherCallAndSubscribersCallsLost},
+        {"the publisher hangs, the subscribers' calls are lost", 8, Change::Configuration, publishersHangAndSubscribersCallsAreLost},
+        {"two publishers hang, the subscribers' calls are lost", 16, Change::Configuration, publishersHangAndSubscribersCallsAreLost},
+        {"the links of the publisher go silent", 8, Change::Configuration, linkGoesSilent},
+        {"the publisher's call is lost, then it hangs", 8, Change::Configuration, publisherCallLostThenItHangs},
+        {"two publishers lose a call one after the other", 16, Change::Configuration, publisherCallsLostOneAfterTheOther},
+        {"two publishers hang one after the other", 16, Change::Configuration, publishersHangOneAfterTheOther},
+        {"three publishers hang one after the other", 26, Change::Configuration, publishersHangOneAfterTheOther},
+        {"silence, then the publisher hangs", 8, Change::Configuration, silenceThenPublishersHang},
+        {"silence, then the publisher loses the store", 8, Change::Configuration, silenceThenPublisherRegainsAndLosesStore},
+    };
+    return all;
+}
+
+} // namespace
+
+// Guards against requests that leave the regions of their route, or go to upstreams that left, because a host follows another one that
+// has lost the store, or doesn't answer any more.
+ParameterizedTestParameters(SharedTables, changesAreKnownInTimeWhenAPublisherFails)
+{
+    static std::vector<std::size_t> cases;
+    for (std::size_t i = 0; i < troubles().size(); ++i) {
+        cases.push_back(i);
+    }
+    return cr_make_param_array(std::size_t, cases.data(), cases.size());
+}
+
+ParameterizedTest(std::size_t *index, SharedTables, changesAreKnownInTimeWhenAPublisherFails)
+{
+    const Trouble &trouble = troubles()[*index];
+    Zone zone(trouble.hosts, trouble.change);
+    zone.run([&](const asio::yield_context &yield) {
+        const Excluded excluded = trouble.play(zone, yield);
+        const std::string late = zone.lateHosts(excluded, yield);
+        cr_assert(late.empty(), "%s: known at%s", trouble.name, late.c_str());
+    });
+}
--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -15,7 +15,7 @@
 namespace
 {
 
-constexpr WatchPace s_pace{50ms, 300ms, 800ms, 1200ms, {50ms, 200ms, 100ms}};
+constexpr WatchPace s_pace{50ms, 300ms, 800ms, 1200ms, 500ms, {50ms, 200ms, 100ms}};
 
 /// A watch of one table and the rows that it has told so far.
 struct Fixture
@@ -281,7 +281,7 @@
         };
         const TableWatchHandlers handlers{change, change, [](bool, const std::string &) {}};
         // Changes must be known within one second.
-        const WatchPace pace{350ms, 5s, 2s, 1200ms, {150ms, 350ms, 100ms}};
+        const WatchPace pace{350ms, 5s, 2s, 1200ms, 500ms, {150ms, 350ms, 100ms}};
         self.watch = std::make_unique<TableWatch>(context, *self.client, *self.sharing, "things", pace, handlers);
         hosts.push_back(std::move(host));
     }
