LibReplication: Let subscribers notice that they reach the store again

A host that had lost the store and then followed another host called the store no more, so that it told all others by its beacons that it had no store, until its publisher failed: it was no candidate for a publisher and removed no abandoned rows.

A watch now probes the store until it has answered, whatever the host's role.

--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -153,14 +153,15 @@
             return watch.follow(role.publisher, yield);
         }
     };
+    if (!m_isReachable) {
+        // A subscriber calls the store as well, as other hosts choose by it whom to follow.
+        startProbing();
+    }
     return std::visit(Reader{*this, yield}, m_sharing.role(BootClock::now()));
 }
 
 bool TableWatch::readFeed(std::chrono::milliseconds held, std::chrono::milliseconds batchPause, const boost::asio::yield_context &yield)
 {
-    if (!m_isReachable) {
-        startProbing();
-    }
     if (m_probes) {
         awaitProbes(yield);
         return true;
--- a/Tests/Platform/testsharedtables.cpp
+++ b/Tests/Platform/testsharedtables.cpp
@@ -218,6 +218,11 @@
         return store.feedsToLose[{host.address, m_table}] == 0;
     }
 
+    void restoreLinks()
+    {
+        m_cutLinks.clear();
+    }
+
     void cutLink(const Host &a, const Host &b)
     {
         m_cutLinks.insert({a.id, b.id});
@@ -244,6 +249,21 @@
         }
     }
 
+    /// Hosts that are no candidates for publishers at some host that runs.
+    std::string missingCandidates() const
+    {
+        std::string missing;
+        for (const auto &host : hosts) {
+            const auto candidates = host->state.directory().publisherCandidates(BootClock::now());
+            for (const auto &other : hosts) {
+                if (std::find(candidates.begin(), candidates.end(), other->id) == candidates.end()) {
+                    missing += fmt::format(" {} at {}", other->id.value(), host->id.value());
+                }
+            }
+        }
+        return missing;
+    }
+
     /// Waits until the hosts know the change. Returns those that knew it too late, with the time since the store acknowledged it and
     /// served the host.
     std::string lateHosts(const std::set<Host *> &excluded, const asio::yield_context &yield)
@@ -656,3 +676,80 @@
         cr_assert(late.empty(), "%s: known at%s", trouble.name, late.c_str());
     });
 }
+
+namespace
+{
+
+/// Leaves the store within reach of all hosts.
+using ReachabilityScript = void (*)(Zone &zone, const asio::yield_context &yield);
+
+struct LostStore
+{
+    const char *name;
+    ReachabilityScript play;
+};
+
+void subscriberLosesStoreAndPublisher(Zone &zone, const asio::yield_context &yield)
+{
+    Host &publisher = *zone.publishers().front();
+    Host &subscriber = *zone.subscribers().front();
+    zone.store.silentTo.insert(subscriber.address);
+    zone.cutLink(publisher, subscriber);
+    const bool isNoticed = zone.await([&] { return !subscriber.tables.readsStore(); }, 10s, yield);
+    cr_assert(isNoticed, "the loss of the store wasn't noticed");
+    zone.restoreLinks();
+    const auto isFollowing = [&] { return std::holds_alternative<Subscribes>(subscriber.sharing.role(BootClock::now())); };
+    cr_assert(zone.await(isFollowing, 10s, yield), "the host doesn't follow its publisher again");
+    zone.sleep(1000ms, yield);
+    zone.store.silentTo.clear();
+}
+
+void publisherLosesStore(Zone &zone, const asio::yield_context &yield)
+{
+    zone.store.silentTo.insert(zone.publishers().front()->address);
+    zone.sleep(5000ms, yield);
+    zone.store.silentTo.clear();
+}
+
+template<int Milliseconds>
+void storeIsSilent(Zone &zone, const asio::yield_context &yield)
+{
+    silenceUntilCallOf(zone, *zone.publishers().front(), std::chrono::milliseconds(Milliseconds), yield);
+}
+
+const std::vector<LostStore> &lostStores()
+{
+    static const std::vector<LostStore> all = {
+        {"a subscriber loses the store and its publisher", subscriberLosesStoreAndPublisher},
+        {"the publisher loses the store", publisherLosesStore},
+        {"the store is silent for 3 s", storeIsSilent<3000>},
+        {"the store is silent for 6 s", storeIsSilent<6000>},
+    };
+    return all;
+}
+
+} // namespace
+
+// Guards against a host that isn't taken for a publisher for ever, because it follows another one since it has lost the store and
+// doesn't learn that it reaches the store again.
+ParameterizedTestParameters(SharedTables, hostsThatReachTheStoreAgainSaySo)
+{
+    static std::vector<std::size_t> cases;
+    for (std::size_t i = 0; i < lostStores().size(); ++i) {
+        cases.push_back(i);
+    }
+    return cr_make_param_array(std::size_t, cases.data(), cases.size());
+}
+
+ParameterizedTest(std::size_t *index, SharedTables, hostsThatReachTheStoreAgainSaySo)
+{
+    const LostStore &lost = lostStores()[*index];
+    Zone zone(8, Change::Configuration);
+    zone.run([&](const asio::yield_context &yield) {
+        lost.play(zone, yield);
+        // Each host notices it in the time of a change, and tells it by the next beacon.
+        zone.sleep(2000ms + s_beaconInterval, yield);
+        const std::string missing = zone.missingCandidates();
+        cr_assert(missing.empty(), "%s: not known to reach the store:%s", lost.name, missing.c_str());
+    });
+}
