--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -23,31 +24,60 @@
 
 } // namespace
 
-/// Full reads, or calls for changes after a failure, never both. Each is followed by the next one before a slow store would answer
-/// it, so that neither a call that is lost nor a slow answer delays what the other tells.
-struct TableWatch::OverlappingCalls
+/// Calls after a failure, until the store has answered one. Each is followed by the next one before a slow store would answer it, so
+/// that neither a call that is lost nor a slow answer delays what the other tells.
+struct TableWatch::Probes
 {
-    explicit OverlappingCalls(boost::asio::io_context &context)
+    explicit Probes(boost::asio::io_context &context)
+        : callEnded(context)
+        , answered(context)
+    {
+    }
+
+    /// Waits until a timer is cancelled with the condition met, or until a time.
+    template<typename Condition>
+    static void await(boost::asio::steady_timer &timer, Condition condition, BootTime until, const boost::asio::yield_context &yield)
+    {
+        for (BootTime now = BootClock::now(); !condition() && now < until; now = BootClock::now()) {
+            timer.expires_after(until - now);
+            // Cancelled by the end of a call.
+            boost::system::error_code ignored;
+            timer.async_wait(yield[ignored]);
+        }
+    }
+
+    boost::asio::steady_timer callEnded;
+    boost::asio::steady_timer answered;
+    bool isAnswered = false;
+    int calls = 0;
+    /// Why the latest call failed.
+    std::optional<std::string> failure{};
+};
+
+/// Full reads until one of them is answered. Each is followed by the next one, as calls after a failure are.
+struct TableWatch::FullReads
+{
+    explicit FullReads(boost::asio::io_context &context)
         : wait(context)
     {
     }
 
-    /// Waits for a time, or less when a call is answered or the latest one fails.
+    /// Waits for a time, or less when a read is answered or the latest one fails.
     void waitFor(BootClock::duration time, const boost::asio::yield_context &yield)
     {
         if (answer) {
             return;
         }
         wait.expires_after(std::max(time, BootClock::duration(0)));
-        boost::system::error_code cancelledByCall;
-        wait.async_wait(yield[cancelledByCall]);
+        boost::system::error_code cancelledByRead;
+        wait.async_wait(yield[cancelledByRead]);
     }
 
     boost::asio::steady_timer wait;
     int latest = 0;
-    /// The first answer; what the other calls tell is older.
-    std::optional<FeedResult> answer;
-    /// Set when the latest call has failed. Earlier ones, whose losses are noticed late, say nothing about the store's state now.
+    /// The first answer; what the other reads tell is older.
+    std::optional<FeedRows> answer;
+    /// Set when the latest read has failed. Earlier ones, whose losses are noticed late, say nothing about the store's state now.
     std::optional<StoreFailure> failure;
 };
 
@@ -59,7 +89,7 @@
     , m_table(std::move(table))
     , m_pace(pace)
     , m_handlers(std::move(handlers))
-    , m_overlapping(std::make_shared<OverlappingCalls>(context))
+    , m_fullReads(std::make_shared<FullReads>(context))
     , m_backoff(s_firstRetry, std::max(s_firstRetry, pace.longestRetry))
     , m_random(std::random_device{}())
 {
@@ -82,7 +112,7 @@
 void TableWatch::pause(BootTime failedCall, const boost::asio::yield_context &yield)
 {
     // A call that failed late has already waited; one that failed at once must not be repeated at once.
-    m_overlapping->waitFor(failedCall + m_backoff.next(m_random) - BootClock::now(), yield);
+    m_fullReads->waitFor(failedCall + m_backoff.next(m_random) - BootClock::now(), yield);
 }
 
 void TableWatch::noteSuccess()
@@ -113,7 +143,7 @@
 bool TableWatch::readAll(const boost::asio::yield_context &yield)
 {
     const BootTime calledAt = BootClock::now();
-    const FeedResult result = awaitAnswer(yield);
+    const ReadResult result = awaitFullRead(yield);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         noteFailure(failure->reason, calledAt, {});
         return false;
@@ -132,6 +162,39 @@
     return true;
 }
 
+ReadResult TableWatch::awaitFullRead(const boost::asio::yield_context &yield)
+{
+    if (!m_fullReads->answer) {
+        startFullRead();
+        if (!m_fullReads->failure) {
+            m_fullReads->waitFor(m_pace.answerTime, yield);
+        }
+    }
+    if (m_fullReads->answer) {
+        const auto answered = std::exchange(m_fullReads, std::make_shared<FullReads>(m_context));
+        return std::move(*answered->answer);
+    }
+    return m_fullReads->failure.value_or(StoreFailure{"no answer yet"});
+}
+
+void TableWatch::startFullRead()
+{
+    m_fullReads->failure.reset();
+    boost::asio::spawn(m_context, [this, reads = m_fullReads, number = ++m_fullReads->latest](const boost::asio::yield_context &readYield) {
+        ReadResult result = m_store.readTable(m_table, s_patientAnswer, readYield);
+        const auto *failure = std::get_if<StoreFailure>(&result);
+        if (reads->answer || (failure && number != reads->latest)) {
+            return;
+        }
+        if (failure) {
+            reads->failure = *failure;
+        } else {
+            reads->answer = std::move(std::get<FeedRows>(result));
+        }
+        reads->wait.cancel();
+    });
+}
+
 bool TableWatch::readChanges(const boost::asio::yield_context &yield)
 {
     struct Reader
@@ -152,13 +215,18 @@
             return watch.follow(role.publisher, yield);
         }
     };
+    if (!m_isReachable) {
+        // A subscriber calls the store as well, as other hosts choose by it whom to follow.
+        startProbing();
+    }
     return std::visit(Reader{*this, yield}, m_sharing.role(BootClock::now()));
 }
 
 bool TableWatch::readFeed(std::chrono::milliseconds held, std::chrono::milliseconds batchPause, const boost::asio::yield_context &yield)
 {
-    if (!m_isReachable) {
-        return probe(yield);
+    if (m_probes) {
+        awaitProbes(yield);
+        return true;
     }
     const BootTime calledAt = BootClock::now();
     const FeedResult result = m_store.awaitChanges(m_table, m_version, {held, m_pace.answerTime}, yield);
@@ -172,61 +240,60 @@
     return true;
 }
 
-bool TableWatch::probe(const boost::asio::yield_context &yield)
+void TableWatch::startProbing()
 {
-    const BootTime calledAt = BootClock::now();
-    const FeedResult result = awaitAnswer(yield);
-    if (const auto *failure = std::get_if<StoreFailure>(&result)) {
-        noteFailure(failure->reason, calledAt, s_probeHold);
-        return false;
+    if (m_probes) {
+        return;
     }
-    takeResult(result);
-    return true;
-}
-
-FeedResult TableWatch::awaitAnswer(const boost::asio::yield_context &yield)
-{
-    if (!m_overlapping->answer) {
-        startCall();
-        if (!m_overlapping->failure) {
-            m_overlapping->waitFor(m_pace.answerTime, yield);
+    m_probes = std::make_shared<Probes>(m_context);
+    boost::asio::spawn(m_context, [this, probes = m_probes](const boost::asio::yield_context &yield) {
+        while (!probes->isAnswered && !m_context.stopped()) {
+            probe(*probes, yield);
         }
-    }
-    if (m_overlapping->answer) {
-        const auto answered = std::exchange(m_overlapping, std::make_shared<OverlappingCalls>(m_context));
-        return std::move(*answered->answer);
-    }
-    return m_overlapping->failure.value_or(StoreFailure{"no answer yet"});
+    });
 }
 
-void TableWatch::startCall()
+void TableWatch::probe(Probes &probes, const boost::asio::yield_context &yield)
 {
-    m_overlapping->failure.reset();
-    boost::asio::spawn(m_context, [this, calls = m_overlapping, number = ++m_overlapping->latest](const boost::asio::yield_context &callYield) {
-        FeedResult result = callOnce(callYield);
-        const auto *failure = std::get_if<StoreFailure>(&result);
-        if (calls->answer || (failure && number != calls->latest)) {
+    const BootTime calledAt = BootClock::now();
+    const int call = ++probes.calls;
+    probes.failure.reset();
+    boost::asio::spawn(m_context, [this, call, shared = m_probes](const boost::asio::yield_context &callYield) {
+        const FeedResult result = m_store.awaitChanges(m_table, m_version, {s_probeHold, s_patientAnswer}, callYield);
+        if (shared->isAnswered) {
+            // What this call tells is older.
             return;
         }
-        if (failure) {
-            calls->failure = *failure;
+        if (const auto *failure = std::get_if<StoreFailure>(&result)) {
+            if (call == shared->calls) {
+                shared->failure = failure->reason;
+            }
         } else {
-            calls->answer = std::move(result);
+            shared->isAnswered = true;
+            m_probes.reset();
+            takeResult(result);
+            shared->answered.cancel();
         }
-        calls->wait.cancel();
+        shared->callEnded.cancel();
     });
+    const auto isAnswered = [&probes] { return probes.isAnswered; };
+    Probes::await(
+        probes.callEnded, [&probes] { return probes.isAnswered || probes.failure; }, calledAt + m_pace.probeTime, yield);
+    if (isAnswered()) {
+        return;
+    }
+    noteFailure(probes.failure.value_or("no answer yet"), calledAt, s_probeHold);
+    // A call that failed late has already waited; one that failed at once must not be repeated at once.
+    Probes::await(probes.callEnded, isAnswered, calledAt + m_backoff.next(m_random), yield);
 }
 
-FeedResult TableWatch::callOnce(const boost::asio::yield_context &yield)
+void TableWatch::awaitProbes(const boost::asio::yield_context &yield)
 {
-    if (!m_needsAll) {
-        return m_store.awaitChanges(m_table, m_version, {s_probeHold, s_patientAnswer}, yield);
-    }
-    ReadResult read = m_store.readTable(m_table, s_patientAnswer, yield);
-    if (auto *failure = std::get_if<StoreFailure>(&read)) {
-        return std::move(*failure);
+    if (const auto probes = m_probes) {
+        // The role of this host may change meanwhile.
+        Probes::await(
+            probes->answered, [&probes] { return probes->isAnswered; }, BootClock::now() + m_pace.probeTime, yield);
     }
-    return std::move(std::get<FeedRows>(read));
 }
 
 bool TableWatch::takeResult(const FeedResult &result)
@@ -239,33 +306,34 @@
     m_backoff.reset();
     m_isReadUncontinued = false;
     noteSuccess();
-    // Another host may have told more since the call began.
-    if (read->version < m_version) {
-        return false;
-    }
-    take(*read);
-    return !read->rows.empty();
+    return take(*read);
 }
 
 bool TableWatch::follow(const HostId &publisher, const boost::asio::yield_context &yield)
 {
-    // An answer that comes meanwhile would later pass for one of that time.
-    m_overlapping = std::make_shared<OverlappingCalls>(m_context);
     if (const auto changes = m_sharing.awaitChanges(publisher, m_table, m_version, yield)) {
         m_confirmedAt = BootClock::now();
         take(*changes);
+    } else {
+        // The next publisher may fail as well, and so may a call to the store.
+        startProbing();
     }
-    // Without changes the next call goes to another publisher or to the store, at once.
     return true;
 }
 
-void TableWatch::take(const FeedRows &changes)
+bool TableWatch::take(const FeedRows &changes)
 {
-    m_version = std::max(m_version, changes.version);
-    m_sharing.server().append(m_table, changes, BootClock::now());
-    if (!changes.rows.empty()) {
-        m_handlers.change(changes.rows);
+    // The store or another host may have told some of them since the call began.
+    FeedRows fresh;
+    fresh.version = std::max(m_version, changes.version);
+    std::copy_if(changes.rows.begin(), changes.rows.end(), std::back_inserter(fresh.rows), [this](const FeedRow &row) { return row.version > m_version; });
+    m_version = fresh.version;
+    m_sharing.server().append(m_table, fresh, BootClock::now());
+    if (fresh.rows.empty()) {
+        return false;
     }
+    m_handlers.change(fresh.rows);
+    return true;
 }
 
 } // namespace Trefoil
--- a/Libraries/LibReplication/tablewatch.h
+++ b/Libraries/LibReplication/tablewatch.h
@@ -22,8 +22,8 @@
 };
 
 /// How often a watch calls the store, whose calls are limited. A call that the store has lost looks like one that it holds: it is
-/// noticed, and the change that it would have told is known, after the sum of longestWait and answerTime. After a failure calls aren't
-/// held, so that a store that has returned answers at once.
+/// noticed, and the change that it would have told is known, after the sum of longestWait and answerTime. After a failure, of the store
+/// or of the host that was followed, calls aren't held, so that a store that can be reached answers at once.
 struct WatchPace
 {
     /// After a change, further ones are left to gather for this long.
@@ -35,6 +35,8 @@
     std::chrono::milliseconds answerTime;
     /// From the start of a call that failed to the start of the next one, at most; a call may itself take longer.
     std::chrono::milliseconds longestRetry;
+    /// After a failure of the store or of a publisher, how long the answer to a call is awaited before the next one follows.
+    std::chrono::milliseconds probeTime;
     /// Takes the place of batchPause and longestWait while this host reads for others.
     PublisherPace publisher;
 };
@@ -64,21 +66,24 @@
     }
 
 private:
-    struct OverlappingCalls;
+    struct Probes;
+    struct FullReads;
 
     void noteSuccess();
     void noteFailure(const std::string &reason, BootTime calledAt, std::chrono::milliseconds wait);
     void pause(BootTime failedCall, const boost::asio::yield_context &yield);
     bool readAll(const boost::asio::yield_context &yield);
+    ReadResult awaitFullRead(const boost::asio::yield_context &yield);
+    void startFullRead();
     bool readChanges(const boost::asio::yield_context &yield);
     bool readFeed(std::chrono::milliseconds held, std::chrono::milliseconds batchPause, const boost::asio::yield_context &yield);
-    bool probe(const boost::asio::yield_context &yield);
-    FeedResult awaitAnswer(const boost::asio::yield_context &yield);
-    void startCall();
-    FeedResult callOnce(const boost::asio::yield_context &yield);
+    void startProbing();
+    void probe(Probes &probes, const boost::asio::yield_context &yield);
+    void awaitProbes(const boost::asio::yield_context &yield);
     bool takeResult(const FeedResult &result);
     bool follow(const HostId &publisher, const boost::asio::yield_context &yield);
-    void take(const FeedRows &changes);
+    /// True when some of the changes were not known.
+    bool take(const FeedRows &changes);
 
     boost::asio::io_context &m_context;
     FeedStore &m_store;
@@ -92,7 +97,9 @@
     /// No call for changes was answered since the last full read.
     bool m_isReadUncontinued = false;
     bool m_isReachable = true;
-    std::shared_ptr<OverlappingCalls> m_overlapping;
+    std::shared_ptr<FullReads> m_fullReads;
+    /// Set while calls after a failure go out, also beside the requests to another publisher.
+    std::shared_ptr<Probes> m_probes;
     Backoff m_backoff;
     pcg32 m_random;
 };
--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -2,6 +2,7 @@
 #include <LibCore/sleep.h>
 #include <LibReplication/tablewatch.h>
 
+#include <algorithm>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <criterion/criterion.h>
@@ -15,7 +16,7 @@
 namespace
 {
 
-constexpr WatchPace s_pace{50ms, 300ms, 800ms, 1200ms, {50ms, 200ms, 100ms}};
+constexpr WatchPace s_pace{50ms, 300ms, 800ms, 1200ms, 500ms, {50ms, 200ms, 100ms}};
 
 /// A watch of one table and the rows that it has told so far.
 struct Fixture
@@ -225,11 +226,14 @@
             }
         }
         sleepFor(context, 3000ms, yield);
-        cr_expect_eq(reachability, "-");
+        // The host calls the store while it follows, and takes the answers when they come.
+        cr_expect_eq(reachability, "-+", "%s", reachability.c_str());
         store.setSilent(true);
         live = {HostId("alone")};
         sleepFor(context, 600ms, yield);
-        cr_expect_eq(reachability, "-", "%s", reachability.c_str());
+        cr_expect_eq(std::count(reachability.begin(), reachability.end(), '+'), 1, "%s", reachability.c_str());
+        sleepFor(context, 2000ms, yield);
+        cr_expect_eq(reachability, "-+-", "%s", reachability.c_str());
         context.stop();
     });
     context.run();
@@ -350,7 +354,7 @@
         };
         const TableWatchHandlers handlers{change, change, [](bool, const std::string &) {}};
         // Changes must be known within one second.
-        const WatchPace pace{350ms, 5s, 2s, 1200ms, {150ms, 350ms, 100ms}};
+        const WatchPace pace{350ms, 5s, 2s, 1200ms, 500ms, {150ms, 350ms, 100ms}};
         self.watch = std::make_unique<TableWatch>(context, *self.client, *self.sharing, "things", pace, handlers);
         hosts.push_back(std::move(host));
     }
