LibPeer: Refuse messages with parts of undeclared length

Cause: nlohmann reads CBOR texts and byte strings of undeclared length recursively, so that two megabytes of nested ones overflow the stack and end the process; the limit on nested maps and lists doesn't see them. Change: one pass over the heads refuses such parts before the message is read; the encoder writes none.

--- a/Libraries/LibPeer/codec.cpp
+++ b/Libraries/LibPeer/codec.cpp
@@ -477,8 +477,42 @@
     }
 }
 
+/// Whether some part has no declared length. The encoder writes none; the library reads texts of this form recursively, so that nested
+/// ones would exhaust the stack. Parts of lists and maps follow their heads, so that one pass over all heads sees every part.
+bool hasUndeclaredLength(std::string_view bytes)
+{
+    constexpr unsigned undeclared = 31;
+    constexpr unsigned firstLengthInFollowingBytes = 24;
+    constexpr unsigned lastLengthInFollowingBytes = 27;
+    constexpr unsigned byteString = 2;
+    constexpr unsigned textString = 3;
+    std::size_t position = 0;
+    while (position < bytes.size()) {
+        const auto head = static_cast<unsigned char>(bytes[position++]);
+        const unsigned type = head >> 5U;
+        const unsigned information = head & 31U;
+        if (information == undeclared) {
+            return true;
+        }
+        std::uint64_t value = information;
+        if (information >= firstLengthInFollowingBytes && information <= lastLengthInFollowingBytes) {
+            value = 0;
+            for (std::size_t left = std::size_t{1} << (information - firstLengthInFollowingBytes); left > 0 && position < bytes.size(); --left) {
+                value = value << 8U | static_cast<unsigned char>(bytes[position++]);
+            }
+        }
+        if (type == byteString || type == textString) {
+            position += static_cast<std::size_t>(std::min<std::uint64_t>(value, bytes.size() - position));
+        }
+    }
+    return false;
+}
+
 Result<PeerMessage> decodeChecked(std::string_view bytes)
 {
+    if (hasUndeclaredLength(bytes)) {
+        return protocolError("a part of the message has no declared length");
+    }
     FlatMapReader reader;
     if (!json::sax_parse(bytes.begin(), bytes.end(), &reader, json::input_format_t::cbor)) {
         return protocolError("the message is not one flat CBOR map");
--- a/Tests/LibPeer/testcodec.cpp
+++ b/Tests/LibPeer/testcodec.cpp
@@ -111,7 +111,14 @@
     const std::string hugeList("\xa1\x61\x61\x9b\x7f\xff\xff\xff\xff\xff\xff\xff", 12);
     const std::string hugeText("\xa1\x61\x61\x7b\x7f\xff\xff\xff\xff\xff\xff\xff", 12);
     const std::string repeated("\xa2\x61\x61\x01\x61\x61\x02", 7);
-    for (const auto &bytes : {std::string(), deep, hugeList, hugeText, repeated}) {
+    // Texts and byte strings without a declared length, each within another one.
+    const std::string nestedTexts = "\xa1" + std::string(2000000, '\x7f');
+    const std::string nestedBytes = "\xa1\x61\x61" + std::string(2000000, '\x5f');
+    std::string nestedChunks = "\xa1";
+    for (int i = 0; i < 1000000; ++i) {
+        nestedChunks += "\x7f\x60";
+    }
+    for (const auto &bytes : {std::string(), deep, hugeList, hugeText, repeated, nestedTexts, nestedBytes, nestedChunks}) {
         cr_assert(decodePeerMessage(bytes).has_error());
     }
 }
