LibGateway: Obey upstreams that say they are leaving or ask for a pause

Cause: a leaving upstream was known by its row only, and Retry-After of an upstream's rejection was ignored. A 503 of an upstream that didn't say 'not run' reached callers of requests that may run once as that promise. A request without an id accepted any response on a kept connection. Change: the leaving header counts at once and for the process, whatever row is read later. A pause excludes the upstream, its slots count as missing, and it starts slowly afterwards; with all upstreams paused, callers are told at once when the first one is back. Absurd values are bounded and logged. False promises become 502. Requests without an id use new connections.

--- a/Libraries/LibGateway/attempt.cpp
+++ b/Libraries/LibGateway/attempt.cpp
@@ -8,6 +8,7 @@
 
 constexpr int s_misdirected = 421;
 constexpr int s_firstServerError = 500;
+constexpr int s_unavailable = 503;
 
 AttemptEnd classifyFailure(const CallFailure &failure)
 {
@@ -56,6 +57,10 @@
         end.isMisdirected = true;
         return end;
     }
+    end.isUpstreamLeaving = response.headers.value(headers.leaving) == "1";
+    if (response.status == s_unavailable) {
+        end.requestedPause = parseRequestedPause(response.headers);
+    }
     if (response.headers.find(headers.notRun)) {
         end.outcome = AttemptOutcome::Shed;
         end.execution = Execution::NotRun;
--- a/Libraries/LibGateway/attempt.h
+++ b/Libraries/LibGateway/attempt.h
@@ -22,6 +22,10 @@
     /// The upstream's complete response to this request; empty when the response only reports that the request did not run.
     std::optional<HttpResponse> response{};
     std::optional<LoadReport> load{};
+    /// Whether the upstream's response says that it is leaving.
+    bool isUpstreamLeaving = false;
+    /// The pause that a rejecting upstream asked for.
+    RequestedPause requestedPause{};
     /// Reason for logs, such as "shed".
     std::string reason{};
     /// Whether bytes of the request have reached, or may have reached, the upstream.
--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -28,6 +28,8 @@
 constexpr Milliseconds s_startRetryAfter{500};
 /// Basis of Retry-After when upstreams shed a request although they seem to have free slots: a retry is likely to succeed.
 constexpr Milliseconds s_shedRetryAfter{20};
+/// Callers come back spread over the length of a pause, and over this time at most.
+constexpr Milliseconds s_maximumPauseSpread{1000};
 
 /// Counts a request as in flight during its lifetime.
 class InFlightScope
@@ -54,6 +56,12 @@
     return static_cast<std::int64_t>(time.count());
 }
 
+/// Whether callers take the status for a promise that the request has not run and will not.
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == s_unavailable;
+}
+
 /// Returns the newer route narrowed to the limits of both; nothing when they have no allowed region in common.
 std::optional<Route> narrowed(const Route &earlier, const Route &newer)
 {
@@ -205,6 +213,12 @@
     if (exchange.mayHaveRun) {
         return failIncomplete(exchange);
     }
+    if (!noRoom) {
+        const RequestPlacement &placement = exchange.placement;
+        if (const auto pause = m_state.timeUntilPauseEnds(placement.service, *placement.route, BootClock::now())) {
+            return rejectFor(exchange, "upstreams-paused", *pause + spread() * std::min(*pause, s_maximumPauseSpread));
+        }
+    }
     return noRoom ? reject(exchange, "no-room", noRoom->retryAfter) : reject(exchange, "no-upstream", s_startRetryAfter);
 }
 
@@ -252,6 +266,10 @@
     if (exchange.placement.route->kind == RequestKind::NonIdempotent) {
         options.maximumIdle = m_settings.maximumIdleForNonIdempotent;
     }
+    if (exchange.id.empty()) {
+        // Without an id, a late response to an earlier request on the connection could not be told from the response to this one.
+        options.maximumIdle = std::chrono::milliseconds(-1);
+    }
     options.cancellation = &exchange.caller.cancellation();
     options.prepare = [this, &exchange, &upstream, &names = m_settings.headers](HttpRequest &request) {
         const BootTime now = BootClock::now();
@@ -273,7 +291,12 @@
     AttemptEnd end =
         classifyCall(m_pool.call(identity.address, m_state.connectionLimit(upstream), upstreamRequest(exchange, identity), options, yield), m_settings.headers);
     const BootTime now = BootClock::now();
-    m_state.recordAttempt(exchange.placement, upstream, exchange.placed, {end.outcome, end.timedOut, now - start, end.load}, now);
+    logNotices(exchange, upstream, end);
+    m_state.recordAttempt(exchange.placement,
+        upstream,
+        exchange.placed,
+        {end.outcome, end.timedOut, now - start, end.load, end.isUpstreamLeaving, end.requestedPause.pause},
+        now);
     if (end.isMisdirected) {
         m_state.upstreamRemoved(identity.id);
     }
@@ -284,6 +307,23 @@
     return end;
 }
 
+void Gateway::logNotices(const Exchange &exchange, const Upstream &upstream, const AttemptEnd &end) const
+{
+    const std::string &id = upstream.model.identity().id.value();
+    if (end.isUpstreamLeaving && !upstream.saidLeaving) {
+        writeLog(LogLevel::Info, "upstream-said-leaving", {{"request", exchange.id}, {"upstream", id}});
+    }
+    const RequestedPause &requested = end.requestedPause;
+    if (requested.pause || requested.isAdjusted) {
+        writeLog(requested.isAdjusted ? LogLevel::Warning : LogLevel::Info,
+            "upstream-asked-for-pause",
+            {{"request", exchange.id},
+                {"upstream", id},
+                {"pauseMs", std::int64_t{requested.pause.value_or(std::chrono::milliseconds(0)).count()}},
+                {"isAdjusted", requested.isAdjusted}});
+    }
+}
+
 void Gateway::logAttempt(const Exchange &exchange, const Upstream &upstream, const AttemptEnd &end, Milliseconds duration, BootTime now) const
 {
     writeLog(LogLevel::Info,
@@ -349,7 +389,9 @@
 
 HttpResponse Gateway::respond(Exchange &exchange, AttemptEnd end)
 {
-    if (end.response) {
+    // The upstream itself made no such promise, or there would be no response to pass on.
+    const bool isFalsePromise = end.response && promisesNotRun(end.response->status) && exchange.placement.route->kind == RequestKind::NonIdempotent;
+    if (end.response && !isFalsePromise) {
         HttpResponse response;
         response.status = end.response->status;
         copyEndToEndFields(end.response->headers, response.headers);
@@ -388,7 +430,16 @@
 
 HttpResponse Gateway::reject(Exchange &exchange, std::string_view reason, Milliseconds timeUntilRoom)
 {
-    const Milliseconds wait = retryAfter(timeUntilRoom, std::uniform_real_distribution<double>(0, 1)(m_random));
+    return rejectFor(exchange, reason, retryAfter(timeUntilRoom, spread()));
+}
+
+double Gateway::spread()
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_random);
+}
+
+HttpResponse Gateway::rejectFor(Exchange &exchange, std::string_view reason, Milliseconds wait)
+{
     HttpResponse response = errorResponse(s_unavailable, "rejected", "", fmt::format("the request did not run: {}", reason));
     exchange.outcome = RequestOutcome::NotRun;
     exchange.reason = reason;
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -57,6 +57,7 @@
     bool isStillAllowed(const Exchange &exchange, const Upstream &upstream) const;
     CallOptions callOptions(Exchange &exchange, Upstream &upstream) const;
     void logAttempt(const Exchange &exchange, const Upstream &upstream, const AttemptEnd &end, Milliseconds duration, BootTime now) const;
+    void logNotices(const Exchange &exchange, const Upstream &upstream, const AttemptEnd &end) const;
     AttemptEnd attempt(Exchange &exchange, Upstream &upstream, const boost::asio::yield_context &yield);
     /// Narrows the request's route to what the configuration in force allows, too. False when no destination remains.
     bool applyNewerConfiguration(Exchange &exchange);
@@ -64,7 +65,12 @@
     HttpResponse fail(Exchange &exchange, RequestOutcome outcome, int status, std::string_view reason, std::string_view message);
     HttpResponse failIncomplete(Exchange &exchange);
     HttpResponse respond(Exchange &exchange, AttemptEnd end);
+    /// Rejects the request with a Retry-After that is derived from the time until there is room.
     HttpResponse reject(Exchange &exchange, std::string_view reason, Milliseconds timeUntilRoom);
+    /// Rejects the request with exactly that Retry-After.
+    HttpResponse rejectFor(Exchange &exchange, std::string_view reason, Milliseconds wait);
+    /// A random number from 0 to 1, which spreads callers that are told to come back.
+    double spread();
 
     GatewaySettings m_settings;
     GatewayState &m_state;
--- a/Libraries/LibGateway/gatewayheaders.cpp
+++ b/Libraries/LibGateway/gatewayheaders.cpp
@@ -69,6 +69,30 @@
     return LoadReport{*running, *waiting};
 }
 
+RequestedPause parseRequestedPause(const HttpHeaders &headers)
+{
+    RequestedPause requested;
+    bool isFirst = true;
+    for (const HttpHeader &field : headers.all()) {
+        if (!isSameHeaderName(field.name, "Retry-After")) {
+            continue;
+        }
+        requested.isAdjusted = requested.isAdjusted || !isFirst;
+        isFirst = false;
+        const auto seconds = parseNumber<double>(trimmed(field.value));
+        // Written so that "nan" fails, too.
+        if (!seconds || !(*seconds >= 0)) {
+            requested.isAdjusted = true;
+            continue;
+        }
+        const std::chrono::duration<double> pause(*seconds);
+        requested.isAdjusted = requested.isAdjusted || pause > s_maximumPause;
+        const auto granted = pause > s_maximumPause ? s_maximumPause : std::chrono::ceil<std::chrono::milliseconds>(pause);
+        requested.pause = std::max(requested.pause.value_or(granted), granted);
+    }
+    return requested;
+}
+
 std::optional<std::chrono::milliseconds> parseMilliseconds(std::string_view text)
 {
     const auto number = parseNumber<std::int64_t>(trimmed(text));
--- a/Libraries/LibGateway/gatewayheaders.h
+++ b/Libraries/LibGateway/gatewayheaders.h
@@ -24,6 +24,8 @@
     std::string notRun = "Trefoil-Not-Started";
     /// From the upstream: its load as "running,waiting,slots".
     std::string load = "Trefoil-Load";
+    /// From the upstream: it is leaving and wants no further requests.
+    std::string leaving = "Trefoil-Leaving";
 };
 
 /// Copies the end-to-end headers: all but hop-by-hop headers and those that the Connection header names.
@@ -33,6 +35,22 @@
 /// Parses "running,waiting,slots"; nothing when the text has another form. Precondition: none. Thread safety: safe from any thread.
 std::optional<LoadReport> parseLoadReport(std::string_view text);
 
+/// The pause that an upstream asks for with Retry-After.
+struct RequestedPause
+{
+    /// Nothing without a header, or with one that can't be read. At most s_maximumPause.
+    std::optional<std::chrono::milliseconds> pause{};
+    /// Whether a header was left out or cut to the maximum.
+    bool isAdjusted = false;
+};
+
+/// Longest pause that is granted, so that one absurd value doesn't exclude an upstream for good.
+constexpr std::chrono::milliseconds s_maximumPause = std::chrono::seconds(60);
+
+/// Parses Retry-After headers, in seconds with fractions; of several, the longest counts. Precondition: none.
+/// Thread safety: safe from any thread.
+RequestedPause parseRequestedPause(const HttpHeaders &headers);
+
 /// Parses a whole number of milliseconds; nothing when the text is no number, or the number is negative or above 24 hours.
 /// Precondition: none. Thread safety: safe from any thread.
 std::optional<std::chrono::milliseconds> parseMilliseconds(std::string_view text);
--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -23,6 +23,8 @@
 constexpr double s_loadWeight = 0.04;
 /// Maximum load per slot that one report adds to the mean: the long queue of one upstream doesn't show that the others are full.
 constexpr double s_maximumLoadPerUpstream = 1.5;
+/// Removed upstreams whose notices are kept; as many as the catalog keeps reports of.
+constexpr std::size_t s_maximumNotices = 4096;
 
 } // namespace
 
@@ -63,6 +65,7 @@
         // No host treated the upstream as warm before, so that the pacer needs no pause.
         upstream->model.setColdUntil(now + registration.coldRemaining);
     }
+    restoreNotices(*upstream);
     m_upstreams.emplace(registration.id, upstream);
     serviceState(registration.service).upstreams.push_back(std::move(upstream));
     upstreamUpdated(registration, now);
@@ -100,6 +103,7 @@
     }
     auto &upstreams = serviceState(found->second->model.identity().service).upstreams;
     upstreams.erase(std::remove(upstreams.begin(), upstreams.end(), found->second), upstreams.end());
+    keepNotices(*found->second);
     found->second->model.isLeaving = true;
     m_coldHistories.insert_or_assign(id, ColdHistory{found->second->pacer, found->second->model.coldUntil()});
     m_upstreams.erase(found);
@@ -113,6 +117,32 @@
     }
 }
 
+void GatewayState::keepNotices(const Upstream &upstream)
+{
+    if (!upstream.saidLeaving && upstream.backoff.pausedUntil() == BootTime{}) {
+        return;
+    }
+    const UpstreamIdentity &identity = upstream.model.identity();
+    if (m_notices.size() >= s_maximumNotices && m_notices.count(identity.id) == 0) {
+        m_notices.erase(m_notices.begin());
+    }
+    m_notices[identity.id] = {identity.startedAt, upstream.saidLeaving, upstream.backoff};
+}
+
+void GatewayState::restoreNotices(Upstream &upstream)
+{
+    const auto found = m_notices.find(upstream.model.identity().id);
+    if (found == m_notices.end()) {
+        return;
+    }
+    if (found->second.startedAt == upstream.model.identity().startedAt) {
+        upstream.saidLeaving = found->second.saidLeaving;
+        upstream.model.isLeaving = found->second.saidLeaving;
+        upstream.backoff = found->second.backoff;
+    }
+    m_notices.erase(found);
+}
+
 void GatewayState::setEvacuated(const std::set<ZoneId> &zones, BootTime now)
 {
     for (auto &[id, upstream] : m_upstreams) {
@@ -148,11 +178,10 @@
 {
     std::vector<std::shared_ptr<Upstream>> usable;
     for (const auto &upstream : serviceState(service).upstreams) {
-        const UpstreamIdentity &identity = upstream->model.identity();
-        if (upstream->model.isLeaving || excluded.count(identity.id) > 0 || m_evacuated.count(identity.zone) > 0) {
+        if (!isInService(*upstream, route) || excluded.count(upstream->model.identity().id) > 0) {
             continue;
         }
-        if (!allowsRegion(route, identity.region)) {
+        if (!upstream->backoff.maySend(upstream->model.inFlight(), now)) {
             continue;
         }
         if (upstream->model.isCold(now) && !isWarmUpHost(*upstream, now)) {
@@ -163,12 +192,32 @@
     return usable;
 }
 
+bool GatewayState::isInService(const Upstream &upstream, const Route &route) const
+{
+    const UpstreamIdentity &identity = upstream.model.identity();
+    return !upstream.model.isLeaving && m_evacuated.count(identity.zone) == 0 && allowsRegion(route, identity.region);
+}
+
+std::optional<Milliseconds> GatewayState::timeUntilPauseEnds(const ServiceId &service, const Route &route, BootTime now)
+{
+    std::optional<Milliseconds> shortest;
+    for (const auto &upstream : serviceState(service).upstreams) {
+        if (!isInService(*upstream, route) || !upstream->backoff.isPaused(now)) {
+            continue;
+        }
+        const Milliseconds time = upstream->backoff.pausedUntil() - now;
+        shortest = std::min(shortest.value_or(time), time);
+    }
+    return shortest;
+}
+
 SpillShare &GatewayState::updateSpillShare(ServiceState &service, BootTime now)
 {
     SpillShare::Observation observation;
     for (const auto &upstream : service.upstreams) {
         const UpstreamIdentity &identity = upstream->model.identity();
-        if (upstream->model.isLeaving || m_evacuated.count(identity.zone) > 0) {
+        // The slots of a paused upstream can't be used, so that its keys move as if it were gone.
+        if (upstream->model.isLeaving || m_evacuated.count(identity.zone) > 0 || upstream->backoff.isPaused(now)) {
             continue;
         }
         if (identity.region != m_settings.placement.region) {
@@ -255,9 +304,17 @@
     if (observation.load) {
         recordLoad(service, identity, *observation.load);
     }
+    if (observation.isUpstreamLeaving) {
+        upstream.saidLeaving = true;
+        upstream.model.isLeaving = true;
+    }
+    if (observation.pause) {
+        upstream.backoff.recordPause(*observation.pause, now);
+    }
     if (observation.outcome != AttemptOutcome::Success) {
         return;
     }
+    upstream.backoff.recordAccepted(now);
     if (placed.expectedWait.count() <= 0) {
         work.record(placed.cache, timeAtUpstream);
         service.demand.recordSlotTime(request.route->priority, timeAtUpstream);
@@ -307,7 +364,8 @@
 
 bool GatewayState::tryRecordSend(Upstream &upstream, BootTime now)
 {
-    if (upstream.model.isLeaving) {
+    // The attempt itself is already among the requests in flight.
+    if (upstream.model.isLeaving || !upstream.backoff.maySend(std::max(upstream.model.inFlight() - 1, 0), now)) {
         return false;
     }
     const auto rateLimit = coldRateLimit(upstream.model.identity().service);
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -10,6 +10,7 @@
 #include <LibSteering/slotdemand.h>
 #include <LibSteering/spillshare.h>
 #include <LibSteering/trafficsplit.h>
+#include <LibSteering/upstreambackoff.h>
 
 #include <memory>
 #include <set>
@@ -42,6 +43,10 @@
 
     UpstreamModel model;
     ColdPacer pacer;
+    /// The pause that the upstream asked for in its responses.
+    UpstreamBackoff backoff;
+    /// Whether a response of the upstream said that it is leaving. It does not come back as the same process.
+    bool saidLeaving = false;
     /// This host's share of the connections that the upstream accepts.
     std::shared_ptr<ConnectionLimit> connections = ConnectionLimit::create(ConnectionCount(1));
 };
@@ -95,6 +100,10 @@
     bool timedOut = false;
     Milliseconds duration{0};
     std::optional<LoadReport> load{};
+    /// Whether the response says that the upstream is leaving.
+    bool isUpstreamLeaving = false;
+    /// The pause that the response asks for.
+    std::optional<std::chrono::milliseconds> pause{};
 };
 
 /// Whether upstreams of the region may serve the route. Precondition: none. Thread safety: safe from any thread.
@@ -134,6 +143,9 @@
     /// Upstreams of a service to which a request of the route may be sent now, without the excluded ones. Precondition: none.
     std::vector<std::shared_ptr<Upstream>> usableUpstreams(const ServiceId &service, const Route &route, const std::set<UpstreamId> &excluded, BootTime now);
 
+    /// Time until an upstream that the route may use ends its pause; nothing when none is paused. Precondition: none.
+    std::optional<Milliseconds> timeUntilPauseEnds(const ServiceId &service, const Route &route, BootTime now);
+
     /// The usable upstreams of the region that serves the position: the own region, or another one for the share of keys that is
     /// spilled. Without usable upstreams in the own region, all keys are spilled.
     /// Precondition: usable are upstreams of the service.
@@ -201,6 +213,18 @@
         BootTime coldUntil{};
     };
 
+    /// What an upstream said in its responses; it holds for the same process when its row is removed and written again.
+    struct Notices
+    {
+        std::int64_t startedAt = 0;
+        bool saidLeaving = false;
+        UpstreamBackoff backoff;
+    };
+
+    void keepNotices(const Upstream &upstream);
+    void restoreNotices(Upstream &upstream);
+    /// Whether the upstream receives requests apart from pauses and cold starts.
+    bool isInService(const Upstream &upstream, const Route &route) const;
     SpillShare &updateSpillShare(ServiceState &service, BootTime now);
     const ServicePolicy *policyOf(const ServiceId &service) const;
     std::optional<ColdRateLimit> coldRateLimit(const ServiceId &service) const;
@@ -214,6 +238,7 @@
     std::unordered_map<UpstreamId, std::shared_ptr<Upstream>> m_upstreams;
     /// Histories of removed upstreams.
     std::unordered_map<UpstreamId, ColdHistory> m_coldHistories;
+    std::unordered_map<UpstreamId, Notices> m_notices;
     std::unordered_map<RouteId, RouteState> m_routeStates;
     std::unordered_map<ServiceId, ServiceState> m_serviceStates;
     std::set<ZoneId> m_evacuated;
