--- a/Tests/Platform/testplatformtables.cpp
+++ b/Tests/Platform/testplatformtables.cpp
@@ -350,3 +350,47 @@
         cr_assert(time < limit, "applied after %d ms", static_cast<int>(time.count()));
     });
 }
+
+namespace
+{
+
+struct OddRowCase
+{
+    char name[40];
+    char value[160];
+};
+
+} // namespace
+
+// Guards against a row of another writer that ends the process, that names an upstream, or after which the table is no longer followed.
+ParameterizedTestParameters(PlatformTables, oddRowsHarmNoOther)
+{
+    static OddRowCase cases[] = {
+        {"not a document", "\xff\xfe{"},
+        {"empty", ""},
+        {"deeply nested", "deep"},
+        {"a number too large", R"({"service":"service","address":"127.0.0.1:1","zone":"east-a","max_concurrency":1e400})"},
+        {"a port out of range",
+            R"({"service":"service","address":"127.0.0.1:65536","zone":"east-a","max_concurrency":4,"state":"ready","cold_remaining":"0ms","seq_no":1})"},
+        {"a null", "null"},
+    };
+    return cr_make_param_array(OddRowCase, cases, std::size(cases));
+}
+
+ParameterizedTest(OddRowCase *testCase, PlatformTables, oddRowsHarmNoOther)
+{
+    const std::string odd = std::string(testCase->value) == "deep" ? std::string(40000, '[') : testCase->value;
+    Fixture fixture;
+    // "odd" is read with the whole table, "upstream-odd" and the spoilt row of "upstream" as changes.
+    fixture.store.set(registrationTable, "odd", odd);
+    fixture.run([&](const asio::yield_context &yield) {
+        const auto usableBecomes = [&](std::size_t count) { return fixture.timeUntil([&] { return fixture.usableUpstreamCount() == count; }, 3s, yield) < 3s; };
+        cr_assert(usableBecomes(1), "%s", testCase->name);
+        fixture.store.set(registrationTable, "upstream-odd", odd);
+        fixture.store.set(registrationTable, "upstream", odd);
+        cr_assert(usableBecomes(0), "%s: the spoilt row still names an upstream", testCase->name);
+        fixture.registerUpstream("ready", 2);
+        cr_assert(usableBecomes(1), "%s: the table is no longer followed", testCase->name);
+        cr_assert(fixture.tables.isStoreReachable());
+    });
+}
