LibReplication: Let starting hosts copy their tables, and bound the age of a subscriber's copy

Cause: (1) every host read every page of every table from the store at its start, and called the feeds itself until beacons had shown the publishers: 11 calls a start on the large site. (2) A publisher that lost a call and then hung left its subscribers with an old copy for 1.05 of the time within which a change must be in force: up to 0.6 until it refuses, and 0.45 for a response that never comes. Change: (1) hosts that run send starting ones whole tables; where none has them, the zone's coming publishers read the store and the others wait for them, 0.8 s at most. A subscriber that is behind its publisher's log gets the table instead of a rejection. Beacons tell at once when a host is ready. (2) responses carry the age of the publisher's copy, and the older a copy is, the shorter its host waits.

--- a/Libraries/LibGateway/hostdirectory.cpp
+++ b/Libraries/LibGateway/hostdirectory.cpp
@@ -17,7 +17,7 @@
 {
     std::set<HostId> present{m_settings.self};
     m_isSelfRegistered = false;
-    m_hasReadRows = true;
+    m_rowsReadAt = m_rowsReadAt.value_or(now);
     for (const HostRegistration &registration : registrations) {
         present.insert(registration.id);
         add(registration, now);
@@ -208,7 +208,7 @@
 std::vector<HostId> HostDirectory::registeredHosts() const
 {
     std::vector<HostId> hosts;
-    if (!m_hasReadRows) {
+    if (!m_rowsReadAt) {
         return hosts;
     }
     hosts.reserve(m_hosts.size());
@@ -230,6 +230,17 @@
     return hosts;
 }
 
+std::vector<HostId> HostDirectory::runningPeers(BootTime now) const
+{
+    std::vector<HostId> hosts;
+    for (const auto &[id, entry] : m_hosts) {
+        if (id != m_settings.self && entry.registration.zone == m_settings.zone && entry.phase != HostPhase::Stopping && hasRecentBeacon(entry, now)) {
+            hosts.push_back(id);
+        }
+    }
+    return hosts;
+}
+
 std::vector<HostRegistration> HostDirectory::abandonedHosts(BootTime now) const
 {
     const auto live = publisherCandidates(now);
--- a/Libraries/LibGateway/hostdirectory.h
+++ b/Libraries/LibGateway/hostdirectory.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -105,6 +106,15 @@
     /// Precondition: none.
     std::vector<HostId> publisherCandidates(BootTime now) const;
 
+    /// Other hosts of the own availability zone with a recent beacon that are not stopping. Precondition: none.
+    std::vector<HostId> runningPeers(BootTime now) const;
+
+    /// When the rows of the hosts were first read; nothing before. Precondition: none.
+    std::optional<BootTime> rowsReadAt() const
+    {
+        return m_rowsReadAt;
+    }
+
     /// For the own availability zone its live hosts and this one; for another zone all registered hosts. Precondition: none.
     std::vector<HostId> hostsOf(const ZoneId &zone, BootTime now) const;
 
@@ -158,7 +168,7 @@
     std::size_t m_nextAddress = 0;
     HostPhase m_phase = HostPhase::Starting;
     bool m_isSelfRegistered = false;
-    bool m_hasReadRows = false;
+    std::optional<BootTime> m_rowsReadAt;
 };
 
 } // namespace Trefoil
--- a/Libraries/LibPeer/codec.cpp
+++ b/Libraries/LibPeer/codec.cpp
@@ -155,6 +155,8 @@
     fields.texts("values", message.values);
     fields.numbers("versions", message.versions);
     fields.numbers("removed", message.removed);
+    fields.boolean("all", message.isWholeTable);
+    fields.number("age", message.ageMilliseconds);
 }
 
 /// Writes the fields of a message into a JSON object.
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -127,6 +127,10 @@
     std::vector<std::uint64_t> versions;
     /// 1 for a row that was dropped, otherwise 0.
     std::vector<std::uint64_t> removed;
+    /// The rows are all rows of the table, not only changed ones.
+    bool isWholeTable = false;
+    /// How long ago the store confirmed the sender's copy of the table.
+    std::uint64_t ageMilliseconds = 0;
 };
 
 using PeerMessage = std::variant<Hello,
--- a/Libraries/LibReplication/changeserver.cpp
+++ b/Libraries/LibReplication/changeserver.cpp
@@ -10,6 +10,8 @@
 
 /// Log size of each table; hosts have 160 MB of memory. A subscriber that is further behind reads the store.
 constexpr std::size_t s_maximumLogBytes = std::size_t{4} * 1024 * 1024;
+/// Size up to which whole tables are kept for other hosts: 15,000 upstreams.
+constexpr std::size_t s_maximumImageBytes = std::size_t{8} * 1024 * 1024;
 /// Half of the number of entries that a message between hosts may list.
 constexpr std::size_t s_maximumRowsPerResponse = 5000;
 /// Each subscriber has one pending request for each table.
@@ -17,12 +19,14 @@
 /// Upper bound of the wait that a subscriber requests.
 constexpr std::chrono::milliseconds s_maximumWait{30000};
 
-ChangesSince servedResponse(std::uint64_t sequence, const FeedRows &changes)
+ChangesSince servedResponse(std::uint64_t sequence, const FeedRows &changes, BootClock::duration age)
 {
     ChangesSince message;
     message.sequence = sequence;
     message.isServed = true;
     message.version = changes.version;
+    message.isWholeTable = changes.isWholeTable;
+    message.ageMilliseconds = static_cast<std::uint64_t>(std::max<std::int64_t>(std::chrono::ceil<std::chrono::milliseconds>(age).count(), 0));
     for (const FeedRow &row : changes.rows) {
         message.keys.push_back(row.key);
         message.values.push_back(row.value);
@@ -48,17 +52,19 @@
 
 void ChangeServer::addTable(const std::string &table, std::chrono::milliseconds maximumAge)
 {
-    m_tables.insert_or_assign(table, Table{maximumAge, ChangeLog(s_maximumLogBytes), {}});
+    m_tables.insert_or_assign(table, Table{maximumAge, ChangeLog(s_maximumLogBytes), TableImage(s_maximumImageBytes), {}});
 }
 
-void ChangeServer::reset(const std::string &table, FeedVersion version)
+void ChangeServer::reset(const std::string &table, const FeedRows &rows)
 {
-    m_tables.at(table).log.reset(version);
+    m_tables.at(table).log.reset(rows.version);
+    m_tables.at(table).image.replace(rows);
 }
 
 void ChangeServer::append(const std::string &table, const FeedRows &changes, BootTime now)
 {
     m_tables.at(table).log.append(changes);
+    m_tables.at(table).image.apply(changes);
     if (!changes.rows.empty()) {
         respondToDueRequests(now);
     }
@@ -98,14 +104,16 @@
     }
     const auto changes = table->second.log.since(request.after);
     const auto *served = std::get_if<FeedRows>(&changes);
-    if (!served || served->rows.size() > s_maximumRowsPerResponse) {
+    const auto whole = served ? std::nullopt : table->second.image.rows();
+    const FeedRows *rows = served ? served : whole ? &*whole : nullptr;
+    if (!rows || rows->rows.size() > s_maximumRowsPerResponse) {
         m_send(pending.from, rejection(request.sequence));
         return true;
     }
-    if (served->rows.empty() && now < pending.deadline) {
+    if (served && rows->rows.empty() && now < pending.deadline) {
         return false;
     }
-    m_send(pending.from, servedResponse(request.sequence, *served));
+    m_send(pending.from, servedResponse(request.sequence, *rows, now - table->second.confirmedAt));
     return true;
 }
 
--- a/Libraries/LibReplication/changeserver.h
+++ b/Libraries/LibReplication/changeserver.h
@@ -4,6 +4,7 @@
 #include <LibCore/strongid.h>
 #include <LibPeer/messages.h>
 #include <LibReplication/changelog.h>
+#include <LibReplication/tableimage.h>
 
 #include <functional>
 #include <list>
@@ -13,7 +14,7 @@
 namespace Trefoil
 {
 
-/// Serves the changes of tables to subscribers. Rejects their requests once its own copy is no longer confirmed by the store, so that
+/// Serves the changes of tables to subscribers, and whole tables to hosts that start or are further behind than the log reaches. Rejects their requests once its own copy is no longer confirmed by the store, so that
 /// the subscribers of a host that has lost the store notice it before a missed change has to be in force.
 /// Thread safety: one thread at a time.
 class ChangeServer
@@ -27,8 +28,8 @@
     /// Registers a table. Requests are rejected when its last confirmation is older than maximumAge. Precondition: none.
     void addTable(const std::string &table, std::chrono::milliseconds maximumAge);
 
-    /// Resets the log of a table after a full read. Precondition: addTable() was called for the table.
-    void reset(const std::string &table, FeedVersion version);
+    /// Replaces what is known of a table after a full read. Precondition: addTable() was called for the table.
+    void reset(const std::string &table, const FeedRows &rows);
 
     /// Appends changes and sends them to the subscribers that wait. Precondition: addTable() was called for the table.
     void append(const std::string &table, const FeedRows &changes, BootTime now);
@@ -53,6 +54,7 @@
     {
         std::chrono::milliseconds maximumAge{0};
         ChangeLog log;
+        TableImage image;
         BootTime confirmedAt{};
     };
 
--- a/Libraries/LibReplication/feedrow.h
+++ b/Libraries/LibReplication/feedrow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -27,6 +28,10 @@
     std::vector<FeedRow> rows;
     /// The rows include all changes up to this version.
     FeedVersion version = 0;
+    /// The rows are all rows of the table, not only changed ones.
+    bool isWholeTable = false;
+    /// How long ago the store confirmed that the rows include all changes; 0 for rows from the store itself.
+    std::chrono::milliseconds age{0};
 };
 
 /// The feed no longer reaches back to the requested version; the table must be read in full.
--- a/Libraries/LibReplication/feedsharing.h
+++ b/Libraries/LibReplication/feedsharing.h
@@ -2,22 +2,12 @@
 
 #include <LibReplication/changeserver.h>
 #include <LibReplication/peerfeed.h>
-#include <LibReplication/publisherchoice.h>
+#include <LibReplication/startsource.h>
+#include <LibReplication/subscriptionwait.h>
 
 namespace Trefoil
 {
 
-/// Timing of a publisher; the sum bounds how long the host and its subscribers take to notice that the store is unreachable.
-struct PublisherTiming
-{
-    /// Delay after a change, in which further changes are batched.
-    std::chrono::milliseconds batchDelay;
-    /// How long the store, and a publisher, hold a request while there are no changes.
-    std::chrono::milliseconds holdTime;
-    /// A response that is later than the hold time by this much counts as lost.
-    std::chrono::milliseconds responseMargin;
-};
-
 /// Shares the change feeds of the store among the hosts of an availability zone: this host either reads them and publishes the
 /// changes, or subscribes to a host that does. Thread safety: the thread of the context.
 class FeedSharing
@@ -25,6 +15,8 @@
 public:
     /// Returns the live hosts of the own availability zone, including this one.
     using LiveHosts = std::function<std::vector<HostId>()>;
+    /// Returns what this host knows of its zone; the failed hosts are filled in by this object.
+    using Knowledge = std::function<StartKnowledge(BootTime now)>;
 
     /// Precondition: context outlives the object; send and liveHosts are set.
     FeedSharing(boost::asio::io_context &context, PublisherChoiceSettings choice, const PeerFeed::Send &send, LiveHosts liveHosts);
@@ -32,15 +24,32 @@
     /// Registers a table whose feed is shared. Precondition: none.
     void addTable(const std::string &table, const PublisherTiming &timing);
 
+    /// Lets the first copies of these tables come from other hosts. Without this call, all are read from the store.
+    /// Precondition: knowledge is set.
+    void shareStarts(std::set<std::string> tables, Knowledge knowledge);
+
+    /// From where the first copy of a table comes; waits while that is undecided. Precondition: runs in a coroutine of the context.
+    std::variant<ReadFromStore, CopyFrom> awaitStartSource(const std::string &table, const boost::asio::yield_context &yield);
+
+    /// Copies a whole table from another host; nothing when it doesn't send one in time.
+    /// Precondition: as for awaitChanges().
+    std::optional<FeedRows> copyTable(const HostId &host, const std::string &table, const boost::asio::yield_context &yield);
+
+    /// Waits until the other hosts of the zone had time to send beacons, so that the role of this host is known. Returns at once in small
+    /// zones and without shareStarts(). Precondition: runs in a coroutine of the context.
+    void awaitRole(const boost::asio::yield_context &yield);
+
     /// Current role of this host. Precondition: none.
     FeedRole role(BootTime now) const
     {
         return m_choice.role(m_liveHosts(), now);
     }
 
-    /// Waits for changes from a publisher. Returns nothing when it rejects the request or does not respond; it is then excluded for a while.
+    /// Waits for changes after a version, which the store confirmed at a point in time. Returns nothing when the publisher rejects the
+    /// request or does not respond before the copy is too old; it is then excluded for a while.
     /// Precondition: runs in a coroutine of the context; addTable() was called for the table.
-    std::optional<FeedRows> awaitChanges(const HostId &publisher, const std::string &table, FeedVersion after, const boost::asio::yield_context &yield);
+    std::optional<FeedRows> awaitChanges(
+        const HostId &publisher, const std::string &table, FeedVersion after, BootTime confirmedAt, const boost::asio::yield_context &yield);
 
     /// Handles a message from another host; messages unrelated to feeds are ignored. Precondition: none.
     void receive(const HostId &from, const PeerMessage &message, BootTime now);
@@ -62,6 +71,10 @@
     ChangeServer m_server;
     LiveHosts m_liveHosts;
     std::map<std::string, PublisherTiming> m_timings;
+    std::set<std::string> m_sharedStarts;
+    Knowledge m_knowledge;
+    /// Hosts that sent no copy to this one while it started.
+    std::set<HostId> m_failedStartSources;
 };
 
 } // namespace Trefoil
--- a/Libraries/LibReplication/peerfeed.cpp
+++ b/Libraries/LibReplication/peerfeed.cpp
@@ -1,5 +1,6 @@
 #include <LibReplication/peerfeed.h>
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <random>
 
@@ -9,6 +10,9 @@
 namespace
 {
 
+/// Bounds what a malformed response may claim; far above the age at which copies are refused.
+constexpr std::uint64_t s_maximumAgeMilliseconds = 3600000;
+
 PeerFeedResult parseResponse(const ChangesSince &response)
 {
     const std::size_t count = response.keys.size();
@@ -18,6 +22,8 @@
     }
     FeedRows changes;
     changes.version = response.version;
+    changes.isWholeTable = response.isWholeTable;
+    changes.age = std::chrono::milliseconds(std::min<std::uint64_t>(response.ageMilliseconds, s_maximumAgeMilliseconds));
     for (std::size_t i = 0; i < count; ++i) {
         changes.rows.push_back({response.keys[i], response.values[i], response.versions[i], response.removed[i] != 0});
     }
--- a/Libraries/LibReplication/publisherchoice.cpp
+++ b/Libraries/LibReplication/publisherchoice.cpp
@@ -8,10 +8,6 @@
 namespace Trefoil
 {
 
-namespace
-{
-
-/// Sorts hosts in the rendezvous order of a key.
 std::vector<HostId> rankHosts(const std::vector<HostId> &hosts, std::uint64_t key)
 {
     std::vector<std::pair<double, HostId>> scores;
@@ -28,7 +24,13 @@
     return order;
 }
 
-} // namespace
+std::vector<HostId> publishersAmong(const std::vector<HostId> &hosts, const PublisherChoiceSettings &settings)
+{
+    static const std::uint64_t publisherKey = stableHash("publishers");
+    std::vector<HostId> publishers = rankHosts(hosts, publisherKey);
+    publishers.resize((hosts.size() + settings.hostsPerPublisher - 1) / settings.hostsPerPublisher);
+    return publishers;
+}
 
 PublisherChoice::PublisherChoice(PublisherChoiceSettings settings)
     : m_settings(std::move(settings))
@@ -40,9 +42,7 @@
     if (liveHosts.size() < m_settings.minimumZoneSize) {
         return StandaloneRole{};
     }
-    static const std::uint64_t publisherKey = stableHash("publishers");
-    std::vector<HostId> publishers = rankHosts(liveHosts, publisherKey);
-    publishers.resize((liveHosts.size() + m_settings.hostsPerPublisher - 1) / m_settings.hostsPerPublisher);
+    const std::vector<HostId> publishers = publishersAmong(liveHosts, m_settings);
     if (std::find(publishers.begin(), publishers.end(), m_settings.self) != publishers.end()) {
         return PublisherRole{};
     }
--- a/Libraries/LibReplication/publisherchoice.h
+++ b/Libraries/LibReplication/publisherchoice.h
@@ -38,6 +38,13 @@
 
 using FeedRole = std::variant<PublisherRole, StandaloneRole, SubscriberRole>;
 
+/// Sorts hosts in the rendezvous order of a key. Precondition: none. Thread safety: safe from any thread.
+std::vector<HostId> rankHosts(const std::vector<HostId> &hosts, std::uint64_t key);
+
+/// The hosts that publish the feeds among the hosts of a zone, the same on all hosts that see the same ones.
+/// Precondition: hostsPerPublisher is positive. Thread safety: safe from any thread.
+std::vector<HostId> publishersAmong(const std::vector<HostId> &hosts, const PublisherChoiceSettings &settings);
+
 /// Chooses the publisher in its availability zone to which a host subscribes instead of reading the store's feeds itself. The first
 /// live hosts in rendezvous order are publishers and the others subscribe to them, so that hosts agree without messages and the load
 /// of the store grows with the number of zones, not of hosts: otherwise all hosts of a large deployment would read each change from
@@ -52,6 +59,12 @@
     /// Role of this host among the live hosts of its zone. Precondition: liveHosts contains this host.
     FeedRole role(const std::vector<HostId> &liveHosts, BootTime now) const;
 
+    /// Precondition: none.
+    const PublisherChoiceSettings &settings() const
+    {
+        return m_settings;
+    }
+
     /// Excludes a publisher from the choice until a point in time. Precondition: none.
     void exclude(const HostId &host, BootTime until);
 
--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -141,8 +141,37 @@
     }
 }
 
+bool TableWatch::copyTable(const boost::asio::yield_context &yield)
+{
+    while (!m_hasTable) {
+        const auto source = m_sharing.awaitStartSource(m_table, yield);
+        const auto *copy = std::get_if<CopyFrom>(&source);
+        if (!copy) {
+            return false;
+        }
+        if (const auto table = m_sharing.copyTable(copy->host, m_table, yield)) {
+            m_confirmedAt = BootClock::now() - table->age;
+            replaceTable(*table);
+            return true;
+        }
+    }
+    return false;
+}
+
+void TableWatch::replaceTable(const FeedRows &table)
+{
+    m_handlers.replace(table.rows);
+    m_version = table.version;
+    m_sharing.server().reset(m_table, table);
+    m_needsFullRead = false;
+    m_hasTable = true;
+}
+
 bool TableWatch::readFullTable(const boost::asio::yield_context &yield)
 {
+    if (copyTable(yield)) {
+        return true;
+    }
     const BootTime calledAt = BootClock::now();
     const ReadResult result = awaitFullRead(yield);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
@@ -155,10 +184,7 @@
         return false;
     }
     recordSuccess();
-    m_handlers.replace(read.rows);
-    m_version = read.version;
-    m_sharing.server().reset(m_table, m_version);
-    m_needsFullRead = false;
+    replaceTable(read);
     m_isFullReadUnconfirmed = true;
     return true;
 }
@@ -216,6 +242,10 @@
             return watch.readFromPublisher(role.publisher, yield);
         }
     };
+    if (!m_isRoleKnown) {
+        m_sharing.awaitRole(yield);
+        m_isRoleKnown = true;
+    }
     if (!m_isReachable) {
         // A subscriber probes the store as well, since other hosts choose publishers by whether they reach the store.
         startProbing();
@@ -230,9 +260,13 @@
         return true;
     }
     const BootTime calledAt = BootClock::now();
-    const FeedResult result = m_store.awaitChanges(m_table, m_version, {holdTime, m_timing.responseTimeout}, yield);
+    // Calls follow each other after batchDelay at the latest. When more time has passed, as before the first call, the store must confirm
+    // the copy earlier, or subscribers would be refused.
+    const auto sinceConfirmed = std::chrono::ceil<std::chrono::milliseconds>(calledAt - m_confirmedAt);
+    const auto boundedHoldTime = std::clamp(batchDelay + holdTime - sinceConfirmed, s_probeHoldTime, holdTime);
+    const FeedResult result = m_store.awaitChanges(m_table, m_version, {boundedHoldTime, m_timing.responseTimeout}, yield);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
-        recordFailure(failure->reason, calledAt, holdTime);
+        recordFailure(failure->reason, calledAt, boundedHoldTime);
         return false;
     }
     if (applyResult(result)) {
@@ -313,9 +347,13 @@
 
 bool TableWatch::readFromPublisher(const HostId &publisher, const boost::asio::yield_context &yield)
 {
-    if (const auto changes = m_sharing.awaitChanges(publisher, m_table, m_version, yield)) {
-        m_confirmedAt = BootClock::now();
-        applyChanges(*changes);
+    if (const auto changes = m_sharing.awaitChanges(publisher, m_table, m_version, m_confirmedAt, yield)) {
+        m_confirmedAt = std::max(m_confirmedAt, BootClock::now() - changes->age);
+        if (changes->isWholeTable && changes->version >= m_version) {
+            replaceTable(*changes);
+        } else if (!changes->isWholeTable) {
+            applyChanges(*changes);
+        }
     } else {
         // The next publisher may fail as well, and so may a call to the store.
         startProbing();
--- a/Libraries/LibReplication/tablewatch.h
+++ b/Libraries/LibReplication/tablewatch.h
@@ -78,6 +78,9 @@
     void recordFailure(const std::string &reason, BootTime calledAt, std::chrono::milliseconds holdTime);
     void delayRetry(BootTime failedCall, const boost::asio::yield_context &yield);
     bool readFullTable(const boost::asio::yield_context &yield);
+    /// Copies the table from another host at the start. False when it is to be read from the store.
+    bool copyTable(const boost::asio::yield_context &yield);
+    void replaceTable(const FeedRows &table);
     ReadResult awaitFullRead(const boost::asio::yield_context &yield);
     void startFullRead();
     bool readChanges(const boost::asio::yield_context &yield);
@@ -99,6 +102,10 @@
     FeedVersion m_version = 0;
     BootTime m_confirmedAt{};
     bool m_needsFullRead = true;
+    /// Whether the table was read or copied in full since the start.
+    bool m_hasTable = false;
+    /// Whether the other hosts had time to show which of them publish the feeds.
+    bool m_isRoleKnown = false;
     /// No call for changes has succeeded since the last full read.
     bool m_isFullReadUnconfirmed = false;
     bool m_isReachable = true;
--- a/Libraries/LibSettings/gatewaysettings.cpp
+++ b/Libraries/LibSettings/gatewaysettings.cpp
@@ -43,6 +43,19 @@
         return value->get<double>();
     }
 
+    bool boolean(const std::string &place, bool fallback)
+    {
+        const Json *value = find(place);
+        if (!value) {
+            return fallback;
+        }
+        if (!value->is_boolean()) {
+            m_findings.push_back({place, "true or false is required", ""});
+            return fallback;
+        }
+        return value->get<bool>();
+    }
+
     std::chrono::milliseconds duration(const std::string &place, std::chrono::milliseconds fallback)
     {
         const Json *value = find(place);
@@ -134,6 +147,7 @@
     settings.metricsAddress = reader.text("/metricsAddress");
     settings.zones = reader.regionsOfZones("/zones");
     settings.storeAddress = reader.text("/store/address");
+    settings.isFirstStart = reader.boolean("/firstStart", settings.isFirstStart);
     GatewayLimits &limits = settings.limits;
     limits.stopGrace = reader.duration("/limits/stopGrace", limits.stopGrace);
     limits.lookupLifetime = reader.duration("/limits/lookupLifetime", limits.lookupLifetime);
--- a/Libraries/LibSettings/gatewaysettings.h
+++ b/Libraries/LibSettings/gatewaysettings.h
@@ -55,6 +55,8 @@
     /// IP:port of the platform's store.
     std::string storeAddress;
     GatewayLimits limits;
+    /// Whether all hosts of the deployment start for the first time, so that the store holds no rows of hosts yet.
+    bool isFirstStart = false;
 };
 
 /// Reads the settings file of a gateway host. All findings are reported together, each with its JSON pointer.
--- a/Tests/LibReplication/testchangeserver.cpp
+++ b/Tests/LibReplication/testchangeserver.cpp
@@ -19,7 +19,7 @@
         : server([this](const HostId &, const ChangesSince &response) { responses.push_back(response); })
     {
         server.addTable("things", 1000ms);
-        server.reset("things", 10);
+        server.reset("things", {{{"a", "0", 9, false}}, 10});
         server.confirm("things", s_start);
     }
 
@@ -34,7 +34,7 @@
     FeedVersion after;
     /// Time since the last confirmation by the store.
     int ageMilliseconds;
-    /// "wait", "reject" or "serve".
+    /// "wait", "reject", "serve" for the changes or "whole" for the table.
     char expected[8];
 };
 
@@ -47,7 +47,9 @@
         {"nothing new", "things", 11, 0, "wait"},
         {"behind", "things", 10, 0, "serve"},
         {"ahead", "things", 50, 0, "wait"},
-        {"before the log", "things", 9, 0, "reject"},
+        {"before the log", "things", 9, 0, "whole"},
+        {"a host that starts", "things", 0, 0, "whole"},
+        {"a host that starts, not confirmed in time", "things", 0, 1001, "reject"},
         {"unknown table", "others", 11, 0, "reject"},
         {"confirmed just in time", "things", 11, 1000, "wait"},
         {"not confirmed in time", "things", 11, 1001, "reject"},
@@ -61,11 +63,12 @@
     Fixture fixture;
     fixture.server.append("things", {{{"a", "1", 11, false}}, 11}, s_start);
     fixture.server.request(s_subscriber, {7, testCase->table, testCase->after, 500}, s_start + std::chrono::milliseconds(testCase->ageMilliseconds));
-    const std::string outcome = fixture.responses.empty() ? "wait" : fixture.responses.front().isServed ? "serve" : "reject";
+    const ChangesSince *sent = fixture.responses.empty() ? nullptr : &fixture.responses.front();
+    const std::string outcome = !sent ? "wait" : !sent->isServed ? "reject" : sent->isWholeTable ? "whole" : "serve";
     cr_assert_eq(outcome, testCase->expected, "%s: %s", testCase->name, outcome.c_str());
-    if (outcome == "serve") {
-        const ChangesSince &response = fixture.responses.front();
-        cr_assert(response.sequence == 7 && response.version == 11 && response.keys == std::vector<std::string>{"a"});
+    if (outcome == "serve" || outcome == "whole") {
+        cr_assert(sent->sequence == 7 && sent->version == 11 && sent->keys == std::vector<std::string>{"a"});
+        cr_assert(sent->values == std::vector<std::string>{"1"} && sent->versions == std::vector<FeedVersion>{11});
     }
 }
 
