LibGateway: Tell which connection carried an attempt, and what it had carried before

The incident's first hypothesis, a copy of a refusal that is taken for the answer to the same request, couldn't be told from a true refusal: an attempt's log line named neither the address nor the connection. It now names both, with the number of earlier requests, of discarded foreign responses, and whether the connection had answered this very request with a failure; two counters sum the last two up.

--- a/Libraries/LibGateway/attempt.h
+++ b/Libraries/LibGateway/attempt.h
@@ -34,6 +34,7 @@
     bool timedOut = false;
     /// Whether the address now belongs to another upstream.
     bool isMisdirected = false;
+    CallTrace trace{};
 };
 
 /// Derives how an attempt ended from the result of its call to the upstream. Precondition: none. Thread safety: safe from any thread.
--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -285,11 +285,14 @@
 {
     const UpstreamIdentity &identity = upstream.model.identity();
     exchange.tried.insert(identity.id);
-    const CallOptions options = callOptions(exchange, upstream);
+    CallOptions options = callOptions(exchange, upstream);
+    CallTrace trace;
+    options.trace = &trace;
     upstream.model.recordStart();
     const BootTime start = BootClock::now();
     AttemptEnd end =
         classifyCall(m_pool.call(identity.address, m_state.connectionLimit(upstream), upstreamRequest(exchange, identity), options, yield), m_settings.headers);
+    end.trace = trace;
     const BootTime now = BootClock::now();
     logNotices(exchange, upstream, end);
     m_state.recordAttempt(exchange.placement,
@@ -300,7 +303,7 @@
     if (end.isMisdirected) {
         m_state.upstreamRemoved(identity.id);
     }
-    m_metrics.countAttempt(identity.id, end.outcome);
+    m_metrics.countAttempt(identity.id, end.outcome, trace);
     ++(end.wasSent ? exchange.sent : exchange.unsent);
     exchange.mayHaveRun = exchange.mayHaveRun || end.execution == Execution::Possible;
     logAttempt(exchange, upstream, end, now - start, now);
@@ -334,6 +337,11 @@
             {"configuration", exchange.configurationVersion()},
             {"upstream", upstream.model.identity().id.value()},
             {"upstreamZone", upstream.model.identity().zone.value()},
+            {"address", upstream.model.identity().address},
+            {"connection", static_cast<std::int64_t>(end.trace.connection)},
+            {"earlierRequests", static_cast<std::int64_t>(end.trace.earlierRequests)},
+            {"foreignResponses", std::int64_t{end.trace.foreignResponses}},
+            {"hasFailedThere", end.trace.hasFailedThere},
             {"reason", end.reason},
             {"status", std::int64_t{end.response ? end.response->status : 0}},
             {"durationMs", wholeMilliseconds(duration)},
--- a/Libraries/LibGateway/gatewaymetrics.h
+++ b/Libraries/LibGateway/gatewaymetrics.h
@@ -23,7 +23,7 @@
     std::shared_ptr<RequestSeries> start(const Route *route) const;
 
     /// Counts an attempt that has ended. Precondition: none.
-    void countAttempt(const UpstreamId &upstream, AttemptOutcome outcome);
+    void countAttempt(const UpstreamId &upstream, AttemptOutcome outcome, const CallTrace &trace);
 
     /// Records that the store has confirmed the list of upstreams now. Precondition: none.
     void recordDiscovery(BootTime now)
@@ -41,6 +41,9 @@
 
     RequestMetrics m_requests;
     std::map<UpstreamId, CountsByOutcome> m_attempts;
+    std::uint64_t m_foreignResponses = 0;
+    /// Attempts on a connection that had answered the same request with a failure.
+    std::uint64_t m_repeatsOnConnection = 0;
     BootTime m_configurationAt{};
     BootTime m_discoveryAt{};
 };
--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/connectionpool.h>
 
 #include <LibHttp/endpoint.h>
+#include <LibHttp/failedrequests.h>
 #include <LibHttp/responsereader.h>
 #include <LibHttp/silence.h>
 
@@ -45,6 +46,11 @@
     /// Announced by the upstream; it closes the connection after being idle for this long.
     std::optional<std::chrono::seconds> keepAlive{};
     bool reused = false;
+    /// In the order of opening, from 1.
+    std::uint64_t number = 0;
+    /// Requests that were written, or whose writing began.
+    std::uint64_t requests = 0;
+    FailedRequests failedRequests;
 };
 
 using ConnectionPointer = std::unique_ptr<PooledConnection>;
@@ -125,6 +131,9 @@
     return std::chrono::seconds(std::strtol(digits.c_str(), nullptr, 10));
 }
 
+/// Responses from this status on are failures; their copies are remembered.
+constexpr int s_firstFailure = 400;
+
 /// Bytes of a body that don't count against the limit of the pool, so that small responses never wait for large ones.
 constexpr std::size_t s_uncountedBytes = std::size_t{64} * 1024;
 
@@ -211,6 +220,7 @@
             const bool mayFollow = parser.keep_alive();
             const std::size_t bodyBytes = parser.get().body().size();
             CallResult result = checkId(toResponse(parser.release()));
+            recordFailure(result);
             const auto *failed = std::get_if<CallFailure>(&result);
             if (failed && m_options.skipsForeignResponses && mayFollow && mayDiscard(bodyBytes)) {
                 m_skipped = true;
@@ -225,7 +235,23 @@
         return m_reusable;
     }
 
+    /// Foreign responses that were discarded.
+    int foreignResponses() const
+    {
+        return m_discardedCount;
+    }
+
 private:
+    void recordFailure(const CallResult &result)
+    {
+        const auto *response = std::get_if<HttpResponse>(&result);
+        if (!response || response->status < s_firstFailure || m_options.requestId.empty()) {
+            return;
+        }
+        m_connection.failedRequests.add(m_options.requestId);
+        m_reusable = m_reusable && !m_connection.failedRequests.isFull();
+    }
+
     std::optional<CallFailure> readMessage(http::response_parser<http::string_body> &parser, const asio::yield_context &yield)
     {
         ResponseReader reader(m_connection.stream, m_connection.buffer, parser, m_options.deadline);
@@ -375,11 +401,18 @@
             giveBack(address, std::move(current));
             return CallFailure{CallFailureKind::WriteRefused, false, "the request may no longer be sent"};
         }
+        if (options.trace) {
+            *options.trace = {current->number, current->requests, 0, current->failedRequests.contains(options.requestId)};
+        }
+        ++current->requests;
         Exchange exchange(*current, options, m_unfinishedBytes, m_settings.unfinishedLimit);
         if (auto failed = exchange.write(request, address, yield)) {
             return afterFailure(address, *current, *failed);
         }
         CallResult result = exchange.read(yield);
+        if (options.trace) {
+            options.trace->foreignResponses = exchange.foreignResponses();
+        }
         if (const auto *failed = std::get_if<CallFailure>(&result)) {
             return afterFailure(address, *current, *failed);
         }
@@ -483,7 +516,7 @@
         }
         fresh->stream.socket().set_option(tcp::no_delay(true), error);
         detectSilence(fresh->stream.socket(), m_settings.unacknowledgedTimeout);
-        ++m_opened;
+        fresh->number = ++m_opened;
         return fresh;
     }
 
--- a/Libraries/LibHttp/connectionpool.h
+++ b/Libraries/LibHttp/connectionpool.h
@@ -55,6 +55,19 @@
 /// The kind's name in logs and reasons, such as "connect-failed". Precondition: none. Thread safety: safe from any thread.
 std::string_view toText(CallFailureKind kind);
 
+/// What happened on the connection of one call, for logs and metrics.
+struct CallTrace
+{
+    /// Number of the connection in the order in which the pool opened them, from 1; 0 without a connection.
+    std::uint64_t connection = 0;
+    /// Requests that the connection had carried before this one.
+    std::uint64_t earlierRequests = 0;
+    /// Responses to other requests that were discarded.
+    int foreignResponses = 0;
+    /// Whether this request had been sent on the connection before, and was answered there with a failure.
+    bool hasFailedThere = false;
+};
+
 struct CallOptions
 {
     BootTime deadline;
@@ -79,6 +92,8 @@
     std::size_t responseLimit = std::size_t{16} * 1024 * 1024;
     /// Ends the call early; may be null.
     Cancellation *cancellation = nullptr;
+    /// Receives what happened on the connection; may be null.
+    CallTrace *trace = nullptr;
     /// Called directly before the first byte is written, after every wait, to complete the request, for example with the
     /// time left; false refuses to send it. May be empty.
     std::function<bool(HttpRequest &request)> prepare{};
