Tests: Show that the copy of a refusal answers a request that runs

Two rows share an address, since the row of a crashed process stays for three heartbeats beside that of its successor. The request is refused under the older id and sent again under the newer one, on the connection that carried the refusal; a copy of the refusal then reads as the newer upstream's answer. Callers see a 503 for a request that runs.

--- /dev/null
+++ b/Tests/LibGateway/testrefusalcopies.cpp
@@ -0,0 +1,107 @@
+#include "scriptedupstream.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <algorithm>
+#include <deque>
+
+using namespace Trefoil;
+using namespace Trefoil::GatewayTests;
+
+namespace
+{
+
+struct RefusalCopyCase
+{
+    char name[48];
+    char status[28];
+    char fields[32];
+    /// When the copy of the refusal is written, after the request has begun to run.
+    std::chrono::milliseconds delay;
+    /// Whether another upstream could take the request.
+    bool hasOther;
+    char target[12];
+};
+
+/// An address that two upstreams are registered with, since the row of the earlier process is still there. Its process refuses each
+/// request that it sees for the first time, and writes the refusal once more when the request comes again on the same connection.
+struct SharedAddress
+{
+    explicit SharedAddress(const RefusalCopyCase &testCase)
+        : refusalCase(testCase)
+        , upstream(fixture, "earlier", [this](tcp::socket &socket, const std::string &id, const asio::yield_context &yield) {
+            answer(socket, id, yield);
+            return true;
+        })
+    {
+        upstream.registerAs(fixture, "later");
+    }
+
+    void answer(tcp::socket &socket, const std::string &id, const asio::yield_context &yield)
+    {
+        const std::string refusalText = response(id, refusalCase.status, refusalCase.fields);
+        const auto refusedOn = refused.find(id);
+        if (refusedOn == refused.end()) {
+            refused.emplace(id, &socket);
+            ScriptedUpstream::write(socket, refusalText, yield);
+            return;
+        }
+        ran.push_back(id);
+        if (refusedOn->second == &socket) {
+            pause(fixture.context, refusalCase.delay, yield);
+            ScriptedUpstream::write(socket, refusalText, yield);
+        }
+        pause(fixture.context, 30ms, yield);
+        ScriptedUpstream::write(socket, response(id, "200 OK"), yield);
+    }
+
+    const RefusalCopyCase &refusalCase;
+    GatewayFixture fixture{0};
+    std::map<std::string, tcp::socket *> refused;
+    std::vector<std::string> ran;
+    ScriptedUpstream upstream;
+};
+
+} // namespace
+
+// Guards against the copy of a refusal that is taken for the response to the same request, sent again on the same connection: the caller
+// is told that it has not run while an upstream runs it, or a second upstream runs it too.
+ParameterizedTestParameters(RefusalCopies, copyDoesNotAnswerTheRepeatedRequest)
+{
+    static RefusalCopyCase cases[] = {
+        {"misdirected, at once", "421 Misdirected Request", "Trefoil-Not-Started: 1\r\n", 0ms, false, "/write/1"},
+        {"misdirected, while it runs", "421 Misdirected Request", "Trefoil-Not-Started: 1\r\n", 15ms, false, "/write/1"},
+        {"full, at once", "503 Service Unavailable", "Trefoil-Not-Started: 1\r\n", 0ms, false, "/write/1"},
+        {"full, while it runs", "503 Service Unavailable", "Trefoil-Not-Started: 1\r\n", 15ms, false, "/write/1"},
+        {"misdirected, another upstream is free", "421 Misdirected Request", "Trefoil-Not-Started: 1\r\n", 0ms, true, "/write/1"},
+        {"full, another upstream is free", "503 Service Unavailable", "Trefoil-Not-Started: 1\r\n", 0ms, true, "/write/1"},
+        {"failed, a request that may be repeated", "500 Internal Server Error", "", 0ms, false, "/read/1"},
+    };
+    return cr_make_param_array(RefusalCopyCase, cases, std::size(cases));
+}
+
+ParameterizedTest(RefusalCopyCase *testCase, RefusalCopies, copyDoesNotAnswerTheRepeatedRequest)
+{
+    SharedAddress shared(*testCase);
+    GatewayFixture &fixture = shared.fixture;
+    std::deque<ScriptedUpstream> others;
+    if (testCase->hasOther) {
+        others.emplace_back(fixture, "other", [&shared](tcp::socket &socket, const std::string &id, const asio::yield_context &yield) {
+            shared.ran.push_back(id);
+            ScriptedUpstream::write(socket, response(id, "200 OK"), yield);
+            return true;
+        });
+    }
+    fixture.run([&](const asio::yield_context &yield) {
+        for (int i = 0; i < 10; ++i) {
+            const int status = fixture.send(testCase->target, yield).status;
+            pause(fixture.context, 50ms, yield);
+            const std::string id = "id-" + std::to_string(fixture.sent);
+            const auto runs = std::count(shared.ran.begin(), shared.ran.end(), id);
+            cr_assert(status == 200 || runs == 0, "%s: %d, although it ran", testCase->name, status);
+            cr_assert(runs <= 1, "%s: ran %zd times", testCase->name, runs);
+        }
+    });
+    cr_assert_not(shared.ran.empty(), "%s: no request was sent again", testCase->name);
+}
