LibHttp: Send no request again on a connection that answered it with a failure

On a route that may repeat, a 500 in place of the answer that was on its way.

Cause: a response was believed on the strength of the request's id alone. An upstream that writes a refusal once more repeats the id of the request that it refused. When that request is under way again on the same connection, the id tells nothing. It gets there when two rows share an address: after a crash the row of the earlier process stays for three heartbeats beside that of its successor, the gateway leaves out upstreams by id, and the pool hands out the connection that was used last.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -341,7 +341,7 @@
             {"connection", static_cast<std::int64_t>(end.trace.connection)},
             {"earlierRequests", static_cast<std::int64_t>(end.trace.earlierRequests)},
             {"foreignResponses", std::int64_t{end.trace.foreignResponses}},
-            {"hasFailedThere", end.trace.hasFailedThere},
+            {"avoidedConnections", std::int64_t{end.trace.avoidedConnections}},
             {"reason", end.reason},
             {"status", std::int64_t{end.response ? end.response->status : 0}},
             {"durationMs", wholeMilliseconds(duration)},
--- a/Libraries/LibGateway/gatewaymetrics.cpp
+++ b/Libraries/LibGateway/gatewaymetrics.cpp
@@ -41,7 +41,7 @@
 void GatewayMetrics::countAttempt(const UpstreamId &upstream, AttemptOutcome outcome, const CallTrace &trace)
 {
     m_foreignResponses += static_cast<std::uint64_t>(trace.foreignResponses);
-    m_repeatsOnConnection += trace.hasFailedThere ? 1 : 0;
+    m_avoidedConnections += static_cast<std::uint64_t>(trace.avoidedConnections);
     const bool hasOwn = m_attempts.count(upstream) > 0 || m_attempts.size() < s_maximumUpstreams;
     ++m_attempts[hasOwn ? upstream : UpstreamId("other")][static_cast<std::size_t>(outcome)];
 }
@@ -59,8 +59,8 @@
     }
     writer.begin("trefoil_foreign_responses_total", "counter", "Responses of upstreams that bore the id of another request and were discarded.");
     writer.sample("", {}, static_cast<double>(m_foreignResponses));
-    writer.begin("trefoil_repeats_on_connection_total", "counter", "Attempts on a connection that had answered the same request with a failure.");
-    writer.sample("", {}, static_cast<double>(m_repeatsOnConnection));
+    writer.begin("trefoil_avoided_connections_total", "counter", "Idle connections not used for a request that they had answered with a failure.");
+    writer.sample("", {}, static_cast<double>(m_avoidedConnections));
     const auto routes = state.routes();
     writer.begin("trefoil_configuration_version", "gauge", "Version of the configuration in force; 0 before the first one.");
     writer.sample("", {}, routes ? static_cast<double>(routes->configuration().version.value()) : 0);
--- a/Libraries/LibGateway/gatewaymetrics.h
+++ b/Libraries/LibGateway/gatewaymetrics.h
@@ -42,8 +42,7 @@
     RequestMetrics m_requests;
     std::map<UpstreamId, CountsByOutcome> m_attempts;
     std::uint64_t m_foreignResponses = 0;
-    /// Attempts on a connection that had answered the same request with a failure.
-    std::uint64_t m_repeatsOnConnection = 0;
+    std::uint64_t m_avoidedConnections = 0;
     BootTime m_configurationAt{};
     BootTime m_discoveryAt{};
 };
--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -402,7 +402,8 @@
             return CallFailure{CallFailureKind::WriteRefused, false, "the request may no longer be sent"};
         }
         if (options.trace) {
-            *options.trace = {current->number, current->requests, 0, current->failedRequests.contains(options.requestId)};
+            options.trace->connection = current->number;
+            options.trace->earlierRequests = current->requests;
         }
         ++current->requests;
         Exchange exchange(*current, options, m_unfinishedBytes, m_settings.unfinishedLimit);
@@ -443,7 +444,7 @@
 
     Obtained connection(const std::string &address, const std::shared_ptr<ConnectionLimit> &limit, const CallOptions &options, const asio::yield_context &yield)
     {
-        if (auto idle = takeIdle(address, options.maximumIdle)) {
+        if (auto idle = takeIdle(address, options)) {
             return idle;
         }
         std::optional<ConnectionPermit> permit = limit ? limit->tryAcquire() : std::nullopt;
@@ -454,14 +455,22 @@
     }
 
     /// The connection used last, since the others can then expire together.
-    ConnectionPointer takeIdle(const std::string &address, std::chrono::milliseconds maximumIdle)
+    ConnectionPointer takeIdle(const std::string &address, const CallOptions &options)
     {
         auto &idle = m_idle[address];
         const BootTime now = BootClock::now();
         // The last one was idle for the shortest time.
-        while (!idle.empty() && now - idle.back()->idleSince <= maximumIdle) {
-            ConnectionPointer connection = std::move(idle.back());
-            idle.pop_back();
+        for (auto position = idle.end(); position != idle.begin() && now - (*std::prev(position))->idleSince <= options.maximumIdle;) {
+            --position;
+            // A copy of the failure that the request got there would pass for its response.
+            if ((*position)->failedRequests.contains(options.requestId)) {
+                if (options.trace) {
+                    ++options.trace->avoidedConnections;
+                }
+                continue;
+            }
+            ConnectionPointer connection = std::move(*position);
+            position = idle.erase(position);
             const bool closesSoon = connection->keepAlive && now - connection->idleSince + s_keepAliveMargin >= *connection->keepAlive;
             if (!closesSoon && isQuiet(*connection)) {
                 connection->reused = true;
--- a/Libraries/LibHttp/connectionpool.h
+++ b/Libraries/LibHttp/connectionpool.h
@@ -64,8 +64,8 @@
     std::uint64_t earlierRequests = 0;
     /// Responses to other requests that were discarded.
     int foreignResponses = 0;
-    /// Whether this request had been sent on the connection before, and was answered there with a failure.
-    bool hasFailedThere = false;
+    /// Idle connections that were not used, since they had answered this request with a failure.
+    int avoidedConnections = 0;
 };
 
 struct CallOptions
@@ -117,7 +117,7 @@
 
 /// Keep-alive connections to upstreams and other hosts, for one worker thread.
 /// A connection carries one request at a time. It is reused only after a complete response that belongs to its
-/// request; every other end closes it. Thread safety: all calls on the thread that runs the context.
+/// request; every other end closes it. A request is not sent again on a connection that answered it with a failure. Thread safety: all calls on the thread that runs the context.
 class ConnectionPool
 {
 public:
