LibHttp: Open a new connection for each call without an id

The gateway already kept requests without an id off kept connections; the rule now is the pool's.

At the connection limit such a call was rejected although an idle connection held the permit; the oldest idle one now makes room.

ConnectionPool::callsWithoutIdUseNewConnections failed before (one connection for both calls).

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -266,10 +266,6 @@
     if (exchange.placement.route->kind == RequestKind::NonIdempotent) {
         options.maximumIdle = m_settings.maximumIdleForNonIdempotent;
     }
-    if (exchange.id.empty()) {
-        // Without an id, a late response to an earlier request on the connection could not be told from the response to this one.
-        options.maximumIdle = std::chrono::milliseconds(-1);
-    }
     options.cancellation = &exchange.caller.cancellation();
     options.prepare = [this, &exchange, &upstream, &names = m_settings.headers](HttpRequest &request) {
         const BootTime now = BootClock::now();
--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -447,16 +447,32 @@
         if (auto idle = takeIdle(address, options)) {
             return idle;
         }
-        std::optional<ConnectionPermit> permit = limit ? limit->tryAcquire() : std::nullopt;
+        std::optional<ConnectionPermit> permit = limit ? acquirePermit(address, *limit) : std::nullopt;
         if (limit && !permit) {
             return CallFailure{CallFailureKind::NoConnection, false, "the connection limit is reached"};
         }
         return connect(address, std::move(permit), options, yield);
     }
 
+    /// At the limit, an idle connection that the call could not use makes room.
+    std::optional<ConnectionPermit> acquirePermit(const std::string &address, ConnectionLimit &limit)
+    {
+        if (auto permit = limit.tryAcquire()) {
+            return permit;
+        }
+        auto &idle = m_idle[address];
+        if (!idle.empty()) {
+            idle.erase(idle.begin());
+        }
+        return limit.tryAcquire();
+    }
+
     /// The connection used last, since the others can then expire together.
     ConnectionPointer takeIdle(const std::string &address, const CallOptions &options)
     {
+        if (options.requestId.empty()) {
+            return nullptr;
+        }
         auto &idle = m_idle[address];
         const BootTime now = BootClock::now();
         // The last one was idle for the shortest time.
--- a/Libraries/LibHttp/connectionpool.h
+++ b/Libraries/LibHttp/connectionpool.h
@@ -73,7 +73,8 @@
     BootTime deadline;
     /// Longest silence while the response is awaited or read, and while the request is written.
     std::chrono::milliseconds progressTimeout{2000};
-    /// Required value of the request id's header in the response; empty accepts every response.
+    /// Required value of the request id's header in the response. Empty accepts every response and opens a new connection, since
+    /// nothing would tell a late response to an earlier request from the response to this one.
     std::string requestId{};
     std::string requestIdHeader = "Trefoil-Request-Id";
     /// A response with another id is discarded and the next one awaited, instead of ending the call. The connection is
--- a/Tests/LibHttp/testconnectionpool.cpp
+++ b/Tests/LibHttp/testconnectionpool.cpp
@@ -206,6 +206,20 @@
     });
 }
 
+// Guards against a late response to an earlier request that answers a call without an id, such as the cancellation of work: the slot of
+// work that goes on would be used again. An idle connection that the call may not use must not leave it without one.
+Test(ConnectionPool, callsWithoutIdUseNewConnections)
+{
+    Fixture fixture;
+    const auto limit = ConnectionLimit::create(ConnectionCount(1));
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        cr_assert_eq(textOf(fixture.call("first", yield, limit)), "200");
+        cr_assert_eq(textOf(fixture.pool.call(fixture.upstream->address(), limit, {"GET", "/v1/load"}, fixture.options(""), yield)), "200");
+        cr_assert_eq(fixture.pool.opened(), 2);
+        cr_assert_eq(limit->open().value(), 1);
+    });
+}
+
 // Guards against more connections than granted, and against permits that leak with closed connections.
 Test(ConnectionPool, connectionLimitHolds)
 {
