Soak: Let upstreams come back at their address, and repeat their rejections

The soak missed the incident: its upstreams never wrote an extra response, and the row of a process that crashed went before its successor came. The row now stays for the time of three heartbeats beside the successor's, and the successor writes each rejection once more when the next request comes on its connection.

--- a/Tests/Platform/Soak/soakrun.cpp
+++ b/Tests/Platform/Soak/soakrun.cpp
@@ -53,6 +53,8 @@
 /// After the last fault the system has this long until everything is served again.
 constexpr std::chrono::milliseconds s_recovery = s_lostAnswer + s_changeBound;
 constexpr std::chrono::milliseconds s_calmEnd{3000};
+/// The row of a process that crashed goes after three heartbeats.
+constexpr std::chrono::milliseconds s_rowLifetime{3000};
 /// Share of the requests of the calm end that are served.
 constexpr double s_calmServed = 0.95;
 
@@ -385,6 +387,18 @@
     registerUpstream(place, "ready");
 }
 
+void SoakRun::crashUpstream(UpstreamPlace &place, std::chrono::milliseconds pause, const boost::asio::yield_context &yield)
+{
+    const std::string old = place.upstream->id();
+    place.upstream->kill();
+    sleepFor(m_context, pause / 2, yield);
+    place.upstream->start(fmt::format("u-{}-{}", place.ip, ++place.generation));
+    place.upstream->behaviour.repeatsRejections = true;
+    registerUpstream(place, "ready");
+    sleepFor(m_context, s_rowLifetime, yield);
+    m_store.remove("servers", old);
+}
+
 void SoakRun::removeUpstream(UpstreamPlace &place, std::chrono::milliseconds pause, const boost::asio::yield_context &yield)
 {
     const BootTime from = BootClock::now();
@@ -428,7 +442,7 @@
         place.upstream->behaviour.slowness = 20;
         break;
     case FaultKind::UpstreamReplaced:
-        replaceUpstream(place, fault.duration, yield);
+        crashUpstream(place, fault.duration, yield);
         break;
     default:
         removeUpstream(place, fault.duration, yield);
--- a/Tests/Platform/Soak/soakrun.h
+++ b/Tests/Platform/Soak/soakrun.h
@@ -85,6 +85,9 @@
     void killHost(std::size_t index, std::chrono::milliseconds pause, const boost::asio::yield_context &yield);
     void stopHost(std::size_t index, std::chrono::milliseconds pause, const boost::asio::yield_context &yield);
     void replaceUpstream(UpstreamPlace &place, std::chrono::milliseconds pause, const boost::asio::yield_context &yield);
+    /// The process dies and comes back at its address under another id; its row stays for the time of three heartbeats, and the new
+    /// process repeats its rejections.
+    void crashUpstream(UpstreamPlace &place, std::chrono::milliseconds pause, const boost::asio::yield_context &yield);
     void removeUpstream(UpstreamPlace &place, std::chrono::milliseconds pause, const boost::asio::yield_context &yield);
     void evacuate(const Fault &fault, const boost::asio::yield_context &yield);
 
--- a/Tests/Platform/Soak/soakupstream.cpp
+++ b/Tests/Platform/Soak/soakupstream.cpp
@@ -2,18 +2,27 @@
 
 #include <LibCore/sleep.h>
 #include <LibGateway/gatewayheaders.h>
+#include <LibHttp/endpoint.h>
 #include <platform/decode.h>
 
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 #include <fmt/format.h>
 #include <stdexcept>
 
 namespace Trefoil::Soak
 {
 
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
 namespace
 {
 
 constexpr int s_slots = 8;
+constexpr int s_misdirected = 421;
+constexpr int s_unavailable = 503;
 constexpr std::chrono::duration<double, std::milli> s_workTime{30};
 
 } // namespace
@@ -27,23 +36,86 @@
 {
 }
 
+SoakUpstream::~SoakUpstream()
+{
+    kill();
+}
+
 void SoakUpstream::start(const std::string &id)
 {
-    HttpServerSettings settings;
-    settings.address = m_address;
-    auto server = HttpServer::create(
-        m_context, settings, [this](HttpRequest &request, CallerConnection &, const boost::asio::yield_context &yield) { return answer(request, yield); });
-    if (server.has_error()) {
-        throw std::runtime_error("upstream " + id + ": " + server.error().message);
+    const auto endpoint = parseEndpoint(m_address);
+    if (endpoint.has_error()) {
+        throw std::runtime_error("upstream " + id + ": " + endpoint.error().message);
     }
     m_id = id;
     behaviour = {};
-    m_server = std::move(server.value());
+    m_process = std::make_shared<Process>(Process{{m_context, endpoint.value()}});
+    asio::spawn(m_context, [this, process = m_process](const asio::yield_context &yield) { accept(process, yield); });
 }
 
 void SoakUpstream::kill()
 {
-    m_server.reset();
+    if (!m_process) {
+        return;
+    }
+    boost::system::error_code ignored;
+    m_process->acceptor.close(ignored);
+    for (const auto &socket : m_process->connections) {
+        socket->close(ignored);
+    }
+    m_process.reset();
+}
+
+void SoakUpstream::accept(const std::shared_ptr<Process> &process, const asio::yield_context &yield)
+{
+    boost::system::error_code error;
+    while (!error) {
+        auto socket = std::make_shared<Socket>(m_context);
+        process->acceptor.async_accept(*socket, yield[error]);
+        if (error) {
+            break;
+        }
+        process->connections.insert(socket);
+        asio::spawn(m_context, [this, process, socket](const asio::yield_context &connectionYield) {
+            serve(*socket, connectionYield);
+            process->connections.erase(socket);
+        });
+    }
+}
+
+void SoakUpstream::serve(Socket &socket, const asio::yield_context &yield)
+{
+    boost::system::error_code error;
+    beast::flat_buffer buffer;
+    std::optional<http::response<http::string_body>> lastRejection;
+    while (true) {
+        http::request<http::string_body> message;
+        http::async_read(socket, buffer, message, yield[error]);
+        if (error) {
+            return;
+        }
+        if (behaviour.repeatsRejections && lastRejection) {
+            http::async_write(socket, *lastRejection, yield[error]);
+        }
+        lastRejection.reset();
+        HttpRequest request{std::string(message.method_string()), std::string(message.target()), {}, message.body()};
+        for (const auto &field : message) {
+            request.headers.add(std::string_view(field.name_string()), std::string_view(field.value()));
+        }
+        const HttpResponse response = answer(request, yield);
+        http::response<http::string_body> reply(http::int_to_status(static_cast<unsigned>(response.status)), message.version(), response.body);
+        for (const HttpHeader &field : response.headers.all()) {
+            reply.insert(field.name, field.value);
+        }
+        reply.prepare_payload();
+        http::async_write(socket, reply, yield[error]);
+        if (error) {
+            return;
+        }
+        if (response.status == s_misdirected || response.status == s_unavailable) {
+            lastRejection = std::move(reply);
+        }
+    }
 }
 
 HttpResponse SoakUpstream::answer(const HttpRequest &request, const boost::asio::yield_context &yield)
@@ -54,11 +126,11 @@
     response.headers.add(names.requestId, requestId);
     response.headers.add(names.load, fmt::format("{},0,{}", m_running, s_slots));
     if (request.headers.value(names.expectedUpstream) != m_id) {
-        response.status = 421;
+        response.status = s_misdirected;
         return response;
     }
     if (behaviour.sheds || m_running >= s_slots) {
-        response.status = 503;
+        response.status = s_unavailable;
         response.headers.add(names.notRun, "1");
         return response;
     }
