LibHttp: Remember refusals of any status on their connection

What callers saw: 503, which promises that the request has not run, while an upstream ran it.

Cause: the gateway takes every response with the header of a refusal for one and sends the request again, whatever the status. The connection remembered responses from 400 on only, so that a request refused with 200 or 307 went out again on the same connection and the copy of the refusal was believed. No upstream that keeps to the protocol refuses so; one that hands out wrong responses may.

Change: the caller of the pool names the header that marks a refusal. A response with it counts as a failure.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -261,6 +261,7 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(exchange.placement.deadline - exchange.placement.arrivedAt) + std::chrono::seconds(1);
     options.requestId = exchange.id;
     options.requestIdHeader = m_settings.headers.requestId;
+    options.refusalHeader = m_settings.headers.notRun;
     options.skipsForeignResponses = true;
     options.acceptsUndeclaredLength = true;
     if (exchange.placement.route->kind == RequestKind::NonIdempotent) {
--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -245,7 +245,11 @@
     void recordFailure(const CallResult &result)
     {
         const auto *response = std::get_if<HttpResponse>(&result);
-        if (!response || response->status < s_firstFailure || m_options.requestId.empty()) {
+        if (!response || m_options.requestId.empty()) {
+            return;
+        }
+        const bool isRefusal = !m_options.refusalHeader.empty() && response->headers.find(m_options.refusalHeader);
+        if (response->status < s_firstFailure && !isRefusal) {
             return;
         }
         m_connection.failedRequests.add(m_options.requestId);
--- a/Libraries/LibHttp/connectionpool.h
+++ b/Libraries/LibHttp/connectionpool.h
@@ -77,6 +77,9 @@
     /// nothing would tell a late response to an earlier request from the response to this one.
     std::string requestId{};
     std::string requestIdHeader = "Trefoil-Request-Id";
+    /// A response with this header counts as a failure whatever its status, since the caller may send the request again after it.
+    /// Empty for none.
+    std::string refusalHeader{};
     /// A response with another id is discarded and the next one awaited, instead of ending the call. The connection is
     /// not used again in either case.
     bool skipsForeignResponses = false;
--- a/Tests/LibGateway/testrefusalcopies.cpp
+++ b/Tests/LibGateway/testrefusalcopies.cpp
@@ -76,6 +76,9 @@
         {"full, while it runs", "503 Service Unavailable", "Trefoil-Not-Started: 1\r\n", 15ms, false, "/write/1"},
         {"misdirected, another upstream is free", "421 Misdirected Request", "Trefoil-Not-Started: 1\r\n", 0ms, true, "/write/1"},
         {"full, another upstream is free", "503 Service Unavailable", "Trefoil-Not-Started: 1\r\n", 0ms, true, "/write/1"},
+        {"refused with status 200, at once", "200 OK", "Trefoil-Not-Started: 1\r\n", 0ms, false, "/write/1"},
+        {"refused with status 200, another is free", "200 OK", "Trefoil-Not-Started: 1\r\n", 0ms, true, "/write/1"},
+        {"refused with a redirection", "307 Temporary Redirect", "Trefoil-Not-Started: 1\r\n", 15ms, false, "/write/1"},
         {"failed, a request that may be repeated", "500 Internal Server Error", "", 0ms, false, "/read/1"},
     };
     return cr_make_param_array(RefusalCopyCase, cases, std::size(cases));
