LibGateway: Let a 421 remove only the process that it was asked for

What callers saw: 503 "no-upstream", or less room, although an upstream was ready: the host sent it nothing until its next start.

Cause: a stale message was taken for the present one. A backend may start again under its id, and its earlier address may go to another one. When the row of the new process was read while a request was still under way to the earlier address, the 421 from there removed whatever stood under the id, that is, the new process. The catalog still knew it, so that its later reports changed nothing.

Evidence: RefusalCopies::misdirectionByTheEarlierAddressKeepsTheNewProcess failed before the change (503 in place of 200 for the second request).

Change: the removal compares the upstream to which the request went with the one that now stands under the id.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -298,7 +298,7 @@
         {end.outcome, end.timedOut, now - start, end.load, end.isUpstreamLeaving, end.requestedPause.pause},
         now);
     if (end.isMisdirected) {
-        m_state.upstreamRemoved(identity.id);
+        m_state.upstreamMisdirected(upstream);
     }
     m_metrics.countAttempt(identity.id, end.outcome, trace);
     ++(end.wasSent ? exchange.sent : exchange.unsent);
--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -109,6 +109,15 @@
     m_upstreams.erase(found);
 }
 
+void GatewayState::upstreamMisdirected(const Upstream &upstream)
+{
+    const UpstreamId id = upstream.model.identity().id;
+    const auto found = m_upstreams.find(id);
+    if (found != m_upstreams.end() && found->second.get() == &upstream) {
+        upstreamRemoved(id);
+    }
+}
+
 void GatewayState::removeExpiredColdHistories(BootTime now)
 {
     for (auto it = m_coldHistories.begin(); it != m_coldHistories.end();) {
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -133,6 +133,10 @@
     void upstreamUpdated(const UpstreamRegistration &registration, BootTime now);
     void upstreamRemoved(const UpstreamId &id);
 
+    /// Removes an upstream whose address answered for another one, unless a later process or address has taken its place meanwhile.
+    /// Precondition: none.
+    void upstreamMisdirected(const Upstream &upstream);
+
     /// Sets the availability zones that get no requests. Upstreams of a zone that is readmitted count as cold for the time of their
     /// service's cold start, since their caches no longer hold what requests need. Precondition: none.
     void setEvacuated(const std::set<ZoneId> &zones, BootTime now);
--- a/Tests/LibGateway/testrefusalcopies.cpp
+++ b/Tests/LibGateway/testrefusalcopies.cpp
@@ -108,3 +108,26 @@
     });
     cr_assert_not(shared.ran.empty(), "%s: no request was sent again", testCase->name);
 }
+
+// Guards against a 421 from the address of an earlier process that removes the process which has started under the same id meanwhile: the
+// host would send it nothing until it starts again.
+Test(RefusalCopies, misdirectionByTheEarlierAddressKeepsTheNewProcess)
+{
+    GatewayFixture fixture(1);
+    const Route &route = fixture.state.routes()->configuration().routes.front();
+    const UpstreamIdentity sound = fixture.state.usableUpstreams(ServiceId("service"), route, {}, BootClock::now()).at(0)->model.identity();
+    fixture.state.upstreamRemoved(sound.id);
+    UpstreamRegistration restarted{UpstreamId("u"), sound.service, sound.address, sound.zone, sound.slots};
+    restarted.startedAt = 2;
+    const ScriptedUpstream earlier(fixture, "u", [&](tcp::socket &socket, const std::string &id, const asio::yield_context &yield) {
+        fixture.state.upstreamStarted(restarted, BootClock::now());
+        ScriptedUpstream::write(socket, response(id, "421 Misdirected Request", "Trefoil-Not-Started: 1\r\n"), yield);
+        return true;
+    });
+    fixture.run([&](const asio::yield_context &yield) {
+        cr_assert_eq(fixture.send("/write/1", yield).status, 503);
+        cr_assert_eq(fixture.send("/write/1", yield).status, 200);
+    });
+    cr_assert_eq(earlier.received().size(), 1);
+    cr_assert_eq(fixture.begun(), 1);
+}
