LibHttp: Reset connections whose call is given up

What callers saw: nothing; they had left.

Cause: a call that was cancelled or timed out closed its connection in order, so that the system went on sending what the other end had not acknowledged, and it arrived when the cut healed.

Change: a connection is set to reset when it closes while its request waits for a response, whoever closes it (cancellation, the stream's own timer, the destructor). Calls to the store do the same, so that a write that timed out does not take effect later. Connections with nothing under way still close in order. The option is set through the system call, since Asio clears it in its destructor otherwise.

--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -1,5 +1,6 @@
 #include <LibHttp/connectionpool.h>
 
+#include <LibHttp/abandonment.h>
 #include <LibHttp/endpoint.h>
 #include <LibHttp/failedrequests.h>
 #include <LibHttp/responsereader.h>
@@ -38,6 +39,17 @@
     {
     }
 
+    /// A connection on which a request waits for its response is reset, so that nothing of the request arrives later.
+    ~PooledConnection()
+    {
+        if (stream.socket().is_open() && !awaitsResponse) {
+            setResetOnClose(stream.socket(), false);
+        }
+    }
+
+    PooledConnection(const PooledConnection &) = delete;
+    PooledConnection &operator=(const PooledConnection &) = delete;
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     std::optional<ConnectionPermit> permit;
@@ -46,6 +58,7 @@
     /// Announced by the upstream; it closes the connection after being idle for this long.
     std::optional<std::chrono::seconds> keepAlive{};
     bool reused = false;
+    bool awaitsResponse = false;
     /// In the order of opening, from 1.
     std::uint64_t number = 0;
     /// Requests that were written, or whose writing began.
@@ -406,6 +419,7 @@
             options.trace->earlierRequests = current->requests;
         }
         ++current->requests;
+        current->awaitsResponse = true;
         Exchange exchange(*current, options, m_unfinishedBytes, m_settings.unfinishedLimit);
         if (auto failed = exchange.write(request, address, yield)) {
             return afterFailure(address, *current, *failed);
@@ -417,6 +431,7 @@
         if (const auto *failed = std::get_if<CallFailure>(&result)) {
             return afterFailure(address, *current, *failed);
         }
+        current->awaitsResponse = false;
         if (exchange.isReusable() && !(options.cancellation && options.cancellation->isRequested())) {
             giveBack(address, std::move(current));
         }
@@ -541,6 +556,7 @@
         }
         fresh->stream.socket().set_option(tcp::no_delay(true), error);
         detectSilence(fresh->stream.socket(), m_settings.unacknowledgedTimeout);
+        setResetOnClose(fresh->stream.socket(), true);
         fresh->number = ++m_opened;
         return fresh;
     }
--- a/Libraries/LibHttp/jsonclient.cpp
+++ b/Libraries/LibHttp/jsonclient.cpp
@@ -1,5 +1,6 @@
 #include <LibHttp/jsonclient.h>
 
+#include <LibHttp/abandonment.h>
 #include <LibHttp/endpoint.h>
 #include <LibHttp/responsereader.h>
 #include <LibHttp/silence.h>
@@ -102,6 +103,7 @@
     if (m_idle.size() >= m_settings.maximumIdleConnections) {
         return;
     }
+    setResetOnClose(stream.socket(), false);
     stream.expires_never();
     m_idle.push_back(std::move(stream));
 }
@@ -126,6 +128,8 @@
     }
     auto &stream = std::get<beast::tcp_stream>(connected);
     const auto message = httpRequest(request, m_settings);
+    // A write that is given up must not take effect later.
+    setResetOnClose(stream.socket(), true);
     stream.expires_after(std::max(deadline - BootClock::now(), BootClock::duration(0)));
     boost::system::error_code error;
     m_bytesSent += http::async_write(stream, message, yield[error]);
