LibReplication: Read a backlog to its end before the copy counts as current

Cause, as the review suspected: an answer of the feed holds 500 rows at most. After the store had refused a host for seconds, the host waited its batch delay after each such answer, and each counted as a confirmation that the copy was current, for its subscribers too.

Change: an answer that may have left changes out confirms nothing, and the next call follows at once and is not held.

The stand-in's feed now holds 500 rows an answer, as the platform's does. TableWatch::backlogIsReadToItsEndAtOnce failed before (1,001 of 5,001 rows counted as current). TestPlatform, TestSharedTables and TestReplication pass.

--- a/Libraries/LibReplication/feedrow.h
+++ b/Libraries/LibReplication/feedrow.h
@@ -28,6 +28,8 @@
     std::vector<FeedRow> rows;
     /// The rows include all changes up to this version.
     FeedVersion version = 0;
+    /// The store may hold later changes already, since the answer of a feed is bounded.
+    bool mayBePartial = false;
     /// The rows are all rows of the table, not only changed ones.
     bool isWholeTable = false;
     /// How long ago the store confirmed that the rows include all changes; 0 for rows from the store itself.
--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -116,10 +116,12 @@
     m_fullReads->waitFor(failedCall + m_backoff.next(m_random) - BootClock::now(), yield);
 }
 
-void TableWatch::recordSuccess()
+void TableWatch::recordSuccess(bool isCurrent)
 {
-    m_confirmedAt = BootClock::now();
-    m_sharing.server().confirm(m_table, m_confirmedAt);
+    if (isCurrent) {
+        m_confirmedAt = BootClock::now();
+        m_sharing.server().confirm(m_table, m_confirmedAt);
+    }
     if (!m_isReachable) {
         m_isReachable = true;
         m_handlers.reachabilityChanged(true, "");
@@ -183,7 +185,7 @@
         recordFailure("the response is older than the current version", calledAt, {});
         return false;
     }
-    recordSuccess();
+    recordSuccess(true);
     replaceTable(read);
     m_isFullReadUnconfirmed = true;
     return true;
@@ -263,13 +265,13 @@
     // Calls follow each other after batchDelay at the latest. When more time has passed, as before the first call, the store must confirm
     // the copy earlier, or subscribers would be refused.
     const auto sinceConfirmed = std::chrono::ceil<std::chrono::milliseconds>(calledAt - m_confirmedAt);
-    const auto boundedHoldTime = std::clamp(batchDelay + holdTime - sinceConfirmed, s_probeHoldTime, holdTime);
+    const auto boundedHoldTime = m_hasBacklog ? s_probeHoldTime : std::clamp(batchDelay + holdTime - sinceConfirmed, s_probeHoldTime, holdTime);
     const FeedResult result = m_store.awaitChanges(m_table, m_version, {boundedHoldTime, m_timing.responseTimeout}, yield);
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         recordFailure(failure->reason, calledAt, boundedHoldTime);
         return false;
     }
-    if (applyResult(result)) {
+    if (applyResult(result) && !m_hasBacklog) {
         sleepFor(m_context, batchDelay, yield);
     }
     return true;
@@ -341,7 +343,8 @@
     }
     m_backoff.reset();
     m_isFullReadUnconfirmed = false;
-    recordSuccess();
+    m_hasBacklog = read->mayBePartial;
+    recordSuccess(!m_hasBacklog);
     return applyChanges(*read);
 }
 
--- a/Libraries/LibReplication/tablewatch.h
+++ b/Libraries/LibReplication/tablewatch.h
@@ -74,7 +74,8 @@
     struct Probes;
     struct FullReads;
 
-    void recordSuccess();
+    /// The store has answered; the copy is current unless the answer was partial.
+    void recordSuccess(bool isCurrent);
     void recordFailure(const std::string &reason, BootTime calledAt, std::chrono::milliseconds holdTime);
     void delayRetry(BootTime failedCall, const boost::asio::yield_context &yield);
     bool readFullTable(const boost::asio::yield_context &yield);
@@ -108,6 +109,8 @@
     bool m_isRoleKnown = false;
     /// No call for changes has succeeded since the last full read.
     bool m_isFullReadUnconfirmed = false;
+    /// The last answer of the feed left changes out, so that the next call must not wait.
+    bool m_hasBacklog = false;
     bool m_isReachable = true;
     std::shared_ptr<FullReads> m_fullReads;
     /// Set while probes are sent after a failure, also in parallel to requests to another publisher.
--- a/Tests/Platform/storestandin.cpp
+++ b/Tests/Platform/storestandin.cpp
@@ -14,6 +14,8 @@
 using Json = nlohmann::json;
 
 constexpr std::chrono::milliseconds s_feedPollInterval{5};
+/// Changes that one answer of a feed holds at most, as on the platform.
+constexpr std::size_t s_rowsPerAnswer = 500;
 constexpr std::chrono::milliseconds s_droppedResponseDelay{60000};
 
 std::string parameter(const std::string &target, const std::string &name)
@@ -166,13 +168,19 @@
             return errorResponse(410, "history-lost", "", "");
         }
         Json rows = Json::array();
+        FeedVersion version = m_version;
         for (const Change &change : m_changes) {
-            if (change.table == table && change.row.version > after) {
-                rows.push_back(entryOf(change.row));
+            if (change.table != table || change.row.version <= after) {
+                continue;
             }
+            if (rows.size() == s_rowsPerAnswer) {
+                version = rows.back().at("ver");
+                break;
+            }
+            rows.push_back(entryOf(change.row));
         }
         if (!rows.empty() || BootClock::now() >= end) {
-            return jsonResponse(200, Json{{"rows", rows}, {"ver", m_version}, {"now", "1ms"}}.dump());
+            return jsonResponse(200, Json{{"rows", rows}, {"ver", version}, {"now", "1ms"}}.dump());
         }
         sleepFor(m_context, s_feedPollInterval, yield);
     }
--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -104,6 +104,34 @@
     });
 }
 
+// Guards against a backlog whose parts each wait for the batch delay, and against a copy that counts as current before the last part: after
+// an outage of the store, a host would send requests to an upstream that has left for seconds.
+Test(TableWatch, backlogIsReadToItsEndAtOnce)
+{
+    static constexpr int backlog = 5000;
+    Fixture fixture;
+    fixture.store.set("things", "first", "1");
+    fixture.run([&](const asio::yield_context &yield) {
+        cr_assert(fixture.await([&] { return fixture.copy.count("first") == 1; }, yield));
+        fixture.store.isDown = true;
+        cr_assert(fixture.await([&] { return !fixture.watch.isReachable(); }, yield));
+        for (int i = 0; i < backlog; ++i) {
+            fixture.store.set("things", "row-" + std::to_string(i), "1");
+        }
+        const BootTime confirmedBefore = fixture.watch.confirmedAt();
+        fixture.store.isDown = false;
+        const auto isComplete = [&fixture] { return fixture.copy.size() == backlog + 1; };
+        const bool isKnown = fixture.await(
+            [&] {
+                cr_assert(isComplete() || fixture.watch.confirmedAt() == confirmedBefore, "%zu rows count as current", fixture.copy.size());
+                return isComplete();
+            },
+            yield);
+        cr_assert(isKnown, "%zu of %d rows after 2 s", fixture.copy.size(), backlog + 1);
+        cr_assert(fixture.await([&] { return fixture.watch.confirmedAt() > confirmedBefore; }, yield));
+    });
+}
+
 // Guards against a table that does not fit into one page.
 Test(TableWatch, readsAllPages)
 {
