LibHttp: Take no response in a transfer coding other than chunks

Cause: Beast's parser takes a response with "Transfer-Encoding: gzip", "chunked, gzip" or "chunked, chunked" for one that ends with its connection, and takes the chunks of "gzip, chunked" for the body. The gateway accepts bodies that end with the connection, and drops the header.

Change: ResponseReader, which the calls to upstreams, to other hosts and to the store share, ends a response with any Transfer-Encoding but exactly one "chunked" as malformed.

--- a/Libraries/LibHttp/responsereader.cpp
+++ b/Libraries/LibHttp/responsereader.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/error.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/error.hpp>
+#include <iterator>
 
 namespace Trefoil
 {
@@ -45,6 +46,10 @@
     if (m_needsMore) {
         error = {};
     }
+    // Beast takes such a body for one that ends with the connection, or for its decoded form.
+    if (!error && m_parser.is_header_done() && !hasKnownCoding()) {
+        error = http::error::bad_transfer_encoding;
+    }
     if (!error && hasExcessiveOverhead()) {
         error = http::error::body_limit;
     }
@@ -86,6 +91,15 @@
     return error;
 }
 
+bool ResponseReader::hasKnownCoding() const
+{
+    const auto codings = m_parser.get().equal_range(http::field::transfer_encoding);
+    if (codings.first == codings.second) {
+        return true;
+    }
+    return std::next(codings.first) == codings.second && beast::iequals(codings.first->value(), "chunked");
+}
+
 bool ResponseReader::hasExcessiveOverhead() const
 {
     const std::uint64_t bodyBytes = m_parser.get().body().size();
