LibHttp: Take no interim response of the store for the response

Seen in the new case "interim with length" of CutResponses: an interim response with "Content-Length: 0" passed for the response of the store, with status 102 and an empty body, and its connection was kept. The response itself would then answer the next request on that connection (MIXED for rows and writes). No store was seen to send one.

Cause: the parser is done at the end of an interim head, and the check for a declared length, which ends other interim responses, let it pass.

Change: JsonClient ends such a call without a result, and its connection.

--- a/Libraries/LibHttp/jsonclient.cpp
+++ b/Libraries/LibHttp/jsonclient.cpp
@@ -21,6 +21,8 @@
 namespace
 {
 
+/// Lower statuses are those of interim responses.
+constexpr unsigned s_firstFinalStatus = 200;
 /// Longest pause within a body; a server that stops halfway would otherwise hold the request until its deadline.
 constexpr std::chrono::milliseconds s_longestPause{1000};
 
@@ -150,6 +152,10 @@
         }
     }
     m_bytesReceived += reader.bytesParsed();
+    // The response still follows on this connection, where the next request would take it for its own.
+    if (parser.get().result_int() < s_firstFinalStatus) {
+        return RequestAmbiguous{"an interim response, which no request asks for"};
+    }
     const bool reusable = parser.keep_alive() && buffer.size() == 0;
     auto response = parser.release();
     if (reusable) {
