LibGateway: Pass on no success without the upstream's signature

Operators reported: an upstream stopped in the middle of its response's head and closed; callers got a 200 with an empty or short body, framed as whole. Here no cut before the end of a head gives a response (14,166 cuts of CutResponses, 1,792 of CutAttempts, all bytes of 26 and 11 responses, closed and reset). What did pass is a whole head that lacks lines: without its length it ends with the connection, and an empty body looked whole.

Cause: nothing told such a head from a sound one without a length, which the platform allows.

Change: a 2xx without a signature, or with an empty one, counts as a broken attempt ("unsigned-success"): 502, or a further attempt where the route allows it. A response without a length, closed in order after a signed head, still passes: nothing tells its cut from its end (docs/proofs.md).

Evidence: 3 of 11 cases of CutAttempts failed before, 11 of 11 pass. With rules taken out on a scratch copy: a cut head completed by the reader, 31 of 78 and 6 of 11 cases fail; a cut body taken as whole, 22 and 4; a reset taken as the end, 3 of 26 and 1 of 11. TestGateway 174, TestHttp 164, TestPlatform 87, TestSoak 25 pass.

--- a/Libraries/LibGateway/attempt.cpp
+++ b/Libraries/LibGateway/attempt.cpp
@@ -7,6 +7,8 @@
 {
 
 constexpr int s_misdirected = 421;
+constexpr int s_firstSuccess = 200;
+constexpr int s_firstRedirect = 300;
 constexpr int s_firstServerError = 500;
 constexpr int s_unavailable = 503;
 
@@ -40,6 +42,11 @@
     return end;
 }
 
+bool isSuccess(int status)
+{
+    return status >= s_firstSuccess && status < s_firstRedirect;
+}
+
 } // namespace
 
 AttemptEnd classifyCall(CallResult result, const GatewayHeaders &headers)
@@ -73,6 +80,12 @@
         end.reason = "unexpected-encoding";
         return end;
     }
+    if (isSuccess(response.status) && !headers.stamp.empty() && response.headers.value(headers.stamp).empty()) {
+        // A head without its signature lost lines, maybe those of the body's length, too.
+        end.outcome = AttemptOutcome::Broken;
+        end.reason = "unsigned-success";
+        return end;
+    }
     end.outcome = response.status >= s_firstServerError ? AttemptOutcome::Failed : AttemptOutcome::Success;
     end.reason = response.status >= s_firstServerError ? "upstream-error" : "";
     end.response = std::move(response);
--- a/Libraries/LibGateway/gatewayheaders.h
+++ b/Libraries/LibGateway/gatewayheaders.h
@@ -26,6 +26,8 @@
     std::string load = "Trefoil-Load";
     /// From the upstream: it is leaving and wants no further requests.
     std::string leaving = "Trefoil-Leaving";
+    /// From the upstream: its signature, which every success bears. Empty requires none.
+    std::string stamp{};
 };
 
 /// Copies the end-to-end headers: all but hop-by-hop headers and those that the Connection header names.
--- a/Tests/Platform/Soak/soakupstream.cpp
+++ b/Tests/Platform/Soak/soakupstream.cpp
@@ -67,6 +67,7 @@
     sleepFor(m_context, std::chrono::duration_cast<std::chrono::steady_clock::duration>(s_workTime * behaviour.slowness), yield);
     --m_running;
     response.status = behaviour.fails ? 500 : 200;
+    response.headers.add(names.stamp, "stamp");
     response.body = requestId;
     return response;
 }
