Gateway: Reject what a stopping host can't answer before its end

Operators saw in planned stops, in calm: requests that came late in the grace were taken and passed on, and at the end of the grace their connections ended without an answer, among them orders that must not be repeated.

Cause: PlatformHost::stop() ended the process at a fixed time, and the gateway did not know that time. Whatever was placed was sent, and what was still in work was cut.

The gateway now knows its end. stopadmission (pure) decides for each attempt, when it is placed and once more when its connection is open: a request goes to an upstream only if its deadline or its likely longest time is before the end, with more room where it may not be repeated. Others get 503 with a Retry-After of 20 to 40 ms, and no upstream gets them. Upstreams get no deadline after the end, so that they answer by themselves.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <LibSteering/affinityranking.h>
 #include <LibSteering/retryafter.h>
+#include <LibSteering/stopadmission.h>
 #include <LibTelemetry/log.h>
 
 #include <algorithm>
@@ -28,29 +29,13 @@
 constexpr Milliseconds s_startRetryAfter{500};
 /// Basis of Retry-After when upstreams shed a request although they seem to have free slots: a retry is likely to succeed.
 constexpr Milliseconds s_shedRetryAfter{20};
+/// Basis of Retry-After while this host stops: other hosts serve the request right away.
+constexpr Milliseconds s_elsewhereRetryAfter{20};
+/// Reason for requests that this host doesn't complete since it stops.
+constexpr std::string_view s_hostStopping = "host-stopping";
 /// Callers come back spread over the length of a pause, and over this time at most.
 constexpr Milliseconds s_maximumPauseSpread{1000};
 
-/// Counts a request as in flight during its lifetime.
-class InFlightScope
-{
-public:
-    explicit InFlightScope(std::int64_t &count)
-        : m_count(count)
-    {
-        ++m_count;
-    }
-    ~InFlightScope()
-    {
-        --m_count;
-    }
-    InFlightScope(const InFlightScope &) = delete;
-    InFlightScope &operator=(const InFlightScope &) = delete;
-
-private:
-    std::int64_t &m_count;
-};
-
 std::int64_t wholeMilliseconds(Milliseconds time)
 {
     return static_cast<std::int64_t>(time.count());
@@ -123,6 +108,28 @@
     }
 };
 
+/// Lists a request as in flight during its lifetime.
+class Gateway::InFlightScope
+{
+public:
+    InFlightScope(std::set<Exchange *> &exchanges, Exchange &exchange)
+        : m_exchanges(exchanges)
+        , m_exchange(exchange)
+    {
+        m_exchanges.insert(&m_exchange);
+    }
+    ~InFlightScope()
+    {
+        m_exchanges.erase(&m_exchange);
+    }
+    InFlightScope(const InFlightScope &) = delete;
+    InFlightScope &operator=(const InFlightScope &) = delete;
+
+private:
+    std::set<Exchange *> &m_exchanges;
+    Exchange &m_exchange;
+};
+
 Gateway::Gateway(asio::io_context &context, GatewaySettings settings, GatewayState &state, GatewayMetrics &metrics)
     : m_settings(std::move(settings))
     , m_state(state)
@@ -137,10 +144,19 @@
     m_pool.closeExpired(now);
 }
 
+void Gateway::endRequests()
+{
+    m_hasEnded = true;
+    for (Exchange *exchange : m_exchanges) {
+        // The attempt ends once its coroutine runs again, so that the list doesn't change here.
+        exchange->caller.cancellation().request();
+    }
+}
+
 HttpResponse Gateway::handle(HttpRequest &request, CallerConnection &caller, const asio::yield_context &yield)
 {
-    const InFlightScope scope(m_inFlight);
     Exchange exchange{request, caller, m_state.routes()};
+    const InFlightScope scope(m_exchanges, exchange);
     exchange.placement.arrivedAt = BootClock::now();
     exchange.id = request.headers.value(m_settings.headers.requestId);
     HttpResponse response;
@@ -199,11 +215,14 @@
             return respondUnplaced(exchange, std::get_if<NoRoom>(&result));
         }
         const auto &upstream = usable[placed->candidate];
+        exchange.placed = *placed;
+        if (!fitsBeforeStop(exchange, *upstream, now)) {
+            return exchange.mayHaveRun ? failIncomplete(exchange) : reject(exchange, s_hostStopping, s_elsewhereRetryAfter);
+        }
         if (!m_state.tryAcquireColdPermit(*upstream, now)) {
             exchange.tried.insert(upstream->model.identity().id);
             continue;
         }
-        exchange.placed = *placed;
         return upstream;
     }
 }
@@ -252,6 +271,11 @@
     return route && sendsTo(*route, exchange.placement.service) && allowsRegion(*route, identity.region);
 }
 
+bool Gateway::fitsBeforeStop(const Exchange &exchange, const Upstream &upstream, BootTime now) const
+{
+    return !m_end || m_state.fitsBeforeStop(exchange.placement, upstream, exchange.placed, *m_end, now);
+}
+
 CallOptions Gateway::callOptions(Exchange &exchange, Upstream &upstream) const
 {
     CallOptions options;
@@ -269,10 +293,11 @@
     options.cancellation = &exchange.caller.cancellation();
     options.prepare = [this, &exchange, &upstream, &names = m_settings.headers](HttpRequest &request) {
         const BootTime now = BootClock::now();
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(exchange.placement.deadline - now);
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadlineForUpstream(exchange.placement.deadline, m_end) - now);
         request.headers.add(names.timeLeft, fmt::to_string(std::max<std::int64_t>(left.count(), 1)));
         // tryRecordSend() comes last, since it counts the request as sent.
-        return left >= s_minimumTimeLeft && isStillAllowed(exchange, upstream) && m_state.tryRecordSend(upstream, now);
+        return left >= s_minimumTimeLeft && isStillAllowed(exchange, upstream) && fitsBeforeStop(exchange, upstream, now)
+            && m_state.tryRecordSend(upstream, now);
     };
     return options;
 }
@@ -375,7 +400,7 @@
     if (end.outcome == AttemptOutcome::Success || end.outcome == AttemptOutcome::Cancelled) {
         return false;
     }
-    if (!applyNewerConfiguration(exchange) || now + s_minimumTimeLeft >= exchange.placement.deadline) {
+    if (!applyNewerConfiguration(exchange) || now + s_minimumTimeLeft >= deadlineForUpstream(exchange.placement.deadline, m_end)) {
         return false;
     }
     const bool isIdempotent = exchange.placement.route->kind == RequestKind::Idempotent;
@@ -403,7 +428,10 @@
         return response;
     }
     if (!exchange.mayHaveRun) {
-        return reject(exchange, end.reason, s_shedRetryAfter);
+        return m_hasEnded ? reject(exchange, s_hostStopping, s_elsewhereRetryAfter) : reject(exchange, end.reason, s_shedRetryAfter);
+    }
+    if (m_hasEnded) {
+        return fail(exchange, RequestOutcome::Unknown, s_gatewayTimeout, s_hostStopping, "the host stopped before the upstream responded");
     }
     if (end.timedOut) {
         return fail(exchange, RequestOutcome::Unknown, s_gatewayTimeout, "timeout", "the upstream gave no response in time");
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -4,7 +4,9 @@
 #include <LibGateway/gatewaymetrics.h>
 #include <LibHttp/httpserver.h>
 
+#include <optional>
 #include <random>
+#include <set>
 
 namespace Trefoil
 {
@@ -39,14 +41,25 @@
     /// Number of requests that are being handled. Precondition: none.
     std::int64_t inFlight() const
     {
-        return m_inFlight;
+        return static_cast<std::int64_t>(m_exchanges.size());
     }
 
+    /// From now on a request is sent to an upstream only if its response is likely to come before the end; others are rejected at once.
+    /// Precondition: none.
+    void stopAt(BootTime end)
+    {
+        m_end = end;
+    }
+
+    /// Ends the requests that still wait for upstreams; their callers get a failure response. Precondition: the time given to stopAt() has come.
+    void endRequests();
+
     /// Closes connections to upstreams whose idle time has expired. Precondition: none.
     void closeExpired(BootTime now);
 
 private:
     struct Exchange;
+    class InFlightScope;
 
     HttpResponse forward(Exchange &exchange, const boost::asio::yield_context &yield);
     std::variant<std::shared_ptr<Upstream>, HttpResponse> choose(Exchange &exchange);
@@ -55,6 +68,8 @@
     /// Whether the request may still be sent to the chosen upstream: the configuration and the evacuated availability zones can
     /// change while a connection is opened.
     bool isStillAllowed(const Exchange &exchange, const Upstream &upstream) const;
+    /// Whether the response of the chosen upstream is likely to come before this host ends.
+    bool fitsBeforeStop(const Exchange &exchange, const Upstream &upstream, BootTime now) const;
     CallOptions callOptions(Exchange &exchange, Upstream &upstream) const;
     void logAttempt(const Exchange &exchange, const Upstream &upstream, const AttemptEnd &end, Milliseconds duration, BootTime now) const;
     void logNotices(const Exchange &exchange, const Upstream &upstream, const AttemptEnd &end) const;
@@ -76,7 +91,11 @@
     GatewayState &m_state;
     GatewayMetrics &m_metrics;
     ConnectionPool m_pool;
-    std::int64_t m_inFlight = 0;
+    /// The requests that are being handled.
+    std::set<Exchange *> m_exchanges;
+    /// Time at which this host stops waiting for upstreams, once that is known.
+    std::optional<BootTime> m_end;
+    bool m_hasEnded = false;
     std::minstd_rand m_random;
 };
 
--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/gatewaystate.h>
 
 #include <LibSteering/affinityranking.h>
+#include <LibSteering/stopadmission.h>
 
 #include <algorithm>
 #include <cmath>
@@ -289,6 +290,21 @@
     return Trefoil::place(models, query, m_settings.placement);
 }
 
+bool GatewayState::fitsBeforeStop(const RequestPlacement &request, const Upstream &upstream, const Placed &placed, BootTime hostEnd, BootTime now)
+{
+    const RouteState &route = routeState(*request.route);
+    StopAdmissionQuery query;
+    query.now = now;
+    query.hostEnd = hostEnd;
+    query.deadline = request.deadline;
+    query.expectedWait = placed.expectedWait;
+    query.uncachedWork = route.work.longestExpected();
+    query.slowness = upstream.model.slowness(now);
+    query.likelyAttemptTime = route.attemptTime.likelyMaximum();
+    query.isIdempotent = request.route->kind == RequestKind::Idempotent;
+    return Trefoil::fitsBeforeStop(query);
+}
+
 void GatewayState::recordAttempt(const RequestPlacement &request, Upstream &upstream, const Placed &placed, const AttemptObservation &observation, BootTime now)
 {
     const UpstreamIdentity &identity = upstream.model.identity();
@@ -311,6 +327,14 @@
     if (observation.pause) {
         upstream.backoff.recordPause(*observation.pause, now);
     }
+    ServiceTimeEstimate &attemptTime = routeState(*request.route).attemptTime;
+    const auto duration = std::chrono::duration_cast<std::chrono::nanoseconds>(timeAtUpstream);
+    if (observation.outcome == AttemptOutcome::Success) {
+        attemptTime.record(duration);
+    } else if (duration > attemptTime.likelyMaximum()) {
+        // A success would have taken longer still; a fast failure says nothing about the time.
+        attemptTime.recordTimeout(duration);
+    }
     if (observation.outcome != AttemptOutcome::Success) {
         return;
     }
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -7,6 +7,7 @@
 #include <LibSteering/coldpacer.h>
 #include <LibSteering/placement.h>
 #include <LibSteering/retryallowance.h>
+#include <LibSteering/servicetimeestimate.h>
 #include <LibSteering/slotdemand.h>
 #include <LibSteering/spillshare.h>
 #include <LibSteering/trafficsplit.h>
@@ -60,6 +61,8 @@
     }
 
     WorkEstimate work;
+    /// Time of attempts, with their queueing delay.
+    ServiceTimeEstimate attemptTime;
     std::unique_ptr<TrafficSplit> split;
     std::vector<std::int32_t> weights;
 };
@@ -159,6 +162,10 @@
     /// Chooses one of the usable upstreams for a request; the result holds its index. Precondition: the request has a route.
     PlacementResult place(const RequestPlacement &request, const std::vector<std::shared_ptr<Upstream>> &usable, BootTime now);
 
+    /// Whether a host that ends at that time may still send the request to the upstream. Precondition: placed is the placement of the request at the
+    /// upstream.
+    bool fitsBeforeStop(const RequestPlacement &request, const Upstream &upstream, const Placed &placed, BootTime hostEnd, BootTime now);
+
     /// Records the end of an attempt: updates the upstream's health, load and keys, and the expected times of the route and the
     /// service. Precondition: placed is the placement of the request at the upstream.
     void recordAttempt(const RequestPlacement &request, Upstream &upstream, const Placed &placed, const AttemptObservation &observation, BootTime now);
--- a/Libraries/LibSteering/placement.cpp
+++ b/Libraries/LibSteering/placement.cpp
@@ -92,6 +92,11 @@
     return m_expected[indexOf(state)];
 }
 
+Milliseconds WorkEstimate::longestExpected() const
+{
+    return *std::max_element(m_expected.begin(), m_expected.end());
+}
+
 void WorkEstimate::record(CacheState state, Milliseconds time)
 {
     Milliseconds &current = m_expected[indexOf(state)];
--- a/Libraries/LibSteering/placement.h
+++ b/Libraries/LibSteering/placement.h
@@ -26,6 +26,10 @@
     /// Precondition: none.
     Milliseconds expected(CacheState state) const;
 
+    /// The longest of the times expected for the cache states. The one for a cold cache has few samples where keys have fixed upstreams.
+    /// Precondition: none.
+    Milliseconds longestExpected() const;
+
     /// Ratio of the time of one successful attempt to the expected time. Nothing when the time fits both an upstream of normal speed that did not
     /// hold the key and a slow one that did. Precondition: none.
     std::optional<double> slowness(CacheState state, Milliseconds time) const;
--- a/Libraries/LibTelemetry/requestmetrics.cpp
+++ b/Libraries/LibTelemetry/requestmetrics.cpp
@@ -21,6 +21,7 @@
         "body-too-large",
         "deadline",
         "draining",
+        "host-stopping",
         "key-expired",
         "key-running",
         "lease-expired",
--- a/Utilities/trefoilctl/explain.cpp
+++ b/Utilities/trefoilctl/explain.cpp
@@ -53,6 +53,7 @@
     static const std::vector<std::pair<std::string, std::string>> sentences = {
         {"no-room", "no upstream could have served it in time without taking the slots of others"},
         {"no-upstream", "no upstream of the service may be used now"},
+        {"host-stopping", "the host is stopping and couldn't have completed it"},
         {"no-configuration", "the host had no configuration yet"},
         {"shed", "the upstreams refused it before it ran"},
     };
