LibHttp: Answer requests that cross the close of idle connections

A caller with a kept connection sent its next request just as the host closed its idle connections in a planned stop. The request had arrived, but no byte of it was read yet, so that the connection counted as idle and was reset: no response, and a repetition at the caller's expense.

Connections with bytes to read are no longer closed; the request is answered, and the response ends the connection as for all others.

HttpServer::requestThatCrossesTheCloseOfIdleConnectionsIsAnswered failed before (connection reset after the first response). HttpServer::pipelinedRequestAfterTheLastResponseIsNotHandled is new, too: it passes on earlier code and fails when responses don't end their connections during a stop.

--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -197,9 +197,11 @@
         m_socket.cancel(ignored);
     }
 
+    /// True while the connection waits for a request of which no byte has arrived.
     bool isIdle() const
     {
-        return m_idle;
+        beast::error_code error;
+        return m_idle && m_socket.available(error) == 0;
     }
 
     void close()
--- a/Tests/LibHttp/testhttpserver.cpp
+++ b/Tests/LibHttp/testhttpserver.cpp
@@ -203,3 +203,52 @@
         cr_assert_eq(answer.substr(9, 3), std::to_string(testCase->status), "%s: %s", testCase->name, answer.substr(0, 40).c_str());
     });
 }
+
+// Guards against a request on a kept connection that crosses the close of idle connections: it has arrived, and the connection is reset without a
+// response.
+Test(HttpServer, requestThatCrossesTheCloseOfIdleConnectionsIsAnswered)
+{
+    asio::io_context context(1);
+    const auto server = std::move(HttpServer::create(context, testSettings(), echo).value());
+    std::string answers;
+    runCoroutine(context, [&](const asio::yield_context &yield) {
+        auto socket = connectTo(context, *server, yield);
+        const std::string request = "GET /kept HTTP/1.1\r\nHost: a\r\n\r\n";
+        asio::async_write(socket, asio::buffer(request), yield);
+        std::string first(1, ' ');
+        asio::async_read(socket, asio::buffer(first), yield);
+        asio::steady_timer untilIdle(context, std::chrono::milliseconds(50));
+        untilIdle.async_wait(yield);
+        // The server's coroutines don't run between these two calls.
+        asio::write(socket, asio::buffer(request));
+        server->closeIdle();
+        answers = readToEnd(socket, yield);
+    });
+    const std::size_t second = answers.find("HTTP/1.1 200", 1);
+    cr_assert_neq(second, std::string::npos, "%s", answers.c_str());
+    cr_assert_neq(answers.find("Connection: close", second), std::string::npos, "%s", answers.c_str());
+}
+
+// Guards against a pipelined request that is handled behind a response that ends the connection, so that its caller repeats a request that has run.
+Test(HttpServer, pipelinedRequestAfterTheLastResponseIsNotHandled)
+{
+    asio::io_context context(1);
+    int handled = 0;
+    std::unique_ptr<HttpServer> server;
+    const auto handler = [&](HttpRequest &request, CallerConnection &caller, const asio::yield_context &yield) {
+        ++handled;
+        server->announceClose();
+        return echo(request, caller, yield);
+    };
+    server = std::move(HttpServer::create(context, testSettings(), handler).value());
+    std::string answers;
+    runCoroutine(context, [&](const asio::yield_context &yield) {
+        auto socket = connectTo(context, *server, yield);
+        asio::async_write(socket, asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")), yield);
+        answers = readToEnd(socket, yield);
+    });
+    cr_assert_eq(handled, 1);
+    cr_assert_neq(answers.find("GET /1"), std::string::npos, "%s", answers.c_str());
+    cr_assert_neq(answers.find("Connection: close"), std::string::npos, "%s", answers.c_str());
+    cr_assert_eq(answers.find("HTTP/1.1 200", 1), std::string::npos, "%s", answers.c_str());
+}
