Tests: Stop a host while it starts, and look it up while it stops

The tests of planned stops now cover a host without a configuration (503, not ready, exit status 0 within the grace) and look-ups, which must not name a host from SIGTERM on. No fault was found.

--- a/Tests/Platform/testplannedstop.cpp
+++ b/Tests/Platform/testplannedstop.cpp
@@ -34,6 +34,9 @@
 constexpr std::chrono::milliseconds s_startLimit{20000};
 /// Longer than any request of the test.
 constexpr int s_deadlineMs = 10000;
+/// Status of the readiness check.
+constexpr int s_ready = 200;
+constexpr int s_notReady = 503;
 
 /// Response of the host to one request.
 struct Answer
@@ -66,19 +69,23 @@
 class Deployment
 {
 public:
-    /// Runs the body as a coroutine once the host is ready. Precondition: ip is a loopback address that no other test uses.
-    void play(const std::function<void(const asio::yield_context &yield)> &body)
+    using Body = std::function<void(const asio::yield_context &yield)>;
+
+    /// Runs the body as a coroutine once the host is ready.
+    void play(const Body &body)
     {
-        asio::spawn(m_context, [this, &body](const asio::yield_context &yield) {
-            start(yield);
-            body(yield);
-            m_context.stop();
-        });
-        m_context.run();
-        m_processes.endAll();
-        std::filesystem::remove_all(m_folder);
+        m_store.set("op", "config", configuration().dump());
+        m_store.set("servers", s_upstreamId, registration().dump());
+        playFrom(s_ready, body);
     }
 
+    /// Runs the body as a coroutine while the host starts: the store has no configuration yet.
+    void playWhileStarting(const Body &body)
+    {
+        playFrom(s_notReady, body);
+    }
+
+    /// Precondition: ip is a loopback address that no other test uses.
     explicit Deployment(std::string ip)
         : m_ip(std::move(ip))
         , m_store(m_context)
@@ -91,8 +98,6 @@
         m_upstream = std::move(HttpServer::create(m_context, settings, [this](HttpRequest &request, CallerConnection &, const asio::yield_context &yield) {
             return work(request, yield);
         }).value());
-        m_store.set("op", "config", configuration().dump());
-        m_store.set("servers", s_upstreamId, registration().dump());
     }
 
     /// Sends a POST request whose body takes that long, and reads to the end of the connection or of the response. The upstream works on a request as
@@ -154,14 +159,14 @@
         return std::nullopt;
     }
 
-    /// Status of a GET request without a body; 0 without a response.
-    int get(const std::string &address, const std::string &target, const asio::yield_context &yield)
+    /// Response to a GET request without a body.
+    Answer get(const std::string &address, const std::string &target, const asio::yield_context &yield)
     {
         tcp::socket socket(m_context);
         boost::system::error_code error;
         socket.async_connect(parseEndpoint(address).value(), yield[error]);
         asio::async_write(socket, asio::buffer("GET " + target + " HTTP/1.1\r\nHost: stop.example\r\n\r\n"), yield[error]);
-        return error ? 0 : read(socket, yield).status;
+        return error ? Answer{} : read(socket, yield);
     }
 
     std::string callerAddress() const
@@ -172,6 +177,14 @@
     {
         return endpoint(m_ip, 8081);
     }
+    std::string lookupAddress() const
+    {
+        return endpoint(m_ip, 8082);
+    }
+    Answer lookUp(const asio::yield_context &yield)
+    {
+        return get(lookupAddress(), "/api/resolve?name=stop.example&region=east&zone=east-a", yield);
+    }
     asio::io_context &context()
     {
         return m_context;
@@ -183,6 +196,18 @@
     }
 
 private:
+    void playFrom(int readiness, const Body &body)
+    {
+        asio::spawn(m_context, [this, readiness, &body](const asio::yield_context &yield) {
+            start(readiness, yield);
+            body(yield);
+            m_context.stop();
+        });
+        m_context.run();
+        m_processes.endAll();
+        std::filesystem::remove_all(m_folder);
+    }
+
     static bool isComplete(const std::string &text)
     {
         const std::size_t headerEnd = text.find("\r\n\r\n");
@@ -224,7 +249,8 @@
             {"seq_no", 1}};
     }
 
-    void start(const asio::yield_context &yield)
+    /// Starts the host, and waits until its check of readiness has that status.
+    void start(int readiness, const asio::yield_context &yield)
     {
         const Json settings = {{"host", "host"},
             {"zone", "east-a"},
@@ -232,7 +258,7 @@
             {"sourceAddress", m_ip},
             {"callerAddress", callerAddress()},
             {"readinessAddress", readinessAddress()},
-            {"lookupAddress", endpoint(m_ip, 8082)},
+            {"lookupAddress", lookupAddress()},
             {"peerAddress", endpoint(m_ip, 8083)},
             {"metricsAddress", endpoint(m_ip, 9464)},
             {"zones", {{"east-a", "east"}}},
@@ -244,8 +270,8 @@
             m_processes.start({"host", "/usr/bin/env", {"TREFOILMOUNT_SETTINGS=" + m_folder + "/settings.json", program, "--gateway"}, m_folder + "/host.log"});
         cr_assert(started.has_value());
         const BootTime limit = BootClock::now() + s_startLimit;
-        while (get(readinessAddress(), "/api/ready", yield) != 200) {
-            cr_assert(BootClock::now() < limit && m_processes.isRunning("host"), "the host isn't ready");
+        while (get(readinessAddress(), "/api/ready", yield).status != readiness) {
+            cr_assert(BootClock::now() < limit && m_processes.isRunning("host"), "the host's readiness isn't %d", readiness);
             sleepFor(m_context, 20ms, yield);
         }
     }
@@ -350,15 +376,23 @@
     deployment.play([&](const asio::yield_context &yield) {
         Requests requests(deployment);
         for (int i = 0; i < 4; ++i) {
-            requests.start(i % 2 == 0 ? "order" : "read", fmt::format("long-{}", i), 8000, 20ms);
+            requests.start(i % 2 == 0 ? "order" : "read", fmt::format("long-{}", i), 9000, 20ms);
         }
         tcp::socket kept(deployment.context());
         kept.async_connect(parseEndpoint(deployment.callerAddress()).value(), yield);
         sleepFor(deployment.context(), 300ms, yield);
+        const BootTime limit = BootClock::now() + s_startLimit;
+        while (deployment.lookUp(yield).text.find(deployment.callerAddress()) == std::string::npos) {
+            cr_assert(BootClock::now() < limit, "look-ups don't name the host");
+            sleepFor(deployment.context(), 20ms, yield);
+        }
         const BootTime start = BootClock::now();
         deployment.signal(SIGTERM);
         sleepFor(deployment.context(), 100ms, yield);
-        cr_assert_eq(deployment.get(deployment.readinessAddress(), "/api/ready", yield), 503);
+        cr_assert_eq(deployment.get(deployment.readinessAddress(), "/api/ready", yield).status, 503);
+        const Answer lookup = deployment.lookUp(yield);
+        cr_assert_neq(lookup.status, 0);
+        cr_assert_eq(lookup.text.find(deployment.callerAddress()), std::string::npos, "%s", lookup.text.c_str());
         deployment.signal(SIGHUP);
         deployment.signal(SIGTERM);
         const std::string request = "GET /read/10/kept HTTP/1.1\r\nHost: stop.example\r\nRequest-Id: kept\r\nDeadline-Ms: 1000\r\n\r\n";
@@ -378,3 +412,19 @@
         }
     });
 }
+
+// Guards against a host that ignores SIGTERM, fails, or ends with requests unanswered while it has no configuration yet.
+Test(PlannedStop, startingHostStops)
+{
+    Deployment deployment("127.71.3.1");
+    deployment.playWhileStarting([&](const asio::yield_context &yield) {
+        const BootTime start = BootClock::now();
+        deployment.signal(SIGTERM);
+        const Answer answer = deployment.send("order", "early", 10, 100ms, yield);
+        cr_assert_eq(answer.status, 503, "%d", answer.status);
+        cr_assert(answer.closesConnection);
+        cr_assert_eq(deployment.get(deployment.readinessAddress(), "/api/ready", yield).status, 503);
+        const auto code = deployment.awaitExit(start + s_grace, yield);
+        cr_assert(code && *code == 0);
+    });
+}
