--- a/Tests/Platform/testplannedstop.cpp
+++ b/Tests/Platform/testplannedstop.cpp
@@ -225,6 +225,7 @@
         sleepFor(m_context, std::chrono::milliseconds(std::stoi(request.target.substr(path + 1))), yield);
         HttpResponse response;
         response.headers.add("Request-Id", request.headers.value("Request-Id"));
+        response.headers.add("Server-Stamp", "stamp");
         response.body = "done";
         return response;
     }
