LibHttp: Reject requests whose end can't be told for certain

Cause: Beast's parser takes a request whose transfer coding doesn't end in "chunked" for one without a body, and its body for the next request. It also unfolds folded lines, takes equal lengths for one, and chunks in HTTP/1.0.

Change: decideFraming() decides on the raw head, before anything is routed or parsed: a length, exactly "chunked", or nothing. All else is answered 400, or 501 for an unknown coding before "chunked", and the connection is closed. HttpServer uses it for callers, hosts, readiness, look-ups and metrics. trefoil_rejected_framings_total counts by reason.

--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/httpserver.h>
 
 #include <LibHttp/endpoint.h>
+#include <LibHttp/requesthead.h>
 
 #include <algorithm>
 #include <atomic>
@@ -33,7 +34,7 @@
 /// Pause of the accept loop when the process has no file descriptor left.
 constexpr std::chrono::milliseconds s_acceptPause{20};
 constexpr std::size_t s_lingerLimit = std::size_t{4} * 1024 * 1024;
-constexpr std::size_t s_readSize = 4096;
+constexpr std::size_t s_readSize = s_headReadSize;
 
 /// For a connection above the bound.
 constexpr std::string_view s_tooManyConnections = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nConnection: close\r\n"
@@ -286,6 +287,13 @@
         parser.header_limit(static_cast<std::uint32_t>(headerLimit));
         parser.body_limit(m_state->m_settings.input.bodyLimit);
         expireAfter(m_state->m_settings.input.headerTimeout);
+        const RequestHead head = readHead(m_socket, m_buffer, headerLimit, yield);
+        if (const auto *fault = std::get_if<FramingFault>(&head)) {
+            return rejectFraming(*fault);
+        }
+        if (const auto *failed = std::get_if<boost::system::error_code>(&head)) {
+            return endOfRead(*failed, "header");
+        }
         http::async_read_header(m_socket, m_buffer, parser, yield[error]);
         if (error) {
             return endOfRead(error, "header");
@@ -304,6 +312,14 @@
         return toRequest(parser.release());
     }
 
+    HttpResponse rejectFraming(FramingFault fault) const
+    {
+        if (const auto &rejections = m_state->m_settings.framingRejections) {
+            rejections->count(fault);
+        }
+        return errorResponse(statusOf(fault), "malformed-request", fieldOf(fault), fmt::format("the request's end can't be told: {}", toText(fault)));
+    }
+
     ReadResult endOfRead(const beast::error_code &error, std::string_view part) const
     {
         if (m_timedOut) {
--- a/Libraries/LibHttp/httpserver.h
+++ b/Libraries/LibHttp/httpserver.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/result.h>
 #include <LibHttp/cancellation.h>
+#include <LibHttp/framingrejections.h>
 #include <LibHttp/message.h>
 
 #include <boost/asio/io_context.hpp>
@@ -38,6 +39,8 @@
     std::chrono::milliseconds bodyTimeout{15000};
     /// Time for the whole response.
     std::chrono::milliseconds writeTimeout{15000};
+    /// Counts the requests that are rejected for their framing; several servers may share it. May be null.
+    std::shared_ptr<FramingRejections> framingRejections{};
 };
 
 /// The connection on which a request came in. Thread safety: all calls on the server's thread.
--- a/Services/trefoilmountd/controlplane.cpp
+++ b/Services/trefoilmountd/controlplane.cpp
@@ -186,6 +186,7 @@
 {
     ScrapeWriter writer;
     m_host.metrics().writeTo(writer);
+    m_host.framingRejections().writeTo(writer);
     return writer.text();
 }
 
--- a/Services/trefoilmountd/host.cpp
+++ b/Services/trefoilmountd/host.cpp
@@ -36,7 +36,8 @@
     std::unique_ptr<Host> host(new Host(std::move(options), std::move(claims)));
     const HostOptions &hostOptions = host->m_options;
     const RequestPathSettings settings{hostOptions.host, hostOptions.region, hostOptions.incarnation, hostOptions.peerSecret, hostOptions.sourceAddress};
-    const RequestPathShared shared{host->m_state, host->m_claims, host->m_signal, host->m_retryBudget, host->m_metrics, host->m_inFlight};
+    const RequestPathShared shared{
+        host->m_state, host->m_claims, host->m_signal, host->m_retryBudget, host->m_metrics, host->m_inFlight, host->m_framingRejections};
     std::string address = hostOptions.callerAddress;
     for (int i = 0; i < hostOptions.threads; ++i) {
         auto worker = Worker::create(address, settings, shared, static_cast<std::size_t>(i));
@@ -65,6 +66,11 @@
     return m_metrics;
 }
 
+FramingRejections &Host::framingRejections()
+{
+    return *m_framingRejections;
+}
+
 std::string Host::callerAddress() const
 {
     return m_workers.front()->address();
--- a/Services/trefoilmountd/host.h
+++ b/Services/trefoilmountd/host.h
@@ -55,6 +55,9 @@
     /// Precondition: none. Thread safety: see RequestMetrics.
     RequestMetrics &metrics();
 
+    /// Precondition: none. Thread safety: see FramingRejections.
+    FramingRejections &framingRejections();
+
     /// The bound caller address. Precondition: none. Thread safety: safe from any thread.
     std::string callerAddress() const;
 
@@ -90,6 +93,7 @@
     RetryBudget m_retryBudget;
     RequestMetrics m_metrics;
     std::atomic<std::int64_t> m_inFlight{0};
+    std::shared_ptr<FramingRejections> m_framingRejections = std::make_shared<FramingRejections>();
     ClaimAccess m_claims;
     std::function<bool()> m_stopCondition;
     boost::asio::io_context m_control{1};
--- a/Services/trefoilmountd/requestpath.h
+++ b/Services/trefoilmountd/requestpath.h
@@ -40,6 +40,7 @@
     RequestMetrics &metrics;
     /// Requests in progress, look-ups included.
     std::atomic<std::int64_t> &inFlight;
+    std::shared_ptr<FramingRejections> framingRejections;
 };
 
 /// The pipeline of one worker: parse, classify, admit, claim, select, dispatch, check, record, respond.
--- a/Services/trefoilmountd/worker.cpp
+++ b/Services/trefoilmountd/worker.cpp
@@ -31,6 +31,7 @@
     HttpServerSettings serverSettings;
     serverSettings.address = address;
     serverSettings.sharesAddress = true;
+    serverSettings.framingRejections = shared.framingRejections;
     RequestPath &path = worker->m_path;
     auto server = HttpServer::create(worker->m_context,
         serverSettings,
--- a/Tests/LibHttp/testhttpserver.cpp
+++ b/Tests/LibHttp/testhttpserver.cpp
@@ -203,3 +203,124 @@
         cr_assert_eq(answer.substr(9, 3), std::to_string(testCase->status), "%s: %s", testCase->name, answer.substr(0, 40).c_str());
     });
 }
+
+namespace
+{
+
+struct SmuggleCase
+{
+    char name[32];
+    char head[128];
+    int status;
+    FramingFault fault;
+};
+
+/// What a server runs that takes the body of the request before it for the next request.
+constexpr std::string_view s_hiddenRequest = "POST /hidden HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+
+} // namespace
+
+// Guards against a request that hides in the body of another one, whose end this server sees elsewhere than the caller or another server:
+// the hidden request would run although no caller sent it, and the other one without its body.
+ParameterizedTestParameters(HttpServer, hiddenRequestsDontRun)
+{
+    static SmuggleCase cases[] = {
+        {"other coding", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 400, FramingFault::Coding},
+        {"no coding", "POST / HTTP/1.1\r\nTransfer-Encoding: identity\r\n\r\n", 400, FramingFault::Coding},
+        {"coding not last", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked, gzip\r\n\r\n", 400, FramingFault::Coding},
+        {"coding twice", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked, chunked\r\n\r\n", 400, FramingFault::Coding},
+        {"coding with parameter", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked;a=b\r\n\r\n", 400, FramingFault::Coding},
+        {"unknown coding", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 501, FramingFault::UnknownCoding},
+        {"coding and length", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n", 400, FramingFault::LengthAndCoding},
+        {"length and other coding", "POST / HTTP/1.1\r\nContent-Length: 0\r\nTransfer-Encoding: gzip\r\n\r\n", 400, FramingFault::LengthAndCoding},
+        {"equal lengths", "POST / HTTP/1.1\r\nContent-Length: 0\r\nContent-Length: 0\r\n\r\n", 400, FramingFault::SeveralLengths},
+        {"list of lengths", "POST / HTTP/1.1\r\nContent-Length: 0, 0\r\n\r\n", 400, FramingFault::SeveralLengths},
+        {"coding in HTTP/1.0", "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, FramingFault::CodingInOldVersion},
+        {"folded line", "POST / HTTP/1.1\r\nContent-Length:\r\n 0\r\n\r\n", 400, FramingFault::FoldedLine},
+        {"space before the colon", "POST / HTTP/1.1\r\nContent-Length : 54\r\n\r\n", 400, FramingFault::FieldName},
+        {"bare LF", "POST / HTTP/1.1\r\nA: b\nContent-Length: 54\r\n\r\n", 400, FramingFault::LineEnd},
+        {"bare CR", "POST / HTTP/1.1\r\nA: b\rContent-Length: 54\r\n\r\n", 400, FramingFault::LineEnd},
+        {"control character",
+            "POST / HTTP/1.1\r\nTransfer-Encoding: \x0b"
+            "chunked\r\n\r\n",
+            400,
+            FramingFault::ControlCharacter},
+    };
+    return cr_make_param_array(SmuggleCase, cases, std::size(cases));
+}
+
+ParameterizedTest(SmuggleCase *testCase, HttpServer, hiddenRequestsDontRun)
+{
+    asio::io_context context(1);
+    HttpServerSettings settings = testSettings();
+    settings.framingRejections = std::make_shared<FramingRejections>();
+    int handled = 0;
+    const auto server = std::move(HttpServer::create(context, settings, [&handled](HttpRequest &, CallerConnection &, const asio::yield_context &) {
+        ++handled;
+        return HttpResponse{};
+    }).value());
+    std::string answer;
+    runCoroutine(context, [&](const asio::yield_context &yield) {
+        auto socket = connectTo(context, *server, yield);
+        asio::async_write(socket, asio::buffer(std::string(testCase->head).append(s_hiddenRequest)), yield);
+        answer = readToEnd(socket, yield);
+    });
+    cr_assert_eq(handled, 0, "%s: %d requests ran", testCase->name, handled);
+    cr_assert_eq(answer.substr(0, 12), "HTTP/1.1 " + std::to_string(testCase->status), "%s: got %s", testCase->name, answer.c_str());
+    cr_assert_neq(answer.find("Connection: close"), std::string::npos, "%s", answer.c_str());
+    cr_assert_eq(answer.find("HTTP/1.1", 1), std::string::npos, "%s: got a second answer: %s", testCase->name, answer.c_str());
+    cr_assert_eq(settings.framingRejections->of(testCase->fault), 1, "%s", testCase->name);
+}
+
+namespace
+{
+
+struct ProperCase
+{
+    char name[32];
+    char request[192];
+    char body[32];
+};
+
+} // namespace
+
+// Guards against proper requests that are rejected along with those whose end isn't certain.
+ParameterizedTestParameters(HttpServer, properRequestsPass)
+{
+    static ProperCase cases[] = {
+        {"chunks", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n6\r\n casts\r\n0\r\n\r\n", "two casts"},
+        {"extensions", "POST / HTTP/1.1\r\ntransfer-encoding:CHUNKED\r\n\r\n9;a=b;c=\"d\"\r\ntwo casts\r\n0;e\r\n\r\n", "two casts"},
+        {"trailers", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n9\r\ntwo casts\r\n0\r\nA: b\r\n\r\n", "two casts"},
+        {"length", "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\ntwo casts", "two casts"},
+        {"length with zeros", "POST / HTTP/1.1\r\nContent-Length: 009\r\n\r\ntwo casts", "two casts"},
+        {"length zero", "POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n", ""},
+        {"neither", "POST / HTTP/1.1\r\nHost: a\r\n\r\n", ""},
+        {"empty headers", "GET / HTTP/1.1\r\nHost:\r\nA: \t \r\nContent-Length: \t9 \r\n\r\ntwo casts", "two casts"},
+        {"old version", "POST / HTTP/1.0\r\nContent-Length: 9\r\nConnection: keep-alive\r\n\r\ntwo casts", "two casts"},
+        {"expectation", "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\ntwo casts", "two casts"},
+        {"UTF-8 and tab", "GET / HTTP/1.1\r\nA: \xc3\xa9\tb\r\nContent-Length: 9\r\n\r\ntwo casts", "two casts"},
+    };
+    return cr_make_param_array(ProperCase, cases, std::size(cases));
+}
+
+ParameterizedTest(ProperCase *testCase, HttpServer, properRequestsPass)
+{
+    asio::io_context context(1);
+    const auto server = std::move(HttpServer::create(context, testSettings(), echo).value());
+    std::string answer;
+    runCoroutine(context, [&](const asio::yield_context &yield) {
+        auto socket = connectTo(context, *server, yield);
+        asio::async_write(socket, asio::buffer(std::string(testCase->request).append("GET /next HTTP/1.1\r\nConnection: close\r\n\r\n")), yield);
+        answer = readToEnd(socket, yield);
+    });
+    const auto first = answer.find("HTTP/1.1 200");
+    const auto second = answer.find("HTTP/1.1 200", first + 1);
+    cr_assert(first != std::string::npos && second != std::string::npos, "%s: got %s", testCase->name, answer.c_str());
+    const std::string method(testCase->request, std::string_view(testCase->request).find(' '));
+    cr_assert_neq(answer.substr(first, second - first).find("\r\n\r\n" + method + " / " + testCase->body),
+        std::string::npos,
+        "%s: got %s",
+        testCase->name,
+        answer.c_str());
+    cr_assert_neq(answer.find("GET /next "), std::string::npos);
+}
