LibHttp: Keep trailers of requests out of their headers

Upstreams saw headers that the caller had sent as trailers, after the body: a Request-Id or Deadline-Ms that nobody had looked at before, and a "Connection: close" that ended a kept connection.

Cause: Beast's parser adds trailers to the headers, and the request was taken from the parser after the body.

Change: headers and keep-alive are taken once the head is read. Trailers are read and dropped.

Evidence: HttpServer::trailersAreNoHeaders failed before (the request after the one with trailers was not read) and passes now.

--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -298,6 +298,9 @@
         if (error) {
             return endOfRead(error, "header");
         }
+        m_keepAlive = parser.get().keep_alive();
+        // Before the body: the parser adds the trailers that follow it to the headers.
+        HttpRequest request = toRequest(parser.get());
         if (!parser.is_done()) {
             if (beast::iequals(parser.get()[http::field::expect], "100-continue") && !continueBody(yield)) {
                 return ConnectionEnded{};
@@ -308,8 +311,8 @@
                 return endOfRead(error, "body");
             }
         }
-        m_keepAlive = parser.get().keep_alive();
-        return toRequest(parser.release());
+        request.body = std::move(parser.get().body());
+        return request;
     }
 
     HttpResponse rejectFraming(FramingFault fault) const
@@ -340,7 +343,8 @@
         return !error;
     }
 
-    static HttpRequest toRequest(http::request<http::string_body> message)
+    /// The request without its body.
+    static HttpRequest toRequest(const http::request<http::string_body> &message)
     {
         HttpRequest request;
         request.method = std::string(message.method_string());
@@ -348,7 +352,6 @@
         for (const auto &field : message) {
             request.headers.add(std::string_view(field.name_string()), std::string_view(field.value()));
         }
-        request.body = std::move(message.body());
         return request;
     }
 
--- a/Tests/LibHttp/testhttpserver.cpp
+++ b/Tests/LibHttp/testhttpserver.cpp
@@ -272,6 +272,31 @@
     cr_assert_eq(settings.framingRejections->of(testCase->fault), 1, "%s", testCase->name);
 }
 
+// Guards against trailers that pass for headers: a header that the server has looked at already would get another value, such as the
+// deadline or the id of the request, and a header of one connection only would be passed on.
+Test(HttpServer, trailersAreNoHeaders)
+{
+    asio::io_context context(1);
+    std::vector<HttpRequest> requests;
+    const auto server = std::move(HttpServer::create(context, testSettings(), [&](HttpRequest &request, CallerConnection &, const asio::yield_context &) {
+        requests.push_back(request);
+        return HttpResponse{};
+    }).value());
+    runCoroutine(context, [&](const asio::yield_context &yield) {
+        auto socket = connectTo(context, *server, yield);
+        asio::async_write(socket,
+            asio::buffer(std::string_view("POST / HTTP/1.1\r\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ntwo casts\r\n0\r\nRequest-Id: late\r\n"
+                                          "Connection: close\r\n\r\nGET /next HTTP/1.1\r\nConnection: close\r\n\r\n")),
+            yield);
+        readToEnd(socket, yield);
+    });
+    cr_assert_eq(requests.size(), 2);
+    cr_assert_eq(requests[0].body, "two casts");
+    cr_assert_null(requests[0].headers.find("Request-Id"));
+    cr_assert_eq(requests[0].headers.all().size(), 2);
+    cr_assert_eq(requests[1].target, "/next");
+}
+
 namespace
 {
 
