LibHttp: Answer HEAD without a body

Cause: the server wrote the body of every response.

Change: for HEAD only the header is written, with the length that the body would have; a response without body bytes, as that of an upstream, names none. This includes rejections before the request is parsed.

--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -73,6 +73,11 @@
     return errorResponse(400, "malformed-request", "header", error.message());
 }
 
+bool beginsWith(const beast::flat_buffer &buffer, std::string_view text)
+{
+    return std::string_view(static_cast<const char *>(buffer.data().data()), buffer.size()).substr(0, text.size()) == text;
+}
+
 /// True when the error says that the input is wrong, not that the connection failed.
 bool isInputError(const beast::error_code &error)
 {
@@ -288,6 +293,7 @@
         parser.body_limit(m_state->m_settings.input.bodyLimit);
         expireAfter(m_state->m_settings.input.headerTimeout);
         const RequestHead head = readHead(m_socket, m_buffer, headerLimit, yield);
+        m_isHead = beginsWith(m_buffer, "HEAD ");
         if (const auto *fault = std::get_if<FramingFault>(&head)) {
             return rejectFraming(*fault);
         }
@@ -365,11 +371,18 @@
         }
         message.keep_alive(keepOpen);
         message.body() = {response.body.data(), response.body.size()};
-        message.content_length(response.body.size());
+        // The length of an upstream's response to HEAD, whose body has no bytes, isn't known.
+        if (!m_isHead || !response.body.empty()) {
+            message.content_length(response.body.size());
+        }
         beast::error_code error;
         expireAfter(m_state->m_settings.writeTimeout);
         http::response_serializer<http::span_body<const char>> serializer(message);
-        http::async_write(m_socket, serializer, yield[error]);
+        if (m_isHead) {
+            http::async_write_header(m_socket, serializer, yield[error]);
+        } else {
+            http::async_write(m_socket, serializer, yield[error]);
+        }
         m_ended = m_ended || error;
         return !error;
     }
@@ -402,6 +415,8 @@
     bool m_idle = false;
     bool m_ended = false;
     bool m_keepAlive = false;
+    /// The request that is being read or answered has the method HEAD, so that its response has no body.
+    bool m_isHead = false;
 };
 
 Result<void> HttpServer::State::listen()
--- a/Tests/LibHttp/testhttpserver.cpp
+++ b/Tests/LibHttp/testhttpserver.cpp
@@ -349,3 +349,54 @@
         answer.c_str());
     cr_assert_neq(answer.find("GET /next "), std::string::npos);
 }
+
+namespace
+{
+
+struct HeadCase
+{
+    char name[32];
+    char request[96];
+    int status;
+};
+
+} // namespace
+
+// Guards against a body after the head of a response to HEAD: callers expect none, and take its bytes for the next response.
+ParameterizedTestParameters(HttpServer, headIsAnsweredWithoutBody)
+{
+    static HeadCase cases[] = {
+        {"answer of the handler", "HEAD /a HTTP/1.1\r\n\r\n", 200},
+        {"failure of the handler", "HEAD /failure HTTP/1.1\r\n\r\n", 503},
+        {"uncertain framing", "HEAD /a HTTP/1.1\r\nContent-Length: 1, 1\r\n\r\n", 400},
+        {"folded line", "HEAD /a HTTP/1.1\r\nA: b\r\n c\r\n\r\n", 400},
+        {"body too large", "HEAD /a HTTP/1.1\r\nContent-Length: 1001\r\n\r\n", 413},
+        {"late body", "HEAD /a HTTP/1.1\r\nContent-Length: 1\r\n\r\n", 408},
+        {"wrong version", "HEAD /a HTTP/3.7\r\n\r\n", 400},
+    };
+    return cr_make_param_array(HeadCase, cases, std::size(cases));
+}
+
+ParameterizedTest(HeadCase *testCase, HttpServer, headIsAnsweredWithoutBody)
+{
+    asio::io_context context(1);
+    const auto server =
+        std::move(HttpServer::create(context, testSettings(), [](HttpRequest &request, CallerConnection &caller, const asio::yield_context &yield) {
+            return request.target == "/failure" ? errorResponse(503, "rejected", "", "not now") : echo(request, caller, yield);
+        }).value());
+    std::string answer;
+    runCoroutine(context, [&](const asio::yield_context &yield) {
+        auto socket = connectTo(context, *server, yield);
+        asio::async_write(socket, asio::buffer(std::string_view(testCase->request)), yield);
+        // The first answer is whole before the next request is sent.
+        asio::steady_timer timer(context, 2 * s_shortTimeout);
+        timer.async_wait(yield);
+        boost::system::error_code ignored;
+        asio::async_write(socket, asio::buffer(std::string_view("GET /next HTTP/1.1\r\nConnection: close\r\n\r\n")), yield[ignored]);
+        answer = readToEnd(socket, yield);
+    });
+    cr_assert_eq(answer.substr(0, 12), "HTTP/1.1 " + std::to_string(testCase->status), "%s: got %s", testCase->name, answer.c_str());
+    const std::string afterHead = answer.substr(answer.find("\r\n\r\n") + 4);
+    const bool isClosed = answer.substr(0, answer.find("\r\n\r\n")).find("Connection: close") != std::string::npos;
+    cr_assert_eq(afterHead.substr(0, 12), isClosed ? "" : "HTTP/1.1 200", "%s: got %s after the head", testCase->name, afterHead.c_str());
+}
