LibHttp: Expect no body in a response to HEAD

Callers of HEAD waited until their route's timeout and got 504, although the upstream had answered (review).

Cause: the pool did not know the method, and awaited the body that the length of the response names.

Change: responses to HEAD end with their head. Their connection is not used again: a body that an upstream sends nevertheless would be read as the next response.

Evidence: ConnectionPool::responsesToHeadHaveNoBody, 4 of 4 cases failed before (3 at the deadline, 1 with a body), 4 of 4 pass.

--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -185,6 +185,7 @@
 
     std::optional<CallFailure> write(const HttpRequest &request, const std::string &address, const asio::yield_context &yield)
     {
+        m_isHead = request.method == "HEAD";
         const auto message = toMessage(request, address);
         http::request_serializer<http::span_body<const char>> serializer(message);
         beast::error_code error;
@@ -205,6 +206,7 @@
             http::response_parser<http::string_body> parser;
             parser.header_limit(s_headerLimit);
             parser.body_limit(m_options.responseLimit);
+            parser.skip(m_isHead);
             if (auto failed = readMessage(parser, yield)) {
                 return *failed;
             }
@@ -215,7 +217,8 @@
                 }
                 continue;
             }
-            m_reusable = !m_skipped && parser.keep_alive() && m_connection.buffer.size() == 0;
+            // An upstream that sends a body after its response to HEAD can't be told from one that doesn't.
+            m_reusable = !m_skipped && !m_isHead && parser.keep_alive() && m_connection.buffer.size() == 0;
             m_connection.keepAlive = announcedKeepAlive(std::string_view(parser.get()[http::field::keep_alive]));
             const bool mayFollow = parser.keep_alive();
             const std::size_t bodyBytes = parser.get().body().size();
@@ -260,7 +263,7 @@
             expireAtNextLimit();
             beast::error_code error = reader.step(yield);
             // Checked before the error: without a declared length, the end of the connection looks like the end of the body.
-            if (parser.is_header_done() && parser.get().result_int() >= 200 && !reader.declaresLength()) {
+            if (parser.is_header_done() && parser.get().result_int() >= 200 && !m_isHead && !reader.declaresLength()) {
                 if (!m_options.acceptsUndeclaredLength) {
                     return CallFailure{CallFailureKind::LengthUndeclared, true, "the response declares no length"};
                 }
@@ -327,6 +330,8 @@
     std::size_t &m_unfinishedBytes;
     std::size_t m_unfinishedLimit;
     bool m_anyByteWritten = false;
+    /// Responses have no body, whatever their headers say.
+    bool m_isHead = false;
     bool m_reusable = false;
     bool m_skipped = false;
     int m_interimCount = 0;
--- a/Tests/LibHttp/testconnectionpool.cpp
+++ b/Tests/LibHttp/testconnectionpool.cpp
@@ -2,7 +2,10 @@
 #include <LibHttp/connectionpool.h>
 #include <StandIns/upstream.h>
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <thread>
@@ -293,3 +296,75 @@
     });
     cr_assert_eq(fixture.pool.opened(), 2);
 }
+
+namespace
+{
+
+struct HeadCase
+{
+    char name[32];
+    char fields[64];
+    /// Sent after the head, against the protocol.
+    char body[16];
+};
+
+} // namespace
+
+// Guards against a wait for the body of a response to HEAD, which has none, and against one that comes nevertheless and is taken for the
+// response to the next request.
+ParameterizedTestParameters(ConnectionPool, responsesToHeadHaveNoBody)
+{
+    static HeadCase cases[] = {
+        {"length", "Content-Length: 9\r\n", ""},
+        {"chunks", "Transfer-Encoding: chunked\r\n", ""},
+        {"no length", "", ""},
+        {"length and body", "Content-Length: 9\r\n", "two casts"},
+    };
+    return cr_make_param_array(HeadCase, cases, std::size(cases));
+}
+
+ParameterizedTest(HeadCase *testCase, ConnectionPool, responsesToHeadHaveNoBody)
+{
+    using tcp = asio::ip::tcp;
+    asio::io_context context{1};
+    ConnectionPool pool(context, {});
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    asio::spawn(context, [&](const asio::yield_context &yield) {
+        std::vector<std::unique_ptr<tcp::socket>> sockets;
+        while (true) {
+            sockets.push_back(std::make_unique<tcp::socket>(context));
+            acceptor.async_accept(*sockets.back(), yield);
+            asio::spawn(context, [&, &socket = *sockets.back()](const asio::yield_context &connectionYield) {
+                boost::system::error_code error;
+                while (!error) {
+                    std::string request;
+                    asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", connectionYield[error]);
+                    const std::string id = request.find("first") != std::string::npos ? "first" : "second";
+                    const std::string fields = id == "first" ? testCase->fields : "Content-Length: 0\r\n";
+                    const std::string head = "HTTP/1.1 200 OK\r\nTrefoil-Request-Id: " + id + "\r\n" + fields + "\r\n";
+                    asio::async_write(socket, asio::buffer(head), connectionYield[error]);
+                    // The body comes after the caller of the pool has its response.
+                    asio::steady_timer timer(context, std::chrono::milliseconds(20));
+                    timer.async_wait(connectionYield[error]);
+                    asio::async_write(socket, asio::buffer(std::string(id == "first" ? testCase->body : "")), connectionYield[error]);
+                }
+            });
+        }
+    });
+    runCoroutine(context, [&](const asio::yield_context &yield) {
+        for (const std::string id : {"first", "second"}) {
+            CallOptions options;
+            options.deadline = BootClock::now() + std::chrono::milliseconds(500);
+            options.requestId = id;
+            options.acceptsUndeclaredLength = true;
+            HttpRequest request{id == "first" ? "HEAD" : "GET", "/"};
+            request.headers.add("Trefoil-Request-Id", id);
+            const BootTime start = BootClock::now();
+            const CallResult result = pool.call(address, nullptr, request, options, yield);
+            cr_assert_eq(textOf(result), "200", "%s, %s: %s", testCase->name, id.c_str(), textOf(result).c_str());
+            cr_assert_eq(std::get<HttpResponse>(result).body, "");
+            cr_assert_lt((BootClock::now() - start).count(), std::chrono::nanoseconds(std::chrono::milliseconds(200)).count());
+        }
+    });
+}
