trefoilmountd: Reject uncertain framing at the administration server

A command that hid behind "GET /v1/status" with "Transfer-Encoding: gzip" on one authorized connection ran.

Cause: the administration server reads requests by itself, with the same parser as HttpServer had.

--- a/Services/trefoilmountd/adminserver.cpp
+++ b/Services/trefoilmountd/adminserver.cpp
@@ -3,6 +3,7 @@
 #include <LibCommand/parser.h>
 #include <LibConfiguration/json.h>
 #include <LibCore/constanttime.h>
+#include <LibHttp/requesthead.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/spawn.hpp>
@@ -138,6 +139,7 @@
         , m_queries(state, std::move(sources.queries))
         , m_metrics(std::move(sources.metrics))
         , m_status(std::move(sources.status))
+        , m_framingRejections(sources.framingRejections)
     {
     }
 
@@ -226,6 +228,14 @@
         parser.header_limit(s_maximumHeaderBytes);
         parser.body_limit(s_maximumBodyBytes);
         stream.expires_after(s_idleTimeout);
+        const RequestHead head = readHead(stream, buffer, s_maximumHeaderBytes, yield);
+        if (const auto *fault = std::get_if<FramingFault>(&head)) {
+            rejectFraming(*fault, stream, yield);
+            return false;
+        }
+        if (std::holds_alternative<boost::system::error_code>(head)) {
+            return false;
+        }
         http::async_read_header(stream, buffer, parser, yield[error]);
         if (error) {
             return false;
@@ -247,6 +257,21 @@
         return !error && response.keep_alive();
     }
 
+    void rejectFraming(FramingFault fault, boost::beast::tcp_stream &stream, const yield_context &yield)
+    {
+        if (m_framingRejections) {
+            m_framingRejections->count(fault);
+        }
+        Response rejection = respondError({},
+            http::status(statusOf(fault)),
+            "malformed-request",
+            std::string(fieldOf(fault)),
+            fmt::format("the request's end can't be told: {}", toText(fault)));
+        rejection.keep_alive(false);
+        boost::system::error_code ignored;
+        http::async_write(stream, rejection, yield[ignored]);
+    }
+
     bool isAuthorized(const http::request_header<> &header) const
     {
         constexpr std::string_view prefix = "Bearer ";
@@ -369,6 +394,7 @@
     AdminQueries m_queries;
     std::function<std::string()> m_metrics;
     std::function<json()> m_status;
+    FramingRejections *m_framingRejections;
     std::uint64_t m_unauthenticatedConnections = 0;
 };
 
--- a/Services/trefoilmountd/adminserver.h
+++ b/Services/trefoilmountd/adminserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibHttp/framingrejections.h>
 #include <Services/trefoilmountd/adminqueries.h>
 #include <Services/trefoilmountd/configurationservice.h>
 
@@ -27,6 +28,8 @@
     std::function<std::string()> metrics;
     /// Members of /v1/status in addition to those about the configuration.
     std::function<nlohmann::json()> status;
+    /// Counts the requests that are rejected for their framing; may be null.
+    FramingRejections *framingRejections = nullptr;
 };
 
 /// Administration over HTTP (design 3.2): POST /v1/commands, GET /v1/configuration, GET /v1/status, GET /metrics.
--- a/Services/trefoilmountd/controlplane.cpp
+++ b/Services/trefoilmountd/controlplane.cpp
@@ -146,6 +146,7 @@
 {
     AdminServerSources sources;
     sources.metrics = [this] { return metricsText(); };
+    sources.framingRejections = &m_host.framingRejections();
     sources.queries.grants = [this](const std::optional<ServiceId> &service) { return grants(service); };
     sources.status = [this] {
         const BootTime now = BootClock::now();
--- a/Tests/trefoilmountd/testadminserver.cpp
+++ b/Tests/trefoilmountd/testadminserver.cpp
@@ -1,5 +1,10 @@
 #include "adminfixture.h"
 
+#include <LibHttp/endpoint.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <criterion/parameterized.h>
 
 using namespace Trefoil;
@@ -73,3 +78,27 @@
     cr_assert_eq(response.json()["regions"], json::array({"hill"}));
     cr_assert(response.json()["tables"].empty());
 }
+
+// Guards against a command that hides in the body of another request, whose end two programs see at different places.
+Test(AdminServer, hiddenCommandsDontRun)
+{
+    AdminFixture fixture;
+    const std::string authorization = std::string("Authorization: Bearer ") + s_secret + "\r\n";
+    const std::string command = R"({"text": "drain region gulf"})";
+    const std::string hidden =
+        "POST /v1/commands HTTP/1.1\r\n" + authorization + "Connection: close\r\nContent-Length: " + std::to_string(command.size()) + "\r\n\r\n" + command;
+    std::optional<std::string> answer;
+    boost::asio::spawn(fixture.cluster.context, [&](const boost::asio::yield_context &yield) {
+        boost::asio::ip::tcp::socket socket(fixture.cluster.context);
+        socket.async_connect(parseEndpoint(fixture.server->address()).value(), yield);
+        const std::string request = "GET /v1/status HTTP/1.1\r\n" + authorization + "Transfer-Encoding: gzip\r\n\r\n" + hidden;
+        boost::asio::async_write(socket, boost::asio::buffer(request), yield);
+        std::string text;
+        boost::system::error_code error;
+        boost::asio::async_read(socket, boost::asio::dynamic_buffer(text), yield[error]);
+        answer = text;
+    });
+    cr_assert(fixture.cluster.runUntil([&] { return answer.has_value(); }, 15000));
+    cr_assert_eq(answer->substr(0, 12), "HTTP/1.1 400", "%s", answer->c_str());
+    cr_assert_eq(answer->find("accepted"), std::string::npos, "%s", answer->c_str());
+}
