--- a/Tests/LibGateway/testgateway.cpp
+++ b/Tests/LibGateway/testgateway.cpp
@@ -1,4 +1,5 @@
 #include "gatewayfixture.h"
+#include "scriptedupstream.h"
 #include <StandIns/endlessupstream.h>
 
 #include <boost/asio/post.hpp>
@@ -462,3 +463,23 @@
         cr_expect_eq(status, 200, "%s: %d", testCase->shape, status);
     });
 }
+
+// Guards against a request with HEAD that waits for a body until its deadline although the upstream has answered.
+Test(Gateway, headIsAnsweredAtOnce)
+{
+    GatewayFixture fixture(0);
+    const ScriptedUpstream upstream(fixture, "u", [](tcp::socket &socket, const std::string &id, const asio::yield_context &yield) {
+        ScriptedUpstream::write(socket, "HTTP/1.1 200 OK\r\nTrefoil-Request-Id: " + id + "\r\nContent-Length: 9\r\n\r\n", yield);
+        return true;
+    });
+    fixture.run([&](const asio::yield_context &yield) {
+        HttpRequest request{"HEAD", "/read/a", {}, "two casts"};
+        request.headers.add("Host", "a.example");
+        request.headers.add("Trefoil-Request-Id", "id-1");
+        const BootTime start = BootClock::now();
+        const HttpResponse response = fixture.gateway.handle(request, fixture.caller, yield);
+        cr_assert_eq(response.status, 200);
+        cr_assert_eq(response.body, "");
+        cr_assert_lt((BootClock::now() - start).count(), std::chrono::nanoseconds(300ms).count());
+    });
+}
