--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/httpserver.h>
 
 #include <LibHttp/endpoint.h>
+#include <LibHttp/requesthead.h>
 
 #include <algorithm>
 #include <atomic>
@@ -33,7 +34,7 @@
 /// Pause of the accept loop when the process has no file descriptor left.
 constexpr std::chrono::milliseconds s_acceptPause{20};
 constexpr std::size_t s_lingerLimit = std::size_t{4} * 1024 * 1024;
-constexpr std::size_t s_readSize = 4096;
+constexpr std::size_t s_readSize = s_headReadSize;
 
 /// For a connection above the bound.
 constexpr std::string_view s_tooManyConnections = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nConnection: close\r\n"
@@ -72,6 +73,11 @@
     return errorResponse(400, "malformed-request", "header", error.message());
 }
 
+bool beginsWith(const beast::flat_buffer &buffer, std::string_view text)
+{
+    return std::string_view(static_cast<const char *>(buffer.data().data()), buffer.size()).substr(0, text.size()) == text;
+}
+
 /// True when the error says that the input is wrong, not that the connection failed.
 bool isInputError(const beast::error_code &error)
 {
@@ -288,10 +294,21 @@
         parser.header_limit(static_cast<std::uint32_t>(headerLimit));
         parser.body_limit(m_state->m_settings.input.bodyLimit);
         expireAfter(m_state->m_settings.input.headerTimeout);
+        const RequestHead head = readHead(m_socket, m_buffer, headerLimit, yield);
+        m_isHead = beginsWith(m_buffer, "HEAD ");
+        if (const auto *fault = std::get_if<FramingFault>(&head)) {
+            return rejectFraming(*fault);
+        }
+        if (const auto *failed = std::get_if<boost::system::error_code>(&head)) {
+            return endOfRead(*failed, "header");
+        }
         http::async_read_header(m_socket, m_buffer, parser, yield[error]);
         if (error) {
             return endOfRead(error, "header");
         }
+        m_keepAlive = parser.get().keep_alive();
+        // Before the body: the parser adds the trailers that follow it to the headers.
+        HttpRequest request = toRequest(parser.get());
         if (!parser.is_done()) {
             if (beast::iequals(parser.get()[http::field::expect], "100-continue") && !continueBody(yield)) {
                 return ConnectionEnded{};
@@ -302,8 +319,16 @@
                 return endOfRead(error, "body");
             }
         }
-        m_keepAlive = parser.get().keep_alive();
-        return toRequest(parser.release());
+        request.body = std::move(parser.get().body());
+        return request;
+    }
+
+    HttpResponse rejectFraming(FramingFault fault) const
+    {
+        if (const auto &rejections = m_state->m_settings.framingRejections) {
+            rejections->count(fault);
+        }
+        return errorResponse(statusOf(fault), "malformed-request", fieldOf(fault), fmt::format("the request's end can't be told: {}", toText(fault)));
     }
 
     ReadResult endOfRead(const beast::error_code &error, std::string_view part) const
@@ -326,7 +351,8 @@
         return !error;
     }
 
-    static HttpRequest toRequest(http::request<http::string_body> message)
+    /// The request without its body.
+    static HttpRequest toRequest(const http::request<http::string_body> &message)
     {
         HttpRequest request;
         request.method = std::string(message.method_string());
@@ -334,7 +360,6 @@
         for (const auto &field : message) {
             request.headers.add(std::string_view(field.name_string()), std::string_view(field.value()));
         }
-        request.body = std::move(message.body());
         return request;
     }
 
@@ -348,11 +373,18 @@
         }
         message.keep_alive(keepOpen);
         message.body() = {response.body.data(), response.body.size()};
-        message.content_length(response.body.size());
+        // The length of an upstream's response to HEAD, whose body has no bytes, isn't known.
+        if (!m_isHead || !response.body.empty()) {
+            message.content_length(response.body.size());
+        }
         beast::error_code error;
         expireAfter(m_state->m_settings.writeTimeout);
         http::response_serializer<http::span_body<const char>> serializer(message);
-        http::async_write(m_socket, serializer, yield[error]);
+        if (m_isHead) {
+            http::async_write_header(m_socket, serializer, yield[error]);
+        } else {
+            http::async_write(m_socket, serializer, yield[error]);
+        }
         m_ended = m_ended || error;
         return !error;
     }
@@ -385,6 +417,8 @@
     bool m_idle = false;
     bool m_ended = false;
     bool m_keepAlive = false;
+    /// The request that is being read or answered has the method HEAD, so that its response has no body.
+    bool m_isHead = false;
 };
 
 Result<void> HttpServer::State::listen()
--- a/Services/trefoilmountd/controlplane.cpp
+++ b/Services/trefoilmountd/controlplane.cpp
@@ -146,6 +146,7 @@
 {
     AdminServerSources sources;
     sources.metrics = [this] { return metricsText(); };
+    sources.framingRejections = &m_host.framingRejections();
     sources.queries.grants = [this](const std::optional<ServiceId> &service) { return grants(service); };
     sources.status = [this] {
         const BootTime now = BootClock::now();
@@ -186,6 +187,7 @@
 {
     ScrapeWriter writer;
     m_host.metrics().writeTo(writer);
+    m_host.framingRejections().writeTo(writer);
     return writer.text();
 }
 
--- a/Tests/LibGateway/testupstreamnotices.cpp
+++ b/Tests/LibGateway/testupstreamnotices.cpp
@@ -240,7 +240,7 @@
     GatewayFixture fixture(0);
     bool isPausing = true;
     ScriptedUpstream pausing(fixture, "pausing", [&isPausing](tcp::socket &socket, const std::string &id, const asio::yield_context &yield) {
-        const std::string text = isPausing ? response(id, "503 Service Unavailable", "Trefoil-Not-Started: 1\r\nRetry-After: 0.3\r\n") : response(id, "200 OK");
+        const std::string text = isPausing ? response(id, "503 Service Unavailable", "Trefoil-Not-Started: 1\r\nRetry-After: 1\r\n") : response(id, "200 OK");
         ScriptedUpstream::write(socket, text, yield);
         return true;
     });
@@ -253,12 +253,12 @@
             const HttpResponse rejection = fixture.send("/write/1", yield);
             cr_assert_eq(rejection.status, 503);
             const double retryAfter = std::stod(std::string(rejection.headers.value("Retry-After")));
-            const double left = std::chrono::duration<double>(paused + 300ms - sent).count();
+            const double left = std::chrono::duration<double>(paused + 1s - sent).count();
             cr_assert(retryAfter >= left - 0.02 && retryAfter <= 2 * left + 0.02, "%f of %f", retryAfter, left);
             cr_assert(BootClock::now() - sent < 100ms);
             pause(fixture.context, 10ms, yield);
         }
-        pause(fixture.context, 150ms, yield);
+        pause(fixture.context, 850ms, yield);
         cr_assert_eq(pausing.received().size(), 1);
         cr_assert_eq(fixture.send("/write/1", yield).status, 200);
     });
--- a/Tests/Platform/testplannedstop.cpp
+++ b/Tests/Platform/testplannedstop.cpp
@@ -85,9 +85,9 @@
         playFrom(s_notReady, body);
     }
 
-    /// Precondition: ip is a loopback address that no other test uses.
-    explicit Deployment(std::string ip)
-        : m_ip(std::move(ip))
+    /// Each process has a loopback address of its own, so that several runs at a time don't take each other's ports.
+    Deployment()
+        : m_ip(fmt::format("127.{}.{}.1", 100 + ::getpid() / 250 % 100, ::getpid() % 250))
         , m_store(m_context)
     {
         std::string folder = (std::filesystem::temp_directory_path() / "trefoil-stop-XXXXXX").string();
@@ -338,7 +338,7 @@
 // a response, and they must not be repeated. Some uploads begin before SIGTERM and end late in the grace, others begin after it.
 Test(PlannedStop, lateUploadsAreToldToGoElsewhere)
 {
-    Deployment deployment("127.71.1.1");
+    Deployment deployment;
     deployment.play([&](const asio::yield_context &yield) {
         Requests requests(deployment);
         for (int i = 0; i < 4; ++i) {
@@ -373,7 +373,7 @@
 // not run. Guards also against further signals that end the host sooner, and against a host that counts as ready while it stops.
 Test(PlannedStop, requestsInWorkAtTheEndGetAResponse)
 {
-    Deployment deployment("127.71.2.1");
+    Deployment deployment;
     deployment.play([&](const asio::yield_context &yield) {
         Requests requests(deployment);
         for (int i = 0; i < 4; ++i) {
@@ -417,7 +417,7 @@
 // Guards against a host that ignores SIGTERM, fails, or ends with requests unanswered while it has no configuration yet.
 Test(PlannedStop, startingHostStops)
 {
-    Deployment deployment("127.71.3.1");
+    Deployment deployment;
     deployment.playWhileStarting([&](const asio::yield_context &yield) {
         const BootTime start = BootClock::now();
         deployment.signal(SIGTERM);
