--- a/Libraries/LibSettings/gatewaysettings.cpp
+++ b/Libraries/LibSettings/gatewaysettings.cpp
@@ -1,6 +1,7 @@
 #include <LibSettings/gatewaysettings.h>
 
 #include <cmath>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace Trefoil
@@ -11,6 +12,10 @@
 
 using Json = nlohmann::json;
 
+/// In megabytes. An idle host with its tables takes about 20; the largest machines have less than a million.
+constexpr int s_smallestMemory = 40;
+constexpr int s_largestMemory = 1000000;
+
 /// Reads values by JSON pointer and collects what is wrong with them.
 class Reader
 {
@@ -43,6 +48,21 @@
         return value->get<double>();
     }
 
+    /// Memory in megabytes.
+    double memory(const std::string &place, double fallback)
+    {
+        const Json *value = find(place);
+        if (!value) {
+            return fallback;
+        }
+        const double number = value->is_number() ? value->get<double>() : 0;
+        if (number < s_smallestMemory || number > s_largestMemory) {
+            m_findings.push_back({place, fmt::format("a number of megabytes from {} to {} is required", s_smallestMemory, s_largestMemory), ""});
+            return fallback;
+        }
+        return number;
+    }
+
     bool boolean(const std::string &place, bool fallback)
     {
         const Json *value = find(place);
@@ -159,6 +179,7 @@
     limits.maximumShift = reader.number("/limits/largestShift", limits.maximumShift);
     limits.drainNotice = reader.duration("/limits/drainNotice", limits.drainNotice);
     limits.configurationApply = reader.duration("/limits/configurationApply", limits.configurationApply);
+    limits.memory = reader.memory("/limits/memory", limits.memory);
     Findings findings = reader.takeFindings();
     if (!findings.empty()) {
         return Error{ErrorCode::InvalidInput, "invalid settings", std::move(findings)};
--- a/Libraries/LibSettings/gatewaysettings.h
+++ b/Libraries/LibSettings/gatewaysettings.h
@@ -32,6 +32,8 @@
     std::chrono::milliseconds drainNotice{2000};
     /// A configuration must be in force on every host within this time.
     std::chrono::milliseconds configurationApply{2000};
+    /// Memory of the process, in megabytes; the smallest host has 160.
+    double memory = 160;
 };
 
 /// Settings of a host that runs as a gateway on the operators' platform.
--- a/Tests/LibSettings/testgatewaysettings.cpp
+++ b/Tests/LibSettings/testgatewaysettings.cpp
@@ -23,7 +23,7 @@
         {"metricsAddress", "10.0.0.1:84"},
         {"zones", {{"gulf-a", "gulf"}, {"hill-a", "hill"}}},
         {"store", {{"address", "10.0.0.9:90"}}},
-        {"limits", {{"stopGrace", "6s"}, {"retryRatio", 0.2}}}};
+        {"limits", {{"stopGrace", "6s"}, {"retryRatio", 0.2}, {"memory", 260}}}};
 }
 
 struct DurationCase
@@ -64,13 +64,31 @@
     cr_assert_eq(settings.value().limits.stopGrace.count(), 6000);
     cr_assert_float_eq(settings.value().limits.retryRatio, 0.2, 1e-9);
     cr_assert_eq(settings.value().limits.lookupLifetime.count(), 5000);
+    cr_assert_float_eq(settings.value().limits.memory, 260, 1e-9);
+}
+
+// Guards against a host without a limit for its memory when the settings name none: the smallest host counts.
+Test(GatewaySettings, memoryHasADefault)
+{
+    Json document = settingsDocument();
+    document["limits"]["memory"] = nullptr;
+    cr_assert_float_eq(parseGatewaySettings(document.dump()).value().limits.memory, 160, 1e-9);
+    document["limits"].erase("memory");
+    cr_assert_float_eq(parseGatewaySettings(document.dump()).value().limits.memory, 160, 1e-9);
 }
 
 // Guards against a wrong value that is taken silently, and against a finding without its place.
 ParameterizedTestParameters(GatewaySettings, findings)
 {
-    static FindingCase cases[] = {
-        {"/host", "7"}, {"/zones", "{}"}, {"/zones/hill-a", "7"}, {"/limits/stopGrace", "6"}, {"/limits/retryRatio", "-1"}, {"/store/address", "null"}};
+    static FindingCase cases[] = {{"/host", "7"},
+        {"/limits/memory", "\"260\""},
+        {"/limits/memory", "0"},
+        {"/limits/memory", "1e300"},
+        {"/zones", "{}"},
+        {"/zones/hill-a", "7"},
+        {"/limits/stopGrace", "6"},
+        {"/limits/retryRatio", "-1"},
+        {"/store/address", "null"}};
     return cr_make_param_array(FindingCase, cases, std::size(cases));
 }
 
