LibHttp: Count responses against the memory of the host until callers have them

Operators saw: a faulty upstream sent bytes without end until the caller closed; the host that had called it ran out of memory, and the requests of other clients ended with it (LOST).

Cause: only bodies that were being read shared a bound (64 MB). Finished responses that wait for slow callers, heads, and the growth of strings were not counted, and the allocator kept blocks of up to 32 MB for later bodies. A call above the bound failed at once, although its upstream had answered.

Change: the room of a response is taken before its body is read, from the declared length or before the string grows, and kept until the response is written to its caller. Without room the body is not read for up to 4 s (1 s for one that grows and holds room meanwhile); then only this call ends, with the reason "no-memory", which counts neither as a failure nor as work time of the upstream.

Chunked responses hold up to twice their size, so that fewer fit.

--- a/Libraries/LibGateway/attempt.cpp
+++ b/Libraries/LibGateway/attempt.cpp
@@ -18,6 +18,8 @@
     end.wasSent = failure.anyByteWritten;
     switch (failure.kind) {
     case CallFailureKind::Cancelled:
+    // A further attempt would lack the memory, too, and it says nothing about the upstream's health.
+    case CallFailureKind::NoMemory:
         end.outcome = AttemptOutcome::Cancelled;
         break;
     case CallFailureKind::NoConnection:
--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -127,7 +127,7 @@
     : m_settings(std::move(settings))
     , m_state(state)
     , m_metrics(metrics)
-    , m_pool(context, {m_settings.sourceAddress, m_settings.connectTimeout, std::chrono::seconds(60), 64, m_settings.unacknowledgedTimeout})
+    , m_pool(context, {m_settings.sourceAddress, m_settings.connectTimeout, std::chrono::seconds(60), 64, m_settings.unacknowledgedTimeout, m_settings.memory})
     , m_random(std::random_device{}())
 {
 }
@@ -294,7 +294,7 @@
     m_state.recordAttempt(exchange.placement,
         upstream,
         exchange.placed,
-        {end.outcome, end.timedOut, now - start, end.load, end.isUpstreamLeaving, end.requestedPause.pause},
+        {end.outcome, end.timedOut, now - start - trace.memoryWait, end.load, end.isUpstreamLeaving, end.requestedPause.pause},
         now);
     if (end.isMisdirected) {
         m_state.upstreamRemoved(identity.id);
@@ -341,6 +341,7 @@
             {"reason", end.reason},
             {"status", std::int64_t{end.response ? end.response->status : 0}},
             {"durationMs", wholeMilliseconds(duration)},
+            {"memoryWaitMs", wholeMilliseconds(end.trace.memoryWait)},
             {"expectedWorkMs", wholeMilliseconds(exchange.placed.expectedWork)},
             {"expectedWaitMs", wholeMilliseconds(exchange.placed.expectedWait)},
             {"cache", std::int64_t{static_cast<int>(exchange.placed.cache)}},
@@ -400,6 +401,7 @@
         response.status = end.response->status;
         copyEndToEndFields(end.response->headers, response.headers);
         response.body = std::move(end.response->body);
+        response.reservation = std::move(end.response->reservation);
         return response;
     }
     if (!exchange.mayHaveRun) {
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -22,6 +22,8 @@
     /// Idle time after which a connection isn't reused for a non-idempotent request: the upstream may have dropped the connection,
     /// and it would be unknown whether the request ran.
     std::chrono::milliseconds maximumIdleForNonIdempotent{1500};
+    /// Budget for responses; null gives the gateway one of its own.
+    std::shared_ptr<MemoryBudget> memory{};
 };
 
 /// Forwards requests of callers to upstreams: matches a route, places the request, attempts and retries it within the limits, and
--- a/Libraries/LibGateway/gatewaymetrics.cpp
+++ b/Libraries/LibGateway/gatewaymetrics.cpp
@@ -76,4 +76,16 @@
     writer.sample("", {}, static_cast<double>(state.registeredHostCount()));
 }
 
+void writeMemoryMetrics(ScrapeWriter &writer, const MemoryBudget &memory)
+{
+    writer.begin("trefoil_message_memory_bytes", "gauge", "Bytes of requests and responses that are held.");
+    writer.sample("", {}, static_cast<double>(memory.reservedBytes()));
+    writer.begin("trefoil_message_memory_limit_bytes", "gauge", "Most bytes of requests and responses that may be held.");
+    writer.sample("", {}, static_cast<double>(memory.limits().total));
+    writer.begin("trefoil_no_memory_total", "counter", "Requests rejected, and responses given up, because there was no memory for them.");
+    for (const MemoryUse use : {MemoryUse::Request, MemoryUse::Response}) {
+        writer.sample("", {{"message", toText(use)}}, static_cast<double>(memory.refusals(use)));
+    }
+}
+
 } // namespace Trefoil
--- a/Libraries/LibGateway/gatewaymetrics.h
+++ b/Libraries/LibGateway/gatewaymetrics.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/attempt.h>
 #include <LibGateway/gatewaystate.h>
+#include <LibHttp/memorybudget.h>
 #include <LibTelemetry/requestmetrics.h>
 
 namespace Trefoil
@@ -47,4 +48,7 @@
     BootTime m_discoveryAt{};
 };
 
+/// Writes the state of the budget to a scrape. Precondition: none. Thread safety: as the budget.
+void writeMemoryMetrics(ScrapeWriter &writer, const MemoryBudget &memory);
+
 } // namespace Trefoil
--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -1,5 +1,6 @@
 #include <LibHttp/connectionpool.h>
 
+#include <LibHttp/awaitroom.h>
 #include <LibHttp/endpoint.h>
 #include <LibHttp/failedrequests.h>
 #include <LibHttp/responsereader.h>
@@ -134,52 +135,18 @@
 /// Responses from this status on are failures; their copies are remembered.
 constexpr int s_firstFailure = 400;
 
-/// Bytes of a body that don't count against the limit of the pool, so that small responses never wait for large ones.
-constexpr std::size_t s_uncountedBytes = std::size_t{64} * 1024;
-
-/// The part of one unfinished body in the sum of its pool.
-class UnfinishedBody
-{
-public:
-    UnfinishedBody(std::size_t &sum, std::size_t limit)
-        : m_sum(sum)
-        , m_limit(limit)
-    {
-    }
-
-    ~UnfinishedBody()
-    {
-        m_sum -= m_counted;
-    }
-
-    UnfinishedBody(const UnfinishedBody &) = delete;
-    UnfinishedBody &operator=(const UnfinishedBody &) = delete;
-
-    /// False when the sum exceeds the limit through this body.
-    bool growTo(std::size_t bytes)
-    {
-        const std::size_t counted = bytes - std::min(bytes, s_uncountedBytes);
-        const std::size_t growth = counted - m_counted;
-        m_sum += growth;
-        m_counted = counted;
-        return growth == 0 || m_sum <= m_limit;
-    }
-
-private:
-    std::size_t &m_sum;
-    std::size_t m_limit;
-    std::size_t m_counted = 0;
-};
+/// Longest wait for room for a response whose length is declared, and for more room for one that grows and holds some meanwhile.
+constexpr std::chrono::milliseconds s_memoryWait{4000};
+constexpr std::chrono::milliseconds s_growthWait{1000};
 
 /// One request on one connection.
 class Exchange
 {
 public:
-    Exchange(PooledConnection &connection, const CallOptions &options, std::size_t &unfinishedBytes, std::size_t unfinishedLimit)
+    Exchange(PooledConnection &connection, const CallOptions &options, const std::shared_ptr<MemoryBudget> &memory)
         : m_connection(connection)
         , m_options(options)
-        , m_unfinishedBytes(unfinishedBytes)
-        , m_unfinishedLimit(unfinishedLimit)
+        , m_memory(memory)
     {
     }
 
@@ -219,7 +186,9 @@
             m_connection.keepAlive = announcedKeepAlive(std::string_view(parser.get()[http::field::keep_alive]));
             const bool mayFollow = parser.keep_alive();
             const std::size_t bodyBytes = parser.get().body().size();
-            CallResult result = checkId(toResponse(parser.release()));
+            HttpResponse response = toResponse(parser.release());
+            response.reservation = std::move(m_reservation);
+            CallResult result = checkId(std::move(response));
             recordFailure(result);
             const auto *failed = std::get_if<CallFailure>(&result);
             if (failed && m_options.skipsForeignResponses && mayFollow && mayDiscard(bodyBytes)) {
@@ -235,6 +204,12 @@
         return m_reusable;
     }
 
+    /// Time for which nothing was read for lack of room.
+    BootClock::duration memoryWait() const
+    {
+        return m_memoryWait;
+    }
+
     /// Foreign responses that were discarded.
     int foreignResponses() const
     {
@@ -255,7 +230,8 @@
     std::optional<CallFailure> readMessage(http::response_parser<http::string_body> &parser, const asio::yield_context &yield)
     {
         ResponseReader reader(m_connection.stream, m_connection.buffer, parser, m_options.deadline);
-        UnfinishedBody body(m_unfinishedBytes, m_unfinishedLimit);
+        m_reservation = std::make_shared<MemoryReservation>(m_memory, MemoryUse::Response);
+        m_headBytes = 0;
         while (!parser.is_done()) {
             expireAtNextLimit();
             beast::error_code error = reader.step(yield);
@@ -271,13 +247,50 @@
             if (error) {
                 return failure(parser.got_some() ? CallFailureKind::Truncated : CallFailureKind::ConnectionLost, error);
             }
-            if (!body.growTo(parser.get().body().size())) {
-                return CallFailure{CallFailureKind::TooLarge, true, "all unfinished responses together are too large"};
+            if (!reserve(reader, parser, yield)) {
+                const bool isCancelled = m_options.cancellation && m_options.cancellation->isRequested();
+                return CallFailure{isCancelled ? CallFailureKind::Cancelled : CallFailureKind::NoMemory, true, "no memory is left for the response"};
             }
         }
         return std::nullopt;
     }
 
+    /// Takes room before the body is read: for its declared length, or in steps as it grows.
+    bool reserve(const ResponseReader &reader, http::response_parser<http::string_body> &parser, const asio::yield_context &yield)
+    {
+        if (!parser.is_header_done()) {
+            return true;
+        }
+        std::string &body = parser.get().body();
+        if (m_headBytes == 0) {
+            m_headBytes = static_cast<std::size_t>(reader.bytesParsed());
+        }
+        if (parser.is_done()) {
+            return takeRoom(m_headBytes + body.size(), s_memoryWait, yield);
+        }
+        if (const auto declared = parser.content_length()) {
+            return takeRoom(m_headBytes + static_cast<std::size_t>(*declared), s_memoryWait, yield);
+        }
+        const std::size_t capacity = grownCapacity(body.size(), body.capacity(), s_responseBufferLimit, m_options.responseLimit);
+        if (!takeRoom(m_headBytes + capacity, s_growthWait, yield)) {
+            return false;
+        }
+        body.reserve(capacity);
+        return true;
+    }
+
+    bool takeRoom(std::size_t bytes, std::chrono::milliseconds longest, const asio::yield_context &yield)
+    {
+        if (m_reservation->tryResize(bytes)) {
+            return true;
+        }
+        const BootTime start = BootClock::now();
+        const bool isTaken =
+            awaitRoom(*m_reservation, bytes, std::min<BootClock::duration>(m_options.deadline - start, longest), m_connection.stream.get_executor(), yield);
+        m_memoryWait += BootClock::now() - start;
+        return isTaken;
+    }
+
     /// Counts one more foreign response; false when it exceeds the limits of the call.
     bool mayDiscard(std::size_t bodyBytes)
     {
@@ -311,6 +324,9 @@
         if (m_options.cancellation && m_options.cancellation->isRequested()) {
             return CallFailureKind::Cancelled;
         }
+        if (error == beast::error::timeout && m_memoryWait > BootClock::duration::zero()) {
+            return CallFailureKind::NoMemory;
+        }
         if (error == beast::error::timeout) {
             return BootClock::now() >= m_options.deadline ? CallFailureKind::DeadlineExceeded : CallFailureKind::Stalled;
         }
@@ -324,8 +340,12 @@
 
     PooledConnection &m_connection;
     const CallOptions &m_options;
-    std::size_t &m_unfinishedBytes;
-    std::size_t m_unfinishedLimit;
+    const std::shared_ptr<MemoryBudget> &m_memory;
+    /// Of the response that is read.
+    std::shared_ptr<MemoryReservation> m_reservation;
+    std::size_t m_headBytes = 0;
+    /// Time without reading, for lack of room.
+    BootClock::duration m_memoryWait{};
     bool m_anyByteWritten = false;
     bool m_reusable = false;
     bool m_skipped = false;
@@ -361,6 +381,8 @@
         return "malformed-response";
     case CallFailureKind::TooLarge:
         return "response-too-large";
+    case CallFailureKind::NoMemory:
+        return "no-memory";
     case CallFailureKind::Cancelled:
         return "cancelled";
     case CallFailureKind::WriteRefused:
@@ -376,6 +398,9 @@
         : m_context(context)
         , m_settings(std::move(settings))
     {
+        if (!m_settings.memory) {
+            m_settings.memory = std::make_shared<MemoryBudget>(MemoryLimits{});
+        }
     }
 
     CallResult call(const std::string &address,
@@ -406,13 +431,14 @@
             options.trace->earlierRequests = current->requests;
         }
         ++current->requests;
-        Exchange exchange(*current, options, m_unfinishedBytes, m_settings.unfinishedLimit);
+        Exchange exchange(*current, options, m_settings.memory);
         if (auto failed = exchange.write(request, address, yield)) {
             return afterFailure(address, *current, *failed);
         }
         CallResult result = exchange.read(yield);
         if (options.trace) {
             options.trace->foreignResponses = exchange.foreignResponses();
+            options.trace->memoryWait = exchange.memoryWait();
         }
         if (const auto *failed = std::get_if<CallFailure>(&result)) {
             return afterFailure(address, *current, *failed);
@@ -580,8 +606,6 @@
     ConnectionPoolSettings m_settings;
     std::unordered_map<std::string, std::vector<ConnectionPointer>> m_idle;
     std::uint64_t m_opened = 0;
-    /// Of bodies that are being read.
-    std::size_t m_unfinishedBytes = 0;
 };
 
 ConnectionPool::ConnectionPool(asio::io_context &context, ConnectionPoolSettings settings)
--- a/Libraries/LibHttp/connectionpool.h
+++ b/Libraries/LibHttp/connectionpool.h
@@ -3,6 +3,7 @@
 #include <LibCore/bootclock.h>
 #include <LibHttp/cancellation.h>
 #include <LibHttp/connectionlimit.h>
+#include <LibHttp/memorybudget.h>
 #include <LibHttp/message.h>
 
 #include <boost/asio/io_context.hpp>
@@ -36,6 +37,8 @@
     WrongRequestId,
     Malformed,
     TooLarge,
+    /// This process had no room for the response.
+    NoMemory,
     Cancelled,
     /// CallOptions::prepare refused.
     WriteRefused,
@@ -66,6 +69,8 @@
     int foreignResponses = 0;
     /// Idle connections that were not used, since they had answered this request with a failure.
     int avoidedConnections = 0;
+    /// Time for which the response wasn't read, since this process had no room for it.
+    BootClock::duration memoryWait{};
 };
 
 struct CallOptions
@@ -111,9 +116,9 @@
     /// Sent bytes that stay unacknowledged for this long end the connection, as does an idle peer that answers no
     /// keep-alive probes; 0 leaves both to the system.
     std::chrono::milliseconds unacknowledgedTimeout{0};
-    /// Bytes of the bodies that all calls together are reading, beyond the first 64 KB of each; the call that exceeds it
-    /// ends. Four bodies of the largest size, less than half the memory of the smallest host (160 MB).
-    std::size_t unfinishedLimit = std::size_t{64} * 1024 * 1024;
+    /// Budget for responses; a call for which it has no room ends. Null gives the pool a budget of its own with the default limits: four bodies
+    /// of the largest size.
+    std::shared_ptr<MemoryBudget> memory{};
 };
 
 /// Keep-alive connections to upstreams and other hosts, for one worker thread.
--- a/Libraries/LibHttp/message.h
+++ b/Libraries/LibHttp/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -50,11 +51,15 @@
     std::string body{};
 };
 
+class MemoryReservation;
+
 struct HttpResponse
 {
     int status = 200;
     HttpHeaders headers{};
     std::string body{};
+    /// Keeps the room of the body in the budget of the host until the response has been written; null when it counts against none.
+    std::shared_ptr<MemoryReservation> reservation{};
 };
 
 /// A response with a JSON body `{"error", "field", "message"}`.
--- a/Tests/LibGateway/gatewayfixture.h
+++ b/Tests/LibGateway/gatewayfixture.h
@@ -38,9 +38,9 @@
 /// A gateway with upstreams of one service, all in the zone of the host.
 struct GatewayFixture
 {
-    explicit GatewayFixture(int upstreamCount, std::chrono::microseconds serviceTime = 1000us)
+    explicit GatewayFixture(int upstreamCount, std::chrono::microseconds serviceTime = 1000us, GatewaySettings gatewaySettings = {})
         : state(settings())
-        , gateway(context, {}, state, metrics)
+        , gateway(context, std::move(gatewaySettings), state, metrics)
     {
         state.setConfiguration(configuration());
         state.directory().setSelf({HostId("self"), "a:1", "a:2", ZoneId("zone"), RegionId("region"), 1}, HostPhase::Serving);
--- a/Tests/LibHttp/testendlessbytes.cpp
+++ b/Tests/LibHttp/testendlessbytes.cpp
@@ -270,7 +270,7 @@
         }
         // Until the calls that are left hold their bodies and wait for the rest.
         wait(fixture.context, s_longDeadline * 3 / 4, yield);
-        const auto refused = std::count(ends.begin(), ends.end(), "response-too-large");
+        const auto refused = std::count(ends.begin(), ends.end(), "no-memory");
         rusage usage{};
         ::getrusage(RUSAGE_SELF, &usage);
         cr_log_info("%ld of %d calls have ended, peak %ld MB", static_cast<long>(ends.size()), calls, usage.ru_maxrss / 1024);
