LibHttp: Count request bodies against the memory of the host and send them from one copy

Cause: the server read each body into a string with a bound for one body only, and the gateway copied it for each attempt and kept both until the upstream had answered.

Change: the server takes room in the budget of the host before it reads a body, from the declared length or before the string grows. Without room it doesn't read for up to 1 s, then answers 503 with Retry-After (1 to 2 s) and drops the rest of the body, for up to 5 s, so that the caller gets the answer; the request was not passed on. Attempts send the one body that the server holds (CallOptions::body). The body and its room are given back when the response is there.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -227,7 +227,7 @@
     const GatewayHeaders &names = m_settings.headers;
     HttpHeaders endToEnd;
     copyEndToEndFields(exchange.request.headers, endToEnd);
-    HttpRequest request{exchange.request.method, exchange.request.target, {}, exchange.request.body};
+    HttpRequest request{exchange.request.method, exchange.request.target};
     for (const HttpHeader &field : endToEnd.all()) {
         // The gateway sets these two headers itself.
         if (!isSameHeaderName(field.name, names.timeLeft) && !isSameHeaderName(field.name, names.expectedUpstream)) {
@@ -266,6 +266,7 @@
     if (exchange.placement.route->kind == RequestKind::NonIdempotent) {
         options.maximumIdle = m_settings.maximumIdleForNonIdempotent;
     }
+    options.body = &exchange.request.body;
     options.cancellation = &exchange.caller.cancellation();
     options.prepare = [this, &exchange, &upstream, &names = m_settings.headers](HttpRequest &request) {
         const BootTime now = BootClock::now();
--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -90,7 +90,7 @@
     Cancellation *m_cancellation;
 };
 
-http::request<http::span_body<const char>> toMessage(const HttpRequest &request, const std::string &address)
+http::request<http::span_body<const char>> toMessage(const HttpRequest &request, const std::string &body, const std::string &address)
 {
     http::request<http::span_body<const char>> message;
     message.version(11);
@@ -102,9 +102,9 @@
     for (const auto &field : request.headers.all()) {
         message.insert(field.name, field.value);
     }
-    message.body() = {request.body.data(), request.body.size()};
-    if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
-        message.content_length(request.body.size());
+    message.body() = {body.data(), body.size()};
+    if (!body.empty() || request.method == "POST" || request.method == "PUT") {
+        message.content_length(body.size());
     }
     return message;
 }
@@ -152,7 +152,7 @@
 
     std::optional<CallFailure> write(const HttpRequest &request, const std::string &address, const asio::yield_context &yield)
     {
-        const auto message = toMessage(request, address);
+        const auto message = toMessage(request, m_options.body ? *m_options.body : request.body, address);
         http::request_serializer<http::span_body<const char>> serializer(message);
         beast::error_code error;
         while (!serializer.is_done()) {
--- a/Libraries/LibHttp/connectionpool.h
+++ b/Libraries/LibHttp/connectionpool.h
@@ -96,6 +96,8 @@
     std::chrono::milliseconds maximumIdle = std::chrono::hours(1);
     /// Largest body of a response, in bytes. Headers, chunk sizes and trailers have a limit of their own.
     std::size_t responseLimit = std::size_t{16} * 1024 * 1024;
+    /// Sent in place of the request's body, so that attempts share one body; may be null. Outlives the call.
+    const std::string *body = nullptr;
     /// Ends the call early; may be null.
     Cancellation *cancellation = nullptr;
     /// Receives what happened on the connection; may be null.
--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -1,5 +1,6 @@
 #include <LibHttp/httpserver.h>
 
+#include <LibHttp/awaitroom.h>
 #include <LibHttp/endpoint.h>
 
 #include <algorithm>
@@ -12,6 +13,7 @@
 #include <fmt/format.h>
 #include <list>
 #include <optional>
+#include <random>
 #include <variant>
 
 namespace Trefoil
@@ -34,6 +36,10 @@
 constexpr std::chrono::milliseconds s_acceptPause{20};
 constexpr std::size_t s_lingerLimit = std::size_t{4} * 1024 * 1024;
 constexpr std::size_t s_readSize = 4096;
+/// A caller that is still sending the rejected body may read its response only afterwards; 64 MiB take less than 1 s at 1 Gbit/s.
+constexpr std::chrono::milliseconds s_rejectedBodyTimeout{5000};
+/// Room is free when another large message ends; most take less than a second. Callers come back spread over the same time again.
+constexpr std::chrono::duration<double> s_memoryRetryAfter{1};
 
 /// For a connection above the bound.
 constexpr std::string_view s_tooManyConnections = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nConnection: close\r\n"
@@ -135,6 +141,7 @@
     std::list<Connection *> m_connections;
     std::atomic<std::size_t> m_open{0};
     bool m_closing = false;
+    std::minstd_rand m_random{std::random_device{}()};
 };
 
 /// One connection of a caller; lives as long as its coroutine.
@@ -223,15 +230,17 @@
             return false;
         }
         if (const auto *refusal = std::get_if<HttpResponse>(&read)) {
+            m_reservation.reset();
             writeResponse(*refusal, false, yield);
             return false;
         }
-        HttpResponse response = handle(std::get<HttpRequest>(read), yield);
+        HttpResponse response = handle(std::move(std::get<HttpRequest>(read)), yield);
+        m_reservation.reset();
         const bool keepOpen = m_keepAlive && !m_state->m_closing;
         return writeResponse(response, keepOpen, yield) && keepOpen;
     }
 
-    HttpResponse handle(HttpRequest &request, const asio::yield_context &yield)
+    HttpResponse handle(HttpRequest request, const asio::yield_context &yield)
     {
         m_cancellation = std::make_shared<Cancellation>();
         m_watching = false;
@@ -286,16 +295,20 @@
         parser.header_limit(static_cast<std::uint32_t>(headerLimit));
         parser.body_limit(m_state->m_settings.input.bodyLimit);
         expireAfter(m_state->m_settings.input.headerTimeout);
-        http::async_read_header(m_socket, m_buffer, parser, yield[error]);
+        const std::size_t headBytes = http::async_read_header(m_socket, m_buffer, parser, yield[error]);
         if (error) {
             return endOfRead(error, "header");
         }
+        if (!reserve(headBytes + declaredBytes(parser), yield)) {
+            return rejectForMemory(parser);
+        }
         if (!parser.is_done()) {
             if (beast::iequals(parser.get()[http::field::expect], "100-continue") && !continueBody(yield)) {
                 return ConnectionEnded{};
             }
-            expireAfter(m_state->m_settings.bodyTimeout);
-            http::async_read(m_socket, m_buffer, parser, yield[error]);
+            if (!readBody(parser, headBytes, yield, error)) {
+                return rejectForMemory(parser);
+            }
             if (error) {
                 return endOfRead(error, "body");
             }
@@ -304,6 +317,62 @@
         return toRequest(parser.release());
     }
 
+    using RequestParser = http::request_parser<http::string_body>;
+
+    /// Takes room for the request, or waits for it; the expiry of the connection is off meanwhile.
+    bool reserve(std::size_t bytes, const asio::yield_context &yield)
+    {
+        if (!m_state->m_settings.memory) {
+            return true;
+        }
+        if (!m_reservation) {
+            m_reservation.emplace(m_state->m_settings.memory, MemoryUse::Request);
+        }
+        m_expiry = Clock::time_point::max();
+        return awaitRoom(*m_reservation, bytes, m_state->m_settings.memoryWait, m_socket.get_executor(), yield);
+    }
+
+    /// 0 for a length above the limit, which ends the reading of the body.
+    std::size_t declaredBytes(const RequestParser &parser) const
+    {
+        const std::uint64_t declared = parser.content_length().value_or(0);
+        return declared <= m_state->m_settings.input.bodyLimit ? static_cast<std::size_t>(declared) : 0;
+    }
+
+    /// Reads the rest of the request. False when there is no room for a body in chunks.
+    bool readBody(RequestParser &parser, std::size_t headBytes, const asio::yield_context &yield, beast::error_code &error)
+    {
+        parser.eager(true);
+        const Clock::time_point end = Clock::now() + m_state->m_settings.bodyTimeout;
+        std::string &body = parser.get().body();
+        while (!parser.is_done() && !error) {
+            const std::size_t capacity = grownCapacity(body.size(), body.capacity(), m_buffer.max_size(), m_state->m_settings.input.bodyLimit);
+            if (parser.chunked() && capacity != body.capacity()) {
+                if (!reserve(headBytes + capacity, yield)) {
+                    return false;
+                }
+                body.reserve(capacity);
+            }
+            m_timedOut = false;
+            m_expiry = end;
+            http::async_read_some(m_socket, m_buffer, parser, yield[error]);
+        }
+        if (parser.chunked()) {
+            reserve(headBytes + body.size(), yield);
+        }
+        return true;
+    }
+
+    HttpResponse rejectForMemory(const RequestParser &parser)
+    {
+        m_lingerLimit = std::max(s_lingerLimit, parser.chunked() ? m_state->m_settings.input.bodyLimit : declaredBytes(parser));
+        m_lingerTimeout = s_rejectedBodyTimeout;
+        HttpResponse response = errorResponse(503, "rejected", "body", "the request did not run: this host has no memory left for it");
+        const double spread = std::uniform_real_distribution<double>(1, 2)(m_state->m_random);
+        response.headers.add("Retry-After", fmt::format("{:.2f}", s_memoryRetryAfter.count() * spread));
+        return response;
+    }
+
     ReadResult endOfRead(const beast::error_code &error, std::string_view part) const
     {
         if (m_timedOut) {
@@ -363,10 +432,10 @@
         }
         beast::error_code error;
         m_socket.shutdown(tcp::socket::shutdown_send, error);
-        expireAfter(s_lingerTimeout);
+        expireAfter(m_lingerTimeout);
         std::size_t discarded = 0;
         std::array<char, s_readSize> sink{};
-        while (!error && discarded < s_lingerLimit) {
+        while (!error && discarded < m_lingerLimit) {
             discarded += m_socket.async_read_some(asio::buffer(sink), yield[error]);
         }
     }
@@ -383,6 +452,10 @@
     bool m_idle = false;
     bool m_ended = false;
     bool m_keepAlive = false;
+    /// Of the request that is read or handled.
+    std::optional<MemoryReservation> m_reservation;
+    std::size_t m_lingerLimit = s_lingerLimit;
+    std::chrono::milliseconds m_lingerTimeout = s_lingerTimeout;
 };
 
 Result<void> HttpServer::State::listen()
--- a/Libraries/LibHttp/httpserver.h
+++ b/Libraries/LibHttp/httpserver.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/result.h>
 #include <LibHttp/cancellation.h>
+#include <LibHttp/memorybudget.h>
 #include <LibHttp/message.h>
 
 #include <boost/asio/io_context.hpp>
@@ -38,6 +39,10 @@
     std::chrono::milliseconds bodyTimeout{15000};
     /// Time for the whole response.
     std::chrono::milliseconds writeTimeout{15000};
+    /// Budget for requests, which are rejected while it has no room; null leaves them uncounted.
+    std::shared_ptr<MemoryBudget> memory{};
+    /// How long a request waits for room in the budget. Its body isn't read meanwhile.
+    std::chrono::milliseconds memoryWait{1000};
 };
 
 /// The connection on which a request came in. Thread safety: all calls on the server's thread.
--- a/Tests/LibGateway/memoryscenario.cpp
+++ b/Tests/LibGateway/memoryscenario.cpp
@@ -121,6 +121,7 @@
         HttpServerSettings settings;
         settings.address = "127.0.0.1:0";
         settings.input.bodyLimit = std::size_t{64} * 1024 * 1024;
+        settings.memory = m_budget;
         m_server =
             std::move(HttpServer::create(m_fixture.context, settings, [this](HttpRequest &request, CallerConnection &caller, const asio::yield_context &yield) {
                 return m_fixture.gateway.handle(request, caller, yield);
--- a/Tests/LibGateway/testmemory.cpp
+++ b/Tests/LibGateway/testmemory.cpp
@@ -27,6 +27,17 @@
     int served;
 };
 
+MemoryScenario uploads(double memory, int callers, BodyShape shape)
+{
+    MemoryScenario scenario;
+    scenario.memory = memory;
+    scenario.callers = callers;
+    scenario.requestBytes = 60 * s_mebibyte;
+    scenario.requestShape = shape;
+    scenario.work = 300ms;
+    return scenario;
+}
+
 MemoryScenario endless(double memory, int callers)
 {
     MemoryScenario scenario;
@@ -73,10 +84,13 @@
 } // namespace
 
 // Guards against messages that are each within their limit and together take the process over its memory, so that it is killed with
-// the requests of others: responses that wait for slow callers, and bodies without end.
+// the requests of others: uploads at once, responses that wait for slow callers, and bodies without end.
 ParameterizedTestParameters(Memory, largeMessagesStayWithinTheLimit)
 {
     static MemoryCase cases[] = {
+        {"3 uploads on 260 MB", uploads(260, 3, BodyShape::Declared), 2},
+        {"12 uploads on 160 MB", uploads(160, 12, BodyShape::Declared), 1},
+        {"3 chunked uploads on 260 MB", uploads(260, 3, BodyShape::Chunked), 1},
         {"40 slow callers on 160 MB", downloads(160, 40, BodyShape::Declared, 0), 40},
         {"40 slow callers of chunks", downloads(160, 40, BodyShape::Chunked, 0), 10},
         {"endless bodies and slow callers", downloads(160, 24, BodyShape::Declared, 12), 24},
