--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -134,7 +134,7 @@
     : m_settings(std::move(settings))
     , m_state(state)
     , m_metrics(metrics)
-    , m_pool(context, {m_settings.sourceAddress, m_settings.connectTimeout, std::chrono::seconds(60), 64, m_settings.unacknowledgedTimeout})
+    , m_pool(context, {m_settings.sourceAddress, m_settings.connectTimeout, std::chrono::seconds(60), 64, m_settings.unacknowledgedTimeout, m_settings.memory})
     , m_random(std::random_device{}())
 {
 }
@@ -246,7 +246,7 @@
     const GatewayHeaders &names = m_settings.headers;
     HttpHeaders endToEnd;
     copyEndToEndFields(exchange.request.headers, endToEnd);
-    HttpRequest request{exchange.request.method, exchange.request.target, {}, exchange.request.body};
+    HttpRequest request{exchange.request.method, exchange.request.target};
     for (const HttpHeader &field : endToEnd.all()) {
         // The gateway sets these two headers itself.
         if (!isSameHeaderName(field.name, names.timeLeft) && !isSameHeaderName(field.name, names.expectedUpstream)) {
@@ -291,6 +291,7 @@
     if (exchange.placement.route->kind == RequestKind::NonIdempotent) {
         options.maximumIdle = m_settings.maximumIdleForNonIdempotent;
     }
+    options.body = &exchange.request.body;
     options.cancellation = &exchange.caller.cancellation();
     options.prepare = [this, &exchange, &upstream, &names = m_settings.headers](HttpRequest &request) {
         const BootTime now = BootClock::now();
@@ -320,7 +321,7 @@
     m_state.recordAttempt(exchange.placement,
         upstream,
         exchange.placed,
-        {end.outcome, end.timedOut, now - start, end.load, end.isUpstreamLeaving, end.requestedPause.pause},
+        {end.outcome, end.timedOut, now - start - trace.memoryWait, end.load, end.isUpstreamLeaving, end.requestedPause.pause},
         now);
     if (end.isMisdirected) {
         m_state.upstreamMisdirected(upstream);
@@ -367,6 +368,7 @@
             {"reason", end.reason},
             {"status", std::int64_t{end.response ? end.response->status : 0}},
             {"durationMs", wholeMilliseconds(duration)},
+            {"memoryWaitMs", wholeMilliseconds(end.trace.memoryWait)},
             {"expectedWorkMs", wholeMilliseconds(exchange.placed.expectedWork)},
             {"expectedWaitMs", wholeMilliseconds(exchange.placed.expectedWait)},
             {"cache", std::int64_t{static_cast<int>(exchange.placed.cache)}},
@@ -426,6 +428,7 @@
         response.status = end.response->status;
         copyEndToEndFields(end.response->headers, response.headers);
         response.body = std::move(end.response->body);
+        response.reservation = std::move(end.response->reservation);
         return response;
     }
     if (!exchange.mayHaveRun) {
--- a/Libraries/LibHttp/httpserver.h
+++ b/Libraries/LibHttp/httpserver.h
@@ -3,6 +3,7 @@
 #include <LibCore/result.h>
 #include <LibHttp/cancellation.h>
 #include <LibHttp/framingrejections.h>
+#include <LibHttp/memorybudget.h>
 #include <LibHttp/message.h>
 
 #include <boost/asio/io_context.hpp>
@@ -41,6 +42,10 @@
     std::chrono::milliseconds writeTimeout{15000};
     /// Counts the requests that are rejected for their framing; several servers may share it. May be null.
     std::shared_ptr<FramingRejections> framingRejections{};
+    /// Budget for requests, which are rejected while it has no room; null leaves them uncounted.
+    std::shared_ptr<MemoryBudget> memory{};
+    /// How long a request waits for room in the budget. Its body isn't read meanwhile.
+    std::chrono::milliseconds memoryWait{1000};
 };
 
 /// The connection on which a request came in. Thread safety: all calls on the server's thread.
