Gateway: Count the time of the upload against the caller's deadline

Found in the trace of slow uploads during a planned stop: the caller's Deadline-Ms was counted from the last byte of the request. After an upload of 4.5 s the upstream was told the caller's full time once more, and worked for a caller that had left; a host that stops took the deadline for later than it is.

The route's timeout still counts from the whole request.

Gateway::timeOfTheUploadCountsAgainstTheDeadline failed before: 200 with 20 ms of 500 left and 365 ms of work expected; now 503, and no upstream begins it. HttpServer::headerTimeIsThatOfTheHeader is new with the method.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -183,7 +183,11 @@
 {
     const Route &route = *exchange.placement.route;
     const auto requestedTimeout = parseMilliseconds(exchange.request.headers.value(m_settings.headers.timeLeft));
-    exchange.placement.deadline = exchange.placement.arrivedAt + std::min(requestedTimeout.value_or(route.timeout), route.timeout);
+    exchange.placement.deadline = exchange.placement.arrivedAt + route.timeout;
+    if (requestedTimeout) {
+        // Callers count from the start of the request, however long its body takes.
+        exchange.placement.deadline = std::min(exchange.placement.deadline, exchange.caller.headerReadAt() + *requestedTimeout);
+    }
     const std::string_view key = exchange.request.headers.value(m_settings.headers.affinityKey);
     exchange.placement.keyHash = route.hasAffinity && !key.empty() ? stableHash(fmt::format("{}/{}", route.id.value(), key)) : 0;
     exchange.positionHash = exchange.placement.keyHash != 0 ? exchange.placement.keyHash : stableHash(exchange.id);
--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -176,6 +176,11 @@
         return *m_cancellation;
     }
 
+    BootTime headerReadAt() const override
+    {
+        return m_headerReadAt;
+    }
+
     void run(const asio::yield_context &yield)
     {
         bool keepOpen = true;
@@ -292,6 +297,7 @@
         if (error) {
             return endOfRead(error, "header");
         }
+        m_headerReadAt = BootClock::now();
         if (!parser.is_done()) {
             if (beast::iequals(parser.get()[http::field::expect], "100-continue") && !continueBody(yield)) {
                 return ConnectionEnded{};
@@ -385,6 +391,7 @@
     bool m_idle = false;
     bool m_ended = false;
     bool m_keepAlive = false;
+    BootTime m_headerReadAt{};
 };
 
 Result<void> HttpServer::State::listen()
--- a/Libraries/LibHttp/httpserver.h
+++ b/Libraries/LibHttp/httpserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/bootclock.h>
 #include <LibCore/result.h>
 #include <LibHttp/cancellation.h>
 #include <LibHttp/message.h>
@@ -51,6 +52,9 @@
     /// Precondition: called from within the handler.
     virtual Cancellation &cancellation() = 0;
 
+    /// When the header of the request had arrived; its body may have taken long. Precondition: called from within the handler.
+    virtual BootTime headerReadAt() const = 0;
+
 protected:
     CallerConnection() = default;
     ~CallerConnection() = default;
--- a/Tests/LibGateway/gatewayfixture.h
+++ b/Tests/LibGateway/gatewayfixture.h
@@ -29,6 +29,13 @@
     {
         return m_cancellation;
     }
+    BootTime headerReadAt() const override
+    {
+        return BootClock::now() - uploadTime;
+    }
+
+    /// Time from the header of a request to its last byte.
+    std::chrono::milliseconds uploadTime{0};
 
 private:
     std::string m_address = "127.0.0.1";
--- a/Tests/LibGateway/testgateway.cpp
+++ b/Tests/LibGateway/testgateway.cpp
@@ -462,3 +462,17 @@
         cr_expect_eq(status, 200, "%s: %d", testCase->shape, status);
     });
 }
+
+// Guards against an upstream that gets more time than the caller waits, since the body of the request took a part of it: the upstream works for a caller
+// that has left.
+Test(Gateway, timeOfTheUploadCountsAgainstTheDeadline)
+{
+    Fixture fixture(1, 50ms);
+    fixture.run([&](const asio::yield_context &yield) {
+        cr_assert_eq(fixture.send("/write/1", yield).status, 200);
+        fixture.caller.uploadTime = 480ms;
+        const HttpResponse response = fixture.send("/write/2", yield);
+        cr_assert_eq(response.status, 503, "%d", response.status);
+    });
+    cr_assert_eq(fixture.begun(), 1U);
+}
--- a/Tests/LibHttp/testhttpserver.cpp
+++ b/Tests/LibHttp/testhttpserver.cpp
@@ -252,3 +252,26 @@
     cr_assert_neq(answers.find("Connection: close"), std::string::npos, "%s", answers.c_str());
     cr_assert_eq(answers.find("HTTP/1.1 200", 1), std::string::npos, "%s", answers.c_str());
 }
+
+// Guards against a request whose time begins with the last byte of a slow body.
+Test(HttpServer, headerTimeIsThatOfTheHeader)
+{
+    constexpr std::chrono::milliseconds bodyTime{100};
+    asio::io_context context(1);
+    BootClock::duration sinceHeader{};
+    const auto handler = [&](HttpRequest &request, CallerConnection &caller, const asio::yield_context &yield) {
+        sinceHeader = BootClock::now() - caller.headerReadAt();
+        return echo(request, caller, yield);
+    };
+    const auto server = std::move(HttpServer::create(context, testSettings(), handler).value());
+    runCoroutine(context, [&](const asio::yield_context &yield) {
+        auto socket = connectTo(context, *server, yield);
+        asio::async_write(socket, asio::buffer(std::string("POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 1\r\n\r\n")), yield);
+        asio::steady_timer pause(context, bodyTime);
+        pause.async_wait(yield);
+        asio::async_write(socket, asio::buffer("x", 1), yield);
+        readToEnd(socket, yield);
+    });
+    cr_assert(sinceHeader >= bodyTime - std::chrono::milliseconds(20));
+    cr_assert(sinceHeader < 2 * s_shortTimeout);
+}
