Gateway: Keep the list of requests in flight until the last coroutine ends

The list of requests that came with the end of the host is a member of the gateway. Coroutines that are left when the process exits end with the context, after the gateway, and removed themselves from a list that was gone: a crash in place of exit status 0.

The requests now share the list.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -112,21 +112,21 @@
 class Gateway::InFlightScope
 {
 public:
-    InFlightScope(std::set<Exchange *> &exchanges, Exchange &exchange)
-        : m_exchanges(exchanges)
+    InFlightScope(std::shared_ptr<std::set<Exchange *>> exchanges, Exchange &exchange)
+        : m_exchanges(std::move(exchanges))
         , m_exchange(exchange)
     {
-        m_exchanges.insert(&m_exchange);
+        m_exchanges->insert(&m_exchange);
     }
     ~InFlightScope()
     {
-        m_exchanges.erase(&m_exchange);
+        m_exchanges->erase(&m_exchange);
     }
     InFlightScope(const InFlightScope &) = delete;
     InFlightScope &operator=(const InFlightScope &) = delete;
 
 private:
-    std::set<Exchange *> &m_exchanges;
+    std::shared_ptr<std::set<Exchange *>> m_exchanges;
     Exchange &m_exchange;
 };
 
@@ -147,7 +147,7 @@
 void Gateway::endRequests()
 {
     m_hasEnded = true;
-    for (Exchange *exchange : m_exchanges) {
+    for (Exchange *exchange : *m_exchanges) {
         // The attempt ends once its coroutine runs again, so that the list doesn't change here.
         exchange->caller.cancellation().request();
     }
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -4,6 +4,7 @@
 #include <LibGateway/gatewaymetrics.h>
 #include <LibHttp/httpserver.h>
 
+#include <memory>
 #include <optional>
 #include <random>
 #include <set>
@@ -41,7 +42,7 @@
     /// Number of requests that are being handled. Precondition: none.
     std::int64_t inFlight() const
     {
-        return static_cast<std::int64_t>(m_exchanges.size());
+        return static_cast<std::int64_t>(m_exchanges->size());
     }
 
     /// From now on a request is sent to an upstream only if its response is likely to come before the end; others are rejected at once.
@@ -91,8 +92,8 @@
     GatewayState &m_state;
     GatewayMetrics &m_metrics;
     ConnectionPool m_pool;
-    /// The requests that are being handled.
-    std::set<Exchange *> m_exchanges;
+    /// The requests that are being handled. Shared with them, since coroutines that are left when the context goes end after the gateway.
+    std::shared_ptr<std::set<Exchange *>> m_exchanges = std::make_shared<std::set<Exchange *>>();
     /// Time at which this host stops waiting for upstreams, once that is known.
     std::optional<BootTime> m_end;
     bool m_hasEnded = false;
--- a/Tests/LibGateway/testgatewaystop.cpp
+++ b/Tests/LibGateway/testgatewaystop.cpp
@@ -92,3 +92,16 @@
     });
     cr_assert_eq(fixture.begun(), 1U);
 }
+
+// Guards against a host that crashes as it exits with requests in flight: their coroutines end with the context, after the gateway.
+Test(GatewayStop, gatewayEndsBeforeItsRequests)
+{
+    Fixture fixture(2, 400ms);
+    fixture.run([&](const asio::yield_context &yield) {
+        for (int i = 0; i < 3; ++i) {
+            asio::spawn(fixture.context, [&](const asio::yield_context &own) { fixture.send("/write/1", own, s_deadline); });
+        }
+        sleepFor(fixture.context, 100ms, yield);
+        cr_assert_eq(fixture.gateway.inFlight(), 3);
+    });
+}
