Tests: Give each test of planned stops an address of its own

The tests had fixed loopback addresses, so that two runs at once met at one address. Reproduced with one address for both runs: "cannot listen on 127.71.1.1:8080: Address already in use", 3 of 3 tests failed in one of them, after the same times.

Each test process takes its address from its process id, and a failure shows the host's log.

--- a/Tests/Platform/testplannedstop.cpp
+++ b/Tests/Platform/testplannedstop.cpp
@@ -14,6 +14,7 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <unistd.h>
 
 // The host's program is stopped in a planned way while no upstream and no link fails.
 
@@ -37,6 +38,8 @@
 /// Status of the readiness check.
 constexpr int s_ready = 200;
 constexpr int s_notReady = 503;
+/// Stands for the exit code of a host that runs.
+constexpr int s_stillRuns = -1;
 
 /// Response of the host to one request.
 struct Answer
@@ -52,6 +55,13 @@
     return fmt::format("{}:{}", ip, port);
 }
 
+/// A loopback address of this process: tests run beside each other, also from several build folders.
+std::string ownAddress()
+{
+    const auto pid = static_cast<unsigned>(::getpid());
+    return fmt::format("127.{}.{}.{}", 128 + (pid >> 16U) % 64, (pid >> 8U) % 256, pid % 256);
+}
+
 Json route(const std::string &name, const std::string &kind)
 {
     return {{"name", name},
@@ -85,9 +95,8 @@
         playFrom(s_notReady, body);
     }
 
-    /// Precondition: ip is a loopback address that no other test uses.
-    explicit Deployment(std::string ip)
-        : m_ip(std::move(ip))
+    Deployment()
+        : m_ip(ownAddress())
         , m_store(m_context)
     {
         std::string folder = (std::filesystem::temp_directory_path() / "trefoil-stop-XXXXXX").string();
@@ -189,6 +198,12 @@
     {
         return m_context;
     }
+    /// What the host has written.
+    std::string log() const
+    {
+        std::ifstream file(m_folder + "/host.log");
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
     /// Ids of the requests that the upstream has begun.
     const std::multiset<std::string> &begun() const
     {
@@ -271,7 +286,7 @@
         cr_assert(started.has_value());
         const BootTime limit = BootClock::now() + s_startLimit;
         while (get(readinessAddress(), "/api/ready", yield).status != readiness) {
-            cr_assert(BootClock::now() < limit && m_processes.isRunning("host"), "the host's readiness isn't %d", readiness);
+            cr_assert(BootClock::now() < limit && m_processes.isRunning("host"), "the host's readiness isn't %d: %s", readiness, log().c_str());
             sleepFor(m_context, 20ms, yield);
         }
     }
@@ -337,7 +352,7 @@
 // a response, and they must not be repeated. Some uploads begin before SIGTERM and end late in the grace, others begin after it.
 Test(PlannedStop, lateUploadsAreToldToGoElsewhere)
 {
-    Deployment deployment("127.71.1.1");
+    Deployment deployment;
     deployment.play([&](const asio::yield_context &yield) {
         Requests requests(deployment);
         for (int i = 0; i < 4; ++i) {
@@ -364,7 +379,7 @@
             }
         }
         const auto code = deployment.awaitExit(start + s_grace, yield);
-        cr_assert(code && *code == 0);
+        cr_assert_eq(code.value_or(s_stillRuns), 0, "%d: %s", code.value_or(s_stillRuns), deployment.log().c_str());
     });
 }
 
@@ -372,7 +387,7 @@
 // not run. Guards also against further signals that end the host sooner, and against a host that counts as ready while it stops.
 Test(PlannedStop, requestsInWorkAtTheEndGetAResponse)
 {
-    Deployment deployment("127.71.2.1");
+    Deployment deployment;
     deployment.play([&](const asio::yield_context &yield) {
         Requests requests(deployment);
         for (int i = 0; i < 4; ++i) {
@@ -402,7 +417,7 @@
         cr_assert(last.closesConnection);
         requests.awaitAll(yield);
         const auto code = deployment.awaitExit(start + s_grace, yield);
-        cr_assert(code && *code == 0);
+        cr_assert_eq(code.value_or(s_stillRuns), 0, "%d: %s", code.value_or(s_stillRuns), deployment.log().c_str());
         cr_assert(BootClock::now() - start > s_grace - 500ms);
         cr_assert_str_empty(requests.lost().c_str(), "no response: %s", requests.lost().c_str());
         for (int i = 0; i < 4; ++i) {
@@ -416,7 +431,7 @@
 // Guards against a host that ignores SIGTERM, fails, or ends with requests unanswered while it has no configuration yet.
 Test(PlannedStop, startingHostStops)
 {
-    Deployment deployment("127.71.3.1");
+    Deployment deployment;
     deployment.playWhileStarting([&](const asio::yield_context &yield) {
         const BootTime start = BootClock::now();
         deployment.signal(SIGTERM);
@@ -425,6 +440,6 @@
         cr_assert(answer.closesConnection);
         cr_assert_eq(deployment.get(deployment.readinessAddress(), "/api/ready", yield).status, 503);
         const auto code = deployment.awaitExit(start + s_grace, yield);
-        cr_assert(code && *code == 0);
+        cr_assert_eq(code.value_or(s_stillRuns), 0, "%d: %s", code.value_or(s_stillRuns), deployment.log().c_str());
     });
 }
