Tests: Satisfy the linter in the tests of the memory budget, and space the callers of benchmemory

clang-tidy reported a widening product in testmemory.cpp and benchmemory.cpp and a constant that prevents a move in testservermemory.cpp. benchmemory takes the time between two callers.

--- a/Tests/LibGateway/benchmemory.cpp
+++ b/Tests/LibGateway/benchmemory.cpp
@@ -7,11 +7,12 @@
 
 using namespace Trefoil::GatewayTests;
 
-/// Prints what one scenario takes: benchmemory MEMORY_MB upload CALLERS MIB, or benchmemory MEMORY_MB download CALLERS MIB MB_PER_S.
+/// Prints what one scenario takes: benchmemory MEMORY_MB upload CALLERS MIB, or benchmemory MEMORY_MB download CALLERS MIB
+/// MB_PER_S ARRIVAL_MS.
 int main(int argumentCount, char **arguments)
 {
     constexpr std::size_t mebibyte = std::size_t{1024} * 1024;
-    constexpr std::size_t megabyte = 1000 * 1000;
+    constexpr std::size_t megabyte = 1000000;
     if (argumentCount < 5) {
         return EXIT_FAILURE;
     }
@@ -22,6 +23,7 @@
     const bool isUpload = std::string_view(arguments[2]) == "upload";
     (isUpload ? scenario.requestBytes : scenario.responseBytes) = bytes;
     scenario.readBytesPerSecond = argumentCount > 5 ? std::stoul(arguments[5]) * megabyte : 0;
+    scenario.arrivalInterval = std::chrono::milliseconds(argumentCount > 6 ? std::stoi(arguments[6]) : 0);
     scenario.work = std::chrono::milliseconds(isUpload ? 1000 : 100);
     const MemoryOutcome outcome = playMemoryScenario(scenario);
     std::string statuses;
--- a/Tests/LibGateway/testmemory.cpp
+++ b/Tests/LibGateway/testmemory.cpp
@@ -12,7 +12,7 @@
 namespace
 {
 
-constexpr std::size_t s_megabyte = 1000 * 1000;
+constexpr std::size_t s_megabyte = 1000000;
 constexpr std::size_t s_mebibyte = std::size_t{1024} * 1024;
 /// Memory of a host for all but messages: 40 % of its limit. Stacks, buffers, callers and upstream of the scenario take from it; 15 MB
 /// beside that are left for the program and its tables.
--- a/Tests/LibHttp/testservermemory.cpp
+++ b/Tests/LibHttp/testservermemory.cpp
@@ -89,7 +89,7 @@
 
 std::string bodyOf(const UploadCase &upload, std::size_t bytes)
 {
-    const std::string body(bytes, 'b');
+    std::string body(bytes, 'b');
     if (!upload.isChunked) {
         return body;
     }
