LibHttp: Let responses wait for memory for two thirds of the time left

Callers saw: with a wait of 4 s, 22 of 40 callers that each read 8 MiB at 1 MB/s got 502 on a host of 260 MB (29 of 40 on 160 MB), although their upstreams had answered and the deadline was 20 s away; each caller before them held its room for 8 s.

TestMemory 7 of 7, TestHttp 102 of 102.

--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -135,8 +135,9 @@
 /// Responses from this status on are failures; their copies are remembered.
 constexpr int s_firstFailure = 400;
 
-/// Longest wait for room for a response whose length is declared, and for more room for one that grows and holds some meanwhile.
-constexpr std::chrono::milliseconds s_memoryWait{4000};
+/// A response waits for room for this part of the time left, so that a third of it remains to read the response.
+constexpr double s_memoryWaitPart = 2.0 / 3;
+/// Longest wait of a response that grows, since it holds room meanwhile.
 constexpr std::chrono::milliseconds s_growthWait{1000};
 
 /// One request on one connection.
@@ -266,10 +267,10 @@
             m_headBytes = static_cast<std::size_t>(reader.bytesParsed());
         }
         if (parser.is_done()) {
-            return takeRoom(m_headBytes + body.size(), s_memoryWait, yield);
+            return takeRoom(m_headBytes + body.size(), BootClock::duration::max(), yield);
         }
         if (const auto declared = parser.content_length()) {
-            return takeRoom(m_headBytes + static_cast<std::size_t>(*declared), s_memoryWait, yield);
+            return takeRoom(m_headBytes + static_cast<std::size_t>(*declared), BootClock::duration::max(), yield);
         }
         const std::size_t capacity = grownCapacity(body.size(), body.capacity(), s_responseBufferLimit, m_options.responseLimit);
         if (!takeRoom(m_headBytes + capacity, s_growthWait, yield)) {
@@ -279,14 +280,14 @@
         return true;
     }
 
-    bool takeRoom(std::size_t bytes, std::chrono::milliseconds longest, const asio::yield_context &yield)
+    bool takeRoom(std::size_t bytes, BootClock::duration longest, const asio::yield_context &yield)
     {
         if (m_reservation->tryResize(bytes)) {
             return true;
         }
         const BootTime start = BootClock::now();
-        const bool isTaken =
-            awaitRoom(*m_reservation, bytes, std::min<BootClock::duration>(m_options.deadline - start, longest), m_connection.stream.get_executor(), yield);
+        const auto part = std::chrono::duration_cast<BootClock::duration>((m_options.deadline - start) * s_memoryWaitPart);
+        const bool isTaken = awaitRoom(*m_reservation, bytes, std::min(part, longest), m_connection.stream.get_executor(), yield);
         m_memoryWait += BootClock::now() - start;
         return isTaken;
     }
