LibHttp: Feed the last chunk of an empty body to the parser at once

A proper request or response with an empty body in chunks ended the whole process when its "0" CR LF came in one part and the empty line byte by byte: all callers of the host lost their connections.

Cause: Beast's parser, once it has seen the size of the last chunk, asserts that it then gets at least five bytes (basic_parser.ipp, "n >= 5"), but asks for more after three.

Change: ParserFeed, used for requests, responses and the administration server, holds back a continuation of a chunked body below five bytes; any whole one has as many.

--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -1,6 +1,7 @@
 #include <LibHttp/httpserver.h>
 
 #include <LibHttp/endpoint.h>
+#include <LibHttp/parserfeed.h>
 #include <LibHttp/requesthead.h>
 
 #include <algorithm>
@@ -312,7 +313,7 @@
                 return ConnectionEnded{};
             }
             expireAfter(m_state->m_settings.bodyTimeout);
-            http::async_read(m_socket, m_buffer, parser, yield[error]);
+            error = readBody(m_socket, m_buffer, parser, yield);
             if (error) {
                 return endOfRead(error, "body");
             }
--- a/Libraries/LibHttp/responsereader.cpp
+++ b/Libraries/LibHttp/responsereader.cpp
@@ -32,7 +32,7 @@
 
 beast::error_code ResponseReader::step(const asio::yield_context &yield)
 {
-    if (m_buffer.size() == 0 || m_needsMore) {
+    if (m_buffer.size() == 0 || m_feed.needsMore()) {
         if (BootClock::now() >= m_deadline) {
             return beast::error::timeout;
         }
@@ -42,10 +42,6 @@
         }
     }
     beast::error_code error = parse();
-    m_needsMore = error == http::error::need_more;
-    if (m_needsMore) {
-        error = {};
-    }
     // Beast takes such a body for one that ends with the connection, or for its decoded form.
     if (!error && m_parser.is_header_done() && !hasKnownCoding()) {
         error = http::error::bad_transfer_encoding;
@@ -83,10 +79,7 @@
 
 beast::error_code ResponseReader::parse()
 {
-    beast::error_code error;
-    const std::size_t count = m_parser.put(m_buffer.data(), error);
-    m_buffer.consume(count);
-    m_bytesParsed += count;
+    const beast::error_code error = m_feed.put(m_parser, m_buffer);
     m_parser.eager(m_parser.is_header_done());
     return error;
 }
@@ -103,7 +96,7 @@
 bool ResponseReader::hasExcessiveOverhead() const
 {
     const std::uint64_t bodyBytes = m_parser.get().body().size();
-    return m_bytesParsed - bodyBytes > s_responseOverheadLimit + bodyBytes;
+    return m_feed.bytesParsed() - bodyBytes > s_responseOverheadLimit + bodyBytes;
 }
 
 } // namespace Trefoil
--- a/Libraries/LibHttp/responsereader.h
+++ b/Libraries/LibHttp/responsereader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/bootclock.h>
+#include <LibHttp/parserfeed.h>
 
 #include <boost/asio/spawn.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -43,7 +44,7 @@
     /// Bytes of the response so far, without those that are held. Precondition: none.
     std::uint64_t bytesParsed() const
     {
-        return m_bytesParsed;
+        return m_feed.bytesParsed();
     }
 
 private:
@@ -57,9 +58,7 @@
     boost::beast::flat_buffer &m_buffer;
     Parser &m_parser;
     BootTime m_deadline;
-    std::uint64_t m_bytesParsed = 0;
-    /// The held bytes are only the start of something.
-    bool m_needsMore = false;
+    ParserFeed m_feed;
 };
 
 } // namespace Trefoil
--- a/Services/trefoilmountd/adminserver.cpp
+++ b/Services/trefoilmountd/adminserver.cpp
@@ -3,6 +3,7 @@
 #include <LibCommand/parser.h>
 #include <LibConfiguration/json.h>
 #include <LibCore/constanttime.h>
+#include <LibHttp/parserfeed.h>
 #include <LibHttp/requesthead.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -247,8 +248,7 @@
             http::async_write(stream, refusal, yield[error]);
             return false;
         }
-        http::async_read(stream, buffer, parser, yield[error]);
-        if (error) {
+        if (readBody(stream, buffer, parser, yield)) {
             return false;
         }
         const Request request = parser.release();
--- a/Tests/LibHttp/testcutresponses.cpp
+++ b/Tests/LibHttp/testcutresponses.cpp
@@ -51,6 +51,14 @@
         m_end = end;
     }
 
+    /// From now on, responses are whole and come byte by byte.
+    void sendByteByByte()
+    {
+        m_bytes = m_text.size();
+        m_end = End::Close;
+        m_isByteByByte = true;
+    }
+
     /// Waits until all connections have ended, so that the next call doesn't use one that is about to.
     void waitForEnds(const asio::yield_context &yield)
     {
@@ -75,9 +83,22 @@
     void serve(tcp::socket &socket, const asio::yield_context &yield)
     {
         ++m_open;
+        socket.set_option(tcp::no_delay(true));
         std::string request;
         boost::system::error_code error;
         asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", yield[error]);
+        for (std::size_t i = 0; m_isByteByByte && i < m_bytes; ++i) {
+            asio::async_write(socket, asio::buffer(m_text.data() + i, 1), yield[error]);
+            // Lets the client read this byte before the next one comes.
+            for (int turn = 0; turn < 3; ++turn) {
+                asio::post(m_context, yield);
+            }
+        }
+        if (m_isByteByByte) {
+            socket.close(error);
+            --m_open;
+            return;
+        }
         // In two parts, so that the last byte comes alone.
         const std::size_t half = m_bytes - std::min<std::size_t>(m_bytes, 1);
         asio::async_write(socket, asio::buffer(m_text.data(), half), yield[error]);
@@ -95,6 +116,7 @@
     int m_open = 0;
     std::size_t m_bytes = 0;
     End m_end = End::Close;
+    bool m_isByteByByte = false;
 };
 
 constexpr std::size_t s_never = static_cast<std::size_t>(-1);
@@ -136,6 +158,7 @@
         s_wholeText,
         false,
         true},
+    {"no chunk", "HTTP/1.1 200 OK\r\n" ID "Transfer-Encoding: chunked\r\n\r\n", "0\r\n\r\n", "", s_wholeText, false, true},
     {"no length", "HTTP/1.1 200 OK\r\n" ID "Server: s\r\n\r\n", "two casts", "two casts", 0, true, false},
     {"no length, HTTP/1.0", "HTTP/1.0 200 OK\r\n" ID "\r\n", "two casts", "two casts", 0, true, false},
     {"no content", "HTTP/1.1 204 No Content\r\n" ID "Server: s\r\n\r\n", "", "", 0, false, true},
@@ -333,3 +356,29 @@
         cr_log_info("%s: %d cuts", forStore.name, count);
     });
 }
+
+// Guards against a response that ends the process or isn't understood when its bytes arrive one by one.
+ParameterizedTestParameters(CutResponses, responsesArriveByteByByte)
+{
+    return cr_make_param_array(CutCase, s_cutCases, std::size(s_cutCases));
+}
+
+ParameterizedTest(CutCase *cutCase, CutResponses, responsesArriveByteByByte)
+{
+    asio::io_context context{1};
+    const std::string text = std::string(cutCase->head) + cutCase->rest;
+    CuttingServer server(context, text);
+    server.sendByteByByte();
+    ConnectionPool pool(context, {});
+    runCoroutine(context, [&](const asio::yield_context &yield) {
+        CallOptions options;
+        options.deadline = BootClock::now() + 3s;
+        options.requestId = "first";
+        options.skipsForeignResponses = true;
+        options.acceptsUndeclaredLength = true;
+        const CallResult result = pool.call(server.address(), nullptr, {"GET", "/"}, options, yield);
+        const auto *response = std::get_if<HttpResponse>(&result);
+        const auto *failure = std::get_if<CallFailure>(&result);
+        checkCut(*cutCase, text.size(), End::Close, response ? &response->body : nullptr, failure ? failure->message : "");
+    });
+}
--- a/Tests/LibHttp/testhttpserver.cpp
+++ b/Tests/LibHttp/testhttpserver.cpp
@@ -2,6 +2,7 @@
 #include <LibHttp/endpoint.h>
 #include <LibHttp/httpserver.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -307,25 +308,27 @@
     char body[32];
 };
 
+ProperCase s_properCases[] = {
+    {"no chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", ""},
+    {"chunks", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n6\r\n casts\r\n0\r\n\r\n", "two casts"},
+    {"extensions", "POST / HTTP/1.1\r\ntransfer-encoding:CHUNKED\r\n\r\n9;a=b;c=\"d\"\r\ntwo casts\r\n0;e\r\n\r\n", "two casts"},
+    {"trailers", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n9\r\ntwo casts\r\n0\r\nA: b\r\n\r\n", "two casts"},
+    {"length", "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\ntwo casts", "two casts"},
+    {"length with zeros", "POST / HTTP/1.1\r\nContent-Length: 009\r\n\r\ntwo casts", "two casts"},
+    {"length zero", "POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n", ""},
+    {"neither", "POST / HTTP/1.1\r\nHost: a\r\n\r\n", ""},
+    {"empty headers", "GET / HTTP/1.1\r\nHost:\r\nA: \t \r\nContent-Length: \t9 \r\n\r\ntwo casts", "two casts"},
+    {"old version", "POST / HTTP/1.0\r\nContent-Length: 9\r\nConnection: keep-alive\r\n\r\ntwo casts", "two casts"},
+    {"expectation", "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\ntwo casts", "two casts"},
+    {"UTF-8 and tab", "GET / HTTP/1.1\r\nA: \xc3\xa9\tb\r\nContent-Length: 9\r\n\r\ntwo casts", "two casts"},
+};
+
 } // namespace
 
 // Guards against proper requests that are rejected along with those whose end isn't certain.
 ParameterizedTestParameters(HttpServer, properRequestsPass)
 {
-    static ProperCase cases[] = {
-        {"chunks", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ntwo\r\n6\r\n casts\r\n0\r\n\r\n", "two casts"},
-        {"extensions", "POST / HTTP/1.1\r\ntransfer-encoding:CHUNKED\r\n\r\n9;a=b;c=\"d\"\r\ntwo casts\r\n0;e\r\n\r\n", "two casts"},
-        {"trailers", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n9\r\ntwo casts\r\n0\r\nA: b\r\n\r\n", "two casts"},
-        {"length", "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\ntwo casts", "two casts"},
-        {"length with zeros", "POST / HTTP/1.1\r\nContent-Length: 009\r\n\r\ntwo casts", "two casts"},
-        {"length zero", "POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n", ""},
-        {"neither", "POST / HTTP/1.1\r\nHost: a\r\n\r\n", ""},
-        {"empty headers", "GET / HTTP/1.1\r\nHost:\r\nA: \t \r\nContent-Length: \t9 \r\n\r\ntwo casts", "two casts"},
-        {"old version", "POST / HTTP/1.0\r\nContent-Length: 9\r\nConnection: keep-alive\r\n\r\ntwo casts", "two casts"},
-        {"expectation", "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\ntwo casts", "two casts"},
-        {"UTF-8 and tab", "GET / HTTP/1.1\r\nA: \xc3\xa9\tb\r\nContent-Length: 9\r\n\r\ntwo casts", "two casts"},
-    };
-    return cr_make_param_array(ProperCase, cases, std::size(cases));
+    return cr_make_param_array(ProperCase, s_properCases, std::size(s_properCases));
 }
 
 ParameterizedTest(ProperCase *testCase, HttpServer, properRequestsPass)
@@ -400,3 +403,34 @@
     const bool isClosed = answer.substr(0, answer.find("\r\n\r\n")).find("Connection: close") != std::string::npos;
     cr_assert_eq(afterHead.substr(0, 12), isClosed ? "" : "HTTP/1.1 200", "%s: got %s after the head", testCase->name, afterHead.c_str());
 }
+
+// Guards against a request that ends the process or isn't understood when its bytes arrive one by one.
+ParameterizedTestParameters(HttpServer, requestsArriveByteByByte)
+{
+    return cr_make_param_array(ProperCase, s_properCases, std::size(s_properCases));
+}
+
+ParameterizedTest(ProperCase *testCase, HttpServer, requestsArriveByteByByte)
+{
+    asio::io_context context(1);
+    std::vector<std::string> bodies;
+    const auto server = std::move(HttpServer::create(context, testSettings(), [&bodies](HttpRequest &request, CallerConnection &, const asio::yield_context &) {
+        bodies.push_back(request.body);
+        return HttpResponse{};
+    }).value());
+    runCoroutine(context, [&](const asio::yield_context &yield) {
+        auto socket = connectTo(context, *server, yield);
+        socket.set_option(asio::ip::tcp::no_delay(true));
+        const std::string bytes = std::string(testCase->request) + "GET /next HTTP/1.1\r\nConnection: close\r\n\r\n";
+        for (const char byte : bytes) {
+            asio::async_write(socket, asio::buffer(&byte, 1), yield);
+            // Lets the server read this byte before the next one comes.
+            for (int i = 0; i < 3; ++i) {
+                asio::post(context, yield);
+            }
+        }
+        readToEnd(socket, yield);
+    });
+    cr_assert_eq(bodies.size(), 2, "%s: %zu requests ran", testCase->name, bodies.size());
+    cr_assert_eq(bodies.front(), testCase->body, "%s: %s", testCase->name, bodies.front().c_str());
+}
