--- a/Tests/LibHttp/testconnectionpool.cpp
+++ b/Tests/LibHttp/testconnectionpool.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
+#include <fmt/format.h>
 #include <thread>
 
 using namespace Trefoil;
@@ -342,7 +343,7 @@
                     asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", connectionYield[error]);
                     const std::string id = request.find("first") != std::string::npos ? "first" : "second";
                     const std::string fields = id == "first" ? testCase->fields : "Content-Length: 0\r\n";
-                    const std::string head = "HTTP/1.1 200 OK\r\nTrefoil-Request-Id: " + id + "\r\n" + fields + "\r\n";
+                    const std::string head = fmt::format("HTTP/1.1 200 OK\r\nTrefoil-Request-Id: {}\r\n{}\r\n", id, fields);
                     asio::async_write(socket, asio::buffer(head), connectionYield[error]);
                     // The body comes after the caller of the pool has its response.
                     asio::steady_timer timer(context, std::chrono::milliseconds(20));
