--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -2,6 +2,7 @@
 
 #include <LibHttp/awaitroom.h>
 #include <LibHttp/endpoint.h>
+#include <LibHttp/parserfeed.h>
 #include <LibHttp/requesthead.h>
 
 #include <algorithm>
@@ -375,6 +376,7 @@
     /// Reads the rest of the request. False when there is no room for a body in chunks.
     bool readBody(RequestParser &parser, std::size_t headBytes, const asio::yield_context &yield, beast::error_code &error)
     {
+        ParserFeed feed;
         parser.eager(true);
         const Clock::time_point end = Clock::now() + m_state->m_settings.bodyTimeout;
         std::string &body = parser.get().body();
@@ -388,7 +390,7 @@
             }
             m_timedOut = false;
             m_expiry = end;
-            http::async_read_some(m_socket, m_buffer, parser, yield[error]);
+            error = readBodyStep(m_socket, m_buffer, parser, feed, yield);
         }
         if (parser.chunked()) {
             reserve(headBytes + body.size(), yield);
