LibRouting: Order reports of upstreams by the store's version

Callers' requests reached leaving upstreams: one that started again under its id after the clock of its machine was set back by 2 s had a smaller `born` than the process before it, so that all its reports, also "draining", counted as out of date.

The rows come with the store's version from all sources: full reads, feeds and copies from other hosts. It now orders the reports of an id, whatever their clocks and numbers say. A row that isn't newer than the last one changes nothing, also a removal; a full read passes its version to the handler, so that it doesn't remove rows that are newer. Another `born` is another process, larger or smaller, and a process that was leaving stays so, also after another one. Of upstreams that are gone, the oldest are forgotten first; it was the smallest ids.

UpstreamCatalog::theStoresVersionOrdersReportsWhateverTheClocksSay failed in 9 of 9 cases with the order as before, and PlatformTables::leavingIsSeenAfterTheClockOfAnUpstreamWasSetBack ("applied after 5001 ms", limit 2000). The cases of reportsInAnyOrder are as before with a version each. TestRouting 35, TestPlatformTables 41, TestPlatform 87 and TestGateway 164 pass.

--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -160,7 +160,7 @@
 
 void TableWatch::replaceTable(const FeedRows &table)
 {
-    m_handlers.replace(table.rows);
+    m_handlers.replace(table);
     m_version = table.version;
     m_sharing.server().reset(m_table, table);
     m_needsFullRead = false;
--- a/Libraries/LibReplication/tablewatch.h
+++ b/Libraries/LibReplication/tablewatch.h
@@ -14,7 +14,7 @@
 struct TableWatchHandlers
 {
     /// The table was read in full; the rows replace all earlier ones.
-    std::function<void(const std::vector<FeedRow> &rows)> replace;
+    std::function<void(const FeedRows &table)> replace;
     /// Rows that have changed since, in order.
     std::function<void(const std::vector<FeedRow> &rows)> change;
     /// The first failed call to the store after a success (false), or the first successful one after a failure (true).
--- a/Libraries/LibRouting/upstreamcatalog.cpp
+++ b/Libraries/LibRouting/upstreamcatalog.cpp
@@ -5,54 +5,59 @@
 namespace Trefoil
 {
 
-namespace
+RegistrationChange UpstreamCatalog::apply(UpstreamRegistration registration)
 {
+    if (!advance(registration.id, registration.rowVersion)) {
+        return RegistrationChange::None;
+    }
+    const UpstreamId id = registration.id;
+    History &history = m_histories.at(id);
+    if (registration.leaving) {
+        history.leavingStart = registration.startedAt;
+    }
+    // A process that leaves doesn't come back, whatever a later report of it says.
+    registration.leaving = history.leavingStart == registration.startedAt;
+    const auto known = m_registrations.find(id);
+    const bool isSameProcess = known != m_registrations.end() && known->second.startedAt == registration.startedAt;
+    m_registrations.insert_or_assign(id, std::move(registration));
+    return isSameProcess ? RegistrationChange::Updated : RegistrationChange::Started;
+}
 
-enum class ReportAge {
-    OutOfDate,
-    SameProcess,
-    LaterProcess,
-};
-
-ReportAge ageOf(const UpstreamRegistration &report, const UpstreamRegistration &known)
+RegistrationChange UpstreamCatalog::remove(const UpstreamId &id, RowVersion version)
 {
-    if (report.startedAt != known.startedAt) {
-        return report.startedAt > known.startedAt ? ReportAge::LaterProcess : ReportAge::OutOfDate;
+    if (!advance(id, version)) {
+        return RegistrationChange::None;
     }
-    return report.reportNumber > known.reportNumber ? ReportAge::SameProcess : ReportAge::OutOfDate;
+    const bool wasRegistered = m_registrations.erase(id) > 0;
+    forgetOldestGone();
+    return wasRegistered ? RegistrationChange::Gone : RegistrationChange::None;
 }
 
-} // namespace
-
-RegistrationChange UpstreamCatalog::apply(UpstreamRegistration registration)
+bool UpstreamCatalog::advance(const UpstreamId &id, RowVersion version)
 {
-    const auto known = m_registrations.find(registration.id);
-    const bool isKnown = known != m_registrations.end();
-    const auto gone = m_gone.find(registration.id);
-    const UpstreamRegistration *previous = isKnown ? &known->second : gone != m_gone.end() ? &gone->second : nullptr;
-    const ReportAge age = previous ? ageOf(registration, *previous) : ReportAge::LaterProcess;
-    if (age == ReportAge::OutOfDate) {
-        return RegistrationChange::None;
+    const auto [history, isNew] = m_histories.try_emplace(id, History{version, std::nullopt});
+    if (!isNew && version <= history->second.version) {
+        return false;
     }
-    // A process that leaves doesn't come back; a later start has another time of start.
-    registration.leaving = registration.leaving || (age == ReportAge::SameProcess && previous->leaving);
-    const UpstreamId id = registration.id;
-    m_registrations.insert_or_assign(id, std::move(registration));
-    m_gone.erase(id);
-    return isKnown && age == ReportAge::SameProcess ? RegistrationChange::Updated : RegistrationChange::Started;
+    history->second.version = version;
+    return true;
 }
 
-RegistrationChange UpstreamCatalog::remove(const UpstreamId &id)
+void UpstreamCatalog::forgetOldestGone()
 {
-    auto removed = m_registrations.extract(id);
-    if (removed.empty()) {
-        return RegistrationChange::None;
+    if (m_histories.size() - m_registrations.size() <= s_maximumGone) {
+        return;
     }
-    if (m_gone.size() >= s_maximumGone) {
-        m_gone.erase(m_gone.begin());
+    auto oldest = m_histories.end();
+    for (auto it = m_histories.begin(); it != m_histories.end(); ++it) {
+        if (m_registrations.count(it->first) > 0) {
+            continue;
+        }
+        if (oldest == m_histories.end() || it->second.version < oldest->second.version) {
+            oldest = it;
+        }
     }
-    m_gone.insert_or_assign(id, std::move(removed.mapped()));
-    return RegistrationChange::Gone;
+    m_histories.erase(oldest);
 }
 
 std::vector<UpstreamId> UpstreamCatalog::missingFrom(const std::set<UpstreamId> &present) const
--- a/Libraries/LibRouting/upstreamcatalog.h
+++ b/Libraries/LibRouting/upstreamcatalog.h
@@ -5,6 +5,7 @@
 #include <LibCore/units.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -12,6 +13,9 @@
 namespace Trefoil
 {
 
+/// Version of a row of the store: one counter for all rows that grows with each transaction.
+using RowVersion = StrongId<struct RowVersionTag, std::uint64_t>;
+
 /// What an upstream last said of itself.
 struct UpstreamRegistration
 {
@@ -24,10 +28,13 @@
     bool leaving = false;
     /// How much longer the upstream stays cold, counted from the time of the report.
     std::chrono::milliseconds coldRemaining{0};
-    /// Start of the process in Unix milliseconds; a later start under the same id is another process.
+    /// Start of the process in Unix milliseconds of its machine's clock, which may be set back: another value under the same id is
+    /// another process, whether it is larger or smaller.
     std::int64_t startedAt = 0;
-    /// Grows with each report of one process.
+    /// Grows with each report of one process; not used for the order of reports, since another writer may store any value.
     std::int64_t reportNumber = 0;
+    /// Version of the row that holds the report.
+    RowVersion rowVersion;
 };
 
 /// What has become of the row of one upstream.
@@ -47,12 +54,13 @@
 class UpstreamCatalog
 {
 public:
-    /// Takes one report. A report of an earlier process under the same id, or an older one of the same process, changes
-    /// nothing; a process that was leaving stays so. Precondition: the id is not empty.
+    /// Takes one report. A report from a row that is not newer than the last one under the same id changes nothing, whatever its
+    /// start and number; a process that was leaving stays so. Precondition: the id is not empty.
     RegistrationChange apply(UpstreamRegistration registration);
 
-    /// Takes that the row is gone or unreadable. Precondition: none.
-    RegistrationChange remove(const UpstreamId &id);
+    /// Takes that the row is gone or unreadable as of a version of the store. Changes nothing when the last row under the id is newer.
+    /// Precondition: none.
+    RegistrationChange remove(const UpstreamId &id, RowVersion version);
 
     /// Ids that are in the catalog but not among those given, for a full read of the table. Precondition: none.
     std::vector<UpstreamId> missingFrom(const std::set<UpstreamId> &present) const;
@@ -64,11 +72,26 @@
     }
 
 private:
-    /// Of a process that is gone, the last report is kept, so that a late older one doesn't bring it back.
+    /// Upstreams without a readable row whose last version is kept, so that a late older row doesn't bring them back.
     static constexpr std::size_t s_maximumGone = 4096;
 
+    /// What outlives the row of an upstream.
+    struct History
+    {
+        /// Of the last row, or of its removal.
+        RowVersion version;
+        /// Start of the last process under the id that was leaving.
+        std::optional<std::int64_t> leavingStart;
+    };
+
+    /// Records the version of the last row; false when the known one is as new.
+    bool advance(const UpstreamId &id, RowVersion version);
+    /// Removes the history with the oldest version among the upstreams without a row, when there are too many.
+    void forgetOldestGone();
+
     std::map<UpstreamId, UpstreamRegistration> m_registrations;
-    std::map<UpstreamId, UpstreamRegistration> m_gone;
+    /// Of all upstreams in m_registrations, and of those that are gone.
+    std::map<UpstreamId, History> m_histories;
 };
 
 } // namespace Trefoil
--- a/Tests/LibGateway/testupstreamnotices.cpp
+++ b/Tests/LibGateway/testupstreamnotices.cpp
@@ -72,6 +72,7 @@
     SameProcessElsewhere,
     RemovedAndWrittenAgain,
     NewProcess,
+    NewProcessAfterClockWasSetBack,
 };
 
 struct LeavingCase
@@ -94,6 +95,7 @@
         {"the same process at another address", RowChange::SameProcessElsewhere, false},
         {"the row is removed and written again", RowChange::RemovedAndWrittenAgain, false},
         {"a new process", RowChange::NewProcess, true},
+        {"a new process after the clock was set back", RowChange::NewProcessAfterClockWasSetBack, true},
     };
     return cr_make_param_array(LeavingCase, cases, std::size(cases));
 }
@@ -122,6 +124,9 @@
         fixture.state.upstreamRemoved(UpstreamId("u"));
         fixture.state.upstreamStarted(registration(2, 1), now);
         break;
+    case RowChange::NewProcessAfterClockWasSetBack:
+        fixture.state.upstreamStarted(registration(0, 1), now);
+        break;
     }
     cr_assert_eq(fixture.usable(now).size(), testCase->isUsable ? 1U : 0U, "%s", testCase->name);
     cr_assert_eq(fixture.usable(now + 1h).size(), testCase->isUsable ? 1U : 0U, "%s, an hour later", testCase->name);
--- a/Tests/LibRouting/testupstreamcatalog.cpp
+++ b/Tests/LibRouting/testupstreamcatalog.cpp
@@ -10,17 +10,20 @@
 
 struct Report
 {
+    /// Version of the row.
+    std::uint64_t version;
     std::int64_t startedAt;
     std::int64_t number;
     bool leaving;
     /// Removes the row instead.
     bool removed;
     RegistrationChange expected;
+    char service[8] = "s";
 };
 
 struct SequenceCase
 {
-    char name[48];
+    char name[64];
     std::int64_t count;
     Report reports[4];
     /// The state after all reports.
@@ -32,13 +35,30 @@
 {
     UpstreamRegistration result;
     result.id = UpstreamId("u1");
+    result.service = ServiceId(report.service);
     result.slots = SlotCount(4);
     result.startedAt = report.startedAt;
     result.reportNumber = report.number;
     result.leaving = report.leaving;
+    result.rowVersion = RowVersion(report.version);
     return result;
 }
 
+void applyAll(const SequenceCase &testCase)
+{
+    UpstreamCatalog catalog;
+    for (std::int64_t i = 0; i < testCase.count; ++i) {
+        const Report &report = testCase.reports[i];
+        const RegistrationChange change = report.removed ? catalog.remove(UpstreamId("u1"), RowVersion(report.version)) : catalog.apply(registration(report));
+        cr_expect_eq(static_cast<int>(change), static_cast<int>(report.expected), "%s: report %ld", testCase.name, static_cast<long>(i));
+    }
+    const auto found = catalog.all().find(UpstreamId("u1"));
+    cr_assert_eq(found != catalog.all().end(), testCase.isThere, "%s", testCase.name);
+    if (testCase.isThere) {
+        cr_assert_eq(found->second.leaving, testCase.isLeaving, "%s", testCase.name);
+    }
+}
+
 } // namespace
 
 // Guards against an upstream that gets work again because an old report arrives late, and against a restarted one that is
@@ -47,46 +67,80 @@
 {
     using Change = RegistrationChange;
     static SequenceCase cases[] = {
-        {"first report", 1, {{10, 1, false, false, Change::Started}}, true, false},
-        {"newer report", 2, {{10, 1, false, false, Change::Started}, {10, 2, true, false, Change::Updated}}, true, true},
-        {"the same report twice", 2, {{10, 1, false, false, Change::Started}, {10, 1, false, false, Change::None}}, true, false},
-        {"old report after leaving", 2, {{10, 5, true, false, Change::Started}, {10, 4, false, false, Change::None}}, true, true},
-        {"a leaving process stays so", 2, {{10, 5, true, false, Change::Started}, {10, 6, false, false, Change::Updated}}, true, true},
-        {"restart under the same id", 2, {{10, 5, true, false, Change::Started}, {20, 1, false, false, Change::Started}}, true, false},
-        {"report of the process before", 2, {{20, 1, false, false, Change::Started}, {10, 9, false, false, Change::None}}, true, false},
+        {"first report", 1, {{1, 10, 1, false, false, Change::Started}}, true, false},
+        {"newer report", 2, {{1, 10, 1, false, false, Change::Started}, {2, 10, 2, true, false, Change::Updated}}, true, true},
+        {"the same report twice", 2, {{1, 10, 1, false, false, Change::Started}, {1, 10, 1, false, false, Change::None}}, true, false},
+        {"old report after leaving", 2, {{2, 10, 5, true, false, Change::Started}, {1, 10, 4, false, false, Change::None}}, true, true},
+        {"a leaving process stays so", 2, {{1, 10, 5, true, false, Change::Started}, {2, 10, 6, false, false, Change::Updated}}, true, true},
+        {"restart under the same id", 2, {{1, 10, 5, true, false, Change::Started}, {2, 20, 1, false, false, Change::Started}}, true, false},
+        {"report of the process before", 2, {{2, 20, 1, false, false, Change::Started}, {1, 10, 9, false, false, Change::None}}, true, false},
         {"old report after removal",
             3,
-            {{10, 5, false, false, Change::Started}, {0, 0, false, true, Change::Gone}, {10, 5, false, false, Change::None}},
+            {{2, 10, 5, false, false, Change::Started}, {3, 0, 0, false, true, Change::Gone}, {2, 10, 5, false, false, Change::None}},
             false,
             false},
         {"newer report after removal",
             3,
-            {{10, 5, false, false, Change::Started}, {0, 0, false, true, Change::Gone}, {10, 6, false, false, Change::Started}},
+            {{1, 10, 5, false, false, Change::Started}, {2, 0, 0, false, true, Change::Gone}, {3, 10, 6, false, false, Change::Started}},
             true,
             false},
         {"leaving survives removal",
             3,
-            {{10, 5, true, false, Change::Started}, {0, 0, false, true, Change::Gone}, {10, 6, false, false, Change::Started}},
+            {{1, 10, 5, true, false, Change::Started}, {2, 0, 0, false, true, Change::Gone}, {3, 10, 6, false, false, Change::Started}},
             true,
             true},
-        {"removal of an unknown row", 1, {{0, 0, false, true, Change::None}}, false, false},
+        {"removal of an unknown row", 1, {{1, 0, 0, false, true, Change::None}}, false, false},
     };
     return cr_make_param_array(SequenceCase, cases, std::size(cases));
 }
 
 ParameterizedTest(SequenceCase *testCase, UpstreamCatalog, reportsInAnyOrder)
 {
-    UpstreamCatalog catalog;
-    for (std::int64_t i = 0; i < testCase->count; ++i) {
-        const Report &report = testCase->reports[i];
-        const RegistrationChange change = report.removed ? catalog.remove(UpstreamId("u1")) : catalog.apply(registration(report));
-        cr_assert_eq(static_cast<int>(change), static_cast<int>(report.expected), "%s: report %ld", testCase->name, static_cast<long>(i));
-    }
-    const auto found = catalog.all().find(UpstreamId("u1"));
-    cr_assert_eq(found != catalog.all().end(), testCase->isThere, "%s", testCase->name);
-    if (testCase->isThere) {
-        cr_assert_eq(found->second.leaving, testCase->isLeaving, "%s", testCase->name);
-    }
+    applyAll(*testCase);
+}
+
+// Guards against an upstream whose reports, also that it is leaving, are taken for old ones: its process has an earlier start than the
+// one before it, because the clock of its machine was set back; and against an old page of the table that undoes a newer one.
+ParameterizedTestParameters(UpstreamCatalog, theStoresVersionOrdersReportsWhateverTheClocksSay)
+{
+    using Change = RegistrationChange;
+    static SequenceCase cases[] = {
+        {"restart after the clock was set back, then leaving",
+            3,
+            {{1, 20, 9, false, false, Change::Started}, {2, 10, 1, false, false, Change::Started}, {3, 10, 2, true, false, Change::Updated}},
+            true,
+            true},
+        {"restart of a leaving process after the clock was set back",
+            3,
+            {{1, 20, 9, true, false, Change::Started}, {2, 10, 1, false, false, Change::Started}, {3, 10, 2, false, false, Change::Updated}},
+            true,
+            false},
+        {"restart after the clock was set back and a removal",
+            3,
+            {{1, 20, 9, false, false, Change::Started}, {2, 0, 0, false, true, Change::Gone}, {3, 10, 1, true, false, Change::Started}},
+            true,
+            true},
+        {"old page with a later start", 2, {{2, 10, 1, true, false, Change::Started}, {1, 20, 9, false, false, Change::None}}, true, true},
+        {"old page with a larger report number", 2, {{2, 10, 1, true, false, Change::Started}, {1, 10, 9, false, false, Change::None}}, true, true},
+        {"old page in which the row is removed", 2, {{2, 10, 1, false, false, Change::Started}, {1, 0, 0, false, true, Change::None}}, true, false},
+        {"old page with a larger report number after a removal",
+            3,
+            {{1, 10, 1, false, false, Change::Started}, {3, 0, 0, false, true, Change::Gone}, {2, 10, 9, false, false, Change::None}},
+            false,
+            false},
+        {"old page after a removal of an unknown row", 2, {{2, 0, 0, false, true, Change::None}, {1, 10, 1, false, false, Change::None}}, false, false},
+        {"a leaving process after another one",
+            3,
+            {{1, 10, 5, true, false, Change::Started}, {2, 20, 1, false, false, Change::Started}, {3, 10, 6, false, false, Change::Started}},
+            true,
+            true},
+    };
+    return cr_make_param_array(SequenceCase, cases, std::size(cases));
+}
+
+ParameterizedTest(SequenceCase *testCase, UpstreamCatalog, theStoresVersionOrdersReportsWhateverTheClocksSay)
+{
+    applyAll(*testCase);
 }
 
 // Guards against upstreams that stay in use after a full read of the table no longer lists them.
--- a/Tests/Platform/testplatformtables.cpp
+++ b/Tests/Platform/testplatformtables.cpp
@@ -394,3 +394,35 @@
         cr_assert(fixture.tables.isStoreReachable());
     });
 }
+
+namespace
+{
+
+std::string reportOf(std::int64_t born, int reportNumber, const char *state)
+{
+    return fmt::format(R"({{"service": "service", "address": "127.0.0.1:1", "zone": "east-a", "version": "v1", "max_concurrency": 4,
+        "state": "{}", "cold_remaining": "0ms", "seq_no": {}, "born": {}}})",
+        state,
+        reportNumber,
+        born);
+}
+
+} // namespace
+
+// Guards against requests to a leaving upstream whose reports are ignored: it started again under its id after the clock of its machine
+// was set back, so that its process seems to be from before the one that it follows.
+Test(PlatformTables, leavingIsSeenAfterTheClockOfAnUpstreamWasSetBack)
+{
+    Fixture fixture;
+    fixture.store.set(registrationTable, "upstream", reportOf(1790000002000, 9, "ready"));
+    fixture.run([&](const asio::yield_context &yield) {
+        const auto usableBecomes = [&](std::size_t count) { return fixture.timeUntil([&] { return fixture.usableUpstreamCount() == count; }, 5s, yield); };
+        cr_assert_lt(usableBecomes(1).count(), 5000);
+        fixture.store.set(registrationTable, "upstream", reportOf(1790000000000, 1, "ready"));
+        sleepFor(fixture.context, 1s, yield);
+        cr_assert_eq(fixture.usableUpstreamCount(), 1);
+        fixture.store.set(registrationTable, "upstream", reportOf(1790000000000, 2, "draining"));
+        const auto time = usableBecomes(0);
+        cr_assert_lt(time.count(), fixture.limits.drainNotice.count(), "applied after %d ms", static_cast<int>(time.count()));
+    });
+}
--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -41,9 +41,9 @@
                 }
             }
         };
-        return {[this, change](const std::vector<FeedRow> &rows) {
+        return {[this, change](const FeedRows &table) {
                     copy.clear();
-                    change(rows);
+                    change(table.rows);
                     ++replacements;
                 },
             change,
@@ -210,7 +210,7 @@
     FeedSharing sharing(context, {HostId("alone")}, send, [&live] { return live; });
     self = &sharing;
     std::string reachability;
-    const auto ignore = [](const std::vector<FeedRow> &) {};
+    const auto ignore = [](const auto &) {};
     const auto recordReachability = [&reachability](bool isReachable, const std::string &) { reachability += isReachable ? "+" : "-"; };
     TableWatch watch(context, client, sharing, "things", s_timing, {ignore, ignore, recordReachability});
     asio::spawn(context, [&watch](const asio::yield_context &yield) { watch.run(yield); });
@@ -353,7 +353,7 @@
                 self.copy[row.key] = row.value;
             }
         };
-        const TableWatchHandlers handlers{change, change, [](bool, const std::string &) {}};
+        const TableWatchHandlers handlers{[change](const FeedRows &table) { change(table.rows); }, change, [](bool, const std::string &) {}};
         // Changes must be received within one second.
         const TableWatchTiming timing{350ms, 5s, 2s, 1200ms, 500ms, {150ms, 350ms, 100ms}};
         self.watch = std::make_unique<TableWatch>(context, *self.client, *self.sharing, "things", timing, handlers);
