LibRouting: Let spoilt rows hold only until the next good one

Two more rows did the same or worse: one that says "draining" for another service under the same `born` made the process count as leaving for good, and one without `born` would now be taken for another process, so that one that had said it was leaving would have got requests again.

--- a/Libraries/LibRouting/upstreamcatalog.cpp
+++ b/Libraries/LibRouting/upstreamcatalog.cpp
@@ -5,6 +5,14 @@
 namespace Trefoil
 {
 
+namespace
+{
+
+/// The start of a report whose row doesn't name one.
+constexpr std::int64_t s_unknownStart = 0;
+
+} // namespace
+
 RegistrationChange UpstreamCatalog::apply(UpstreamRegistration registration)
 {
     if (!advance(registration.id, registration.rowVersion)) {
@@ -12,13 +20,18 @@
     }
     const UpstreamId id = registration.id;
     History &history = m_histories.at(id);
+    if (registration.startedAt == s_unknownStart && history.lastStart != s_unknownStart) {
+        return removeRegistration(id);
+    }
+    history.lastStart = registration.startedAt;
+    const Process process{registration.startedAt, registration.service};
     if (registration.leaving) {
-        history.leavingStart = registration.startedAt;
+        history.leaving = process;
     }
     // A process that leaves doesn't come back, whatever a later report of it says.
-    registration.leaving = history.leavingStart == registration.startedAt;
+    registration.leaving = history.leaving == process;
     const auto known = m_registrations.find(id);
-    const bool isSameProcess = known != m_registrations.end() && known->second.startedAt == registration.startedAt;
+    const bool isSameProcess = known != m_registrations.end() && Process{known->second.startedAt, known->second.service} == process;
     m_registrations.insert_or_assign(id, std::move(registration));
     return isSameProcess ? RegistrationChange::Updated : RegistrationChange::Started;
 }
@@ -28,6 +41,11 @@
     if (!advance(id, version)) {
         return RegistrationChange::None;
     }
+    return removeRegistration(id);
+}
+
+RegistrationChange UpstreamCatalog::removeRegistration(const UpstreamId &id)
+{
     const bool wasRegistered = m_registrations.erase(id) > 0;
     forgetOldestGone();
     return wasRegistered ? RegistrationChange::Gone : RegistrationChange::None;
@@ -35,7 +53,7 @@
 
 bool UpstreamCatalog::advance(const UpstreamId &id, RowVersion version)
 {
-    const auto [history, isNew] = m_histories.try_emplace(id, History{version, std::nullopt});
+    const auto [history, isNew] = m_histories.try_emplace(id, History{version, s_unknownStart, std::nullopt});
     if (!isNew && version <= history->second.version) {
         return false;
     }
--- a/Libraries/LibRouting/upstreamcatalog.h
+++ b/Libraries/LibRouting/upstreamcatalog.h
@@ -29,7 +29,7 @@
     /// How much longer the upstream stays cold, counted from the time of the report.
     std::chrono::milliseconds coldRemaining{0};
     /// Start of the process in Unix milliseconds of its machine's clock, which may be set back: another value under the same id is
-    /// another process, whether it is larger or smaller.
+    /// another process, whether it is larger or smaller. 0 when the row names none.
     std::int64_t startedAt = 0;
     /// Grows with each report of one process; not used for the order of reports, since another writer may store any value.
     std::int64_t reportNumber = 0;
@@ -55,7 +55,8 @@
 {
 public:
     /// Takes one report. A report from a row that is not newer than the last one under the same id changes nothing, whatever its
-    /// start and number; a process that was leaving stays so. Precondition: the id is not empty.
+    /// start and number; a process that was leaving stays so. A report without a start, under an id whose process had one, comes from
+    /// another writer and counts as unreadable. Precondition: the id is not empty.
     RegistrationChange apply(UpstreamRegistration registration);
 
     /// Takes that the row is gone or unreadable as of a version of the store. Changes nothing when the last row under the id is newer.
@@ -75,17 +76,34 @@
     /// Upstreams without a readable row whose last version is kept, so that a late older row doesn't bring them back.
     static constexpr std::size_t s_maximumGone = 4096;
 
+    /// What identifies a process under an id. Processes keep their service, so that a row of another writer that names another one
+    /// says nothing of the process.
+    struct Process
+    {
+        std::int64_t startedAt = 0;
+        ServiceId service;
+
+        friend bool operator==(const Process &a, const Process &b)
+        {
+            return a.startedAt == b.startedAt && a.service == b.service;
+        }
+    };
+
     /// What outlives the row of an upstream.
     struct History
     {
         /// Of the last row, or of its removal.
         RowVersion version;
-        /// Start of the last process under the id that was leaving.
-        std::optional<std::int64_t> leavingStart;
+        /// Start of the last process; 0 while no report named one.
+        std::int64_t lastStart = 0;
+        /// The last process under the id that was leaving.
+        std::optional<Process> leaving;
     };
 
     /// Records the version of the last row; false when the known one is as new.
     bool advance(const UpstreamId &id, RowVersion version);
+    /// Removes the registration, but keeps the history.
+    RegistrationChange removeRegistration(const UpstreamId &id);
     /// Removes the history with the oldest version among the upstreams without a row, when there are too many.
     void forgetOldestGone();
 
--- a/Tests/LibRouting/testupstreamcatalog.cpp
+++ b/Tests/LibRouting/testupstreamcatalog.cpp
@@ -143,6 +143,53 @@
     applyAll(*testCase);
 }
 
+// Guards against an upstream that stays out of use, or in use although it is leaving, because of a readable row of another writer: its
+// report number is larger than all that the upstream will reach, or it names another service, or no start.
+ParameterizedTestParameters(UpstreamCatalog, aSpoiltRowHoldsUntilTheNextGoodOne)
+{
+    using Change = RegistrationChange;
+    constexpr std::int64_t huge = 999'999'999'999;
+    static SequenceCase cases[] = {
+        {"large report number",
+            3,
+            {{1, 10, 5, false, false, Change::Started}, {2, 10, huge, false, false, Change::Updated}, {3, 10, 6, false, false, Change::Updated}},
+            true,
+            false},
+        {"large report number, then removed",
+            4,
+            {{1, 10, 5, false, false, Change::Started},
+                {2, 10, huge, false, false, Change::Updated},
+                {3, 0, 0, false, true, Change::Gone},
+                {4, 10, 6, false, false, Change::Started}},
+            true,
+            false},
+        {"leaving, of another service",
+            3,
+            {{1, 10, 5, false, false, Change::Started}, {2, 10, 6, true, false, Change::Started, "x"}, {3, 10, 6, false, false, Change::Started}},
+            true,
+            false},
+        {"ready, of another service, after leaving",
+            3,
+            {{1, 10, 5, true, false, Change::Started}, {2, 10, 6, false, false, Change::Started, "x"}, {3, 10, 6, false, false, Change::Started}},
+            true,
+            true},
+        {"no start", 2, {{1, 10, 5, false, false, Change::Started}, {2, 0, 6, false, false, Change::Gone}}, false, false},
+        {"no start, then a good one",
+            3,
+            {{1, 10, 5, true, false, Change::Started}, {2, 0, 6, false, false, Change::Gone}, {3, 10, 6, false, false, Change::Started}},
+            true,
+            true},
+        {"no start at all", 2, {{1, 0, 5, false, false, Change::Started}, {2, 0, 6, true, false, Change::Updated}}, true, true},
+        {"a start after none", 2, {{1, 0, 5, true, false, Change::Started}, {2, 10, 6, false, false, Change::Started}}, true, false},
+    };
+    return cr_make_param_array(SequenceCase, cases, std::size(cases));
+}
+
+ParameterizedTest(SequenceCase *testCase, UpstreamCatalog, aSpoiltRowHoldsUntilTheNextGoodOne)
+{
+    applyAll(*testCase);
+}
+
 // Guards against upstreams that stay in use after a full read of the table no longer lists them.
 Test(UpstreamCatalog, missingFromNamesThoseThatAreGone)
 {
--- a/Tests/Platform/testplatformtables.cpp
+++ b/Tests/Platform/testplatformtables.cpp
@@ -426,3 +426,56 @@
         cr_assert_lt(time.count(), fixture.limits.drainNotice.count(), "applied after %d ms", static_cast<int>(time.count()));
     });
 }
+
+namespace
+{
+
+struct SpoiltCase
+{
+    char name[64];
+    char row[200];
+    /// The row is removed before the good one is back.
+    bool isRemoved;
+};
+
+} // namespace
+
+// Guards against an upstream that stays out of use after its good rows are back, because a row of another writer that spoilt them
+// seemed newer.
+ParameterizedTestParameters(PlatformTables, goodRowsCountAgainAfterASpoiltOne)
+{
+    static SpoiltCase cases[] = {
+        {"unknown service, large report number",
+            R"("service": "unknown", "state": "ready", "cold_remaining": "0ms", "seq_no": 999999999999, "born": 1790000000000)",
+            false},
+        {"unknown service, large report number, removed",
+            R"("service": "unknown", "state": "ready", "cold_remaining": "0ms", "seq_no": 999999999999, "born": 1790000000000)",
+            true},
+        {"unknown service, leaving", R"("service": "unknown", "state": "draining", "cold_remaining": "0ms", "seq_no": 6, "born": 1790000000000)", false},
+        {"late start", R"("service": "unknown", "state": "ready", "cold_remaining": "0ms", "seq_no": 6, "born": 4102444800000)", false},
+        {"no start", R"("service": "service", "state": "draining", "cold_remaining": "0ms", "seq_no": 999999999999)", false},
+        {"report number out of range",
+            R"("service": "unknown", "state": "ready", "cold_remaining": "0ms", "seq_no": 9999999999999, "born": 1790000000000)",
+            true},
+    };
+    return cr_make_param_array(SpoiltCase, cases, std::size(cases));
+}
+
+ParameterizedTest(SpoiltCase *testCase, PlatformTables, goodRowsCountAgainAfterASpoiltOne)
+{
+    Fixture fixture;
+    fixture.store.set(registrationTable, "upstream", reportOf(1790000000000, 5, "ready"));
+    fixture.run([&](const asio::yield_context &yield) {
+        const auto usableBecomes = [&](std::size_t count) { return fixture.timeUntil([&] { return fixture.usableUpstreamCount() == count; }, 3s, yield) < 3s; };
+        cr_assert(usableBecomes(1), "%s", testCase->name);
+        const std::string spoilt = fmt::format(R"({{"address": "127.0.0.1:1", "zone": "east-a", "max_concurrency": 4, {}}})", testCase->row);
+        fixture.store.set(registrationTable, "upstream", spoilt);
+        cr_assert(usableBecomes(0), "%s: the spoilt row still names an upstream", testCase->name);
+        if (testCase->isRemoved) {
+            fixture.store.remove(registrationTable, "upstream");
+            sleepFor(fixture.context, 1s, yield);
+        }
+        fixture.store.set(registrationTable, "upstream", reportOf(1790000000000, 6, "ready"));
+        cr_assert(usableBecomes(1), "%s: the good row is not used", testCase->name);
+    });
+}
