LibRouting: Ignore reports that the store wrote late

The store may perform a write seconds after the call, so that an old report gets a newer version than the reports after it. With the order by the store's version alone such a row brought back an upstream that had left, or showed the process before the running one until the next report; the order by clocks and numbers had kept them out.

A report changes nothing if its number isn't larger than one of the same process, or if its process was seen and followed by one with a later start. Neither is believed for long, since a clock may be set back and another writer may store any number: the third such report in a row counts. That the current process is leaving counts at once. A start that was never seen counts at once, smaller or larger. Up to four processes are remembered for each id.

Not covered: after a clock was set back, a late write of the process before whose number is larger than the last one seen; the running process then counts again with its third report.

The case "a leaving process after another one" now returns to the later start, since a return to an earlier one is a late write.

--- a/Libraries/LibRouting/upstreamcatalog.cpp
+++ b/Libraries/LibRouting/upstreamcatalog.cpp
@@ -1,5 +1,6 @@
 #include <LibRouting/upstreamcatalog.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Trefoil
@@ -20,22 +21,55 @@
     }
     const UpstreamId id = registration.id;
     History &history = m_histories.at(id);
-    if (registration.startedAt == s_unknownStart && history.lastStart != s_unknownStart) {
+    const auto hasStart = [](const Process &process) { return process.startedAt != s_unknownStart; };
+    if (registration.startedAt == s_unknownStart && std::any_of(history.processes.begin(), history.processes.end(), hasStart)) {
         return removeRegistration(id);
     }
-    history.lastStart = registration.startedAt;
-    const Process process{registration.startedAt, registration.service};
-    if (registration.leaving) {
-        history.leaving = process;
+    if (isWrittenLate(history, registration) && ++history.lateReports < s_maximumLateReports) {
+        return RegistrationChange::None;
     }
+    history.lateReports = 0;
+    const Process &process = recordReport(history, registration);
     // A process that leaves doesn't come back, whatever a later report of it says.
-    registration.leaving = history.leaving == process;
+    registration.leaving = process.isLeaving;
     const auto known = m_registrations.find(id);
-    const bool isSameProcess = known != m_registrations.end() && Process{known->second.startedAt, known->second.service} == process;
+    const bool isSameProcess = known != m_registrations.end() && process.isOf(known->second);
     m_registrations.insert_or_assign(id, std::move(registration));
     return isSameProcess ? RegistrationChange::Updated : RegistrationChange::Started;
 }
 
+bool UpstreamCatalog::isWrittenLate(const History &history, const UpstreamRegistration &report)
+{
+    const auto isOfReport = [&report](const Process &process) { return process.isOf(report); };
+    const auto known = std::find_if(history.processes.begin(), history.processes.end(), isOfReport);
+    if (known == history.processes.end()) {
+        return false;
+    }
+    const auto isOfService = [&report](const Process &process) { return process.service == report.service; };
+    const Process &current = *std::find_if(history.processes.rbegin(), history.processes.rend(), isOfService);
+    if (current.startedAt > report.startedAt) {
+        return true;
+    }
+    // That the current process is leaving holds whenever it was written.
+    const bool isLeavingOfCurrent = report.leaving && current.startedAt == report.startedAt;
+    return report.reportNumber <= known->reportNumber && !isLeavingOfCurrent;
+}
+
+const UpstreamCatalog::Process &UpstreamCatalog::recordReport(History &history, const UpstreamRegistration &report)
+{
+    Process process{report.startedAt, report.service, report.reportNumber, report.leaving};
+    auto &processes = history.processes;
+    const auto known = std::find_if(processes.begin(), processes.end(), [&report](const Process &entry) { return entry.isOf(report); });
+    if (known != processes.end()) {
+        process.isLeaving = process.isLeaving || known->isLeaving;
+        processes.erase(known);
+    } else if (processes.size() >= s_maximumProcesses) {
+        processes.erase(processes.begin());
+    }
+    processes.push_back(std::move(process));
+    return processes.back();
+}
+
 RegistrationChange UpstreamCatalog::remove(const UpstreamId &id, RowVersion version)
 {
     if (!advance(id, version)) {
@@ -53,7 +87,7 @@
 
 bool UpstreamCatalog::advance(const UpstreamId &id, RowVersion version)
 {
-    const auto [history, isNew] = m_histories.try_emplace(id, History{version, s_unknownStart, std::nullopt});
+    const auto [history, isNew] = m_histories.try_emplace(id, History{version, {}, 0});
     if (!isNew && version <= history->second.version) {
         return false;
     }
--- a/Libraries/LibRouting/upstreamcatalog.h
+++ b/Libraries/LibRouting/upstreamcatalog.h
@@ -5,7 +5,6 @@
 #include <LibCore/units.h>
 
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,7 +30,7 @@
     /// Start of the process in Unix milliseconds of its machine's clock, which may be set back: another value under the same id is
     /// another process, whether it is larger or smaller. 0 when the row names none.
     std::int64_t startedAt = 0;
-    /// Grows with each report of one process; not used for the order of reports, since another writer may store any value.
+    /// Grows with each report of one process.
     std::int64_t reportNumber = 0;
     /// Version of the row that holds the report.
     RowVersion rowVersion;
@@ -55,7 +54,8 @@
 {
 public:
     /// Takes one report. A report from a row that is not newer than the last one under the same id changes nothing, whatever its
-    /// start and number; a process that was leaving stays so. A report without a start, under an id whose process had one, comes from
+    /// start and number; neither does one that an earlier write of the process, or of one before it, left behind because the store
+    /// performed it late. A process that was leaving stays so. A report without a start, under an id whose process had one, comes from
     /// another writer and counts as unreadable. Precondition: the id is not empty.
     RegistrationChange apply(UpstreamRegistration registration);
 
@@ -76,16 +76,25 @@
     /// Upstreams without a readable row whose last version is kept, so that a late older row doesn't bring them back.
     static constexpr std::size_t s_maximumGone = 4096;
 
-    /// What identifies a process under an id. Processes keep their service, so that a row of another writer that names another one
-    /// says nothing of the process.
+    /// Processes under one id that are remembered; a write that the store performs late comes from the one before, or the one before that.
+    static constexpr std::size_t s_maximumProcesses = 4;
+
+    /// Reports in a row that look as if they were written late until one counts: the store performs single writes late, while a process
+    /// whose number or start was spoilt by another writer goes on reporting.
+    static constexpr int s_maximumLateReports = 3;
+
+    /// A process under an id. Processes keep their service, so that a row of another writer that names another one says nothing of the
+    /// process.
     struct Process
     {
         std::int64_t startedAt = 0;
         ServiceId service;
+        std::int64_t reportNumber = 0;
+        bool isLeaving = false;
 
-        friend bool operator==(const Process &a, const Process &b)
+        bool isOf(const UpstreamRegistration &report) const
         {
-            return a.startedAt == b.startedAt && a.service == b.service;
+            return startedAt == report.startedAt && service == report.service;
         }
     };
 
@@ -94,12 +103,17 @@
     {
         /// Of the last row, or of its removal.
         RowVersion version;
-        /// Start of the last process; 0 while no report named one.
-        std::int64_t lastStart = 0;
-        /// The last process under the id that was leaving.
-        std::optional<Process> leaving;
+        /// In the order of their last reports.
+        std::vector<Process> processes;
+        /// Reports since the last one that counted that look as if they were written late.
+        int lateReports = 0;
     };
 
+    /// Whether the store seems to have performed the write of a report later than newer ones: its number is not larger than one of the
+    /// same process, or its process was followed by one with a later start.
+    static bool isWrittenLate(const History &history, const UpstreamRegistration &report);
+    /// Records the process of a report that counts.
+    static const Process &recordReport(History &history, const UpstreamRegistration &report);
     /// Records the version of the last row; false when the known one is as new.
     bool advance(const UpstreamId &id, RowVersion version);
     /// Removes the registration, but keeps the history.
--- a/Tests/LibRouting/testupstreamcatalog.cpp
+++ b/Tests/LibRouting/testupstreamcatalog.cpp
@@ -25,7 +25,7 @@
 {
     char name[64];
     std::int64_t count;
-    Report reports[4];
+    Report reports[6];
     /// The state after all reports.
     bool isThere;
     bool isLeaving;
@@ -131,7 +131,7 @@
         {"old page after a removal of an unknown row", 2, {{2, 0, 0, false, true, Change::None}, {1, 10, 1, false, false, Change::None}}, false, false},
         {"a leaving process after another one",
             3,
-            {{1, 10, 5, true, false, Change::Started}, {2, 20, 1, false, false, Change::Started}, {3, 10, 6, false, false, Change::Started}},
+            {{1, 20, 5, true, false, Change::Started}, {2, 10, 1, false, false, Change::Started}, {3, 20, 6, false, false, Change::Started}},
             true,
             true},
     };
@@ -150,19 +150,38 @@
     using Change = RegistrationChange;
     constexpr std::int64_t huge = 999'999'999'999;
     static SequenceCase cases[] = {
-        {"large report number",
+        {"large report number of another service",
             3,
-            {{1, 10, 5, false, false, Change::Started}, {2, 10, huge, false, false, Change::Updated}, {3, 10, 6, false, false, Change::Updated}},
+            {{1, 10, 5, false, false, Change::Started}, {2, 10, huge, false, false, Change::Started, "x"}, {3, 10, 6, false, false, Change::Started}},
             true,
             false},
-        {"large report number, then removed",
+        {"large report number of another service, then removed",
             4,
             {{1, 10, 5, false, false, Change::Started},
-                {2, 10, huge, false, false, Change::Updated},
+                {2, 10, huge, false, false, Change::Started, "x"},
                 {3, 0, 0, false, true, Change::Gone},
                 {4, 10, 6, false, false, Change::Started}},
             true,
             false},
+        {"large report number of its own service, then leaving",
+            5,
+            {{1, 10, 5, false, false, Change::Started},
+                {2, 10, huge, false, false, Change::Updated},
+                {3, 10, 6, false, false, Change::None},
+                {4, 10, 7, true, false, Change::Updated},
+                {5, 10, 8, false, false, Change::Updated}},
+            true,
+            true},
+        {"large report number of its own service, then removed",
+            6,
+            {{1, 10, 5, false, false, Change::Started},
+                {2, 10, huge, false, false, Change::Updated},
+                {3, 0, 0, false, true, Change::Gone},
+                {4, 10, 6, false, false, Change::None},
+                {5, 10, 7, false, false, Change::None},
+                {6, 10, 8, false, false, Change::Started}},
+            true,
+            false},
         {"leaving, of another service",
             3,
             {{1, 10, 5, false, false, Change::Started}, {2, 10, 6, true, false, Change::Started, "x"}, {3, 10, 6, false, false, Change::Started}},
@@ -190,6 +209,65 @@
     applyAll(*testCase);
 }
 
+// Guards against an upstream that comes back into use, or turns into the process before it, because the store performs an old write of
+// its seconds after newer ones, so that the old report has the newer version.
+ParameterizedTestParameters(UpstreamCatalog, writesThatTheStorePerformsLateChangeNothing)
+{
+    using Change = RegistrationChange;
+    static SequenceCase cases[] = {
+        {"of the same process", 2, {{1, 10, 5, false, false, Change::Started}, {2, 10, 4, false, false, Change::None}}, true, false},
+        {"of a process that left without saying so",
+            3,
+            {{1, 10, 5, false, false, Change::Started}, {2, 0, 0, false, true, Change::Gone}, {3, 10, 5, false, false, Change::None}},
+            false,
+            false},
+        {"of the process before",
+            4,
+            {{1, 10, 5, false, false, Change::Started},
+                {2, 20, 1, true, false, Change::Started},
+                {3, 10, 6, false, false, Change::None},
+                {4, 20, 2, true, false, Change::Updated}},
+            true,
+            true},
+        {"of the process before, after a removal",
+            4,
+            {{1, 10, 5, false, false, Change::Started},
+                {2, 20, 1, true, false, Change::Started},
+                {3, 0, 0, false, true, Change::Gone},
+                {4, 10, 6, false, false, Change::None}},
+            false,
+            false},
+        {"of the process before with the later clock",
+            4,
+            {{1, 20, 5, false, false, Change::Started},
+                {2, 10, 1, false, false, Change::Started},
+                {3, 20, 4, false, false, Change::None},
+                {4, 10, 2, true, false, Change::Updated}},
+            true,
+            true},
+        {"of the process before, which was not seen",
+            3,
+            {{1, 20, 5, false, false, Change::Started}, {2, 10, 9, false, false, Change::Started}, {3, 20, 6, true, false, Change::Started}},
+            true,
+            true},
+        {"twice, with newer reports between them",
+            5,
+            {{1, 10, 5, false, false, Change::Started},
+                {2, 10, 3, false, false, Change::None},
+                {3, 10, 4, false, false, Change::None},
+                {4, 10, 6, false, false, Change::Updated},
+                {5, 10, 5, false, false, Change::None}},
+            true,
+            false},
+    };
+    return cr_make_param_array(SequenceCase, cases, std::size(cases));
+}
+
+ParameterizedTest(SequenceCase *testCase, UpstreamCatalog, writesThatTheStorePerformsLateChangeNothing)
+{
+    applyAll(*testCase);
+}
+
 // Guards against upstreams that stay in use after a full read of the table no longer lists them.
 Test(UpstreamCatalog, missingFromNamesThoseThatAreGone)
 {
