--- a/Tests/LibSteering/testplacement.cpp
+++ b/Tests/LibSteering/testplacement.cpp
@@ -182,9 +182,9 @@
 struct RestartCase
 {
     char name[48];
-    int intervalMilliseconds;
     /// Of ten hosts, how many are killed each time.
     std::size_t killed;
+    int intervalMilliseconds;
     /// Whether processes live long enough to earn a whole retry, at two requests a second.
     bool isRetryEarned;
 };
@@ -196,14 +196,14 @@
 ParameterizedTestParameters(RetryAllowance, restartsInSeriesStayWithinTheBudget)
 {
     static RestartCase cases[] = {
-        {"every 0.5 s, 6 of 10", 500, 6, false},
-        {"every 1.3 s, 6 of 10", 1300, 6, true},
-        {"every 1.3 s, all", 1300, 10, false},
-        {"every 4.9 s, all", 4900, 10, true},
-        {"every 9.9 s, all", 9900, 10, true},
-        {"every 10.1 s, all", 10100, 10, true},
-        {"every 13 s, all", 13000, 10, true},
-        {"every 24 s, all", 24000, 10, true},
+        {"every 0.5 s, 6 of 10", 6, 500, false},
+        {"every 1.3 s, 6 of 10", 6, 1300, true},
+        {"every 1.3 s, all", 10, 1300, false},
+        {"every 4.9 s, all", 10, 4900, true},
+        {"every 9.9 s, all", 10, 9900, true},
+        {"every 10.1 s, all", 10, 10100, true},
+        {"every 13 s, all", 10, 13000, true},
+        {"every 24 s, all", 10, 24000, true},
     };
     return cr_make_param_array(RestartCase, cases, std::size(cases));
 }
