--- a/Libraries/LibRouting/upstreamcatalog.cpp
+++ b/Libraries/LibRouting/upstreamcatalog.cpp
@@ -1,5 +1,6 @@
 #include <LibRouting/upstreamcatalog.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace Trefoil
@@ -8,51 +9,107 @@
 namespace
 {
 
-enum class ReportAge {
-    OutOfDate,
-    SameProcess,
-    LaterProcess,
-};
-
-ReportAge ageOf(const UpstreamRegistration &report, const UpstreamRegistration &known)
-{
-    if (report.startedAt != known.startedAt) {
-        return report.startedAt > known.startedAt ? ReportAge::LaterProcess : ReportAge::OutOfDate;
-    }
-    return report.reportNumber > known.reportNumber ? ReportAge::SameProcess : ReportAge::OutOfDate;
-}
+/// The start of a report whose row doesn't name one.
+constexpr std::int64_t s_unknownStart = 0;
 
 } // namespace
 
 RegistrationChange UpstreamCatalog::apply(UpstreamRegistration registration)
 {
-    const auto known = m_registrations.find(registration.id);
-    const bool isKnown = known != m_registrations.end();
-    const auto gone = m_gone.find(registration.id);
-    const UpstreamRegistration *previous = isKnown ? &known->second : gone != m_gone.end() ? &gone->second : nullptr;
-    const ReportAge age = previous ? ageOf(registration, *previous) : ReportAge::LaterProcess;
-    if (age == ReportAge::OutOfDate) {
+    if (!advance(registration.id, registration.rowVersion)) {
         return RegistrationChange::None;
     }
-    // A process that leaves doesn't come back; a later start has another time of start.
-    registration.leaving = registration.leaving || (age == ReportAge::SameProcess && previous->leaving);
     const UpstreamId id = registration.id;
+    History &history = m_histories.at(id);
+    const auto hasStart = [](const Process &process) { return process.startedAt != s_unknownStart; };
+    if (registration.startedAt == s_unknownStart && std::any_of(history.processes.begin(), history.processes.end(), hasStart)) {
+        return removeRegistration(id);
+    }
+    if (isWrittenLate(history, registration) && ++history.lateReports < s_maximumLateReports) {
+        return RegistrationChange::None;
+    }
+    history.lateReports = 0;
+    const Process &process = recordReport(history, registration);
+    // A process that leaves doesn't come back, whatever a later report of it says.
+    registration.leaving = process.isLeaving;
+    const auto known = m_registrations.find(id);
+    const bool isSameProcess = known != m_registrations.end() && process.isOf(known->second);
     m_registrations.insert_or_assign(id, std::move(registration));
-    m_gone.erase(id);
-    return isKnown && age == ReportAge::SameProcess ? RegistrationChange::Updated : RegistrationChange::Started;
+    return isSameProcess ? RegistrationChange::Updated : RegistrationChange::Started;
 }
 
-RegistrationChange UpstreamCatalog::remove(const UpstreamId &id)
+bool UpstreamCatalog::isWrittenLate(const History &history, const UpstreamRegistration &report)
 {
-    auto removed = m_registrations.extract(id);
-    if (removed.empty()) {
+    const auto isOfReport = [&report](const Process &process) { return process.isOf(report); };
+    const auto known = std::find_if(history.processes.begin(), history.processes.end(), isOfReport);
+    if (known == history.processes.end()) {
+        return false;
+    }
+    const auto isOfService = [&report](const Process &process) { return process.service == report.service; };
+    const Process &current = *std::find_if(history.processes.rbegin(), history.processes.rend(), isOfService);
+    if (current.startedAt > report.startedAt) {
+        return true;
+    }
+    // That the current process is leaving holds whenever it was written.
+    const bool isLeavingOfCurrent = report.leaving && current.startedAt == report.startedAt;
+    return report.reportNumber <= known->reportNumber && !isLeavingOfCurrent;
+}
+
+const UpstreamCatalog::Process &UpstreamCatalog::recordReport(History &history, const UpstreamRegistration &report)
+{
+    Process process{report.startedAt, report.service, report.reportNumber, report.leaving};
+    auto &processes = history.processes;
+    const auto known = std::find_if(processes.begin(), processes.end(), [&report](const Process &entry) { return entry.isOf(report); });
+    if (known != processes.end()) {
+        process.isLeaving = process.isLeaving || known->isLeaving;
+        processes.erase(known);
+    } else if (processes.size() >= s_maximumProcesses) {
+        processes.erase(processes.begin());
+    }
+    processes.push_back(std::move(process));
+    return processes.back();
+}
+
+RegistrationChange UpstreamCatalog::remove(const UpstreamId &id, RowVersion version)
+{
+    if (!advance(id, version)) {
         return RegistrationChange::None;
     }
-    if (m_gone.size() >= s_maximumGone) {
-        m_gone.erase(m_gone.begin());
+    return removeRegistration(id);
+}
+
+RegistrationChange UpstreamCatalog::removeRegistration(const UpstreamId &id)
+{
+    const bool wasRegistered = m_registrations.erase(id) > 0;
+    forgetOldestGone();
+    return wasRegistered ? RegistrationChange::Gone : RegistrationChange::None;
+}
+
+bool UpstreamCatalog::advance(const UpstreamId &id, RowVersion version)
+{
+    const auto [history, isNew] = m_histories.try_emplace(id, History{version, {}, 0});
+    if (!isNew && version <= history->second.version) {
+        return false;
+    }
+    history->second.version = version;
+    return true;
+}
+
+void UpstreamCatalog::forgetOldestGone()
+{
+    if (m_histories.size() - m_registrations.size() <= s_maximumGone) {
+        return;
+    }
+    auto oldest = m_histories.end();
+    for (auto it = m_histories.begin(); it != m_histories.end(); ++it) {
+        if (m_registrations.count(it->first) > 0) {
+            continue;
+        }
+        if (oldest == m_histories.end() || it->second.version < oldest->second.version) {
+            oldest = it;
+        }
     }
-    m_gone.insert_or_assign(id, std::move(removed.mapped()));
-    return RegistrationChange::Gone;
+    m_histories.erase(oldest);
 }
 
 std::vector<UpstreamId> UpstreamCatalog::missingFrom(const std::set<UpstreamId> &present) const
