--- a/Tests/LibHttp/testhttpserver.cpp
+++ b/Tests/LibHttp/testhttpserver.cpp
@@ -335,14 +335,14 @@
     runCoroutine(context, [&](const asio::yield_context &yield) {
         auto socket = connectTo(context, *server, yield);
         asio::async_write(socket,
-            asio::buffer(std::string_view("POST / HTTP/1.1\r\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ntwo casts\r\n0\r\nRequest-Id: late\r\n"
+            asio::buffer(std::string_view("POST / HTTP/1.1\r\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ntwo casts\r\n0\r\nTrefoil-Request-Id: late\r\n"
                                           "Connection: close\r\n\r\nGET /next HTTP/1.1\r\nConnection: close\r\n\r\n")),
             yield);
         readToEnd(socket, yield);
     });
     cr_assert_eq(requests.size(), 2);
     cr_assert_eq(requests[0].body, "two casts");
-    cr_assert_null(requests[0].headers.find("Request-Id"));
+    cr_assert_null(requests[0].headers.find("Trefoil-Request-Id"));
     cr_assert_eq(requests[0].headers.all().size(), 2);
     cr_assert_eq(requests[1].target, "/next");
 }
--- a/Tests/LibHttp/testrequestfuzz.cpp
+++ b/Tests/LibHttp/testrequestfuzz.cpp
@@ -229,7 +229,7 @@
         Sent sent{id, one(methods), "/" + id + "?q=" + std::to_string(below(10)), {}};
         if (below(4) > 0) {
             // A body that would run as a request of its own.
-            sent.body = "POST /hidden HTTP/1.1\r\nRequest-Id: hidden\r\nContent-Length: 0\r\n\r\n";
+            sent.body = "POST /hidden HTTP/1.1\r\nTrefoil-Request-Id: hidden\r\nContent-Length: 0\r\n\r\n";
         }
         for (std::size_t i = below(3); i > 0; --i) {
             static const std::string parts[] = {"0\r\n\r\n", "\r\n", "two casts", "HTTP/1.1 200 OK\r\n\r\n", "5\r\n", std::string(300, 'x')};
@@ -241,7 +241,7 @@
     std::string serialized(const Sent &sent)
     {
         static const std::string fields[] = {"A: b", "Host: a.example", "Empty:", "Accept: */*", "TE: trailers", "X-Length: 9", "Cookie: a=b; c=\"d\""};
-        std::string text = sent.method + " " + sent.target + " HTTP/1.1\r\nRequest-Id: " + sent.id + "\r\n";
+        std::string text = sent.method + " " + sent.target + " HTTP/1.1\r\nTrefoil-Request-Id: " + sent.id + "\r\n";
         for (std::size_t i = below(4); i > 0; --i) {
             text += one(fields) + "\r\n";
         }
@@ -272,7 +272,7 @@
             "Content-Length : 5",
             " folded",
             "\tContent-Length: 0",
-            "Request-Id: other",
+            "Trefoil-Request-Id: other",
             "Bad Name: 1",
             "NoColon",
             "Content-Length: 99999999999999999999",
@@ -334,7 +334,7 @@
             text += fmt::format("{:x}{}\r\n", size, below(4) == 0 ? ";a=b" : "") + body.substr(start, size) + "\r\n";
             start += size;
         }
-        return text + "0\r\n" + (below(4) == 0 ? "Request-Id: trailer\r\n" : "") + "\r\n";
+        return text + "0\r\n" + (below(4) == 0 ? "Trefoil-Request-Id: trailer\r\n" : "") + "\r\n";
     }
 
     std::mt19937_64 m_random;
@@ -393,7 +393,7 @@
     settings.input.bodyLimit = s_bodyLimit;
     settings.framingRejections = std::make_shared<FramingRejections>();
     const auto server = std::move(HttpServer::create(context, settings, [&current](HttpRequest &request, CallerConnection &, const asio::yield_context &) {
-        current.handled.push_back({std::string(request.headers.value("Request-Id")), request.method, request.target, request.body});
+        current.handled.push_back({std::string(request.headers.value("Trefoil-Request-Id")), request.method, request.target, request.body});
         return HttpResponse{};
     }).value());
     Fuzzer fuzzer(seed);
