--- a/Tests/LibGateway/testrefusalcopies.cpp
+++ b/Tests/LibGateway/testrefusalcopies.cpp
@@ -117,7 +117,12 @@
     const Route &route = fixture.state.routes()->configuration().routes.front();
     const UpstreamIdentity sound = fixture.state.usableUpstreams(ServiceId("service"), route, {}, BootClock::now()).at(0)->model.identity();
     fixture.state.upstreamRemoved(sound.id);
-    UpstreamRegistration restarted{UpstreamId("u"), sound.service, sound.address, sound.zone, sound.slots};
+    UpstreamRegistration restarted;
+    restarted.id = UpstreamId("u");
+    restarted.service = sound.service;
+    restarted.address = sound.address;
+    restarted.zone = sound.zone;
+    restarted.slots = sound.slots;
     restarted.startedAt = 2;
     const ScriptedUpstream earlier(fixture, "u", [&](tcp::socket &socket, const std::string &id, const asio::yield_context &yield) {
         fixture.state.upstreamStarted(restarted, BootClock::now());
