LibHttp: Build the check of control characters where char is unsigned

On arm64 char is unsigned, and the comparison with 0 is always true, which the compiler rejects (-Werror=type-limits): with -funsigned-char the file failed to compile before and compiles now. Bytes from 0x80 on stay allowed on both machines.

--- a/Libraries/LibHttp/requestframing.cpp
+++ b/Libraries/LibHttp/requestframing.cpp
@@ -37,7 +37,7 @@
 /// Bytes from 0x80 on are allowed: the old grammar of values has them.
 bool isControl(char character)
 {
-    return (character >= 0 && character < ' ' && character != '\t') || character == s_delete;
+    return (static_cast<unsigned char>(character) < ' ' && character != '\t') || character == s_delete;
 }
 
 bool isSpace(char character)
