Soak: Read requests of the stand-in with a parser of their own

The linter takes the message that Beast's reading of whole messages moves out and in again for one that was moved from.

--- a/Tests/Platform/Soak/soakupstream.cpp
+++ b/Tests/Platform/Soak/soakupstream.cpp
@@ -89,11 +89,12 @@
     beast::flat_buffer buffer;
     std::optional<http::response<http::string_body>> lastRejection;
     while (true) {
-        http::request<http::string_body> message;
-        http::async_read(socket, buffer, message, yield[error]);
+        http::request_parser<http::string_body> parser;
+        http::async_read(socket, buffer, parser, yield[error]);
         if (error) {
             return;
         }
+        const auto &message = parser.get();
         if (behaviour.repeatsRejections && lastRejection) {
             http::async_write(socket, *lastRejection, yield[error]);
         }
