LibHttp: Count and log responses that can't be written, and connections around a stop

Callers saw connections that ended without an answer around SIGTERM, and neither log nor metrics could tell why: a failed write left no trace, and the log of a stop named the requests in the gateway only.

Now each response that can't be written is counted and logged with its request's id (response-not-written); idle-connections-closed and listening-ended tell what the close of the listening socket found; stopping and stopped name unanswered requests, open connections and connections that were accepted late. No decision changes.

--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -4,6 +4,7 @@
 #include <LibHttp/endpoint.h>
 #include <LibHttp/parserfeed.h>
 #include <LibHttp/requesthead.h>
+#include <LibTelemetry/log.h>
 
 #include <algorithm>
 #include <atomic>
@@ -135,10 +136,21 @@
         return m_open.load();
     }
 
+    std::size_t unansweredRequests() const
+    {
+        return m_unanswered.load();
+    }
+
 private:
     void expireLoop(const asio::yield_context &yield);
     void acceptLoop(const asio::yield_context &yield);
     void serve(tcp::socket socket);
+    void count(ConnectionEvent event) const
+    {
+        if (m_settings.events) {
+            m_settings.events->count(event);
+        }
+    }
 
     asio::io_context &m_context;
     HttpServerSettings m_settings;
@@ -147,6 +159,8 @@
     asio::steady_timer m_expiryTimer;
     std::list<Connection *> m_connections;
     std::atomic<std::size_t> m_open{0};
+    std::atomic<std::size_t> m_unanswered{0};
+    bool m_closesIdle = false;
     bool m_closing = false;
     std::minstd_rand m_random{std::random_device{}()};
 };
@@ -169,6 +183,7 @@
 
     ~Connection()
     {
+        setUnanswered(false);
         m_state->m_connections.erase(m_position);
         m_state->m_open.fetch_sub(1);
     }
@@ -237,6 +252,26 @@
     }
 
     bool serveOne(const asio::yield_context &yield)
+    {
+        const bool keepOpen = readAndAnswer(yield);
+        setUnanswered(false);
+        return keepOpen;
+    }
+
+    void setUnanswered(bool isUnanswered)
+    {
+        if (isUnanswered == m_isUnanswered) {
+            return;
+        }
+        m_isUnanswered = isUnanswered;
+        if (isUnanswered) {
+            m_state->m_unanswered.fetch_add(1);
+        } else {
+            m_state->m_unanswered.fetch_sub(1);
+        }
+    }
+
+    bool readAndAnswer(const asio::yield_context &yield)
     {
         ReadResult read = readRequest(yield);
         if (std::holds_alternative<ConnectionEnded>(read)) {
@@ -322,6 +357,7 @@
             return endOfRead(error, "header");
         }
         m_headerReadAt = BootClock::now();
+        setUnanswered(true);
         if (!reserve(headBytes + declaredBytes(parser), yield)) {
             return rejectForMemory(parser);
         }
@@ -463,9 +499,27 @@
             http::async_write(m_socket, serializer, yield[error]);
         }
         m_ended = m_ended || error;
+        if (error) {
+            recordUnwritten(response, error);
+        }
         return !error;
     }
 
+    void recordUnwritten(const HttpResponse &response, const beast::error_code &error) const
+    {
+        m_state->count(ConnectionEvent::ResponseNotWritten);
+        if (m_state->m_settings.requestIdHeader.empty()) {
+            return;
+        }
+        writeLog(LogLevel::Info,
+            "response-not-written",
+            {{"request", std::string(response.headers.value(m_state->m_settings.requestIdHeader))},
+                {"status", std::int64_t{response.status}},
+                {"reason", error.message()},
+                {"isStopping", m_state->m_closing},
+                {"elapsedMs", std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - m_headerReadAt).count()}});
+    }
+
     /// Closing a socket with unread input resets the connection, and the caller may lose the response that way.
     void linger(const asio::yield_context &yield)
     {
@@ -494,6 +548,8 @@
     bool m_idle = false;
     bool m_ended = false;
     bool m_keepAlive = false;
+    /// A request's header has been read, and its response hasn't been written.
+    bool m_isUnanswered = false;
     /// The request that is being read or answered has the method HEAD, so that its response has no body.
     bool m_isHead = false;
     /// Of the request that is read or handled.
@@ -576,6 +632,7 @@
             serve(std::move(socket));
         }
     }
+    writeLog(LogLevel::Info, "listening-ended", {{"address", address()}, {"open", static_cast<std::int64_t>(openConnections())}});
     m_acceptor.close(error);
 }
 
@@ -590,6 +647,9 @@
         socket.shutdown(tcp::socket::shutdown_send, ignored);
         return;
     }
+    if (m_closesIdle) {
+        count(ConnectionEvent::AcceptedLate);
+    }
     auto connection = std::make_shared<Connection>(shared_from_this(), std::move(socket));
     asio::spawn(m_context, [connection = std::move(connection)](const asio::yield_context &yield) { connection->run(yield); });
 }
@@ -597,13 +657,23 @@
 void HttpServer::State::closeIdle()
 {
     m_closing = true;
+    m_closesIdle = true;
     boost::system::error_code ignored;
     m_acceptor.cancel(ignored);
+    std::int64_t closed = 0;
     for (Connection *connection : m_connections) {
         if (connection->isIdle()) {
             connection->close();
+            count(ConnectionEvent::ClosedIdle);
+            ++closed;
         }
     }
+    writeLog(LogLevel::Info,
+        "idle-connections-closed",
+        {{"address", address()},
+            {"closed", closed},
+            {"open", static_cast<std::int64_t>(openConnections())},
+            {"unanswered", static_cast<std::int64_t>(unansweredRequests())}});
 }
 
 void HttpServer::State::closeAll()
@@ -662,4 +732,9 @@
     return m_state->openConnections();
 }
 
+std::size_t HttpServer::unansweredRequests() const
+{
+    return m_state->unansweredRequests();
+}
+
 } // namespace Trefoil
--- a/Libraries/LibHttp/httpserver.h
+++ b/Libraries/LibHttp/httpserver.h
@@ -3,6 +3,7 @@
 #include <LibCore/bootclock.h>
 #include <LibCore/result.h>
 #include <LibHttp/cancellation.h>
+#include <LibHttp/connectionevents.h>
 #include <LibHttp/framingrejections.h>
 #include <LibHttp/memorybudget.h>
 #include <LibHttp/message.h>
@@ -47,6 +48,10 @@
     std::shared_ptr<MemoryBudget> memory{};
     /// How long a request waits for room in the budget. Its body isn't read meanwhile.
     std::chrono::milliseconds memoryWait{1000};
+    /// Counts what happens to connections; several servers may share it. May be null.
+    std::shared_ptr<ConnectionEvents> events{};
+    /// Header of responses that names their request, for the log. Without a name, responses that can't be written are counted only.
+    std::string requestIdHeader{};
 };
 
 /// The connection on which a request came in. Thread safety: all calls on the server's thread.
@@ -71,7 +76,7 @@
 };
 
 /// HTTP/1.1 server with bounded headers, bodies, connections and waiting times. It answers malformed and oversized
-/// input itself. Thread safety: all calls on the thread that runs the context, except openConnections().
+/// input itself. Thread safety: all calls on the thread that runs the context, except openConnections() and unansweredRequests().
 class HttpServer
 {
 public:
@@ -102,6 +107,9 @@
     /// Precondition: none. Thread safety: safe from any thread.
     std::size_t openConnections() const;
 
+    /// Requests whose header has been read and whose response hasn't been written. Precondition: none. Thread safety: safe from any thread.
+    std::size_t unansweredRequests() const;
+
 private:
     class State;
     explicit HttpServer(std::shared_ptr<State> state);
--- a/Services/trefoilmountd/controlplane.cpp
+++ b/Services/trefoilmountd/controlplane.cpp
@@ -188,6 +188,7 @@
     ScrapeWriter writer;
     m_host.metrics().writeTo(writer);
     m_host.framingRejections().writeTo(writer);
+    m_host.connectionEvents().writeTo(writer);
     return writer.text();
 }
 
--- a/Services/trefoilmountd/host.cpp
+++ b/Services/trefoilmountd/host.cpp
@@ -36,8 +36,14 @@
     std::unique_ptr<Host> host(new Host(std::move(options), std::move(claims)));
     const HostOptions &hostOptions = host->m_options;
     const RequestPathSettings settings{hostOptions.host, hostOptions.region, hostOptions.incarnation, hostOptions.peerSecret, hostOptions.sourceAddress};
-    const RequestPathShared shared{
-        host->m_state, host->m_claims, host->m_signal, host->m_retryBudget, host->m_metrics, host->m_inFlight, host->m_framingRejections};
+    const RequestPathShared shared{host->m_state,
+        host->m_claims,
+        host->m_signal,
+        host->m_retryBudget,
+        host->m_metrics,
+        host->m_inFlight,
+        host->m_framingRejections,
+        host->m_connectionEvents};
     std::string address = hostOptions.callerAddress;
     for (int i = 0; i < hostOptions.threads; ++i) {
         auto worker = Worker::create(address, settings, shared, static_cast<std::size_t>(i));
@@ -71,6 +77,11 @@
     return *m_framingRejections;
 }
 
+ConnectionEvents &Host::connectionEvents()
+{
+    return *m_connectionEvents;
+}
+
 std::string Host::callerAddress() const
 {
     return m_workers.front()->address();
@@ -110,7 +121,7 @@
 
 void Host::stopGracefully(const asio::yield_context &yield)
 {
-    writeLog(LogLevel::Info, "stopping", {{"inFlight", inFlight()}});
+    logStop("stopping");
     for (const auto &worker : m_workers) {
         worker->announceClose();
     }
@@ -129,10 +140,24 @@
         timer.expires_after(s_drainPollInterval);
         timer.async_wait(yield);
     }
-    writeLog(LogLevel::Info, "stopped", {{"inFlight", inFlight()}});
+    logStop("stopped");
     m_control.stop();
 }
 
+void Host::logStop(std::string_view event) const
+{
+    std::size_t unanswered = 0;
+    for (const auto &worker : m_workers) {
+        unanswered += worker->unansweredRequests();
+    }
+    writeLog(LogLevel::Info,
+        event,
+        {{"inFlight", inFlight()},
+            {"unanswered", static_cast<std::int64_t>(unanswered)},
+            {"openConnections", static_cast<std::int64_t>(openConnections())},
+            {"acceptedLate", static_cast<std::int64_t>(m_connectionEvents->of(ConnectionEvent::AcceptedLate))}});
+}
+
 std::size_t Host::openConnections() const
 {
     std::size_t count = 0;
--- a/Services/trefoilmountd/host.h
+++ b/Services/trefoilmountd/host.h
@@ -58,6 +58,9 @@
     /// Precondition: none. Thread safety: see FramingRejections.
     FramingRejections &framingRejections();
 
+    /// Precondition: none. Thread safety: see ConnectionEvents.
+    ConnectionEvents &connectionEvents();
+
     /// The bound caller address. Precondition: none. Thread safety: safe from any thread.
     std::string callerAddress() const;
 
@@ -85,6 +88,7 @@
 private:
     Host(HostOptions options, ClaimAccess claims);
     void stopGracefully(const boost::asio::yield_context &yield);
+    void logStop(std::string_view event) const;
     std::size_t openConnections() const;
 
     HostOptions m_options;
@@ -94,6 +98,7 @@
     RequestMetrics m_metrics;
     std::atomic<std::int64_t> m_inFlight{0};
     std::shared_ptr<FramingRejections> m_framingRejections = std::make_shared<FramingRejections>();
+    std::shared_ptr<ConnectionEvents> m_connectionEvents = std::make_shared<ConnectionEvents>();
     ClaimAccess m_claims;
     std::function<bool()> m_stopCondition;
     boost::asio::io_context m_control{1};
--- a/Services/trefoilmountd/requestpath.h
+++ b/Services/trefoilmountd/requestpath.h
@@ -41,6 +41,7 @@
     /// Requests in progress, look-ups included.
     std::atomic<std::int64_t> &inFlight;
     std::shared_ptr<FramingRejections> framingRejections;
+    std::shared_ptr<ConnectionEvents> connectionEvents;
 };
 
 /// The pipeline of one worker: parse, classify, admit, claim, select, dispatch, check, record, respond.
--- a/Services/trefoilmountd/worker.cpp
+++ b/Services/trefoilmountd/worker.cpp
@@ -32,6 +32,8 @@
     serverSettings.address = address;
     serverSettings.sharesAddress = true;
     serverSettings.framingRejections = shared.framingRejections;
+    serverSettings.events = shared.connectionEvents;
+    serverSettings.requestIdHeader = "Trefoil-Request-Id";
     RequestPath &path = worker->m_path;
     auto server = HttpServer::create(worker->m_context,
         serverSettings,
@@ -85,6 +87,11 @@
     return m_server->openConnections();
 }
 
+std::size_t Worker::unansweredRequests() const
+{
+    return m_server->unansweredRequests();
+}
+
 std::string Worker::address() const
 {
     return m_server->address();
--- a/Services/trefoilmountd/worker.h
+++ b/Services/trefoilmountd/worker.h
@@ -34,6 +34,7 @@
     void closeIdle();
 
     std::size_t openConnections() const;
+    std::size_t unansweredRequests() const;
 
     /// The listening IP:port.
     std::string address() const;
