LibHttp: Answer requests that were read as idle connections close

Callers saw a closed connection in place of the response to a request that an upstream had run, 2.2 s after the SIGTERM of the host.

The close of idle connections took a connection for idle whose coroutine waits in async_read_some() while the kernel has no byte of it. Asio takes bytes that are there when a read starts at once, and queues the completion. Until the queue gets to it, the bytes of the request are in the process and the kernel has none. The close of the socket doesn't stop the coroutine: the read has no error, the request is handled, and its response is written to a closed socket.

Only the coroutine ends its connection now. The stop cancels the read: one that still waits takes no byte and ends the connection; one that has completed is answered, with Connection: close.

ServerClose::requestThatWasReadAsIdleConnectionsCloseIsAnswered failed in 4 of 4 cases before, and passes in 4 of 4.

--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -231,11 +231,16 @@
         m_socket.cancel(ignored);
     }
 
-    /// True while the connection waits for a request of which no byte has arrived.
-    bool isIdle() const
+    /// Ends the connection if it waits for a request of which no byte has arrived. A read that has completed already isn't affected by
+    /// this, and its request is answered.
+    bool endIfIdle()
     {
         beast::error_code error;
-        return m_idle && m_socket.available(error) == 0;
+        if (!m_idle || m_socket.available(error) > 0) {
+            return false;
+        }
+        m_socket.cancel(error);
+        return true;
     }
 
     void close()
@@ -662,8 +667,7 @@
     m_acceptor.cancel(ignored);
     std::int64_t closed = 0;
     for (Connection *connection : m_connections) {
-        if (connection->isIdle()) {
-            connection->close();
+        if (connection->endIfIdle()) {
             count(ConnectionEvent::ClosedIdle);
             ++closed;
         }
