LibHttp: End the accept loop by the server's state

Callers that came at high rates were accepted until the end of a stopping host, 57,000 to 84,000 of them were rejected, and about 55 connections ended without an answer at once when the process ended, 5.7 s after SIGTERM.

The close of the listening socket cancelled the accept. An accept that has completed and waits in the queue isn't cancelled: its loop saw no error and began the next one. With a connection always waiting, each accept completes when it starts.

ServerClose::noConnectionIsAcceptedAfterTheListeningSocketCloses failed in 4 of 4 cases before (with five callers when it was closed after 0 to 16 handlers), and passes in 4 of 4.

--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -614,7 +614,8 @@
 
 void HttpServer::State::acceptLoop(const asio::yield_context &yield)
 {
-    while (m_acceptor.is_open()) {
+    // The state decides and not the error of a cancelled accept: one that had completed before its cancellation has no error.
+    while (!m_closesIdle && m_acceptor.is_open()) {
         boost::system::error_code error;
         tcp::socket socket(m_context);
         m_acceptor.async_accept(socket, yield[error]);
