LibHttp: Keep time limits in force that end beside a read

A caller whose header or whose end comes too slowly held its connection for good, if its time ended between a read and the coroutine that waits for it. The limit was spent on an operation that had completed already, so that nothing was cancelled and nothing ended the next one. Such a connection also keeps a stopping host from ending before its grace is over.

A limit now stays in force until the connection sets the next one.

ServerClose::headIsTooSlowWhenItsTimeEndsBesideARead and callerThatSendsOnAfterTheLastResponseIsCutOff failed before and pass.

--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -226,9 +226,7 @@
             return;
         }
         m_timedOut = true;
-        m_expiry = Clock::time_point::max();
-        beast::error_code ignored;
-        m_socket.cancel(ignored);
+        cancelOperation();
     }
 
     /// Ends the connection if it waits for a request of which no byte has arrived. A read that has completed already isn't affected by
@@ -239,7 +237,7 @@
         if (!m_idle || m_socket.available(error) > 0) {
             return false;
         }
-        m_socket.cancel(error);
+        cancelOperation();
         return true;
     }
 
@@ -250,6 +248,13 @@
     }
 
 private:
+    /// An operation that has completed and whose coroutine hasn't run yet isn't cancelled, so that the time limit stays in force after this.
+    void cancelOperation()
+    {
+        beast::error_code ignored;
+        m_socket.cancel(ignored);
+    }
+
     void expireAfter(std::chrono::milliseconds time)
     {
         m_timedOut = false;
