Tests: Keep callers at full rate until a stopping host refuses them

PlannedStop::callersThatStayUntilTheEndGetAnswers plays 60 callers of a real host, a third each on kept connections, on new connections, and on kept connections with pauses, through SIGTERM until their connections are refused. It checks that each request that the upstream began has a whole answer, and that the host ends to accept.

--- a/Tests/Platform/testplannedstop.cpp
+++ b/Tests/Platform/testplannedstop.cpp
@@ -13,6 +13,7 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <set>
 #include <unistd.h>
 
@@ -347,8 +348,127 @@
     int m_open = 0;
 };
 
+/// Callers that send one request after the other until the host refuses their connections.
+class SteadyCallers
+{
+public:
+    enum class Manner {
+        KeptConnection,
+        NewConnections,
+        KeptWithPauses,
+    };
+
+    explicit SteadyCallers(Deployment &deployment)
+        : m_deployment(deployment)
+    {
+    }
+
+    void start(Manner manner, int number)
+    {
+        ++m_open;
+        asio::spawn(m_deployment.context(), [this, manner, number](const asio::yield_context &yield) {
+            run(manner, number, yield);
+            --m_open;
+        });
+    }
+
+    void awaitAll(const asio::yield_context &yield)
+    {
+        while (m_open > 0) {
+            sleepFor(m_deployment.context(), 10ms, yield);
+        }
+    }
+
+    int requests() const
+    {
+        return m_requests;
+    }
+
+    /// Ids of requests that the upstream began and that got no complete response.
+    const std::string &lost() const
+    {
+        return m_lost;
+    }
+
+    /// Start of the last connection that the host accepted.
+    BootTime lastAccepted() const
+    {
+        return m_lastAccepted;
+    }
+
+private:
+    void run(Manner manner, int number, const asio::yield_context &yield)
+    {
+        std::mt19937 random(static_cast<unsigned>(number));
+        while (true) {
+            tcp::socket socket(m_deployment.context());
+            boost::system::error_code error;
+            const BootTime connectedAt = BootClock::now();
+            socket.async_connect(parseEndpoint(m_deployment.callerAddress()).value(), yield[error]);
+            if (error) {
+                return;
+            }
+            m_lastAccepted = std::max(m_lastAccepted, connectedAt);
+            while (exchange(socket, fmt::format("steady-{}-{}", number, ++m_requests), random, yield) && manner != Manner::NewConnections) {
+                if (manner == Manner::KeptWithPauses) {
+                    sleepFor(m_deployment.context(), std::chrono::milliseconds(std::uniform_int_distribution<int>(0, s_longestPauseMs)(random)), yield);
+                }
+            }
+        }
+    }
+
+    /// Sends one request; false when the connection can't be used for another one.
+    bool exchange(tcp::socket &socket, const std::string &id, std::mt19937 &random, const asio::yield_context &yield)
+    {
+        const int workMs = std::uniform_int_distribution<int>(1, 7)(random);
+        const std::string request =
+            fmt::format("GET /read/{}/{} HTTP/1.1\r\nHost: stop.example\r\nRequest-Id: {}\r\nDeadline-Ms: {}\r\n\r\n", workMs, id, id, s_deadlineMs);
+        boost::system::error_code error;
+        asio::async_write(socket, asio::buffer(request), yield[error]);
+        const Answer answer = Deployment::read(socket, yield);
+        if (answer.status == 0 && m_deployment.begun().count(id) > 0) {
+            m_lost += id + " ";
+        }
+        return answer.status != 0 && !answer.closesConnection;
+    }
+
+    static constexpr int s_longestPauseMs = 1200;
+
+    Deployment &m_deployment;
+    int m_open = 0;
+    int m_requests = 0;
+    std::string m_lost;
+    BootTime m_lastAccepted{};
+};
+
 } // namespace
 
+// Guards against requests that are run and get no answer as a host under load closes its idle connections, and against a host that goes on accepting
+// connections until its end.
+Test(PlannedStop, callersThatStayUntilTheEndGetAnswers)
+{
+    Deployment deployment;
+    deployment.play([&](const asio::yield_context &yield) {
+        SteadyCallers callers(deployment);
+        constexpr int callersOfEachManner = 20;
+        for (int i = 0; i < callersOfEachManner; ++i) {
+            callers.start(SteadyCallers::Manner::KeptConnection, 3 * i);
+            callers.start(SteadyCallers::Manner::NewConnections, 3 * i + 1);
+            callers.start(SteadyCallers::Manner::KeptWithPauses, 3 * i + 2);
+        }
+        sleepFor(deployment.context(), 500ms, yield);
+        const BootTime start = BootClock::now();
+        deployment.signal(SIGTERM);
+        callers.awaitAll(yield);
+        const auto code = deployment.awaitExit(start + s_grace, yield);
+        cr_assert_eq(code.value_or(s_stillRuns), 0, "%d: %s", code.value_or(s_stillRuns), deployment.log().c_str());
+        cr_assert_str_empty(callers.lost().c_str(), "no response: %s", callers.lost().c_str());
+        const auto accepted = std::chrono::duration_cast<std::chrono::milliseconds>(callers.lastAccepted() - start);
+        cr_assert(accepted < s_lateInStop, "a connection was accepted %lld ms after SIGTERM", static_cast<long long>(accepted.count()));
+        cr_log_info("%d requests", callers.requests());
+    });
+}
+
 // Guards against orders that a stopping host passes on although it ends before their responses: they run, the connections of their callers end without
 // a response, and they must not be repeated. Some uploads begin before SIGTERM and end late in the grace, others begin after it.
 Test(PlannedStop, lateUploadsAreToldToGoElsewhere)
