LibHttp: Reject requests that are still being read when a stop ends

Callers whose uploads or headers were on their way when a stopping host reached its end saw their connections end without an answer: they couldn't tell that nothing had run, and had to give up requests that can't be repeated.

announceClose() now takes the time until the end. A request that isn't read by then is rejected with 503 and a Retry-After, and a request doesn't wait for memory beyond it.

It can't be built without the new parameter; before, such a connection ended with the process, or with a 408 after the time limits of the server.

--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -119,9 +119,10 @@
         m_settings.input = limits;
     }
 
-    void announceClose()
+    void announceClose(std::chrono::milliseconds readTime)
     {
         m_closing = true;
+        m_readEnd = Clock::now() + readTime;
     }
 
     std::string address() const
@@ -162,6 +163,8 @@
     std::atomic<std::size_t> m_unanswered{0};
     bool m_closesIdle = false;
     bool m_closing = false;
+    /// Requests that are still being read then are rejected.
+    Clock::time_point m_readEnd = Clock::time_point::max();
     std::minstd_rand m_random{std::random_device{}()};
 };
 
@@ -222,7 +225,7 @@
     /// Ends the current operation when its time is over.
     void cancelIfExpired(Clock::time_point now)
     {
-        if (now < m_expiry) {
+        if (now < m_expiry && !(m_isReading && now >= m_state->m_readEnd)) {
             return;
         }
         m_timedOut = true;
@@ -283,7 +286,9 @@
 
     bool readAndAnswer(const asio::yield_context &yield)
     {
+        m_isReading = true;
         ReadResult read = readRequest(yield);
+        m_isReading = false;
         if (std::holds_alternative<ConnectionEnded>(read)) {
             m_ended = true;
             return false;
@@ -409,7 +414,8 @@
             m_reservation.emplace(m_state->m_settings.memory, MemoryUse::Request);
         }
         m_expiry = Clock::time_point::max();
-        return awaitRoom(*m_reservation, bytes, m_state->m_settings.memoryWait, m_socket.get_executor(), yield);
+        const Clock::duration longest = std::min<Clock::duration>(m_state->m_settings.memoryWait, m_state->m_readEnd - Clock::now());
+        return awaitRoom(*m_reservation, bytes, longest, m_socket.get_executor(), yield);
     }
 
     /// 0 for a length above the limit, which ends the reading of the body.
@@ -456,6 +462,11 @@
 
     ReadResult endOfRead(const beast::error_code &error, std::string_view part) const
     {
+        if (m_timedOut && Clock::now() >= m_state->m_readEnd) {
+            HttpResponse response = errorResponse(503, "rejected", part, fmt::format("the request did not run: this host stops before it has the {}", part));
+            response.headers.add("Retry-After", "0");
+            return response;
+        }
         if (m_timedOut) {
             return errorResponse(408, "too-slow", part, fmt::format("the {} did not arrive in time", part));
         }
@@ -556,6 +567,7 @@
     std::shared_ptr<Cancellation> m_cancellation = std::make_shared<Cancellation>();
     bool m_watching = false;
     bool m_idle = false;
+    bool m_isReading = false;
     bool m_ended = false;
     bool m_keepAlive = false;
     /// A request's header has been read, and its response hasn't been written.
@@ -727,9 +739,9 @@
     m_state->setInputLimits(limits);
 }
 
-void HttpServer::announceClose()
+void HttpServer::announceClose(std::chrono::milliseconds readTime)
 {
-    m_state->announceClose();
+    m_state->announceClose(readTime);
 }
 
 void HttpServer::closeIdle()
--- a/Libraries/LibHttp/httpserver.h
+++ b/Libraries/LibHttp/httpserver.h
@@ -97,8 +97,9 @@
     /// Changes the bounds for requests that are read from now on; that of the header for new connections only. Precondition: none.
     void setInputLimits(const HttpInputLimits &limits);
 
-    /// From now on every response ends its connection. Precondition: none.
-    void announceClose();
+    /// From now on every response ends its connection. A request that hasn't been read completely after the given time is rejected.
+    /// Precondition: the time is not negative.
+    void announceClose(std::chrono::milliseconds readTime);
 
     /// Accepts what waits in the backlog, closes the listening socket and all connections without a request in work.
     /// Other connections end with their response. Precondition: callers were told to go elsewhere.
--- a/Services/trefoilmountd/host.cpp
+++ b/Services/trefoilmountd/host.cpp
@@ -123,7 +123,7 @@
 {
     logStop("stopping");
     for (const auto &worker : m_workers) {
-        worker->announceClose();
+        worker->announceClose(m_options.stopGrace + m_options.drainTimeout);
     }
     asio::steady_timer timer(m_control, m_options.stopGrace);
     timer.async_wait(yield);
--- a/Services/trefoilmountd/worker.cpp
+++ b/Services/trefoilmountd/worker.cpp
@@ -72,9 +72,9 @@
     m_context.run();
 }
 
-void Worker::announceClose()
+void Worker::announceClose(std::chrono::milliseconds readTime)
 {
-    asio::post(m_context, [this] { m_server->announceClose(); });
+    asio::post(m_context, [this, readTime] { m_server->announceClose(readTime); });
 }
 
 void Worker::closeIdle()
--- a/Services/trefoilmountd/worker.h
+++ b/Services/trefoilmountd/worker.h
@@ -27,8 +27,8 @@
     /// Starts the thread. Precondition: called once.
     void start();
 
-    /// Makes further responses close their connections.
-    void announceClose();
+    /// Makes further responses close their connections, and rejects requests that aren't read completely after the given time.
+    void announceClose(std::chrono::milliseconds readTime);
 
     /// Closes the listening socket and idle connections.
     void closeIdle();
--- a/Tests/LibHttp/testhttpserver.cpp
+++ b/Tests/LibHttp/testhttpserver.cpp
@@ -238,7 +238,7 @@
     std::unique_ptr<HttpServer> server;
     const auto handler = [&](HttpRequest &request, CallerConnection &caller, const asio::yield_context &yield) {
         ++handled;
-        server->announceClose();
+        server->announceClose(std::chrono::seconds(5));
         return echo(request, caller, yield);
     };
     server = std::move(HttpServer::create(context, testSettings(), handler).value());
--- a/Tests/LibHttp/testserverclose.cpp
+++ b/Tests/LibHttp/testserverclose.cpp
@@ -171,6 +171,11 @@
         m_server->closeIdle();
     }
 
+    void announceClose(std::chrono::milliseconds readTime)
+    {
+        m_server->announceClose(readTime);
+    }
+
     /// Runs until the server has no connection left; false when that takes too long.
     bool runToEnd(bool callersClose)
     {
@@ -303,3 +308,40 @@
     std::this_thread::sleep_for(s_lingerTimeout);
     cr_assert(play.runToEnd(false), "the connection is open");
 }
+
+namespace
+{
+
+struct UnfinishedCase
+{
+    char name[16];
+    char text[80];
+};
+
+} // namespace
+
+// Guards against callers whose requests are still on their way when a stopping host ends: their connections ended without an answer, so that they
+// couldn't know that the requests had not run.
+ParameterizedTestParameters(ServerClose, unfinishedRequestIsRejectedAtTheEndOfAStop)
+{
+    static UnfinishedCase cases[] = {
+        {"head", "GET / HTTP/1.1\r\nHos"},
+        {"body", "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc"},
+        {"chunked body", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"},
+    };
+    return cr_make_param_array(UnfinishedCase, cases, std::size(cases));
+}
+
+ParameterizedTest(UnfinishedCase *testCase, ServerClose, unfinishedRequestIsRejectedAtTheEndOfAStop)
+{
+    Play play;
+    Caller &caller = play.connect(0);
+    caller.send(testCase->text);
+    play.run(s_maximumHandlers);
+    play.announceClose(s_expiryInterval);
+    play.closeIdle();
+    cr_assert(play.runToEnd(true), "%s: the connection is open", testCase->name);
+    cr_assert_eq(caller.lastAnswer().substr(0, 12), "HTTP/1.1 503", "%s: %s", testCase->name, caller.lastAnswer().c_str());
+    cr_assert_neq(caller.lastAnswer().find("Retry-After"), std::string::npos, "%s: %s", testCase->name, caller.lastAnswer().c_str());
+    cr_assert_eq(play.handled(), 0, "%s", testCase->name);
+}
