--- a/Tests/Platform/testplannedstop.cpp
+++ b/Tests/Platform/testplannedstop.cpp
@@ -48,6 +48,9 @@
     /// 0 when the connection ended without a complete response.
     int status = 0;
     bool closesConnection = false;
+    /// The host ended the connection in order although it had sent no byte: it had taken the request from the kernel, which resets a connection
+    /// that is closed with unread bytes.
+    bool isMissing = false;
     std::string text;
 };
 
@@ -145,6 +148,7 @@
             const std::size_t count = socket.async_read_some(asio::buffer(piece), yield[error]);
             answer.text.append(piece.data(), count);
         }
+        answer.isMissing = error == asio::error::eof && answer.text.empty();
         if (isComplete(answer.text)) {
             answer.status = std::stoi(answer.text.substr(std::string_view("HTTP/1.1 ").size()));
             answer.closesConnection = answer.text.find("Connection: close\r\n") != std::string::npos;
@@ -356,6 +360,7 @@
         KeptConnection,
         NewConnections,
         KeptWithPauses,
+        LookUps,
     };
 
     explicit SteadyCallers(Deployment &deployment)
@@ -384,7 +389,7 @@
         return m_requests;
     }
 
-    /// Ids of requests that the upstream began and that got no complete response.
+    /// Ids of requests that the host read or the upstream began, and that got no complete response.
     const std::string &lost() const
     {
         return m_lost;
@@ -404,10 +409,15 @@
             tcp::socket socket(m_deployment.context());
             boost::system::error_code error;
             const BootTime connectedAt = BootClock::now();
-            socket.async_connect(parseEndpoint(m_deployment.callerAddress()).value(), yield[error]);
+            const std::string address = manner == Manner::LookUps ? m_deployment.lookupAddress() : m_deployment.callerAddress();
+            socket.async_connect(parseEndpoint(address).value(), yield[error]);
             if (error) {
                 return;
             }
+            if (manner == Manner::LookUps) {
+                lookUp(socket, yield);
+                continue;
+            }
             m_lastAccepted = std::max(m_lastAccepted, connectedAt);
             while (exchange(socket, fmt::format("steady-{}-{}", number, ++m_requests), random, yield) && manner != Manner::NewConnections) {
                 if (manner == Manner::KeptWithPauses) {
@@ -417,6 +427,13 @@
         }
     }
 
+    void lookUp(tcp::socket &socket, const asio::yield_context &yield)
+    {
+        boost::system::error_code error;
+        asio::async_write(socket, asio::buffer(s_lookUp), yield[error]);
+        m_lost += Deployment::read(socket, yield).isMissing ? "look-up " : "";
+    }
+
     /// Sends one request; false when the connection can't be used for another one.
     bool exchange(tcp::socket &socket, const std::string &id, std::mt19937 &random, const asio::yield_context &yield)
     {
@@ -426,13 +443,14 @@
         boost::system::error_code error;
         asio::async_write(socket, asio::buffer(request), yield[error]);
         const Answer answer = Deployment::read(socket, yield);
-        if (answer.status == 0 && m_deployment.begun().count(id) > 0) {
+        if (answer.isMissing || (answer.status == 0 && m_deployment.begun().count(id) > 0)) {
             m_lost += id + " ";
         }
         return answer.status != 0 && !answer.closesConnection;
     }
 
     static constexpr int s_longestPauseMs = 1200;
+    static constexpr std::string_view s_lookUp = "GET /api/resolve?name=stop.example&region=east&zone=east-a HTTP/1.1\r\nHost: stop.example\r\n\r\n";
 
     Deployment &m_deployment;
     int m_open = 0;
@@ -456,6 +474,9 @@
             callers.start(SteadyCallers::Manner::NewConnections, 3 * i + 1);
             callers.start(SteadyCallers::Manner::KeptWithPauses, 3 * i + 2);
         }
+        for (int i = 0; i < 5; ++i) {
+            callers.start(SteadyCallers::Manner::LookUps, i);
+        }
         sleepFor(deployment.context(), 500ms, yield);
         const BootTime start = BootClock::now();
         deployment.signal(SIGTERM);
