--- a/Tests/trefoilctl/testexplain.cpp
+++ b/Tests/trefoilctl/testexplain.cpp
@@ -21,6 +21,17 @@
     cr_assert(text.find("u9") == std::string::npos);
 }
 
+// Guards against an answer that never reached its caller and of which the explanation says nothing.
+Test(Explain, answerThatWasNotWritten)
+{
+    std::istringstream log("{\"time\":\"2026-01-01T00:00:01.000Z\",\"host\":\"a\",\"event\":\"response-not-written\",\"request\":\"r1\",\"status\":200,"
+                           "\"reason\":\"Broken pipe\",\"isStopping\":true,\"elapsedMs\":7}\n");
+    const auto explained = explainRequest("r1", {&log});
+    cr_assert(explained.has_value());
+    const std::string &text = explained.value();
+    cr_assert(text.find("could not write its answer 200 whole after 7 ms: Broken pipe (the host was stopping)") != std::string::npos, "%s", text.c_str());
+}
+
 // Guards against silence about a request that no log knows.
 Test(Explain, unknownRequest)
 {
--- a/Utilities/trefoilctl/explain.cpp
+++ b/Utilities/trefoilctl/explain.cpp
@@ -78,6 +78,13 @@
         return fmt::format(
             "answered {} ({}) after {} ms and {} attempts", text(line, "status"), text(line, "reason"), text(line, "elapsedMs"), text(line, "attempts"));
     }
+    if (event == "response-not-written") {
+        return fmt::format("could not write its answer {} whole after {} ms: {} ({})",
+            text(line, "status"),
+            text(line, "elapsedMs"),
+            text(line, "reason"),
+            text(line, "isStopping") == "true" ? "the host was stopping" : "the host was not stopping");
+    }
     return event + " " + line.dump();
 }
 
