LibHttp: Answer requests that arrive as their idle connection ends

Callers of a kept connection saw a reset instead of an answer when their request reached the host between the cancellation of the idle read and the close of the socket, at the end of listening or at the idle timeout. Under load that is the length of the handler queue.

The coroutine took the error of its cancelled read for an empty socket. Now it looks for bytes before it ends the connection; a request that is there is answered, and while the host stops its answer ends the connection.

--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -346,8 +346,13 @@
         if (m_buffer.size() == 0) {
             m_idle = true;
             expireAfter(m_state->m_closing ? s_lingerTimeout : m_state->m_settings.input.idleTimeout);
-            const std::size_t count = m_socket.async_read_some(m_buffer.prepare(s_readSize), yield[error]);
+            const auto space = m_buffer.prepare(s_readSize);
+            std::size_t count = m_socket.async_read_some(space, yield[error]);
             m_idle = false;
+            if (beast::error_code ignored; error == asio::error::operation_aborted && m_socket.available(ignored) > 0) {
+                // A request arrived after the cancellation; closing the socket now would reset its connection.
+                count = m_socket.read_some(space, error);
+            }
             m_buffer.commit(count);
             if (error) {
                 return ConnectionEnded{};
--- a/Tests/LibHttp/testserverclose.cpp
+++ b/Tests/LibHttp/testserverclose.cpp
@@ -345,3 +345,17 @@
     cr_assert_neq(caller.lastAnswer().find("Retry-After"), std::string::npos, "%s: %s", testCase->name, caller.lastAnswer().c_str());
     cr_assert_eq(play.handled(), 0, "%s", testCase->name);
 }
+
+// Guards against a request that arrives between the end of its idle connection's read and the close of the socket: the connection was reset.
+Test(ServerClose, requestThatArrivesAsItsIdleConnectionEndsIsAnswered)
+{
+    Play play;
+    Caller &caller = play.connect(1);
+    play.run(s_maximumHandlers);
+    cr_assert_eq(caller.answers(), 1);
+    play.closeIdle();
+    caller.send(std::string(s_request));
+    cr_assert(play.runToEnd(true), "the connection is open");
+    cr_assert_eq(caller.answers(), 2, "%d handled, %d answered", play.handled(), caller.answers());
+    cr_assert_eq(headerValue(caller.lastAnswer(), "Connection"), "close");
+}
