LibHttp: Count a listening socket that closes as open until its backlog is served

Callers whose connections waited in the backlog as a host stopped listening saw a reset when no other connection was open at that moment: the host took its servers for idle and ended before the accept loop had run again.

openConnections() now includes the listening socket from closeIdle() until all that it held is accepted; both programs wait for that number.

ServerClose::connectionsOfTheListeningSocketAreServedBeforeTheEnd failed before in 3 of 3 cases, and passes now.

--- a/Libraries/LibHttp/httpserver.cpp
+++ b/Libraries/LibHttp/httpserver.cpp
@@ -134,7 +134,7 @@
 
     std::size_t openConnections() const
     {
-        return m_open.load();
+        return m_open.load() + (m_isDraining.load() ? 1 : 0);
     }
 
     std::size_t unansweredRequests() const
@@ -161,6 +161,8 @@
     std::list<Connection *> m_connections;
     std::atomic<std::size_t> m_open{0};
     std::atomic<std::size_t> m_unanswered{0};
+    /// The listening socket is about to close and may hold connections.
+    std::atomic<bool> m_isDraining{false};
     bool m_closesIdle = false;
     bool m_closing = false;
     /// Requests that are still being read then are rejected.
@@ -660,6 +662,7 @@
             serve(std::move(socket));
         }
     }
+    m_isDraining = false;
     writeLog(LogLevel::Info, "listening-ended", {{"address", address()}, {"open", static_cast<std::int64_t>(openConnections())}});
     m_acceptor.close(error);
 }
@@ -686,6 +689,7 @@
 {
     m_closing = true;
     m_closesIdle = true;
+    m_isDraining = m_acceptor.is_open();
     boost::system::error_code ignored;
     m_acceptor.cancel(ignored);
     std::int64_t closed = 0;
@@ -699,7 +703,7 @@
         "idle-connections-closed",
         {{"address", address()},
             {"closed", closed},
-            {"open", static_cast<std::int64_t>(openConnections())},
+            {"open", static_cast<std::int64_t>(m_open.load())},
             {"unanswered", static_cast<std::int64_t>(unansweredRequests())}});
 }
 
--- a/Libraries/LibHttp/httpserver.h
+++ b/Libraries/LibHttp/httpserver.h
@@ -105,7 +105,7 @@
     /// Other connections end with their response. Precondition: callers were told to go elsewhere.
     void closeIdle();
 
-    /// Precondition: none. Thread safety: safe from any thread.
+    /// After closeIdle() includes the listening socket until its backlog is accepted. Precondition: none. Thread safety: safe from any thread.
     std::size_t openConnections() const;
 
     /// Requests whose header has been read and whose response hasn't been written. Precondition: none. Thread safety: safe from any thread.
--- a/Tests/LibHttp/testserverclose.cpp
+++ b/Tests/LibHttp/testserverclose.cpp
@@ -359,3 +359,28 @@
     cr_assert_eq(caller.answers(), 2, "%d handled, %d answered", play.handled(), caller.answers());
     cr_assert_eq(headerValue(caller.lastAnswer(), "Connection"), "close");
 }
+
+// Guards against a server that seems to have no connection while its listening socket holds some: the process ended, and their requests were reset.
+ParameterizedTestParameters(ServerClose, connectionsOfTheListeningSocketAreServedBeforeTheEnd)
+{
+    static int callers[] = {1, 2, 5};
+    return cr_make_param_array(int, callers, std::size(callers));
+}
+
+ParameterizedTest(int *callers, ServerClose, connectionsOfTheListeningSocketAreServedBeforeTheEnd)
+{
+    std::string failures;
+    for (int handlers = 0; handlers < s_maximumHandlers; ++handlers) {
+        Play play;
+        for (int i = 0; i < *callers; ++i) {
+            play.connect(1);
+        }
+        play.run(handlers);
+        play.closeIdle();
+        const bool hasEnded = play.runToEnd(true);
+        if (!hasEnded || play.answers() != *callers) {
+            failures += fmt::format("\nclosed after {} handlers: {} answered{}", handlers, play.answers(), hasEnded ? "" : ", open");
+        }
+    }
+    cr_assert_str_empty(failures.c_str(), "%s", failures.c_str());
+}
