LibHttp: End the wait for a response's room when its call is cancelled

A caller whose response waited for memory as its host stopped could get a closed connection instead of 504: the cancellation closed the upstream's connection, and the call went on waiting for room, up to two thirds of the time that the request had left.

awaitRoom() takes the cancellation and ends with it.

--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -309,7 +309,11 @@
         }
         const BootTime start = BootClock::now();
         const auto part = std::chrono::duration_cast<BootClock::duration>((m_options.deadline - start) * s_memoryWaitPart);
-        const bool isTaken = awaitRoom(*m_reservation, bytes, std::min(part, longest), m_connection.stream.get_executor(), yield);
+        const auto executor = m_connection.stream.get_executor();
+        const bool isTaken = awaitRoom(*m_reservation, bytes, std::min(part, longest), executor, yield, m_options.cancellation);
+        if (m_options.cancellation) {
+            m_options.cancellation->setHook([this] { m_connection.stream.close(); });
+        }
         m_memoryWait += BootClock::now() - start;
         return isTaken;
     }
--- a/Tests/LibHttp/testconnectionpool.cpp
+++ b/Tests/LibHttp/testconnectionpool.cpp
@@ -298,6 +298,29 @@
     cr_assert_eq(fixture.pool.opened(), 2);
 }
 
+// Guards against a cancelled call that waits on for room for its response: a stopping host ended before it could answer the caller.
+Test(ConnectionPool, cancellationEndsTheWaitForRoom)
+{
+    Fixture fixture;
+    ConnectionPoolSettings settings;
+    settings.memory = std::make_shared<MemoryBudget>(MemoryLimits{s_smallMessageBytes, s_smallMessageBytes, s_smallMessageBytes});
+    ConnectionPool pool(fixture.context, settings);
+    MemoryReservation held(settings.memory, MemoryUse::Response);
+    cr_assert(held.tryResize(s_smallMessageBytes));
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        Cancellation cancellation;
+        asio::steady_timer timer(fixture.context, std::chrono::milliseconds(50));
+        timer.async_wait([&](const boost::system::error_code &) { cancellation.request(); });
+        CallOptions options = fixture.options("first");
+        options.cancellation = &cancellation;
+        HttpRequest request{"GET", "/"};
+        request.headers.add("Trefoil-Request-Id", "first");
+        const BootTime start = BootClock::now();
+        cr_assert_eq(textOf(pool.call(fixture.upstream->address(), nullptr, request, options, yield)), "cancelled");
+        cr_assert(BootClock::now() - start < std::chrono::seconds(1), "the call waited on after its cancellation");
+    });
+}
+
 namespace
 {
 
