--- a/Tests/Platform/storestandin.cpp
+++ b/Tests/Platform/storestandin.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds s_feedPollInterval{5};
 /// Changes that one answer of a feed holds at most, as on the platform.
 constexpr std::size_t s_rowsPerAnswer = 500;
+/// Bytes that one answer of a feed holds at most, as on the platform; a single change may exceed them.
+constexpr std::size_t s_bytesPerAnswer = 1000000;
 constexpr std::chrono::milliseconds s_droppedResponseDelay{60000};
 
 std::string parameter(const std::string &target, const std::string &name)
@@ -169,15 +171,19 @@
         }
         Json rows = Json::array();
         FeedVersion version = m_version;
+        std::size_t bytes = 0;
         for (const Change &change : m_changes) {
             if (change.table != table || change.row.version <= after) {
                 continue;
             }
-            if (rows.size() == s_rowsPerAnswer) {
+            Json entry = entryOf(change.row);
+            const std::size_t entryBytes = entry.dump().size();
+            if (rows.size() == s_rowsPerAnswer || (!rows.empty() && bytes + entryBytes > s_bytesPerAnswer)) {
                 version = rows.back().at("ver");
                 break;
             }
-            rows.push_back(entryOf(change.row));
+            bytes += entryBytes;
+            rows.push_back(std::move(entry));
         }
         if (!rows.empty() || BootClock::now() >= end) {
             return jsonResponse(200, Json{{"rows", rows}, {"ver", version}, {"now", "1ms"}}.dump());
--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -132,6 +132,35 @@
     });
 }
 
+// Guards against a configuration that is in force seconds late: with rows of several hundred kilobytes, an answer that has left changes
+// out is far from full, counts as the whole, and each further version waits for the batch delay.
+Test(TableWatch, backlogOfLargeRowsIsReadToItsEndAtOnce)
+{
+    static constexpr int versions = 8;
+    const std::string filler(400000, 'x');
+    Fixture fixture;
+    fixture.store.set("things", "configuration", "0" + filler);
+    fixture.run([&](const asio::yield_context &yield) {
+        cr_assert(fixture.await([&] { return fixture.copy.count("configuration") == 1; }, yield));
+        fixture.store.isDown = true;
+        cr_assert(fixture.await([&] { return !fixture.watch.isReachable(); }, yield));
+        for (int i = 1; i <= versions; ++i) {
+            fixture.store.set("things", "configuration", std::to_string(i) + filler);
+        }
+        const BootTime confirmedBefore = fixture.watch.confirmedAt();
+        fixture.store.isDown = false;
+        const auto isLatest = [&fixture] { return fixture.copy["configuration"].front() == '0' + versions; };
+        const bool isKnown = fixture.await(
+            [&] {
+                cr_assert(isLatest() || fixture.watch.confirmedAt() == confirmedBefore, "version %c counts as current", fixture.copy["configuration"].front());
+                return isLatest();
+            },
+            yield);
+        cr_assert(isKnown, "version %c after 2 s", fixture.copy["configuration"].front());
+        cr_assert(fixture.await([&] { return fixture.watch.confirmedAt() > confirmedBefore; }, yield));
+    });
+}
+
 // Guards against a table that does not fit into one page.
 Test(TableWatch, readsAllPages)
 {
