--- a/Tests/Platform/testplannedstop.cpp
+++ b/Tests/Platform/testplannedstop.cpp
@@ -33,6 +33,7 @@
 constexpr std::chrono::milliseconds s_grace{4000};
 /// The host accepts connections for 2.2 s of the grace and stops waiting for upstreams after 3.7 s.
 constexpr std::chrono::milliseconds s_lateInStop{2800};
+constexpr std::chrono::milliseconds s_stopAcceptTime{2200};
 constexpr std::chrono::milliseconds s_startLimit{20000};
 /// Longer than any request of the test.
 constexpr int s_deadlineMs = 10000;
@@ -490,6 +491,29 @@
     });
 }
 
+// Guards against look-ups that are read and not answered since a caller's connection takes all of the time that is left at the end of a stop.
+Test(PlannedStop, lookUpsAreAnsweredBesideACallerThatStays)
+{
+    Deployment deployment;
+    deployment.play([&](const asio::yield_context &yield) {
+        SteadyCallers callers(deployment);
+        for (int i = 0; i < 5; ++i) {
+            callers.start(SteadyCallers::Manner::LookUps, i);
+        }
+        tcp::socket unfinished(deployment.context());
+        unfinished.async_connect(parseEndpoint(deployment.callerAddress()).value(), yield);
+        sleepFor(deployment.context(), 500ms, yield);
+        const BootTime start = BootClock::now();
+        deployment.signal(SIGTERM);
+        sleepFor(deployment.context(), s_stopAcceptTime - 200ms, yield);
+        asio::async_write(unfinished, asio::buffer(std::string_view("GET / HTTP/1.1\r\nHos")), yield);
+        callers.awaitAll(yield);
+        const auto code = deployment.awaitExit(start + s_grace, yield);
+        cr_assert_eq(code.value_or(s_stillRuns), 0, "%d: %s", code.value_or(s_stillRuns), deployment.log().c_str());
+        cr_assert_str_empty(callers.lost().c_str(), "no response: %s", callers.lost().c_str());
+    });
+}
+
 // Guards against orders that a stopping host passes on although it ends before their responses: they run, the connections of their callers end without
 // a response, and they must not be repeated. Some uploads begin before SIGTERM and end late in the grace, others begin after it.
 Test(PlannedStop, lateUploadsAreToldToGoElsewhere)
