trefoilmountd: Wait for the workers to close before the host ends

A stopping host of the own interface could end before its workers had closed their listening sockets: connections that waited there were reset. The close is posted to each worker's thread, and the host read "no connection" before it ran.

A worker now counts as connected from the request to close until its thread has run it.

PlannedStop::hostWaitsForItsWorkersToClose failed before and passes.

--- a/Services/trefoilmountd/worker.cpp
+++ b/Services/trefoilmountd/worker.cpp
@@ -79,12 +79,16 @@
 
 void Worker::closeIdle()
 {
-    asio::post(m_context, [this] { m_server->closeIdle(); });
+    m_isCloseWaiting = true;
+    asio::post(m_context, [this] {
+        m_server->closeIdle();
+        m_isCloseWaiting = false;
+    });
 }
 
 std::size_t Worker::openConnections() const
 {
-    return m_server->openConnections();
+    return m_server->openConnections() + (m_isCloseWaiting.load() ? 1 : 0);
 }
 
 std::size_t Worker::unansweredRequests() const
--- a/Services/trefoilmountd/worker.h
+++ b/Services/trefoilmountd/worker.h
@@ -2,6 +2,7 @@
 
 #include <Services/trefoilmountd/requestpath.h>
 
+#include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <memory>
@@ -33,6 +34,7 @@
     /// Closes the listening socket and idle connections.
     void closeIdle();
 
+    /// After closeIdle() not 0 before its thread has closed the listening socket.
     std::size_t openConnections() const;
     std::size_t unansweredRequests() const;
 
@@ -47,6 +49,8 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     RequestPath m_path;
     std::unique_ptr<HttpServer> m_server;
+    /// The thread hasn't run the close yet.
+    std::atomic<bool> m_isCloseWaiting{false};
     std::thread m_thread;
 };
 
--- a/Tests/trefoilmountd/testplannedstop.cpp
+++ b/Tests/trefoilmountd/testplannedstop.cpp
@@ -1,5 +1,6 @@
 #include "testsite.h"
 
+#include <atomic>
 #include <criterion/criterion.h>
 
 using namespace Trefoil;
@@ -50,3 +51,23 @@
     cr_assert_eq(host.host().inFlight(), 0);
     cr_assert_eq(upstreams.startedRequests(), static_cast<std::uint64_t>(answered.load()));
 }
+
+// Guards against a host that ends before its workers have closed their listening sockets: connections that wait there are reset.
+Test(PlannedStop, hostWaitsForItsWorkersToClose)
+{
+    HostOptions options = testHostOptions("host-1", "gulf");
+    options.stopGrace = std::chrono::milliseconds(0);
+    options.drainTimeout = std::chrono::seconds(10);
+    const auto host = std::move(Host::create(options).value());
+    std::atomic<bool> hasEnded{false};
+    std::thread control([&] {
+        host->run();
+        hasEnded = true;
+    });
+    host->requestStop();
+    std::this_thread::sleep_for(s_beforeStop);
+    cr_assert_not(hasEnded.load());
+    // The workers run late.
+    host->start();
+    control.join();
+}
