--- a/Libraries/LibSettings/gatewaysettings.cpp
+++ b/Libraries/LibSettings/gatewaysettings.cpp
@@ -76,6 +76,18 @@
         return value->get<bool>();
     }
 
+    EntryHostChoice entryHostChoice(const std::string &place)
+    {
+        const Json *value = find(place);
+        if (value && *value == "capacity") {
+            return EntryHostChoice::Capacity;
+        }
+        if (value && *value != "even") {
+            m_findings.push_back({place, "\"even\" or \"capacity\" is required", ""});
+        }
+        return EntryHostChoice::Even;
+    }
+
     std::chrono::milliseconds duration(const std::string &place, std::chrono::milliseconds fallback)
     {
         const Json *value = find(place);
@@ -180,6 +192,15 @@
     limits.drainNotice = reader.duration("/limits/drainNotice", limits.drainNotice);
     limits.configurationApply = reader.duration("/limits/configurationApply", limits.configurationApply);
     limits.memory = reader.memory("/limits/memory", limits.memory);
+    limits.isRevocationStrict = reader.boolean("/limits/strictRevocation", limits.isRevocationStrict);
+    limits.revocationTime = reader.duration("/limits/revocationTime", limits.revocationTime);
+    limits.quotaWindow = reader.duration("/limits/quotaWindow", limits.quotaWindow);
+    limits.quotaOverage = reader.number("/limits/quotaOverage", limits.quotaOverage);
+    limits.quotaSlack = reader.number("/limits/quotaSlack", limits.quotaSlack);
+    limits.cores = reader.number("/limits/cores", limits.cores);
+    limits.linkMegabits = reader.number("/limits/linkMegabits", limits.linkMegabits);
+    limits.descriptors = reader.number("/limits/descriptors", limits.descriptors);
+    limits.entryHostChoice = reader.entryHostChoice("/limits/entryHostChoice");
     Findings findings = reader.takeFindings();
     if (!findings.empty()) {
         return Error{ErrorCode::InvalidInput, "invalid settings", std::move(findings)};
--- a/Libraries/LibSettings/gatewaysettings.h
+++ b/Libraries/LibSettings/gatewaysettings.h
@@ -12,6 +12,13 @@
 namespace Trefoil
 {
 
+/// How look-ups choose among the hosts of an availability zone.
+enum class EntryHostChoice {
+    Even,
+    /// By what each host can carry.
+    Capacity,
+};
+
 /// Limits that operators set for a gateway host.
 struct GatewayLimits
 {
@@ -34,6 +41,18 @@
     std::chrono::milliseconds configurationApply{2000};
     /// Memory of the process, in megabytes; the smallest host has 160.
     double memory = 160;
+    /// Whether a request must not run once its key was taken away for revocationTime, also at a host that can't reach the store.
+    bool isRevocationStrict = false;
+    std::chrono::milliseconds revocationTime{5000};
+    /// Requests of a customer in each window, on all hosts together, beyond its rate and burst: this share of them, and this many more.
+    std::chrono::milliseconds quotaWindow{5000};
+    double quotaOverage = 0;
+    double quotaSlack = 0;
+    /// Part of a processor core, link in Mbit/s, and file descriptors of the host; 0 where that is not known.
+    double cores = 0;
+    double linkMegabits = 0;
+    double descriptors = 0;
+    EntryHostChoice entryHostChoice = EntryHostChoice::Even;
 };
 
 /// Settings of a host that runs as a gateway on the operators' platform.
--- a/Tests/LibSettings/testgatewaysettings.cpp
+++ b/Tests/LibSettings/testgatewaysettings.cpp
@@ -77,6 +77,21 @@
     cr_assert_float_eq(parseGatewaySettings(document.dump()).value().limits.memory, 160, 1e-9);
 }
 
+// Guards against limits on customers that hold where operators set none, and against ones that are lost.
+Test(GatewaySettings, customerLimits)
+{
+    Json document = settingsDocument();
+    const GatewayLimits defaults = parseGatewaySettings(document.dump()).value().limits;
+    cr_assert(!defaults.isRevocationStrict && defaults.entryHostChoice == EntryHostChoice::Even && defaults.cores == 0);
+    document["limits"].update({{"strictRevocation", true}, {"revocationTime", "4s"}, {"quotaWindow", "2s"}, {"quotaOverage", 0.1}, {"quotaSlack", 20}});
+    document["limits"].update({{"cores", 0.5}, {"linkMegabits", 10}, {"descriptors", 4100}, {"entryHostChoice", "capacity"}});
+    const GatewayLimits limits = parseGatewaySettings(document.dump()).value().limits;
+    cr_assert(limits.isRevocationStrict && limits.revocationTime.count() == 4000 && limits.quotaWindow.count() == 2000);
+    cr_assert_float_eq(limits.quotaOverage, 0.1, 1e-9);
+    cr_assert(limits.quotaSlack == 20 && limits.cores == 0.5 && limits.linkMegabits == 10 && limits.descriptors == 4100);
+    cr_assert(limits.entryHostChoice == EntryHostChoice::Capacity);
+}
+
 // Guards against a wrong value that is taken silently, and against a finding without its place.
 ParameterizedTestParameters(GatewaySettings, findings)
 {
@@ -88,6 +103,9 @@
         {"/zones/hill-a", "7"},
         {"/limits/stopGrace", "6"},
         {"/limits/retryRatio", "-1"},
+        {"/limits/quotaSlack", "-1"},
+        {"/limits/strictRevocation", "1"},
+        {"/limits/entryHostChoice", "\"best\""},
         {"/store/address", "null"}};
     return cr_make_param_array(FindingCase, cases, std::size(cases));
 }
