--- a/Libraries/LibRouting/routetable.cpp
+++ b/Libraries/LibRouting/routetable.cpp
@@ -27,6 +27,14 @@
     for (const ServicePolicy &policy : m_configuration.services) {
         m_services.emplace(policy.id, &policy);
     }
+    for (const Customer &customer : m_configuration.customers) {
+        for (const std::string &key : customer.keys) {
+            const auto [position, isNew] = m_customersByKey.emplace(key, &customer);
+            if (!isNew && position->second != &customer) {
+                position->second = nullptr;
+            }
+        }
+    }
 }
 
 const Route *RouteTable::match(std::string_view host, std::string_view target) const
@@ -47,6 +55,12 @@
     return nullptr;
 }
 
+const Customer *RouteTable::customerOfKey(std::string_view key) const
+{
+    const auto found = m_customersByKey.find(key);
+    return found == m_customersByKey.end() ? nullptr : found->second;
+}
+
 const ServicePolicy *RouteTable::service(const ServiceId &id) const
 {
     const auto found = m_services.find(id);
--- a/Libraries/LibRouting/routetable.h
+++ b/Libraries/LibRouting/routetable.h
@@ -25,6 +25,15 @@
     /// The policy of a service; null when the configuration doesn't name it. Precondition: none.
     const ServicePolicy *service(const ServiceId &id) const;
 
+    /// Whether requests need a key unless their route is public. Precondition: none.
+    bool hasCustomers() const
+    {
+        return !m_configuration.customers.empty();
+    }
+
+    /// The customer that holds the key; null for an unknown key and for one that several customers hold. Precondition: none.
+    const Customer *customerOfKey(std::string_view key) const;
+
     /// Precondition: none.
     const RoutingConfiguration &configuration() const
     {
@@ -37,6 +46,8 @@
     RoutingConfiguration m_configuration;
     std::unordered_map<std::string, RoutesByPrefix> m_routesByHost;
     std::unordered_map<ServiceId, const ServicePolicy *> m_services;
+    /// Null for a key that several customers hold. The keys refer to the configuration.
+    std::unordered_map<std::string_view, const Customer *> m_customersByKey;
 };
 
 } // namespace Trefoil
--- a/Libraries/LibRouting/routingconfiguration.h
+++ b/Libraries/LibRouting/routingconfiguration.h
@@ -12,6 +12,7 @@
 {
 
 using RouteId = StrongId<struct RouteIdTag, std::string>;
+using CustomerId = StrongId<struct CustomerIdTag, std::string>;
 
 enum class RequestKind {
     /// May run more than once.
@@ -47,10 +48,26 @@
     /// Requests with the same key run faster on an upstream that has seen the key.
     bool hasAffinity = false;
     std::vector<WeightedService> services;
+    /// Whether requests need no key, also in a configuration with customers.
+    bool isPublic = false;
     /// Regions that may serve the route; empty allows all.
     std::vector<RegionId> allowedRegions;
 };
 
+/// Whose requests carry which keys, and what these requests may use.
+struct Customer
+{
+    CustomerId id;
+    std::vector<std::string> keys{};
+    /// Takes the place of the route's priority; 0 is the most urgent.
+    std::int32_t priority = 0;
+    /// Requests of all hosts together: this rate and this burst; a rate of 0 sets no limit.
+    double requestsPerSecond = 0;
+    double burst = 0;
+    /// Regions that may serve the customer, of those that the route allows; empty allows all.
+    std::vector<RegionId> allowedRegions{};
+};
+
 struct ServicePolicy
 {
     ServiceId id;
@@ -77,6 +94,8 @@
     std::vector<Route> routes;
     std::vector<ServicePolicy> services;
     CallerLimits limits;
+    /// Without customers, requests need no key.
+    std::vector<Customer> customers{};
 };
 
 } // namespace Trefoil
--- a/Tests/LibRouting/testroutetable.cpp
+++ b/Tests/LibRouting/testroutetable.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
+#include <utility>
 
 using namespace Trefoil;
 
@@ -62,3 +63,19 @@
     const Route *found = table.match(testCase->host, testCase->target);
     cr_assert_eq(found ? found->id.value() : "", testCase->expected, "%s%s", testCase->host, testCase->target);
 }
+
+// Guards against a key that identifies another customer, and against a key of two customers that identifies one of them.
+Test(RouteTable, customersByKey)
+{
+    RoutingConfiguration configuration{ConfigurationVersion(1), {}, {}, {}};
+    cr_assert_not(RouteTable(configuration).hasCustomers());
+    configuration.customers = {{CustomerId("a"), {"key-1", "key-2", "shared"}}, {CustomerId("b"), {"key-3", "shared", "key-3"}}};
+    const RouteTable table(std::move(configuration));
+    cr_assert(table.hasCustomers());
+    const std::pair<const char *, const char *> cases[] = {
+        {"key-1", "a"}, {"key-2", "a"}, {"key-3", "b"}, {"shared", ""}, {"key-4", ""}, {"KEY-1", ""}, {"key", ""}, {"", ""}};
+    for (const auto &[key, expected] : cases) {
+        const Customer *customer = table.customerOfKey(key);
+        cr_assert_eq(customer ? customer->id.value() : "", expected, "%s", key);
+    }
+}
--- a/Tests/Platform/testdecode.cpp
+++ b/Tests/Platform/testdecode.cpp
@@ -93,6 +93,30 @@
     cr_assert(decoded.value().findings.empty());
 }
 
+// Guards against customers whose fields are dropped or swapped, and against a finding that shows a key.
+Test(Decode, customers)
+{
+    Json document = configurationDocument();
+    document["routes"][1]["public"] = true;
+    document["tenants"] = {
+        {{"name", "t-1"}, {"api_keys", {"key-1", "key-2"}}, {"priority", 3}, {"rate_per_s", 33.5}, {"burst", 40}, {"allowed_regions", {"gulf", "hill"}}},
+        {{"name", "t-2"}, {"api_keys", {"key-2"}}}};
+    const auto decoded = decodeConfiguration(document.dump());
+    cr_assert(decoded.has_value());
+    const RoutingConfiguration &configuration = decoded.value().configuration;
+    cr_assert(!configuration.routes.at(0).isPublic && configuration.routes.at(1).isPublic);
+    const Customer &customer = configuration.customers.at(0);
+    cr_assert(customer.id == CustomerId("t-1") && customer.keys == std::vector<std::string>({"key-1", "key-2"}));
+    cr_assert(customer.priority == 3 && customer.requestsPerSecond == 33.5 && customer.burst == 40);
+    cr_assert(customer.allowedRegions == std::vector<RegionId>({RegionId("gulf"), RegionId("hill")}));
+    cr_assert(configuration.customers.at(1).requestsPerSecond == 0 && configuration.customers.at(1).allowedRegions.empty());
+    cr_assert_eq(decoded.value().findings.size(), 1);
+    cr_assert_eq(decoded.value().findings[0].place, "t-2");
+    cr_assert_eq(decoded.value().findings[0].message.find("key-2"), std::string::npos);
+    document["tenants"][0]["api_keys"][0] = 7;
+    cr_assert(decodeConfiguration(document.dump()).has_error());
+}
+
 // Guards against a partially decoded configuration that is put in force, and against a new request kind that is read as idempotent.
 ParameterizedTestParameters(Decode, invalidConfigurations)
 {
