LibReplication: Tell from which call to the store a copy's proof comes

confirmedAt() is the time of an answer; a change that the store acknowledged while the call was held or on its way may be missing from the copy. provenAt() counts from the start of the call and adds up over hosts that pass the copy on.

--- a/Libraries/LibPeer/codec.cpp
+++ b/Libraries/LibPeer/codec.cpp
@@ -157,6 +157,7 @@
     fields.numbers("removed", message.removed);
     fields.boolean("all", message.isWholeTable);
     fields.number("age", message.ageMilliseconds);
+    fields.number("proof", message.proofAgeMilliseconds);
 }
 
 /// Writes the fields of a message into a JSON object.
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -131,6 +131,8 @@
     bool isWholeTable = false;
     /// How long ago the store confirmed the sender's copy of the table.
     std::uint64_t ageMilliseconds = 0;
+    /// How long ago the sender, or the host that it has the copy from, began the call to the store that confirmed the copy.
+    std::uint64_t proofAgeMilliseconds = 0;
 };
 
 using PeerMessage = std::variant<Hello,
--- a/Libraries/LibReplication/changeserver.cpp
+++ b/Libraries/LibReplication/changeserver.cpp
@@ -19,14 +19,20 @@
 /// Upper bound of the wait that a subscriber requests.
 constexpr std::chrono::milliseconds s_maximumWait{30000};
 
-ChangesSince servedResponse(std::uint64_t sequence, const FeedRows &changes, BootClock::duration age)
+std::uint64_t wholeMilliseconds(BootClock::duration age)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(std::chrono::ceil<std::chrono::milliseconds>(age).count(), 0));
+}
+
+ChangesSince servedResponse(std::uint64_t sequence, const FeedRows &changes, BootClock::duration age, BootClock::duration proofAge)
 {
     ChangesSince message;
     message.sequence = sequence;
     message.isServed = true;
     message.version = changes.version;
     message.isWholeTable = changes.isWholeTable;
-    message.ageMilliseconds = static_cast<std::uint64_t>(std::max<std::int64_t>(std::chrono::ceil<std::chrono::milliseconds>(age).count(), 0));
+    message.ageMilliseconds = wholeMilliseconds(age);
+    message.proofAgeMilliseconds = wholeMilliseconds(proofAge);
     for (const FeedRow &row : changes.rows) {
         message.keys.push_back(row.key);
         message.values.push_back(row.value);
@@ -52,7 +58,7 @@
 
 void ChangeServer::addTable(const std::string &table, std::chrono::milliseconds maximumAge)
 {
-    m_tables.insert_or_assign(table, Table{maximumAge, ChangeLog(s_maximumLogBytes), TableImage(s_maximumImageBytes), {}});
+    m_tables.insert_or_assign(table, Table{maximumAge, ChangeLog(s_maximumLogBytes), TableImage(s_maximumImageBytes), {}, {}});
 }
 
 void ChangeServer::reset(const std::string &table, const FeedRows &rows)
@@ -70,9 +76,10 @@
     }
 }
 
-void ChangeServer::confirm(const std::string &table, BootTime now)
+void ChangeServer::confirm(const std::string &table, BootTime now, BootTime provenAt)
 {
     m_tables.at(table).confirmedAt = now;
+    m_tables.at(table).provenAt = provenAt;
 }
 
 void ChangeServer::request(const HostId &from, const AwaitChanges &request, BootTime now)
@@ -113,7 +120,7 @@
     if (served && rows->rows.empty() && now < pending.deadline) {
         return false;
     }
-    m_send(pending.from, servedResponse(request.sequence, *rows, now - table->second.confirmedAt));
+    m_send(pending.from, servedResponse(request.sequence, *rows, now - table->second.confirmedAt, now - table->second.provenAt));
     return true;
 }
 
--- a/Libraries/LibReplication/changeserver.h
+++ b/Libraries/LibReplication/changeserver.h
@@ -34,8 +34,9 @@
     /// Appends changes and sends them to the subscribers that wait. Precondition: addTable() was called for the table.
     void append(const std::string &table, const FeedRows &changes, BootTime now);
 
-    /// Records that the store has just confirmed that this host has all changes of a table. Precondition: addTable() was called for the table.
-    void confirm(const std::string &table, BootTime now);
+    /// Records that the store has just confirmed, in answer to a call that began at provenAt, that this host has all changes of a table.
+    /// Precondition: addTable() was called for the table.
+    void confirm(const std::string &table, BootTime now, BootTime provenAt);
 
     /// Responds to a request of a subscriber, or keeps it pending until there are changes. Precondition: none.
     void request(const HostId &from, const AwaitChanges &request, BootTime now);
@@ -56,6 +57,7 @@
         ChangeLog log;
         TableImage image;
         BootTime confirmedAt{};
+        BootTime provenAt{};
     };
 
     struct PendingRequest
--- a/Libraries/LibReplication/feedrow.h
+++ b/Libraries/LibReplication/feedrow.h
@@ -34,6 +34,8 @@
     bool isWholeTable = false;
     /// How long ago the store confirmed that the rows include all changes; 0 for rows from the store itself.
     std::chrono::milliseconds age{0};
+    /// Time since the start of the call to the store that showed this; 0 for rows from the store itself.
+    std::chrono::milliseconds proofAge{0};
 };
 
 /// The feed no longer reaches back to the requested version; the table must be read in full.
--- a/Libraries/LibReplication/peerfeed.cpp
+++ b/Libraries/LibReplication/peerfeed.cpp
@@ -13,6 +13,11 @@
 /// Bounds what a malformed response may claim; far above the age at which copies are refused.
 constexpr std::uint64_t s_maximumAgeMilliseconds = 3600000;
 
+std::chrono::milliseconds boundedAge(std::uint64_t milliseconds)
+{
+    return std::chrono::milliseconds(std::min<std::uint64_t>(milliseconds, s_maximumAgeMilliseconds));
+}
+
 PeerFeedResult parseResponse(const ChangesSince &response)
 {
     const std::size_t count = response.keys.size();
@@ -23,7 +28,8 @@
     FeedRows changes;
     changes.version = response.version;
     changes.isWholeTable = response.isWholeTable;
-    changes.age = std::chrono::milliseconds(std::min<std::uint64_t>(response.ageMilliseconds, s_maximumAgeMilliseconds));
+    changes.age = boundedAge(response.ageMilliseconds);
+    changes.proofAge = boundedAge(response.proofAgeMilliseconds);
     for (std::size_t i = 0; i < count; ++i) {
         changes.rows.push_back({response.keys[i], response.values[i], response.versions[i], response.removed[i] != 0});
     }
--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -75,6 +75,8 @@
 
     boost::asio::steady_timer timer;
     int latestNumber = 0;
+    /// Start of the read that was answered.
+    BootTime answeredCallAt{};
     /// The first response; those of the other reads are older.
     std::optional<FeedRows> response;
     /// Set when the latest read has failed. The loss of earlier ones is noticed late and says nothing about the current state of the store.
@@ -116,11 +118,17 @@
     m_fullReads->waitFor(failedCall + m_backoff.next(m_random) - BootClock::now(), yield);
 }
 
-void TableWatch::recordSuccess(bool isCurrent)
+bool TableWatch::isProofOverdue() const
+{
+    return BootClock::now() - m_provenAt > m_timing.maximumProofAge;
+}
+
+void TableWatch::recordSuccess(bool isCurrent, BootTime calledAt)
 {
     if (isCurrent) {
         m_confirmedAt = BootClock::now();
-        m_sharing.server().confirm(m_table, m_confirmedAt);
+        m_provenAt = std::max(m_provenAt, calledAt);
+        m_sharing.server().confirm(m_table, m_confirmedAt, m_provenAt);
     }
     if (!m_isReachable) {
         m_isReachable = true;
@@ -151,8 +159,10 @@
         if (!copy) {
             return false;
         }
+        const BootTime requestedAt = BootClock::now();
         if (const auto table = m_sharing.copyTable(copy->host, m_table, yield)) {
             m_confirmedAt = BootClock::now() - table->age;
+            m_provenAt = requestedAt - table->proofAge;
             replaceTable(*table);
             return true;
         }
@@ -185,7 +195,7 @@
         recordFailure("the response is older than the current version", calledAt, {});
         return false;
     }
-    recordSuccess(true);
+    recordSuccess(true, BootClock::now() - read.proofAge);
     replaceTable(read);
     m_isFullReadUnconfirmed = true;
     return true;
@@ -201,6 +211,7 @@
     }
     if (m_fullReads->response) {
         const auto answered = std::exchange(m_fullReads, std::make_shared<FullReads>(m_context));
+        answered->response->proofAge = std::chrono::ceil<std::chrono::milliseconds>(BootClock::now() - answered->answeredCallAt);
         return std::move(*answered->response);
     }
     return m_fullReads->failure.value_or(StoreFailure{"no response yet"});
@@ -210,6 +221,7 @@
 {
     m_fullReads->failure.reset();
     boost::asio::spawn(m_context, [this, reads = m_fullReads, number = ++m_fullReads->latestNumber](const boost::asio::yield_context &readYield) {
+        const BootTime calledAt = BootClock::now();
         ReadResult result = m_store.readTable(m_table, s_slowResponseTimeout, readYield);
         const auto *failure = std::get_if<StoreFailure>(&result);
         if (reads->response || (failure && number != reads->latestNumber)) {
@@ -219,6 +231,7 @@
             reads->failure = *failure;
         } else {
             reads->response = std::move(std::get<FeedRows>(result));
+            reads->answeredCallAt = calledAt;
         }
         reads->timer.cancel();
     });
@@ -248,7 +261,7 @@
         m_sharing.awaitRole(yield);
         m_isRoleKnown = true;
     }
-    if (!m_isReachable) {
+    if (!m_isReachable || isProofOverdue()) {
         // A subscriber probes the store as well, since other hosts choose publishers by whether they reach the store.
         startProbing();
     }
@@ -271,7 +284,7 @@
         recordFailure(failure->reason, calledAt, boundedHoldTime);
         return false;
     }
-    if (applyResult(result) && !m_hasBacklog) {
+    if (applyResult(result, calledAt) && !m_hasBacklog) {
         sleepFor(m_context, batchDelay, yield);
     }
     return true;
@@ -295,7 +308,7 @@
     const BootTime calledAt = BootClock::now();
     const int call = ++probes.callCount;
     probes.failure.reset();
-    boost::asio::spawn(m_context, [this, call, shared = m_probes](const boost::asio::yield_context &callYield) {
+    boost::asio::spawn(m_context, [this, call, calledAt, shared = m_probes](const boost::asio::yield_context &callYield) {
         const FeedResult result = m_store.awaitChanges(m_table, m_version, {s_probeHoldTime, s_slowResponseTimeout}, callYield);
         if (shared->isAnswered) {
             // Another call was answered first; this response is older.
@@ -308,7 +321,7 @@
         } else {
             shared->isAnswered = true;
             m_probes.reset();
-            applyResult(result);
+            applyResult(result, calledAt);
             shared->answered.cancel();
         }
         shared->callEnded.cancel();
@@ -334,7 +347,7 @@
     }
 }
 
-bool TableWatch::applyResult(const FeedResult &result)
+bool TableWatch::applyResult(const FeedResult &result, BootTime calledAt)
 {
     const auto *read = std::get_if<FeedRows>(&result);
     if (!read) {
@@ -344,14 +357,18 @@
     m_backoff.reset();
     m_isFullReadUnconfirmed = false;
     m_hasBacklog = read->mayBePartial;
-    recordSuccess(!m_hasBacklog);
+    // An answer from before what is known proves nothing about the changes since.
+    recordSuccess(!m_hasBacklog, read->version >= m_version ? calledAt : m_provenAt);
     return applyChanges(*read);
 }
 
 bool TableWatch::readFromPublisher(const HostId &publisher, const boost::asio::yield_context &yield)
 {
+    const BootTime requestedAt = BootClock::now();
     if (const auto changes = m_sharing.awaitChanges(publisher, m_table, m_version, m_confirmedAt, yield)) {
         m_confirmedAt = std::max(m_confirmedAt, BootClock::now() - changes->age);
+        // The publisher stated the age later than this, at a moment that isn't known.
+        m_provenAt = std::max(m_provenAt, requestedAt - changes->proofAge);
         if (changes->isWholeTable && changes->version >= m_version) {
             replaceTable(*changes);
         } else if (!changes->isWholeTable) {
--- a/Libraries/LibReplication/tablewatch.h
+++ b/Libraries/LibReplication/tablewatch.h
@@ -39,6 +39,8 @@
     std::chrono::milliseconds probeInterval;
     /// Replaces batchDelay and holdTime while this host is a publisher.
     PublisherTiming publisher;
+    /// Age of the copy's last proof from which the store is called without a hold, whatever the publisher says.
+    std::chrono::milliseconds maximumProofAge = std::chrono::hours(1);
 };
 
 /// Keeps a copy of one table current: reads it in full, then applies the changes from the store's feed or from a publisher, and
@@ -70,12 +72,21 @@
         return m_confirmedAt;
     }
 
+    /// Start of the latest call to the store, by this host or the one that the copy is from, that showed that the copy was current. A change that
+    /// the copy lacks was acknowledged later. Unset before the first such call. Precondition: none.
+    BootTime provenAt() const
+    {
+        return m_provenAt;
+    }
+
 private:
     struct Probes;
     struct FullReads;
 
-    /// The store has answered; the copy is current unless the answer was partial.
-    void recordSuccess(bool isCurrent);
+    /// The store has answered a call; the copy is current unless the answer was partial.
+    void recordSuccess(bool isCurrent, BootTime calledAt);
+    /// Whether the copy's last proof is so old that the store itself has to be asked.
+    bool isProofOverdue() const;
     void recordFailure(const std::string &reason, BootTime calledAt, std::chrono::milliseconds holdTime);
     void delayRetry(BootTime failedCall, const boost::asio::yield_context &yield);
     bool readFullTable(const boost::asio::yield_context &yield);
@@ -89,7 +100,7 @@
     void startProbing();
     void probe(Probes &probes, const boost::asio::yield_context &yield);
     void awaitProbes(const boost::asio::yield_context &yield);
-    bool applyResult(const FeedResult &result);
+    bool applyResult(const FeedResult &result, BootTime calledAt);
     bool readFromPublisher(const HostId &publisher, const boost::asio::yield_context &yield);
     /// Applies the changes after the current version; returns whether there were any.
     bool applyChanges(const FeedRows &changes);
@@ -102,6 +113,7 @@
     TableWatchHandlers m_handlers;
     FeedVersion m_version = 0;
     BootTime m_confirmedAt{};
+    BootTime m_provenAt{};
     bool m_needsFullRead = true;
     /// Whether the table was read or copied in full since the start.
     bool m_hasTable = false;
--- a/Tests/LibReplication/testchangeserver.cpp
+++ b/Tests/LibReplication/testchangeserver.cpp
@@ -20,7 +20,7 @@
     {
         server.addTable("things", 1000ms);
         server.reset("things", {{{"a", "0", 9, false}}, 10});
-        server.confirm("things", s_start);
+        server.confirm("things", s_start, s_start - 30ms);
     }
 
     std::vector<ChangesSince> responses;
@@ -72,6 +72,15 @@
     }
 }
 
+// Guards against a copy that looks younger at a subscriber than at its publisher: the age of its proof has to add up.
+Test(ChangeServer, ageOfTheProofCountsFromTheCall)
+{
+    Fixture fixture;
+    fixture.server.request(s_subscriber, {1, "things", 0, 0}, s_start + 100ms);
+    cr_assert_eq(fixture.responses.at(0).ageMilliseconds, 100);
+    cr_assert_eq(fixture.responses.at(0).proofAgeMilliseconds, 130);
+}
+
 // Guards against a change that subscribers receive only when their wait is over.
 Test(ChangeServer, changesReachPendingRequests)
 {
