LibGateway: Serve customers by their keys

With customers in the configuration a request without a known key gets 401, the upstream gets the customer's name in place of the key, and the customer's priority and allowed regions apply. With strict revocation, a host whose configuration isn't proven young enough rejects keyed requests at arrival and when they are sent. Without customers nothing changes.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/gateway.h>
 
+#include <LibGateway/calleridentity.h>
 #include <LibSteering/affinityranking.h>
 #include <LibSteering/retryafter.h>
 #include <LibSteering/stopadmission.h>
@@ -17,6 +18,7 @@
 namespace
 {
 
+constexpr int s_unauthorized = 401;
 constexpr int s_notFound = 404;
 constexpr int s_badGateway = 502;
 constexpr int s_unavailable = 503;
@@ -47,6 +49,32 @@
     return status == 408 || status == 421 || status == 429 || status == s_unavailable;
 }
 
+/// Regions that both lists allow, where an empty list allows all; nothing when they have none in common.
+std::optional<std::vector<RegionId>> commonRegions(const std::vector<RegionId> &first, const std::vector<RegionId> &second)
+{
+    if (first.empty() || second.empty()) {
+        return first.empty() ? second : first;
+    }
+    std::vector<RegionId> common;
+    std::copy_if(first.begin(), first.end(), std::back_inserter(common), [&second](const RegionId &region) {
+        return std::find(second.begin(), second.end(), region) != second.end();
+    });
+    return common.empty() ? std::nullopt : std::make_optional(std::move(common));
+}
+
+/// Returns the route as it applies to a customer; nothing when they have no allowed region in common.
+std::optional<Route> routeFor(const Route &route, const Customer &customer)
+{
+    auto regions = commonRegions(route.allowedRegions, customer.allowedRegions);
+    if (!regions) {
+        return std::nullopt;
+    }
+    Route result = route;
+    result.priority = customer.priority;
+    result.allowedRegions = std::move(*regions);
+    return result;
+}
+
 /// Returns the newer route narrowed to the limits of both; nothing when they have no allowed region in common.
 std::optional<Route> narrowed(const Route &earlier, const Route &newer)
 {
@@ -54,16 +82,12 @@
     both.kind = earlier.kind == RequestKind::NonIdempotent ? earlier.kind : newer.kind;
     both.timeout = std::min(earlier.timeout, newer.timeout);
     both.maximumAttempts = std::min(earlier.maximumAttempts, newer.maximumAttempts);
-    if (earlier.allowedRegions.empty()) {
-        return both;
+    auto regions = commonRegions(earlier.allowedRegions, newer.allowedRegions);
+    if (!regions) {
+        return std::nullopt;
     }
-    both.allowedRegions = earlier.allowedRegions;
-    if (newer.allowedRegions.empty()) {
-        return both;
-    }
-    const auto isForbidden = [&newer](const RegionId &region) { return !allowsRegion(newer, region); };
-    both.allowedRegions.erase(std::remove_if(both.allowedRegions.begin(), both.allowedRegions.end(), isForbidden), both.allowedRegions.end());
-    return both.allowedRegions.empty() ? std::nullopt : std::make_optional(std::move(both));
+    both.allowedRegions = std::move(*regions);
+    return both;
 }
 
 bool sendsTo(const Route &route, const ServiceId &service)
@@ -80,7 +104,7 @@
     HttpRequest &request;
     CallerConnection &caller;
     std::shared_ptr<const RouteTable> routes;
-    /// Replaces the route that was matched at arrival once a newer configuration is in force.
+    /// Replaces the route that was matched at arrival where the customer narrows it, or a newer configuration is in force.
     std::optional<Route> narrowedRoute{};
     std::string id{};
     /// Input of the placement; the route is null when none matches.
@@ -101,6 +125,12 @@
     /// Mean load per slot of the candidates of the latest placement.
     double load = 0;
 
+    /// Empty for an anonymous caller.
+    std::string customerName() const
+    {
+        return placement.customer ? placement.customer->id.value() : std::string();
+    }
+
     /// Version of the configuration that applies to the request; 0 without one.
     std::int64_t configurationVersion() const
     {
@@ -169,7 +199,8 @@
     } else if (!exchange.placement.route) {
         response = fail(exchange, RequestOutcome::NotRun, s_notFound, "no-route", "no route matches this host and path");
     } else {
-        response = forward(exchange, yield);
+        auto refusal = admitCaller(exchange);
+        response = refusal ? std::move(*refusal) : forward(exchange, yield);
     }
     const auto retries = static_cast<std::uint32_t>(std::max(0, exchange.sent - 1));
     series->finished({exchange.outcome, exchange.reason, BootClock::now() - exchange.placement.arrivedAt, std::chrono::nanoseconds(0), retries});
@@ -179,6 +210,37 @@
     return response;
 }
 
+bool Gateway::mayUseKeys(BootTime now) const
+{
+    return !m_settings.revocation.isStrict || Trefoil::mayUseKeys(m_settings.revocation, m_settings.configurationProvenAt(), now);
+}
+
+std::optional<HttpResponse> Gateway::admitCaller(Exchange &exchange)
+{
+    RequestPlacement &placement = exchange.placement;
+    if (exchange.routes->hasCustomers() && !mayUseKeys(placement.arrivedAt)) {
+        // A key that this host doesn't know may be new, so that an old configuration gives no reason for 401 either.
+        return placement.route->isPublic ? std::nullopt : std::make_optional(reject(exchange, "configuration-too-old", s_startRetryAfter));
+    }
+    const CallerIdentity identity = identifyCaller(exchange.request.headers, *placement.route, *exchange.routes, m_settings.headers);
+    if (const auto *unknown = std::get_if<UnknownCaller>(&identity)) {
+        HttpResponse response = fail(exchange, RequestOutcome::NotRun, s_unauthorized, unknown->reason, "this route needs the key of a customer");
+        response.headers.add("WWW-Authenticate", m_settings.headers.credentialScheme);
+        return response;
+    }
+    const auto *customer = std::get_if<const Customer *>(&identity);
+    if (!customer) {
+        return std::nullopt;
+    }
+    placement.customer = *customer;
+    exchange.narrowedRoute = routeFor(*placement.route, **customer);
+    if (!exchange.narrowedRoute) {
+        return reject(exchange, "no-common-region", s_startRetryAfter);
+    }
+    placement.route = &*exchange.narrowedRoute;
+    return std::nullopt;
+}
+
 HttpResponse Gateway::forward(Exchange &exchange, const asio::yield_context &yield)
 {
     const Route &route = *exchange.placement.route;
@@ -251,13 +313,21 @@
     HttpHeaders endToEnd;
     copyEndToEndFields(exchange.request.headers, endToEnd);
     HttpRequest request{exchange.request.method, exchange.request.target};
+    const bool hidesCustomers = exchange.routes->hasCustomers();
     for (const HttpHeader &field : endToEnd.all()) {
-        // The gateway sets these two headers itself.
-        if (!isSameHeaderName(field.name, names.timeLeft) && !isSameHeaderName(field.name, names.expectedUpstream)) {
-            request.headers.add(field.name, field.value);
+        // The gateway sets these two headers itself, and with customers the customer's name in place of its key.
+        if (isSameHeaderName(field.name, names.timeLeft) || isSameHeaderName(field.name, names.expectedUpstream)) {
+            continue;
+        }
+        if (hidesCustomers && (isSameHeaderName(field.name, names.customer) || isSameHeaderName(field.name, names.credential))) {
+            continue;
         }
+        request.headers.add(field.name, field.value);
     }
     request.headers.add(names.expectedUpstream, upstream.id.value());
+    if (const Customer *customer = exchange.placement.customer) {
+        request.headers.add(names.customer, customer->id.value());
+    }
     return request;
 }
 
@@ -271,8 +341,29 @@
     if (newest == exchange.routes) {
         return true;
     }
-    const Route *route = newest->match(exchange.request.headers.value("Host"), exchange.request.target);
-    return route && sendsTo(*route, exchange.placement.service) && allowsRegion(*route, identity.region);
+    const auto applicable = applicableRoute(exchange, *newest);
+    return applicable && sendsTo(applicable->route, exchange.placement.service) && allowsRegion(applicable->route, identity.region);
+}
+
+std::optional<Gateway::ApplicableRoute> Gateway::applicableRoute(const Exchange &exchange, const RouteTable &routes) const
+{
+    const HttpHeaders &headers = exchange.request.headers;
+    const Route *route = routes.match(headers.value("Host"), exchange.request.target);
+    if (!route) {
+        return std::nullopt;
+    }
+    const CallerIdentity identity = identifyCaller(headers, *route, routes, m_settings.headers);
+    if (std::holds_alternative<UnknownCaller>(identity)) {
+        return std::nullopt;
+    }
+    const auto *found = std::get_if<const Customer *>(&identity);
+    const Customer *customer = found ? *found : nullptr;
+    const Customer *earlier = exchange.placement.customer;
+    if (earlier && (!customer || customer->id != earlier->id)) {
+        return std::nullopt;
+    }
+    auto applicable = customer ? routeFor(*route, *customer) : std::make_optional(*route);
+    return applicable ? std::make_optional(ApplicableRoute{std::move(*applicable), customer}) : std::nullopt;
 }
 
 bool Gateway::fitsBeforeStop(const Exchange &exchange, const Upstream &upstream, BootTime now) const
@@ -302,7 +393,8 @@
         const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadlineForUpstream(exchange.placement.deadline, m_end) - now);
         request.headers.add(names.timeLeft, fmt::to_string(std::max<std::int64_t>(left.count(), 1)));
         // tryRecordSend() comes last, since it counts the request as sent.
-        return left >= s_minimumTimeLeft && isStillAllowed(exchange, upstream) && fitsBeforeStop(exchange, upstream, now)
+        const bool isKeyUsable = !exchange.placement.customer || mayUseKeys(now);
+        return left >= s_minimumTimeLeft && isKeyUsable && isStillAllowed(exchange, upstream) && fitsBeforeStop(exchange, upstream, now)
             && m_state.tryRecordSend(upstream, now);
     };
     return options;
@@ -361,6 +453,7 @@
         {{"request", exchange.id},
             {"key", std::string(exchange.request.headers.value(m_settings.headers.affinityKey))},
             {"route", exchange.placement.route->id.value()},
+            {"customer", exchange.customerName()},
             {"configuration", exchange.configurationVersion()},
             {"upstream", upstream.model.identity().id.value()},
             {"upstreamZone", upstream.model.identity().zone.value()},
@@ -387,17 +480,18 @@
         return true;
     }
     RequestPlacement &placement = exchange.placement;
-    const Route *route = newer->match(exchange.request.headers.value("Host"), exchange.request.target);
-    auto both = route ? narrowed(*placement.route, *route) : std::nullopt;
+    const auto applicable = applicableRoute(exchange, *newer);
+    auto both = applicable ? narrowed(*placement.route, applicable->route) : std::nullopt;
     if (!both) {
         return false;
     }
     exchange.narrowedRoute = std::move(both);
     placement.route = &*exchange.narrowedRoute;
+    placement.customer = applicable->customer;
     exchange.routes = newer;
     placement.deadline = std::min(placement.deadline, placement.arrivedAt + placement.route->timeout);
-    if (!sendsTo(*route, placement.service)) {
-        placement.service = m_state.nextService(*route);
+    if (!sendsTo(applicable->route, placement.service)) {
+        placement.service = m_state.nextService(applicable->route);
     }
     return true;
 }
@@ -460,6 +554,7 @@
         "request-failed",
         {{"request", exchange.id},
             {"route", exchange.placement.route ? exchange.placement.route->id.value() : std::string()},
+            {"customer", exchange.customerName()},
             {"reason", std::string(reason)},
             {"status", std::int64_t{status}},
             {"attempts", std::int64_t{exchange.sent}},
@@ -488,6 +583,7 @@
         "request-rejected",
         {{"request", exchange.id},
             {"route", exchange.placement.route ? exchange.placement.route->id.value() : std::string()},
+            {"customer", exchange.customerName()},
             {"reason", std::string(reason)},
             {"load", exchange.load},
             {"retryAfterMs", wholeMilliseconds(wait)},
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -3,7 +3,9 @@
 #include <LibGateway/attempt.h>
 #include <LibGateway/gatewaymetrics.h>
 #include <LibHttp/httpserver.h>
+#include <LibSteering/copyfreshness.h>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -27,6 +29,9 @@
     std::chrono::milliseconds maximumIdleForNonIdempotent{1500};
     /// Budget for responses; null gives the gateway one of its own.
     std::shared_ptr<MemoryBudget> memory{};
+    RevocationPolicy revocation{};
+    /// As mayUseKeys() expects it, for the configuration in force; required by a strict policy.
+    std::function<BootTime()> configurationProvenAt{};
 };
 
 /// Forwards requests of callers to upstreams: matches a route, places the request, attempts and retries it within the limits, and
@@ -64,6 +69,21 @@
     struct Exchange;
     class InFlightScope;
 
+    /// What a configuration says about a request.
+    struct ApplicableRoute
+    {
+        /// Narrowed to what its customer may use.
+        Route route;
+        /// Null for an anonymous caller.
+        const Customer *customer;
+    };
+
+    /// Whether keys of the configuration may be used now.
+    bool mayUseKeys(BootTime now) const;
+    /// Finds the customer of a request and narrows its route. Returns the response to a request that may not be served.
+    std::optional<HttpResponse> admitCaller(Exchange &exchange);
+    /// The route and the customer of a request in another configuration. Nothing when that allows the request no longer, or not for its customer.
+    std::optional<ApplicableRoute> applicableRoute(const Exchange &exchange, const RouteTable &routes) const;
     HttpResponse forward(Exchange &exchange, const boost::asio::yield_context &yield);
     std::variant<std::shared_ptr<Upstream>, HttpResponse> choose(Exchange &exchange);
     HttpResponse respondUnplaced(Exchange &exchange, const NoRoom *noRoom);
--- a/Libraries/LibGateway/gatewayheaders.h
+++ b/Libraries/LibGateway/gatewayheaders.h
@@ -28,6 +28,11 @@
     std::string leaving = "Trefoil-Leaving";
     /// From the upstream: its signature, which every success bears. Empty requires none.
     std::string stamp{};
+    /// To the upstream: name of the customer whose key the request carries.
+    std::string customer = "Trefoil-Customer";
+    /// From the caller: the customer's key, after the scheme and blanks.
+    std::string credential = "Authorization";
+    std::string credentialScheme = "Token";
 };
 
 /// Copies the end-to-end headers: all but hop-by-hop headers and those that the Connection header names.
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -93,6 +93,8 @@
     std::uint64_t keyHash = 0;
     BootTime arrivedAt{};
     BootTime deadline{};
+    /// Whose request it is; null for an anonymous caller.
+    const Customer *customer = nullptr;
 };
 
 /// Result of one attempt, as it concerns the upstream.
