--- a/Tests/LibSettings/testgatewaysettings.cpp
+++ b/Tests/LibSettings/testgatewaysettings.cpp
@@ -35,7 +35,7 @@
 
 struct FindingCase
 {
-    char pointer[24];
+    char pointer[32];
     char value[16];
 };
 
