LibSteering: Let customers that send more than their part pay more for slots

The price of slots treats all requests of a rank alike, so that one customer with many requests takes the same part from all others. Now it is multiplied by the customer's recent demand for the service, relative to its limit. Without overload the price is 0, and without customers the factor is 1, so that nothing changes.

--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -46,9 +46,23 @@
         return false;
     }
     m_routes = std::make_shared<const RouteTable>(std::move(configuration));
+    for (auto &[id, service] : m_serviceStates) {
+        service.customers.setWeights(customerWeights());
+    }
     return true;
 }
 
+std::unordered_map<std::string, double> GatewayState::customerWeights() const
+{
+    std::unordered_map<std::string, double> weights;
+    if (m_routes) {
+        for (const Customer &customer : m_routes->configuration().customers) {
+            weights.emplace(customer.id.value(), customer.requestsPerSecond);
+        }
+    }
+    return weights;
+}
+
 void GatewayState::upstreamStarted(const UpstreamRegistration &registration, BootTime now)
 {
     const auto region = m_settings.regions.find(registration.zone);
@@ -295,6 +309,9 @@
     const SlotDemand &demand = serviceState(request.service).demand;
     query.slotTime = demand.slotTime();
     query.displacedValue = demand.displacedValue(request.route->priority);
+    if (request.customer) {
+        query.customerFactor = serviceState(request.service).customers.priceFactor(request.customer->id.value(), now);
+    }
     query.now = now;
     return Trefoil::place(models, query, m_settings.placement);
 }
@@ -362,6 +379,9 @@
     ServiceState &service = serviceState(request.service);
     service.retries.recordRequest(request.arrivedAt);
     service.demand.recordArrival(request.route->priority);
+    if (request.customer) {
+        service.customers.recordArrival(request.customer->id.value(), request.arrivedAt);
+    }
 }
 
 bool GatewayState::isWarmUpHost(const Upstream &upstream, BootTime now) const
@@ -430,7 +450,11 @@
 
 ServiceState &GatewayState::serviceState(const ServiceId &service)
 {
-    return m_serviceStates.try_emplace(service, m_settings.retries).first->second;
+    const auto [position, isNew] = m_serviceStates.try_emplace(service, m_settings.retries);
+    if (isNew) {
+        position->second.customers.setWeights(customerWeights());
+    }
+    return position->second;
 }
 
 const ServicePolicy *GatewayState::policyOf(const ServiceId &service) const
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -5,6 +5,7 @@
 #include <LibRouting/routetable.h>
 #include <LibRouting/upstreamcatalog.h>
 #include <LibSteering/coldpacer.h>
+#include <LibSteering/customershares.h>
 #include <LibSteering/placement.h>
 #include <LibSteering/retryallowance.h>
 #include <LibSteering/servicetimeestimate.h>
@@ -77,6 +78,7 @@
 
     RetryAllowance retries;
     SlotDemand demand;
+    CustomerShares customers;
     std::vector<std::shared_ptr<Upstream>> upstreams;
     /// Set with the first request.
     std::optional<SpillShare> spill;
@@ -244,6 +246,8 @@
     /// Whether this host may send requests to the upstream while it is cold; always true without a rate limit.
     bool isWarmUpHost(const Upstream &upstream, BootTime now) const;
     void removeExpiredColdHistories(BootTime now);
+    /// What the customers of the configuration in force are entitled to.
+    std::unordered_map<std::string, double> customerWeights() const;
 
     GatewayStateSettings m_settings;
     std::size_t m_regionCount = 0;
--- a/Libraries/LibSteering/placement.cpp
+++ b/Libraries/LibSteering/placement.cpp
@@ -69,7 +69,7 @@
 double slotCost(Milliseconds work, const PlacementQuery &query, const PlacementSettings &settings)
 {
     const double priceFraction = std::clamp((query.meanLoad - s_minimumPricedLoad) / (s_fullPriceLoad - s_minimumPricedLoad), 0.0, 1.0);
-    return priceFraction * settings.slotPrice * query.displacedValue * (work / query.work->expected(CacheState::Cached));
+    return priceFraction * settings.slotPrice * query.displacedValue * query.customerFactor * (work / query.work->expected(CacheState::Cached));
 }
 
 /// Queueing delay at an upstream with that many running and queued requests.
--- a/Libraries/LibSteering/placement.h
+++ b/Libraries/LibSteering/placement.h
@@ -74,6 +74,8 @@
     Milliseconds slotTime{0};
     /// SlotDemand::displacedValue() for the request's rank.
     double displacedValue = 1;
+    /// CustomerShares::priceFactor() of the request's customer.
+    double customerFactor = 1;
     /// Running and queued requests per slot of the candidates, from recent load reports.
     double meanLoad = 0;
     BootTime now;
