--- a/Utilities/trefoilctl/main.cpp
+++ b/Utilities/trefoilctl/main.cpp
@@ -1,4 +1,5 @@
 #include "administrationclient.h"
+#include "check.h"
 #include "explain.h"
 #include "report.h"
 #include "settings.h"
@@ -94,6 +95,9 @@
     if (argc > 1 && std::string_view(argv[1]) == "explain") {
         return runExplain(argc - 1, argv + 1);
     }
+    if (argc > 1 && std::string_view(argv[1]) == "check") {
+        return runCheck(argc - 1, argv + 1);
+    }
     const auto parsed = parseToolSettings(argc, argv);
     if (parsed.has_error()) {
         std::cerr << toText(parsed.error().findings);
