LibGateway: Send callers to hosts by their published capacity

With entryHostChoice "capacity", look-ups list the hosts that chooseEntryHosts() chooses, and warm-up hosts are chosen among them: a host without callers would leave the cold upstreams that it owns without requests. With "even", nothing changes.

--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -27,11 +27,21 @@
 /// Removed upstreams whose notices are kept; as many as the catalog keeps reports of.
 constexpr std::size_t s_maximumNotices = 4096;
 
+HostDirectorySettings directorySettings(const GatewayStateSettings &settings)
+{
+    HostDirectorySettings directory;
+    directory.self = settings.host;
+    directory.zone = settings.placement.zone;
+    directory.region = settings.placement.region;
+    directory.choosesByCapacity = settings.choosesHostsByCapacity;
+    return directory;
+}
+
 } // namespace
 
 GatewayState::GatewayState(GatewayStateSettings settings)
     : m_settings(std::move(settings))
-    , m_directory({m_settings.host, m_settings.placement.zone, m_settings.placement.region})
+    , m_directory(directorySettings(m_settings))
 {
     std::set<RegionId> regions;
     for (const auto &[zone, region] : m_settings.regions) {
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -33,6 +33,8 @@
     double coldSlack = 0;
     /// As in SpillShareSettings.
     double maximumShift = 0.15;
+    /// As in HostDirectorySettings.
+    bool choosesHostsByCapacity = false;
 };
 
 /// One upstream, with the pacer for the time in which it is cold and the limit on connections to it.
--- a/Libraries/LibGateway/hostdirectory.cpp
+++ b/Libraries/LibGateway/hostdirectory.cpp
@@ -142,30 +142,47 @@
     }
 }
 
+std::vector<const HostRegistration *> HostDirectory::entryHostsAmong(std::vector<const HostRegistration *> hosts) const
+{
+    if (!m_settings.choosesByCapacity) {
+        return hosts;
+    }
+    std::vector<EntryHostCandidate> candidates;
+    candidates.reserve(hosts.size());
+    for (const HostRegistration *host : hosts) {
+        candidates.push_back({stableHash(host->id.value()), host->capacity});
+    }
+    std::vector<const HostRegistration *> chosen;
+    for (const std::size_t index : chooseEntryHosts(candidates)) {
+        chosen.push_back(hosts[index]);
+    }
+    return chosen;
+}
+
 std::vector<std::string> HostDirectory::addressesFor(const RegionId &region, const ZoneId &zone, BootTime now)
 {
     m_lookedUpAt[zone] = now;
-    std::vector<std::string> inZone;
-    std::vector<std::string> inRegion;
-    std::vector<std::string> inOwnZone;
+    std::vector<const HostRegistration *> inZone;
+    std::vector<const HostRegistration *> inRegion;
+    std::vector<const HostRegistration *> inOwnZone;
     for (const auto &[id, entry] : m_hosts) {
         if (!isLive(entry, now)) {
             continue;
         }
         if (entry.registration.zone == zone) {
-            inZone.push_back(entry.registration.address);
+            inZone.push_back(&entry.registration);
         }
         if (entry.registration.region == region) {
-            inRegion.push_back(entry.registration.address);
+            inRegion.push_back(&entry.registration);
         }
         if (entry.registration.zone == m_settings.zone) {
-            inOwnZone.push_back(entry.registration.address);
+            inOwnZone.push_back(&entry.registration);
         }
     }
     if (inZone.empty()) {
         recordRegionLookup(region, now);
     }
-    auto &chosen = !inZone.empty() ? inZone : !inRegion.empty() ? inRegion : inOwnZone;
+    auto chosen = entryHostsAmong(std::move(!inZone.empty() ? inZone : !inRegion.empty() ? inRegion : inOwnZone));
     if (chosen.size() > m_settings.maximumAddresses) {
         // Each look-up starts where the previous one ended, so that callers spread over all hosts of a large zone.
         m_nextAddress %= chosen.size();
@@ -173,7 +190,12 @@
         m_nextAddress += m_settings.maximumAddresses;
         chosen.resize(m_settings.maximumAddresses);
     }
-    return std::move(chosen);
+    std::vector<std::string> addresses;
+    addresses.reserve(chosen.size());
+    for (const HostRegistration *host : chosen) {
+        addresses.push_back(host->address);
+    }
+    return addresses;
 }
 
 std::vector<BeaconTarget> HostDirectory::beaconTargets(BootTime now) const
@@ -196,12 +218,22 @@
 
 std::vector<HostId> HostDirectory::hostsOf(const ZoneId &zone, BootTime now) const
 {
-    std::vector<HostId> hosts;
+    const bool isOwnZone = zone == m_settings.zone;
+    std::vector<const HostRegistration *> registrations;
     for (const auto &[id, entry] : m_hosts) {
-        if (entry.registration.zone == zone && (zone != m_settings.zone || id == m_settings.self || isLive(entry, now))) {
-            hosts.push_back(id);
+        if (entry.registration.zone == zone && (!isOwnZone || id == m_settings.self || isLive(entry, now))) {
+            registrations.push_back(&entry.registration);
         }
     }
+    if (isOwnZone) {
+        // Hosts that get no callers would leave the cold upstreams that they own without requests.
+        registrations = entryHostsAmong(std::move(registrations));
+    }
+    std::vector<HostId> hosts;
+    hosts.reserve(registrations.size());
+    for (const HostRegistration *registration : registrations) {
+        hosts.push_back(registration->id);
+    }
     return hosts;
 }
 
--- a/Libraries/LibGateway/hostdirectory.h
+++ b/Libraries/LibGateway/hostdirectory.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/bootclock.h>
 #include <LibCore/strongid.h>
+#include <LibSteering/hostchoice.h>
 
 #include <cstdint>
 #include <map>
@@ -27,6 +28,8 @@
     std::uint64_t incarnation = 0;
     /// Version of the row; 0 for a registration that was not read from the store.
     std::uint64_t rowVersion = 0;
+    /// Unknown in rows of older versions.
+    HostCapacity capacity{};
 };
 
 /// Phase of a host process, as its beacons report it.
@@ -62,6 +65,8 @@
     std::chrono::milliseconds abandonTimeout{60000};
     /// Maximum number of addresses that one look-up returns.
     std::size_t maximumAddresses = 16;
+    /// Whether look-ups list the hosts that chooseEntryHosts() chooses instead of all live hosts.
+    bool choosesByCapacity = false;
 };
 
 /// The hosts that callers may be sent to. Rows in the store list the registered hosts, beacons show which of them are live. Hosts
@@ -92,7 +97,7 @@
     void setSelf(const HostRegistration &registration, HostPhase phase);
 
     /// Returns addresses for callers of an availability zone: its live hosts, else live hosts of its region, else live hosts of this
-    /// host's own zone. Records the look-up. Precondition: now does not go back.
+    /// host's own zone; with choosesByCapacity the entry hosts among them. Records the look-up. Precondition: now does not go back.
     std::vector<std::string> addressesFor(const RegionId &region, const ZoneId &zone, BootTime now);
 
     /// Hosts whose beacons a look-up for an availability zone has to await: those of the zone while none of them is live, then those
@@ -115,7 +120,8 @@
         return m_rowsReadAt;
     }
 
-    /// For the own availability zone its live hosts and this one; for another zone all registered hosts. Precondition: none.
+    /// For the own availability zone its live hosts and this one, with choosesByCapacity the entry hosts among them; for another zone all
+    /// registered hosts. Precondition: none.
     std::vector<HostId> hostsOf(const ZoneId &zone, BootTime now) const;
 
     /// All registered hosts, whether they are live or not; empty before the rows were read. Precondition: none.
@@ -160,6 +166,8 @@
     bool hasPendingRequest(const Entry &entry, BootTime now) const;
     void recordRegionLookup(const RegionId &region, BootTime now);
     bool isUnresponsive(const Entry &entry, BootTime now) const;
+    /// The entry hosts among the live hosts of a place: all of them unless choosesByCapacity.
+    std::vector<const HostRegistration *> entryHostsAmong(std::vector<const HostRegistration *> hosts) const;
 
     HostDirectorySettings m_settings;
     std::map<HostId, Entry> m_hosts;
--- a/Tests/LibGateway/testhostdirectory.cpp
+++ b/Tests/LibGateway/testhostdirectory.cpp
@@ -219,6 +219,73 @@
     cr_assert_eq(count(s_start + 6s), 1, "an unresponsive host");
 }
 
+namespace
+{
+
+constexpr HostCapacity s_large{0.5, 200, 8192};
+constexpr HostCapacity s_small{0.1, 10, 4100};
+
+/// A zone with two large hosts and nine small ones, one of which is this host, and a small host in a neighbouring zone.
+HostDirectory unevenDirectory(const std::string &self, bool choosesByCapacity)
+{
+    HostDirectorySettings settings;
+    settings.self = HostId(self);
+    settings.zone = ZoneId("gulf-a");
+    settings.region = RegionId("gulf");
+    settings.choosesByCapacity = choosesByCapacity;
+    HostDirectory hosts(settings);
+    const auto add = [&](const std::string &id, const std::string &zone, const HostCapacity &capacity) {
+        HostRegistration row = registration(id, zone, "gulf");
+        row.capacity = capacity;
+        if (id == self) {
+            hosts.setSelf(row, HostPhase::Serving);
+        }
+        hosts.add(row, s_start);
+        hosts.recordBeacon(HostId(id), HostPhase::Serving, true, s_start);
+    };
+    add("large1", "gulf-a", s_large);
+    add("large2", "gulf-a", s_large);
+    for (int i = 1; i <= 9; ++i) {
+        add("small" + std::to_string(i), "gulf-a", s_small);
+    }
+    add("neighbour", "gulf-b", s_small);
+    return hosts;
+}
+
+} // namespace
+
+// Guards against callers that are sent to weak hosts while strong ones suffice, hosts that answer look-ups differently, a zone whose callers hang on
+// the one strong host that is left, and a zone with live hosts that is left without addresses.
+Test(HostDirectory, strongHostsAreChosenByCapacity)
+{
+    const auto zone = [](HostDirectory &hosts, BootTime now) { return joined(hosts.addressesFor(RegionId("gulf"), ZoneId("gulf-a"), now)); };
+    HostDirectory even = unevenDirectory("small3", false);
+    cr_assert_eq(even.addressesFor(RegionId("gulf"), ZoneId("gulf-a"), s_start + 1s).size(), 11);
+    for (const char *self : {"large1", "large2", "small1", "small9"}) {
+        HostDirectory hosts = unevenDirectory(self, true);
+        cr_assert_eq(zone(hosts, s_start + 1s), "large1 large2 ", "%s: %s", self, zone(hosts, s_start + 1s).c_str());
+        cr_assert_eq(joined(hosts.addressesFor(RegionId("gulf"), ZoneId("gulf-b"), s_start + 1s)), "neighbour ");
+        cr_assert_eq(joined(hosts.addressesFor(RegionId("gulf"), ZoneId("gulf-c"), s_start + 1s)), "large1 large2 ", "the region's hosts");
+    }
+    HostDirectory hosts = unevenDirectory("small3", true);
+    hosts.recordBeacon(HostId("large2"), HostPhase::Stopping, true, s_start + 1s);
+    cr_assert_eq(zone(hosts, s_start + 1s), "large1 small1 small2 small3 small4 small5 small6 small7 small8 small9 ");
+    hosts.recordBeacon(HostId("large2"), HostPhase::Serving, true, s_start + 2s);
+    cr_assert_eq(zone(hosts, s_start + 2s), "large1 large2 ");
+    cr_assert_eq(zone(hosts, s_start + 10s), "small3 ", "the others are silent");
+}
+
+// Guards against cold upstreams that get no requests, since the hosts that may warm them up get no callers.
+Test(HostDirectory, warmUpHostsAreEntryHosts)
+{
+    const HostDirectory even = unevenDirectory("small3", false);
+    cr_assert_eq(even.hostsOf(ZoneId("gulf-a"), s_start + 1s).size(), 11);
+    const HostDirectory hosts = unevenDirectory("small3", true);
+    const std::vector<HostId> expected{HostId("large1"), HostId("large2")};
+    cr_assert(hosts.hostsOf(ZoneId("gulf-a"), s_start + 1s) == expected);
+    cr_assert_eq(hosts.hostsOf(ZoneId("gulf-b"), s_start + 1s).size(), 1, "all registered hosts of another zone");
+}
+
 // Guards against rows of terminated hosts that stay forever, rows of live hosts that are removed, and rows that every host removes
 // instead of one.
 Test(HostDirectory, rowsOfUnresponsiveHostsAreAbandoned)
