LibHttp: Count new connections to upstreams by cause

New connections to upstreams are expensive on some deployments, and nothing told why they are opened. The pool now remembers per address what became of the connections that were not replaced: first use, all in use, unsuitable for the request, closed idle by the peer or here, limit, failure, or announced by "Connection: close". The cause stands in attempt-ended ("opened") and in trefoil_upstream_connections_opened_total. CallTrace also tells the bytes written and read.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -460,6 +460,7 @@
             {"address", upstream.model.identity().address},
             {"connection", static_cast<std::int64_t>(end.trace.connection)},
             {"earlierRequests", static_cast<std::int64_t>(end.trace.earlierRequests)},
+            {"opened", std::string(end.trace.opened ? toText(*end.trace.opened) : std::string_view())},
             {"foreignResponses", std::int64_t{end.trace.foreignResponses}},
             {"avoidedConnections", std::int64_t{end.trace.avoidedConnections}},
             {"reason", end.reason},
--- a/Libraries/LibGateway/gatewaymetrics.cpp
+++ b/Libraries/LibGateway/gatewaymetrics.cpp
@@ -42,6 +42,9 @@
 {
     m_foreignResponses += static_cast<std::uint64_t>(trace.foreignResponses);
     m_avoidedConnections += static_cast<std::uint64_t>(trace.avoidedConnections);
+    if (trace.opened) {
+        ++m_openedConnections[static_cast<std::size_t>(*trace.opened)];
+    }
     const bool hasOwn = m_attempts.count(upstream) > 0 || m_attempts.size() < s_maximumUpstreams;
     ++m_attempts[hasOwn ? upstream : UpstreamId("other")][static_cast<std::size_t>(outcome)];
 }
@@ -61,6 +64,10 @@
     writer.sample("", {}, static_cast<double>(m_foreignResponses));
     writer.begin("trefoil_avoided_connections_total", "counter", "Idle connections not used for a request that they had answered with a failure.");
     writer.sample("", {}, static_cast<double>(m_avoidedConnections));
+    writer.begin("trefoil_upstream_connections_opened_total", "counter", "Connections opened to upstreams by why no idle one was used.");
+    for (std::size_t i = 0; i < m_openedConnections.size(); ++i) {
+        writer.sample("", {{"cause", toText(static_cast<ConnectionCause>(i))}}, static_cast<double>(m_openedConnections[i]));
+    }
     const auto routes = state.routes();
     writer.begin("trefoil_configuration_version", "gauge", "Version of the configuration in force; 0 before the first one.");
     writer.sample("", {}, routes ? static_cast<double>(routes->configuration().version.value()) : 0);
--- a/Libraries/LibGateway/gatewaymetrics.h
+++ b/Libraries/LibGateway/gatewaymetrics.h
@@ -44,6 +44,7 @@
     std::map<UpstreamId, CountsByOutcome> m_attempts;
     std::uint64_t m_foreignResponses = 0;
     std::uint64_t m_avoidedConnections = 0;
+    std::array<std::uint64_t, s_connectionCauseCount> m_openedConnections{};
     BootTime m_configurationAt{};
     BootTime m_discoveryAt{};
 };
--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -69,12 +69,16 @@
 
 using ConnectionPointer = std::unique_ptr<PooledConnection>;
 
-/// True while the other side has neither closed the idle connection nor sent bytes that belong to no request.
-bool isQuiet(PooledConnection &connection)
+/// Why an idle connection can't be used any more: the other side closed it, or sent bytes that belong to no request. Nothing while it can.
+std::optional<ConnectionCause> idleLoss(PooledConnection &connection)
 {
     char byte = 0;
     const ssize_t count = ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    if (count > 0) {
+        return ConnectionCause::Failure;
+    }
+    const bool isQuiet = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return isQuiet ? std::nullopt : std::make_optional(ConnectionCause::IdleClosedByPeer);
 }
 
 /// Removes the cancellation hook at the end of a call.
@@ -172,6 +176,7 @@
             expireAtNextLimit();
             const std::size_t count = http::async_write_some(m_connection.stream, serializer, yield[error]);
             m_anyByteWritten = m_anyByteWritten || count > 0;
+            m_bytesWritten += count;
             if (error) {
                 return failure(CallFailureKind::ConnectionLost, error);
             }
@@ -197,6 +202,7 @@
                 continue;
             }
             // An upstream that sends a body after its response to HEAD can't be told from one that doesn't.
+            m_isCloseAnnounced = !parser.keep_alive();
             m_reusable = !m_skipped && !m_isHead && parser.keep_alive() && m_connection.buffer.size() == 0;
             m_connection.keepAlive = announcedKeepAlive(std::string_view(parser.get()[http::field::keep_alive]));
             const bool mayFollow = parser.keep_alive();
@@ -219,6 +225,22 @@
         return m_reusable;
     }
 
+    /// Why the connection isn't used again. Precondition: it isn't reusable.
+    ConnectionCause loss() const
+    {
+        return m_isCloseAnnounced ? ConnectionCause::CloseAnnounced : ConnectionCause::Failure;
+    }
+
+    std::uint64_t bytesWritten() const
+    {
+        return m_bytesWritten;
+    }
+
+    std::uint64_t bytesRead() const
+    {
+        return m_bytesRead;
+    }
+
     /// Time for which nothing was read for lack of room.
     BootClock::duration memoryWait() const
     {
@@ -254,7 +276,9 @@
         while (!parser.is_done()) {
             expireAtNextLimit();
             const bool hadHead = parser.is_header_done();
+            const std::uint64_t parsedBefore = reader.bytesParsed();
             beast::error_code error = reader.step(yield);
+            m_bytesRead += reader.bytesParsed() - parsedBefore;
             if (!hadHead && parser.is_header_done()) {
                 m_head = headersOf(parser.get());
             }
@@ -378,6 +402,9 @@
     /// Responses have no body, whatever their headers say.
     bool m_isHead = false;
     bool m_reusable = false;
+    bool m_isCloseAnnounced = false;
+    std::uint64_t m_bytesWritten = 0;
+    std::uint64_t m_bytesRead = 0;
     bool m_skipped = false;
     int m_interimCount = 0;
     /// Header of the response that is being read, without its trailers.
@@ -448,6 +475,7 @@
         ConnectionPointer current = std::move(std::get<ConnectionPointer>(obtained));
         const HookScope hook(options.cancellation, current->stream);
         if (options.cancellation && options.cancellation->isRequested()) {
+            m_losses[address].recordLoss(ConnectionCause::Failure);
             return CallFailure{CallFailureKind::Cancelled, false, "cancelled before the request was sent"};
         }
         if (BootClock::now() >= options.deadline) {
@@ -466,9 +494,11 @@
         current->awaitsResponse = true;
         Exchange exchange(*current, options, m_settings.memory);
         if (auto failed = exchange.write(request, address, yield)) {
+            recordBytes(options, exchange);
             return afterFailure(address, *current, *failed);
         }
         CallResult result = exchange.read(yield);
+        recordBytes(options, exchange);
         if (options.trace) {
             options.trace->foreignResponses = exchange.foreignResponses();
             options.trace->memoryWait = exchange.memoryWait();
@@ -477,7 +507,11 @@
             return afterFailure(address, *current, *failed);
         }
         current->awaitsResponse = false;
-        if (exchange.isReusable() && !(options.cancellation && options.cancellation->isRequested())) {
+        if (!exchange.isReusable()) {
+            m_losses[address].recordLoss(exchange.loss());
+        } else if (options.cancellation && options.cancellation->isRequested()) {
+            m_losses[address].recordLoss(ConnectionCause::Failure);
+        } else {
             giveBack(address, std::move(current));
         }
         return result;
@@ -487,8 +521,16 @@
     {
         for (auto &[address, idle] : m_idle) {
             // Bytes that belong to no request would fill the receive buffer, which counts as memory of the host.
-            const auto isSpent = [this, now](const ConnectionPointer &connection) {
-                return now - connection->idleSince >= m_settings.idleTimeout || !isQuiet(*connection);
+            ConnectionLosses &losses = m_losses[address];
+            const auto isSpent = [this, now, &losses](const ConnectionPointer &connection) {
+                auto loss = idleLoss(*connection);
+                if (!loss && now - connection->idleSince >= m_settings.idleTimeout) {
+                    loss = ConnectionCause::IdleClosedHere;
+                }
+                if (loss) {
+                    losses.recordLoss(*loss);
+                }
+                return loss.has_value();
             };
             idle.erase(std::remove_if(idle.begin(), idle.end(), isSpent), idle.end());
         }
@@ -504,14 +546,31 @@
 
     Obtained connection(const std::string &address, const std::shared_ptr<ConnectionLimit> &limit, const CallOptions &options, const asio::yield_context &yield)
     {
+        const std::size_t lossesBefore = m_losses[address].pending();
         if (auto idle = takeIdle(address, options)) {
             return idle;
         }
+        const bool hasIdle = !m_idle[address].empty();
         std::optional<ConnectionPermit> permit = limit ? acquirePermit(address, *limit) : std::nullopt;
         if (limit && !permit) {
             return CallFailure{CallFailureKind::NoConnection, false, "the connection limit is reached"};
         }
-        return connect(address, std::move(permit), options, yield);
+        Obtained obtained = connect(address, std::move(permit), options, yield);
+        if (std::holds_alternative<ConnectionPointer>(obtained)) {
+            const ConnectionCause cause = m_losses[address].recordOpened(lossesBefore, hasIdle);
+            if (options.trace) {
+                options.trace->opened = cause;
+            }
+        }
+        return obtained;
+    }
+
+    static void recordBytes(const CallOptions &options, const Exchange &exchange)
+    {
+        if (options.trace) {
+            options.trace->bytesWritten = exchange.bytesWritten();
+            options.trace->bytesRead = exchange.bytesRead();
+        }
     }
 
     /// At the limit, an idle connection that the call could not use makes room.
@@ -523,6 +582,7 @@
         auto &idle = m_idle[address];
         if (!idle.empty()) {
             idle.erase(idle.begin());
+            m_losses[address].recordLoss(ConnectionCause::Limit);
         }
         return limit.tryAcquire();
     }
@@ -548,10 +608,15 @@
             ConnectionPointer connection = std::move(*position);
             position = idle.erase(position);
             const bool closesSoon = connection->keepAlive && now - connection->idleSince + s_keepAliveMargin >= *connection->keepAlive;
-            if (!closesSoon && isQuiet(*connection)) {
+            auto loss = idleLoss(*connection);
+            if (!loss && closesSoon) {
+                loss = ConnectionCause::IdleClosedHere;
+            }
+            if (!loss) {
                 connection->reused = true;
                 return connection;
             }
+            m_losses[address].recordLoss(*loss);
         }
         return nullptr;
     }
@@ -560,6 +625,7 @@
     {
         auto &idle = m_idle[address];
         if (idle.size() >= m_settings.idleLimitPerAddress) {
+            m_losses[address].recordLoss(ConnectionCause::Limit);
             return;
         }
         connection->stream.expires_never();
@@ -572,8 +638,14 @@
     CallFailure afterFailure(const std::string &address, const PooledConnection &failedConnection, CallFailure failure)
     {
         const bool wentSilent = failure.kind == CallFailureKind::Stalled || failure.kind == CallFailureKind::DeadlineExceeded;
+        ConnectionLosses &losses = m_losses[address];
+        losses.recordLoss(ConnectionCause::Failure);
         if (wentSilent && failedConnection.reused) {
-            m_idle[address].clear();
+            auto &idle = m_idle[address];
+            for (std::size_t i = 0; i < idle.size(); ++i) {
+                losses.recordLoss(ConnectionCause::Failure);
+            }
+            idle.clear();
         }
         return failure;
     }
@@ -640,6 +712,7 @@
     asio::io_context &m_context;
     ConnectionPoolSettings m_settings;
     std::unordered_map<std::string, std::vector<ConnectionPointer>> m_idle;
+    std::unordered_map<std::string, ConnectionLosses> m_losses;
     std::uint64_t m_opened = 0;
 };
 
--- a/Libraries/LibHttp/connectionpool.h
+++ b/Libraries/LibHttp/connectionpool.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/bootclock.h>
 #include <LibHttp/cancellation.h>
+#include <LibHttp/connectioncause.h>
 #include <LibHttp/connectionlimit.h>
 #include <LibHttp/memorybudget.h>
 #include <LibHttp/message.h>
@@ -12,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -71,6 +73,11 @@
     int avoidedConnections = 0;
     /// Time for which the response wasn't read, since this process had no room for it.
     BootClock::duration memoryWait{};
+    /// Why the connection was opened for this call; nothing for a call that opened none.
+    std::optional<ConnectionCause> opened{};
+    /// Bytes of the request that were written, and bytes of responses that were read, with their heads.
+    std::uint64_t bytesWritten = 0;
+    std::uint64_t bytesRead = 0;
 };
 
 struct CallOptions
