--- a/Libraries/LibGateway/beacon.cpp
+++ b/Libraries/LibGateway/beacon.cpp
@@ -123,15 +123,19 @@
         writeLog(LogLevel::Warning, "peer-address-unreadable", {{"peer", host.id.value()}, {"address", host.peerAddress}});
         return;
     }
-    send(bytes, udp::endpoint(endpoint.value().address(), endpoint.value().port()));
+    send(host.id, bytes, udp::endpoint(endpoint.value().address(), endpoint.value().port()));
 }
 
-void BeaconSocket::send(const std::string &bytes, const udp::endpoint &to)
+void BeaconSocket::send(const HostId &host, const std::string &bytes, const udp::endpoint &to)
 {
     boost::system::error_code error;
     m_socket.send_to(asio::buffer(bytes), to, 0, error);
     if (error) {
         writeLog(LogLevel::Warning, "beacon-not-sent", {{"to", to.address().to_string()}, {"reason", error.message()}});
+        return;
+    }
+    if (const auto relation = m_directory.relationTo(host)) {
+        m_traffic.add(TrafficPurpose::Beacon, *relation, bytes.size());
     }
 }
 
@@ -145,7 +149,7 @@
         if (beacon) {
             m_directory.recordBeacon(beacon->from, beacon->phase, beacon->isStoreReachable, BootClock::now());
             if (beacon->isReplyRequested) {
-                send(encodeBeacon({m_self, m_phase, m_isStoreReachable, false}), m_sender);
+                send(beacon->from, encodeBeacon({m_self, m_phase, m_isStoreReachable, false}), m_sender);
             }
         }
         receive();
--- a/Libraries/LibGateway/beacon.h
+++ b/Libraries/LibGateway/beacon.h
@@ -43,6 +43,12 @@
     /// Requests beacons from the hosts, from each of them at most every 100 ms. Precondition: none.
     void requestBeacons(const std::vector<HostRegistration> &hosts);
 
+    /// Bytes of the beacons that were sent to registered hosts. Precondition: none.
+    const TrafficBytes &traffic() const
+    {
+        return m_traffic;
+    }
+
     /// Local address at which beacons are received, IP:port. Precondition: none.
     std::string address() const;
 
@@ -50,7 +56,7 @@
     BeaconSocket(boost::asio::io_context &context, HostId self, HostDirectory &directory);
     void receive();
     void sendTo(const HostRegistration &host, const std::string &bytes);
-    void send(const std::string &bytes, const boost::asio::ip::udp::endpoint &to);
+    void send(const HostId &host, const std::string &bytes, const boost::asio::ip::udp::endpoint &to);
 
     boost::asio::ip::udp::socket m_socket;
     HostId m_self;
@@ -60,6 +66,7 @@
     HostPhase m_phase = HostPhase::Starting;
     bool m_isStoreReachable = false;
     std::map<HostId, BootTime> m_requestedAt;
+    TrafficBytes m_traffic;
 };
 
 } // namespace Trefoil
--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -423,6 +423,8 @@
         m_state.upstreamMisdirected(upstream);
     }
     m_metrics.countAttempt(identity.id, end.outcome, trace);
+    const PlacementSettings &place = m_state.settings().placement;
+    m_metrics.countTraffic(relationBetween(place.zone, place.region, identity.zone, identity.region), trace);
     ++(end.wasSent ? exchange.sent : exchange.unsent);
     exchange.mayHaveRun = exchange.mayHaveRun || end.execution == Execution::Possible;
     logAttempt(exchange, upstream, end, now - start, now);
--- a/Libraries/LibGateway/gatewaymetrics.h
+++ b/Libraries/LibGateway/gatewaymetrics.h
@@ -26,6 +26,19 @@
     /// Counts an attempt that has ended. Precondition: none.
     void countAttempt(const UpstreamId &upstream, AttemptOutcome outcome, const CallTrace &trace);
 
+    /// Counts the bytes of an attempt by where its upstream is. Precondition: none.
+    void countTraffic(ZoneRelation relation, const CallTrace &trace)
+    {
+        m_traffic.add(TrafficPurpose::Request, relation, trace.bytesWritten);
+        m_traffic.add(TrafficPurpose::Response, relation, trace.bytesRead);
+    }
+
+    /// Bytes to and from upstreams. Precondition: none.
+    const TrafficBytes &traffic() const
+    {
+        return m_traffic;
+    }
+
     /// Records that the store has confirmed the list of upstreams now. Precondition: none.
     void recordDiscovery(BootTime now)
     {
@@ -44,6 +57,7 @@
     std::map<UpstreamId, CountsByOutcome> m_attempts;
     std::uint64_t m_foreignResponses = 0;
     std::uint64_t m_avoidedConnections = 0;
+    TrafficBytes m_traffic;
     std::array<std::uint64_t, s_connectionCauseCount> m_openedConnections{};
     BootTime m_configurationAt{};
     BootTime m_discoveryAt{};
--- a/Libraries/LibGateway/hostdirectory.cpp
+++ b/Libraries/LibGateway/hostdirectory.cpp
@@ -290,6 +290,16 @@
     return registrations;
 }
 
+std::optional<ZoneRelation> HostDirectory::relationTo(const HostId &id) const
+{
+    const auto found = m_hosts.find(id);
+    if (found == m_hosts.end()) {
+        return std::nullopt;
+    }
+    const HostRegistration &other = found->second.registration;
+    return relationBetween(m_settings.zone, m_settings.region, other.zone, other.region);
+}
+
 std::vector<HostRegistration> HostDirectory::zonePeers() const
 {
     std::vector<HostRegistration> registrations;
--- a/Libraries/LibGateway/hostdirectory.h
+++ b/Libraries/LibGateway/hostdirectory.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/bootclock.h>
 #include <LibCore/strongid.h>
+#include <LibGateway/trafficbytes.h>
 #include <LibSteering/hostchoice.h>
 
 #include <cstdint>
@@ -134,6 +135,9 @@
     /// Registered hosts of the own availability zone except this one, whether they are live or not. Precondition: none.
     std::vector<HostRegistration> zonePeers() const;
 
+    /// Where a host is, as seen from this one; nothing for a host that isn't registered. Precondition: none.
+    std::optional<ZoneRelation> relationTo(const HostId &id) const;
+
     /// Number of registered hosts including this one, whether they are live or not. Precondition: none.
     std::size_t registeredCount() const
     {
