--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -423,6 +423,8 @@
         m_state.upstreamMisdirected(upstream);
     }
     m_metrics.countAttempt(identity.id, end.outcome, trace);
+    const PlacementSettings &place = m_state.settings().placement;
+    m_metrics.countTraffic(relationBetween(place.zone, place.region, identity.zone, identity.region), trace);
     ++(end.wasSent ? exchange.sent : exchange.unsent);
     exchange.mayHaveRun = exchange.mayHaveRun || end.execution == Execution::Possible;
     logAttempt(exchange, upstream, end, now - start, now);
@@ -460,6 +462,7 @@
             {"address", upstream.model.identity().address},
             {"connection", static_cast<std::int64_t>(end.trace.connection)},
             {"earlierRequests", static_cast<std::int64_t>(end.trace.earlierRequests)},
+            {"opened", std::string(end.trace.opened ? toText(*end.trace.opened) : std::string_view())},
             {"foreignResponses", std::int64_t{end.trace.foreignResponses}},
             {"avoidedConnections", std::int64_t{end.trace.avoidedConnections}},
             {"reason", end.reason},
