LibSteering: Use the work time in load reports of four figures

Upstreams of the new deployments report a fourth figure, the time that work takes on their machine relative to the usual one. parseLoadReport() accepted three figures only, so all of their reports were dropped.

The fourth figure scales the expected service time and queueing delay of the upstream in placement, with a half-life of 0.25 s, since it changes many times a second. Measured slowness is divided by it, so that it counts once. Reports with three figures have a factor of 1 and take the same decisions as before.

--- a/Libraries/LibGateway/gatewayheaders.cpp
+++ b/Libraries/LibGateway/gatewayheaders.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace Trefoil
 {
@@ -18,6 +19,11 @@
     return text.substr(first, text.find_last_not_of(" \t") - first + 1);
 }
 
+/// Figures of a load report without the optional work time.
+constexpr std::size_t s_loadFigures = 3;
+/// Reported work time of a machine that works at its usual speed.
+constexpr double s_usualWorkPercent = 100;
+
 /// Splits at commas and trims each part.
 std::vector<std::string_view> splitList(std::string_view text)
 {
@@ -58,7 +64,7 @@
 std::optional<LoadReport> parseLoadReport(std::string_view text)
 {
     const auto parts = splitList(text);
-    if (parts.size() != 3) {
+    if (parts.size() != s_loadFigures && parts.size() != s_loadFigures + 1) {
         return std::nullopt;
     }
     const auto running = parseNumber<std::int32_t>(parts[0]);
@@ -66,7 +72,15 @@
     if (!running || !waiting) {
         return std::nullopt;
     }
-    return LoadReport{*running, *waiting};
+    if (parts.size() == s_loadFigures) {
+        return LoadReport{*running, *waiting};
+    }
+    const auto workPercent = parseNumber<double>(parts[s_loadFigures]);
+    // Written so that "nan" fails, too.
+    if (!workPercent || !(*workPercent > 0) || !std::isfinite(*workPercent)) {
+        return std::nullopt;
+    }
+    return LoadReport{*running, *waiting, *workPercent / s_usualWorkPercent};
 }
 
 RequestedPause parseRequestedPause(const HttpHeaders &headers)
--- a/Libraries/LibGateway/gatewayheaders.h
+++ b/Libraries/LibGateway/gatewayheaders.h
@@ -22,7 +22,7 @@
     std::string expectedUpstream = "Trefoil-Expect-Upstream";
     /// From the upstream: the request did not run and will not.
     std::string notRun = "Trefoil-Not-Started";
-    /// From the upstream: its load as "running,waiting,slots".
+    /// From the upstream: its load as "running,waiting,slots", optionally with the time that work takes, where 100 is the usual time.
     std::string load = "Trefoil-Load";
     /// From the upstream: it is leaving and wants no further requests.
     std::string leaving = "Trefoil-Leaving";
@@ -39,7 +39,7 @@
 /// Precondition: none. Thread safety: one thread at a time.
 void copyEndToEndFields(const HttpHeaders &from, HttpHeaders &to);
 
-/// Parses "running,waiting,slots"; nothing when the text has another form. Precondition: none. Thread safety: safe from any thread.
+/// Parses "running,waiting,slots" or "running,waiting,slots,work", where work is positive and 100 is the usual time; nothing when the text has another form. Precondition: none. Thread safety: safe from any thread.
 std::optional<LoadReport> parseLoadReport(std::string_view text);
 
 /// The pause that an upstream asks for with Retry-After.
--- a/Libraries/LibSteering/placement.cpp
+++ b/Libraries/LibSteering/placement.cpp
@@ -77,7 +77,7 @@
 {
     const double slots = std::max(1, upstream.identity().slots.value());
     const double ahead = occupancy + 1 - slots;
-    return ahead <= 0 ? Milliseconds(0) : query.slotTime * (ahead / slots) * upstream.slowness(query.now);
+    return ahead <= 0 ? Milliseconds(0) : query.slotTime * (ahead / slots) * upstream.slowness(query.now) * upstream.workFactor(query.now);
 }
 
 } // namespace
@@ -159,7 +159,7 @@
         const double distanceCost = isSameZone ? 0 : isSameRegion ? settings.zoneCost : settings.regionCost;
         const double occupancy = upstream.occupancy(query.now, query.meanLoad);
         const Milliseconds wait = waitAt(upstream, occupancy, query);
-        const Milliseconds work = query.work->expected(cache) * upstream.slowness(query.now);
+        const Milliseconds work = query.work->expected(cache) * upstream.slowness(query.now) * upstream.workFactor(query.now);
         // A request that warms one of the key's home upstreams is charged as if the key were cached, because the next requests for the key gain from
         // it.
         const Milliseconds pricedWork = ranks[i] < s_homeRanks ? query.work->expected(CacheState::Cached) : work;
--- a/Libraries/LibSteering/upstreammodel.cpp
+++ b/Libraries/LibSteering/upstreammodel.cpp
@@ -19,6 +19,11 @@
 constexpr Seconds s_failureHalfLife{4.0};
 /// Half-life of the slowness; a slow phase lasts for seconds.
 constexpr Seconds s_slownessHalfLife{4.0};
+/// Half-life of a reported work factor.
+constexpr Seconds s_workFactorHalfLife{0.25};
+/// Bounds of a reported work factor, so that one absurd report cannot attract or exclude all requests.
+constexpr double s_minimumWorkFactor = 0.1;
+constexpr double s_maximumWorkFactor = 12;
 /// Weights of a new sample.
 constexpr double s_failureWeight = 0.25;
 constexpr double s_unreachableWeight = 0.6;
@@ -56,6 +61,14 @@
         m_otherRequests += weight * (otherRequests - m_otherRequests);
         m_otherRequestsAt = now;
     }
+    if (report && report->workFactor) {
+        m_workFactor = std::clamp(*report->workFactor, s_minimumWorkFactor, s_maximumWorkFactor);
+        m_workFactorAt = now;
+        if (slownessOfRequest) {
+            // Slowness is what the reported speed does not explain; placement multiplies the two.
+            slownessOfRequest = *slownessOfRequest / m_workFactor;
+        }
+    }
     const double current = slowness(now);
     switch (outcome) {
     case AttemptOutcome::Success:
@@ -118,6 +131,11 @@
     return 1 + (m_slowness - 1) * decay(m_slownessAt, now, s_slownessHalfLife);
 }
 
+double UpstreamModel::workFactor(BootTime now) const
+{
+    return m_workFactorAt ? 1 + (m_workFactor - 1) * decay(*m_workFactorAt, now, s_workFactorHalfLife) : 1;
+}
+
 bool UpstreamModel::hasServedKey(std::uint64_t keyHash) const
 {
     return m_keys.count(keyHash) > 0;
--- a/Libraries/LibSteering/upstreammodel.h
+++ b/Libraries/LibSteering/upstreammodel.h
@@ -18,6 +18,8 @@
 {
     std::int32_t running = 0;
     std::int32_t waiting = 0;
+    /// How long work takes on the machine at the moment of the report, relative to the usual time; nothing where the upstream does not report it.
+    std::optional<double> workFactor{};
 };
 
 /// How an attempt at an upstream ended, as it concerns the upstream.
@@ -94,6 +96,16 @@
     /// Ratio of its service time to the expected one; 1 is normal.
     double slowness(BootTime now) const;
 
+    /// Ratio of the time that work takes on the upstream's machine to the usual time, from its last report. It decays to 1 within a second, because
+    /// the speed of a machine changes many times a second. 1 where the upstream does not report it. Precondition: none.
+    double workFactor(BootTime now) const;
+
+    /// Whether a report of the upstream had a work factor. Precondition: none.
+    bool reportsWorkFactor() const
+    {
+        return m_workFactorAt.has_value();
+    }
+
     /// True if the key is among those stored by recordKey(). Precondition: none.
     bool hasServedKey(std::uint64_t keyHash) const;
 
@@ -137,6 +149,9 @@
     BootTime m_failureRateAt{};
     double m_slowness = 1;
     BootTime m_slownessAt{};
+    double m_workFactor = 1;
+    /// Time of the last report with a work factor.
+    std::optional<BootTime> m_workFactorAt;
     BootTime m_coldUntil{};
     std::unordered_map<std::uint64_t, BootTime> m_keys;
 };
--- a/Tests/LibGateway/testgatewayparts.cpp
+++ b/Tests/LibGateway/testgatewayparts.cpp
@@ -22,6 +22,8 @@
     char text[24];
     int running;
     int waiting;
+    /// 0 stands for a report without one.
+    double workFactor;
 };
 
 struct CallCase
@@ -104,17 +106,26 @@
 
 } // namespace
 
-// Guards against load that is parsed from a malformed header.
+// Guards against load that is parsed from a malformed header, and against reports with a work time that are dropped.
 ParameterizedTestParameters(GatewayHeaders, loadReports)
 {
-    static LoadCase cases[] = {{"3,0,8", 3, 0},
-        {" 3 , 2 , 8 ", 3, 2},
-        {"3,0", -1, 0},
-        {"", -1, 0},
-        {"a,b,c", -1, 0},
-        {"-1,0,8", -1, 0},
-        {"3,0,8,9", -1, 0},
-        {"99999999999,0,8", -1, 0}};
+    static LoadCase cases[] = {{"3,0,8", 3, 0, 0},
+        {" 3 , 2 , 8 ", 3, 2, 0},
+        {"3,0,8,100", 3, 0, 1},
+        {" 3 , 2 , 8 , 250 ", 3, 2, 2.5},
+        {"3,0,8,87.5", 3, 0, 0.875},
+        {"3,0", -1, 0, 0},
+        {"", -1, 0, 0},
+        {"a,b,c", -1, 0, 0},
+        {"-1,0,8", -1, 0, 0},
+        {"3,0,8,0", -1, 0, 0},
+        {"3,0,8,-9", -1, 0, 0},
+        {"3,0,8,nan", -1, 0, 0},
+        {"3,0,8,inf", -1, 0, 0},
+        {"3,0,8,", 3, 0, 0},
+        {"3,0,8,9x", -1, 0, 0},
+        {"3,0,8,100,1", -1, 0, 0},
+        {"99999999999,0,8", -1, 0, 0}};
     return cr_make_param_array(LoadCase, cases, std::size(cases));
 }
 
@@ -125,6 +136,7 @@
     if (report) {
         cr_assert_eq(report->running, testCase->running);
         cr_assert_eq(report->waiting, testCase->waiting);
+        cr_assert_float_eq(report->workFactor.value_or(0), testCase->workFactor, 1e-9, "%s", testCase->text);
     }
 }
 
--- a/Tests/LibSteering/testplacement.cpp
+++ b/Tests/LibSteering/testplacement.cpp
@@ -700,6 +700,43 @@
     cr_assert(model.failureRate(s_start + 20s) < 0.05);
 }
 
+// Load pattern: machines whose speed changes many times a second. Guards against a reported speed that counts for longer than it holds, that counts
+// twice because the measured slowness holds it, too, and that is assumed where none was reported.
+Test(UpstreamModel, reportedWorkFactorAgesQuickly)
+{
+    UpstreamModel model(identity("u", "gulf-a", "gulf"));
+    model.recordStart();
+    model.recordEnd(AttemptOutcome::Success, std::nullopt, LoadReport{1, 0}, s_start);
+    cr_assert(!model.reportsWorkFactor());
+    cr_assert_eq(model.workFactor(s_start), 1);
+    model.recordStart();
+    model.recordEnd(AttemptOutcome::Success, 3, LoadReport{1, 0, 3}, s_start);
+    cr_assert(model.reportsWorkFactor());
+    cr_assert_float_eq(model.workFactor(s_start), 3, 1e-9);
+    cr_assert_float_eq(model.slowness(s_start), 1, 1e-9);
+    cr_assert(model.workFactor(s_start + 1s) < 1.2);
+    model.recordStart();
+    model.recordEnd(AttemptOutcome::Success, std::nullopt, LoadReport{1, 0, 1e9}, s_start);
+    cr_assert(model.workFactor(s_start) < 20);
+}
+
+// Load pattern: uneven machines. Guards against a request that goes to the slower of two idle upstreams although both report their speed.
+Test(Placement, reportedWorkFactorScalesServiceTime)
+{
+    WorkEstimate work(600ms);
+    UpstreamModel slow(identity("a", "gulf-a", "gulf"));
+    UpstreamModel fast(identity("b", "gulf-a", "gulf"));
+    for (UpstreamModel *model : {&slow, &fast}) {
+        model->recordStart();
+        model->recordEnd(AttemptOutcome::Success, std::nullopt, LoadReport{1, 0, model == &slow ? 1.5 : 0.5}, s_start);
+    }
+    const PlacementResult result = place({&slow, &fast}, query(work, 0, s_start), settings());
+    const auto *placed = std::get_if<Placed>(&result);
+    cr_assert(placed);
+    cr_assert_eq(placed->candidate, 1);
+    cr_assert_float_eq(placed->expectedWork.count(), 0.5 * work.expected(placed->cache).count(), 1e-6);
+}
+
 // Load pattern: keys that are warmed while upstreams work at their normal speed. Guards against warm-up that is mistaken for slowness.
 Test(WorkEstimate, warmUpIsNotSlowness)
 {
