LibSteering: Learn the cost of requests and the remaining work of upstreams

Requests that look alike cost very different amounts of work. RequestCost learns the mean and the spread of a route by cache state, refined by customer, size and key, in a table of fixed size; one sample counts for twice the expected work at most. RemainingWork estimates the time until an upstream has a free slot: this host's requests in flight count by their expected work on condition of the time they have run, and those of other hosts by their number.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -253,6 +253,7 @@
     const std::string_view key = exchange.request.headers.value(m_settings.headers.affinityKey);
     exchange.placement.keyHash = route.hasAffinity && !key.empty() ? stableHash(fmt::format("{}/{}", route.id.value(), key)) : 0;
     exchange.positionHash = exchange.placement.keyHash != 0 ? exchange.placement.keyHash : stableHash(exchange.id);
+    exchange.placement.bytes = exchange.request.body.size();
     exchange.placement.service = m_state.nextService(route);
     m_state.recordArrival(exchange.placement);
     while (true) {
@@ -407,8 +408,8 @@
     CallOptions options = callOptions(exchange, upstream);
     CallTrace trace;
     options.trace = &trace;
-    upstream.model.recordStart();
     const BootTime start = BootClock::now();
+    const RemainingWork::Token token = m_state.recordStart(exchange.placement, upstream, exchange.placed, start);
     AttemptEnd end =
         classifyCall(m_pool.call(identity.address, m_state.connectionLimit(upstream), upstreamRequest(exchange, identity), options, yield), m_settings.headers);
     end.trace = trace;
@@ -417,7 +418,7 @@
     m_state.recordAttempt(exchange.placement,
         upstream,
         exchange.placed,
-        {end.outcome, end.timedOut, now - start - trace.memoryWait, end.load, end.isUpstreamLeaving, end.requestedPause.pause},
+        {end.outcome, end.timedOut, now - start - trace.memoryWait, end.load, end.isUpstreamLeaving, end.requestedPause.pause, token},
         now);
     if (end.isMisdirected) {
         m_state.upstreamMisdirected(upstream);
--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -27,6 +27,25 @@
 /// Removed upstreams whose notices are kept; as many as the catalog keeps reports of.
 constexpr std::size_t s_maximumNotices = 4096;
 
+CostFeatures costFeatures(const RequestPlacement &request)
+{
+    return {request.customer ? stableHash(request.customer->id.value()) : 0, request.keyHash, request.bytes};
+}
+
+/// Queueing delays at the upstreams from the work that they still have to do.
+std::vector<Milliseconds> expectedWaits(const std::vector<std::shared_ptr<Upstream>> &upstreams, const PlacementQuery &query)
+{
+    std::vector<Milliseconds> waits;
+    waits.reserve(upstreams.size());
+    for (const auto &upstream : upstreams) {
+        const UpstreamModel &model = upstream->model;
+        const double speed = model.slowness(query.now) * model.workFactor(query.now);
+        const double others = model.occupancy(query.now, query.meanLoad) - model.inFlight();
+        waits.push_back(upstream->remaining.wait(std::max(1, model.identity().slots.value()), {std::max(others, 0.0), query.slotTime * speed}, query.now));
+    }
+    return waits;
+}
+
 } // namespace
 
 GatewayState::GatewayState(GatewayStateSettings settings)
@@ -313,6 +332,17 @@
         query.customerFactor = serviceState(request.service).customers.priceFactor(request.customer->id.value(), now);
     }
     query.now = now;
+    if (serviceState(request.service).reportsWorkFactor) {
+        const RequestCost &cost = routeState(*request.route).cost;
+        if (m_settings.usesRequestCost) {
+            const CostFeatures features = costFeatures(request);
+            query.expectedWork = {
+                cost.expected(CacheState::Unlikely, features), cost.expected(CacheState::Likely, features), cost.expected(CacheState::Cached, features)};
+        }
+        if (m_settings.usesRemainingWork) {
+            query.waits = expectedWaits(usable, query);
+        }
+    }
     return Trefoil::place(models, query, m_settings.placement);
 }
 
@@ -331,6 +361,16 @@
     return Trefoil::fitsBeforeStop(query);
 }
 
+RemainingWork::Token GatewayState::recordStart(const RequestPlacement &request, Upstream &upstream, const Placed &placed, BootTime now)
+{
+    upstream.model.recordStart();
+    if (!serviceState(request.service).reportsWorkFactor) {
+        return 0;
+    }
+    const RequestCost &cost = routeState(*request.route).cost;
+    return upstream.remaining.recordStart(cost, std::max(placed.expectedWork, Milliseconds(1)), placed.expectedWait, now);
+}
+
 void GatewayState::recordAttempt(const RequestPlacement &request, Upstream &upstream, const Placed &placed, const AttemptObservation &observation, BootTime now)
 {
     const UpstreamIdentity &identity = upstream.model.identity();
@@ -339,6 +379,7 @@
     WorkEstimate &work = routeState(*request.route).work;
     ServiceState &service = serviceState(request.service);
     const Milliseconds timeAtUpstream = std::max(observation.duration - roundTrip, Milliseconds(1));
+    upstream.remaining.recordEnd(observation.token);
     const Milliseconds expectedTime = work.expected(placed.cache);
     const auto slowness = work.slowness(placed.cache, std::max(timeAtUpstream - placed.expectedWait, Milliseconds(1)));
     upstream.model.recordEnd(
@@ -367,6 +408,9 @@
     upstream.backoff.recordAccepted(now);
     if (placed.expectedWait.count() <= 0) {
         work.record(placed.cache, timeAtUpstream);
+        if (service.reportsWorkFactor) {
+            routeState(*request.route).cost.record(placed.cache, costFeatures(request), timeAtUpstream / upstream.model.workFactor(now));
+        }
         service.demand.recordSlotTime(request.route->priority, timeAtUpstream);
     }
     if (request.keyHash != 0) {
@@ -487,6 +531,7 @@
     double &load = service.load[upstream.region];
     const double perSlot = std::min(others / std::max(1, upstream.slots.value()), s_maximumLoadPerUpstream);
     load += s_loadWeight * (perSlot - load);
+    service.reportsWorkFactor = service.reportsWorkFactor || report.workFactor.has_value();
 }
 
 } // namespace Trefoil
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -7,6 +7,8 @@
 #include <LibSteering/coldpacer.h>
 #include <LibSteering/customershares.h>
 #include <LibSteering/placement.h>
+#include <LibSteering/remainingwork.h>
+#include <LibSteering/requestcost.h>
 #include <LibSteering/retryallowance.h>
 #include <LibSteering/servicetimeestimate.h>
 #include <LibSteering/slotdemand.h>
@@ -33,6 +35,9 @@
     double coldSlack = 0;
     /// As in SpillShareSettings.
     double maximumShift = 0.15;
+    /// Whether placement uses the learned cost of requests and the remaining work of upstreams, for services whose upstreams report a work time.
+    bool usesRequestCost = true;
+    bool usesRemainingWork = true;
 };
 
 /// One upstream, with the pacer for the time in which it is cold and the limit on connections to it.
@@ -44,6 +49,8 @@
     }
 
     UpstreamModel model;
+    /// Requests in flight, where the service reports a work time.
+    RemainingWork remaining;
     ColdPacer pacer;
     /// The pause that the upstream asked for in its responses.
     UpstreamBackoff backoff;
@@ -58,10 +65,13 @@
 {
     explicit RouteState(Milliseconds targetLatency)
         : work(targetLatency)
+        , cost(targetLatency)
     {
     }
 
     WorkEstimate work;
+    /// Learned only for services whose upstreams report a work time.
+    RequestCost cost;
     /// Time of attempts, with their queueing delay.
     ServiceTimeEstimate attemptTime;
     std::unique_ptr<TrafficSplit> split;
@@ -84,6 +94,8 @@
     std::optional<SpillShare> spill;
     /// Moving average, for each region, of the running and waiting requests per slot that its upstreams report.
     std::map<RegionId, double> load;
+    /// Whether an upstream reported the time that work takes on its machine.
+    bool reportsWorkFactor = false;
 };
 
 /// The part of a request that its placement depends on.
@@ -97,6 +109,8 @@
     BootTime deadline{};
     /// Whose request it is; null for an anonymous caller.
     const Customer *customer = nullptr;
+    /// Size of the request's body.
+    std::uint64_t bytes = 0;
 };
 
 /// Result of one attempt, as it concerns the upstream.
@@ -111,6 +125,8 @@
     bool isUpstreamLeaving = false;
     /// The pause that the response asks for.
     std::optional<std::chrono::milliseconds> pause{};
+    /// From GatewayState::recordStart(); 0 without.
+    RemainingWork::Token token = 0;
 };
 
 /// Whether upstreams of the region may serve the route. Precondition: none. Thread safety: safe from any thread.
@@ -174,6 +190,10 @@
     /// upstream.
     bool fitsBeforeStop(const RequestPlacement &request, const Upstream &upstream, const Placed &placed, BootTime hostEnd, BootTime now);
 
+    /// Records an attempt that is about to be sent. Precondition: recordAttempt() follows once, with the result as the observation's token; placed is
+    /// the placement of the request at the upstream.
+    RemainingWork::Token recordStart(const RequestPlacement &request, Upstream &upstream, const Placed &placed, BootTime now);
+
     /// Records the end of an attempt: updates the upstream's health, load and keys, and the expected times of the route and the
     /// service. Precondition: placed is the placement of the request at the upstream.
     void recordAttempt(const RequestPlacement &request, Upstream &upstream, const Placed &placed, const AttemptObservation &observation, BootTime now);
--- a/Libraries/LibSteering/placement.cpp
+++ b/Libraries/LibSteering/placement.cpp
@@ -65,11 +65,16 @@
     return ranks;
 }
 
+Milliseconds expectedWork(CacheState state, const PlacementQuery &query)
+{
+    return query.expectedWork ? (*query.expectedWork)[indexOf(state)] : query.work->expected(state);
+}
+
 /// Value that other requests lose while this one holds a slot, in fractions of the value of this request's response.
 double slotCost(Milliseconds work, const PlacementQuery &query, const PlacementSettings &settings)
 {
     const double priceFraction = std::clamp((query.meanLoad - s_minimumPricedLoad) / (s_fullPriceLoad - s_minimumPricedLoad), 0.0, 1.0);
-    return priceFraction * settings.slotPrice * query.displacedValue * query.customerFactor * (work / query.work->expected(CacheState::Cached));
+    return priceFraction * settings.slotPrice * query.displacedValue * query.customerFactor * (work / expectedWork(CacheState::Cached, query));
 }
 
 /// Queueing delay at an upstream with that many running and queued requests.
@@ -158,11 +163,11 @@
         const Milliseconds roundTrip = isSameRegion ? settings.zoneRoundTrip : settings.regionRoundTrip;
         const double distanceCost = isSameZone ? 0 : isSameRegion ? settings.zoneCost : settings.regionCost;
         const double occupancy = upstream.occupancy(query.now, query.meanLoad);
-        const Milliseconds wait = waitAt(upstream, occupancy, query);
-        const Milliseconds work = query.work->expected(cache) * upstream.slowness(query.now) * upstream.workFactor(query.now);
+        const Milliseconds wait = query.waits.empty() ? waitAt(upstream, occupancy, query) : query.waits[i];
+        const Milliseconds work = expectedWork(cache, query) * upstream.slowness(query.now) * upstream.workFactor(query.now);
         // A request that warms one of the key's home upstreams is charged as if the key were cached, because the next requests for the key gain from
         // it.
-        const Milliseconds pricedWork = ranks[i] < s_homeRanks ? query.work->expected(CacheState::Cached) : work;
+        const Milliseconds pricedWork = ranks[i] < s_homeRanks ? expectedWork(CacheState::Cached, query) : work;
         minimumWait = std::min(minimumWait, wait);
         const bool isFull = occupancy >= s_maximumOccupancyPerSlot * identity.slots.value();
         if (isFull || wait > query.targetLatency * s_maximumWaitRatio) {
--- a/Libraries/LibSteering/placement.h
+++ b/Libraries/LibSteering/placement.h
@@ -3,6 +3,7 @@
 #include <LibSteering/upstreammodel.h>
 
 #include <array>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -70,6 +71,10 @@
     /// Time until the deadline of the caller or of the operator's configuration, whichever is earlier.
     Milliseconds timeLeft{0};
     const WorkEstimate *work = nullptr;
+    /// Expected service time on a machine of usual speed, by cache state, in place of that of the work estimate; nothing where it is not learned.
+    std::optional<std::array<Milliseconds, 3>> expectedWork{};
+    /// Queueing delay at each candidate; empty where it follows from the occupancy.
+    std::vector<Milliseconds> waits{};
     /// Mean time for which a request of the service holds a slot.
     Milliseconds slotTime{0};
     /// SlotDemand::displacedValue() for the request's rank.
--- a/Libraries/LibSteering/upstreammodel.cpp
+++ b/Libraries/LibSteering/upstreammodel.cpp
@@ -19,8 +19,8 @@
 constexpr Seconds s_failureHalfLife{4.0};
 /// Half-life of the slowness; a slow phase lasts for seconds.
 constexpr Seconds s_slownessHalfLife{4.0};
-/// Half-life of a reported work factor.
-constexpr Seconds s_workFactorHalfLife{0.25};
+/// Half-life of the mean of the reported work factors.
+constexpr Seconds s_workFactorHalfLife{4.0};
 /// Bounds of a reported work factor, so that one absurd report cannot attract or exclude all requests.
 constexpr double s_minimumWorkFactor = 0.1;
 constexpr double s_maximumWorkFactor = 12;
@@ -29,6 +29,8 @@
 constexpr double s_unreachableWeight = 0.6;
 constexpr double s_slownessWeight = 0.25;
 constexpr double s_reportWeight = 0.6;
+/// Low, so that the mean covers several speeds of the machine: in the replay, following the last report lost up to 0.06 of the worth in overload.
+constexpr double s_workFactorWeight = 0.1;
 /// Bounds of one sample of slowness, so that a single outlier cannot exclude an upstream.
 constexpr double s_minimumSlowness = 0.3;
 constexpr double s_maximumSlowness = 12;
@@ -62,7 +64,8 @@
         m_otherRequestsAt = now;
     }
     if (report && report->workFactor) {
-        m_workFactor = std::clamp(*report->workFactor, s_minimumWorkFactor, s_maximumWorkFactor);
+        const double mean = workFactor(now);
+        m_workFactor = mean + s_workFactorWeight * (std::clamp(*report->workFactor, s_minimumWorkFactor, s_maximumWorkFactor) - mean);
         m_workFactorAt = now;
         if (slownessOfRequest) {
             // Slowness is what the reported speed does not explain; placement multiplies the two.
--- a/Libraries/LibSteering/upstreammodel.h
+++ b/Libraries/LibSteering/upstreammodel.h
@@ -96,8 +96,9 @@
     /// Ratio of its service time to the expected one; 1 is normal.
     double slowness(BootTime now) const;
 
-    /// Ratio of the time that work takes on the upstream's machine to the usual time, from its last report. It decays to 1 within a second, because
-    /// the speed of a machine changes many times a second. 1 where the upstream does not report it. Precondition: none.
+    /// Ratio of the time that work takes on the upstream's machine to the usual time: the mean of the recent reports, which decays to 1. The speed of a
+    /// machine changes several times during one request, so that the last report alone says little about it. 1 where the upstream does not report it.
+    /// Precondition: none.
     double workFactor(BootTime now) const;
 
     /// Whether a report of the upstream had a work factor. Precondition: none.
--- a/Tests/LibSteering/testplacement.cpp
+++ b/Tests/LibSteering/testplacement.cpp
@@ -700,24 +700,26 @@
     cr_assert(model.failureRate(s_start + 20s) < 0.05);
 }
 
-// Load pattern: machines whose speed changes many times a second. Guards against a reported speed that counts for longer than it holds, that counts
-// twice because the measured slowness holds it, too, and that is assumed where none was reported.
-Test(UpstreamModel, reportedWorkFactorAgesQuickly)
+// Load pattern: machines whose speed changes many times a second. Guards against one report that decides alone, against a speed that counts twice
+// because the measured slowness holds it, too, and against one that is assumed where none was reported.
+Test(UpstreamModel, reportedWorkFactorIsAveraged)
 {
     UpstreamModel model(identity("u", "gulf-a", "gulf"));
-    model.recordStart();
-    model.recordEnd(AttemptOutcome::Success, std::nullopt, LoadReport{1, 0}, s_start);
-    cr_assert(!model.reportsWorkFactor());
+    const auto end = [&model](std::optional<double> slowness, std::optional<double> factor) {
+        model.recordStart();
+        model.recordEnd(AttemptOutcome::Success, slowness, LoadReport{1, 0, factor}, s_start);
+    };
+    end(std::nullopt, std::nullopt);
     cr_assert_eq(model.workFactor(s_start), 1);
-    model.recordStart();
-    model.recordEnd(AttemptOutcome::Success, 3, LoadReport{1, 0, 3}, s_start);
-    cr_assert(model.reportsWorkFactor());
-    cr_assert_float_eq(model.workFactor(s_start), 3, 1e-9);
+    end(std::nullopt, 1e9);
+    cr_assert(model.workFactor(s_start) < 3);
+    for (int i = 0; i < 100; ++i) {
+        end(std::nullopt, i % 2 == 0 ? 1 : 5);
+    }
+    cr_assert_float_eq(model.workFactor(s_start), 3, 0.3);
+    end(model.workFactor(s_start), model.workFactor(s_start));
     cr_assert_float_eq(model.slowness(s_start), 1, 1e-9);
-    cr_assert(model.workFactor(s_start + 1s) < 1.2);
-    model.recordStart();
-    model.recordEnd(AttemptOutcome::Success, std::nullopt, LoadReport{1, 0, 1e9}, s_start);
-    cr_assert(model.workFactor(s_start) < 20);
+    cr_assert(model.workFactor(s_start + 20s) < 1.1);
 }
 
 // Load pattern: uneven machines. Guards against a request that goes to the slower of two idle upstreams although both report their speed.
@@ -726,9 +728,11 @@
     WorkEstimate work(600ms);
     UpstreamModel slow(identity("a", "gulf-a", "gulf"));
     UpstreamModel fast(identity("b", "gulf-a", "gulf"));
-    for (UpstreamModel *model : {&slow, &fast}) {
-        model->recordStart();
-        model->recordEnd(AttemptOutcome::Success, std::nullopt, LoadReport{1, 0, model == &slow ? 1.5 : 0.5}, s_start);
+    for (int i = 0; i < 200; ++i) {
+        for (UpstreamModel *model : {&slow, &fast}) {
+            model->recordStart();
+            model->recordEnd(AttemptOutcome::Success, std::nullopt, LoadReport{1, 0, model == &slow ? 1.5 : 0.5}, s_start);
+        }
     }
     const PlacementResult result = place({&slow, &fast}, query(work, 0, s_start), settings());
     const auto *placed = std::get_if<Placed>(&result);
