--- a/Tests/Bench/Replay/replay.cpp
+++ b/Tests/Bench/Replay/replay.cpp
@@ -36,6 +36,9 @@
 constexpr Milliseconds s_faultUntil{20000};
 constexpr Milliseconds s_burstFrom{12000};
 constexpr Milliseconds s_burstUntil{16000};
+constexpr double s_longWork = 7;
+/// Time for which a machine keeps its speed.
+constexpr Milliseconds s_speedInterval{100};
 constexpr double s_lateWorth = 0.2;
 /// Enough to break ties between upstreams.
 constexpr double s_spreadingRankCost = 0.02;
@@ -45,6 +48,24 @@
 /// Time until room, as told when upstreams shed.
 constexpr Milliseconds s_shedRetryAfter{20};
 
+/// Share between 0 and 1 that is the same for all policies.
+double shareOf(std::uint64_t seed, std::string_view what, std::uint64_t number)
+{
+    return unitInterval(stableHash(fmt::format("{}/{}/{}", seed, what, number)));
+}
+
+bool isOwn(Policy policy)
+{
+    static const std::set<Policy> own = {Policy::Own,
+        Policy::OwnWithoutPrice,
+        Policy::OwnSpreading,
+        Policy::OwnWithoutCost,
+        Policy::OwnWithoutRemainingWork,
+        Policy::OwnWithFactorsOnly,
+        Policy::OwnWithThreeFigures};
+    return own.count(policy) > 0;
+}
+
 struct Request
 {
     std::size_t requestClass = 0;
@@ -81,6 +102,7 @@
     World(const Pattern &pattern, Policy policy, std::uint64_t seed)
         : m_pattern(pattern)
         , m_policy(policy)
+        , m_seed(seed)
         , m_random(seed)
         , m_upstreams(s_upstreams)
     {
@@ -136,6 +158,8 @@
         if (m_policy == Policy::OwnWithoutPrice || m_policy == Policy::OwnSpreading) {
             settings.placement.slotPrice = 0;
         }
+        settings.usesRequestCost = m_policy != Policy::OwnWithoutCost && m_policy != Policy::OwnWithFactorsOnly;
+        settings.usesRemainingWork = m_policy != Policy::OwnWithoutRemainingWork && m_policy != Policy::OwnWithFactorsOnly;
         auto state = std::make_unique<GatewayState>(settings);
         for (int i = 0; i < s_upstreams; ++i) {
             UpstreamRegistration registration;
@@ -223,7 +247,7 @@
         if (usable.empty()) {
             return NoUpstream{};
         }
-        if (m_policy == Policy::Own || m_policy == Policy::OwnWithoutPrice || m_policy == Policy::OwnSpreading) {
+        if (isOwn(m_policy)) {
             return host.place(asked, usable, bootTime(m_now));
         }
         const auto loadOf = [&](std::size_t i) { return usable[i]->model.occupancy(bootTime(m_now), 0); };
@@ -245,10 +269,10 @@
     void send(Request request, const std::shared_ptr<Upstream> &upstream, const Placed &placed, const RequestPlacement &asked)
     {
         request.tried.insert(upstream->model.identity().id);
-        upstream->model.recordStart();
         const Milliseconds sentAt = m_now;
-        auto end = [this, request, upstream, placed, asked, sentAt](AttemptOutcome outcome, const LoadReport &report) mutable {
-            m_hosts[request.host]->recordAttempt(asked, *upstream, placed, {outcome, false, m_now - sentAt, report}, bootTime(m_now));
+        const auto token = m_hosts[request.host]->recordStart(asked, *upstream, placed, bootTime(m_now));
+        auto end = [this, request, upstream, placed, asked, sentAt, token](AttemptOutcome outcome, const LoadReport &report) mutable {
+            m_hosts[request.host]->recordAttempt(asked, *upstream, placed, {outcome, false, m_now - sentAt, report, false, {}, token}, bootTime(m_now));
             if (outcome == AttemptOutcome::Success) {
                 served(request);
             } else if (request.tried.size() < s_mostAttempts) {
@@ -258,10 +282,61 @@
             }
         };
         const auto index = static_cast<std::size_t>(std::stoul(upstream->model.identity().id.value().substr(1)));
-        const Milliseconds cold = m_pattern.classes[request.requestClass].work * uniform(1 - s_workSpread, 1 + s_workSpread);
+        const Milliseconds cold = m_pattern.classes[request.requestClass].work * uniform(1 - s_workSpread, 1 + s_workSpread) * costFactor(request);
         at(m_now + s_networkTime, [this, index, cold, key = request.keyHash, end]() mutable { receive(index, key, cold, std::move(end)); });
     }
 
+    /// Work of the request relative to that of its class.
+    double costFactor(const Request &request) const
+    {
+        const double logRange = std::log(m_pattern.keyRange);
+        const double ofKey = std::exp(logRange * (shareOf(m_seed, "key", request.keyHash) - 0.5));
+        const auto born = static_cast<std::uint64_t>(request.bornAt.count() * 1000);
+        const bool isLong = m_pattern.longShare > 0 && shareOf(m_seed, "long", born) < m_pattern.longShare;
+        return ofKey * (isLong ? s_longWork : 1);
+    }
+
+    /// Time that work takes on the machine at a time, relative to the usual one.
+    double workFactor(std::size_t index, Milliseconds at) const
+    {
+        const auto interval = static_cast<std::uint64_t>(at / s_speedInterval);
+        const double ofMachine = shareOf(m_seed, "machine", index) - 0.5;
+        const double ofInterval = m_pattern.speedRange > 1 ? shareOf(m_seed, "speed", interval * s_upstreams + index) - 0.5 : 0;
+        return std::exp(std::log(m_pattern.machineRange) * ofMachine + std::log(m_pattern.speedRange) * ofInterval);
+    }
+
+    /// Time that work takes which begins now.
+    Milliseconds timeOf(std::size_t index, Milliseconds work) const
+    {
+        if (!reportsFactors()) {
+            return work;
+        }
+        Milliseconds at = m_now;
+        while (true) {
+            const Milliseconds intervalEnd = s_speedInterval * (std::floor(at / s_speedInterval) + 1);
+            const double factor = workFactor(index, at);
+            if (at + work * factor <= intervalEnd) {
+                return at + work * factor - m_now;
+            }
+            work -= (intervalEnd - at) / factor;
+            at = intervalEnd + Milliseconds(1e-6);
+        }
+    }
+
+    bool reportsFactors() const
+    {
+        return m_pattern.machineRange > 1 || m_pattern.speedRange > 1;
+    }
+
+    LoadReport report(std::size_t index) const
+    {
+        LoadReport result = m_upstreams[index].report();
+        if (reportsFactors() && m_policy != Policy::OwnWithThreeFigures) {
+            result.workFactor = workFactor(index, m_now);
+        }
+        return result;
+    }
+
     bool isFaulty(std::size_t index) const
     {
         return index == 0 && m_now >= s_faultFrom && m_now < s_faultUntil;
@@ -273,12 +348,11 @@
         EmulatedUpstream &upstream = m_upstreams[index];
         const bool sheds = isFaulty(index) && uniform(0, 1) < m_pattern.sheds;
         if (sheds || (upstream.running >= s_slots && upstream.waiting.size() >= s_queue)) {
-            at(m_now + s_networkTime, [end, report = upstream.report()]() mutable { end(AttemptOutcome::Shed, report); });
+            at(m_now + s_networkTime, [end, report = report(index)]() mutable { end(AttemptOutcome::Shed, report); });
             return;
         }
         upstream.waiting.push_back({key, cold, [this, index, end](Milliseconds now) mutable {
-                                        const LoadReport report = m_upstreams[index].report();
-                                        at(now + s_networkTime, [end, report]() mutable { end(AttemptOutcome::Success, report); });
+                                        at(now + s_networkTime, [end, report = report(index)]() mutable { end(AttemptOutcome::Success, report); });
                                     }});
         startWork(index);
     }
@@ -296,7 +370,7 @@
                 time *= 1 - s_warmGain;
                 upstream.remembered.erase(known);
             }
-            at(m_now + time, [this, index, work = std::move(work)]() mutable {
+            at(m_now + timeOf(index, time), [this, index, work = std::move(work)]() mutable {
                 EmulatedUpstream &working = m_upstreams[index];
                 // What was worked on last is remembered; the rest goes in the order of its last use.
                 working.remembered.remove(work.key);
@@ -322,6 +396,8 @@
         ++(isInTime ? m_inTime : m_late);
         m_worth[request.requestClass] += requestClass.worth * (isInTime ? 1 : s_lateWorth);
         m_times.push_back(time);
+        m_timesByKind[request.requestClass].push_back(time);
+        m_inTimeByKind[request.requestClass] += isInTime ? 1 : 0;
     }
 
     void reject(Request request, Milliseconds untilRoom)
@@ -345,16 +421,30 @@
             requests += m_born[i];
         }
         std::sort(m_times.begin(), m_times.end());
+        std::array<KindScore, 2> kinds;
+        for (std::size_t i = 0; i < kinds.size(); ++i) {
+            std::vector<Milliseconds> &times = m_timesByKind[i];
+            std::sort(times.begin(), times.end());
+            kinds[i] = {m_inTimeByKind[i] / m_born[i], percentile(times, 0.5), percentile(times, 0.95), percentile(times, 0.99)};
+        }
         return {worth / possible,
             m_worth[0] / (m_born[0] * m_pattern.classes[0].worth),
             m_inTime / requests,
             m_late / requests,
             m_rejected / requests,
-            m_times.empty() ? Milliseconds(0) : m_times[m_times.size() / 2]};
+            m_times.empty() ? Milliseconds(0) : m_times[m_times.size() / 2],
+            kinds};
+    }
+
+    /// Precondition: times are sorted.
+    static Milliseconds percentile(const std::vector<Milliseconds> &times, double part)
+    {
+        return times.empty() ? Milliseconds(0) : times[static_cast<std::size_t>(part * static_cast<double>(times.size() - 1))];
     }
 
     const Pattern &m_pattern;
     Policy m_policy;
+    std::uint64_t m_seed;
     pcg32 m_random;
     std::vector<Route> m_routes;
     std::vector<std::unique_ptr<GatewayState>> m_hosts;
@@ -369,6 +459,8 @@
     double m_late = 0;
     double m_rejected = 0;
     std::vector<Milliseconds> m_times;
+    std::array<std::vector<Milliseconds>, 2> m_timesByKind;
+    std::array<double, 2> m_inTimeByKind{};
 };
 
 } // namespace
@@ -380,6 +472,13 @@
     return all;
 }
 
+const std::vector<Policy> &costPolicies()
+{
+    static const std::vector<Policy> all = {
+        Policy::OwnWithThreeFigures, Policy::OwnWithFactorsOnly, Policy::OwnWithoutRemainingWork, Policy::OwnWithoutCost, Policy::Own};
+    return all;
+}
+
 std::string_view toText(Policy policy)
 {
     switch (policy) {
@@ -389,6 +488,14 @@
         return "own, no price";
     case Policy::OwnSpreading:
         return "own, spreading";
+    case Policy::OwnWithoutCost:
+        return "own, without cost";
+    case Policy::OwnWithoutRemainingWork:
+        return "own, without remaining work";
+    case Policy::OwnWithFactorsOnly:
+        return "own, work factors only";
+    case Policy::OwnWithThreeFigures:
+        return "own, three figures";
     case Policy::RoundRobin:
         return "round robin";
     case Policy::LeastLoaded:
@@ -423,6 +530,24 @@
     return all;
 }
 
+const std::vector<Pattern> &costPatterns()
+{
+    // Lengths of work of the users' service with long tails.
+    static const std::vector<RequestClass> longTails = {
+        {"urgent", 0, 0.3, Milliseconds(340), Milliseconds(400), Milliseconds(3000), 3},
+        {"ordinary", 2, 0.7, Milliseconds(650), Milliseconds(600), Milliseconds(4000), 1},
+    };
+    static const std::vector<Pattern> all = {
+        {"uneven cost, load 0.7", 0.7, 1, 1, 0, longTails, 0.03, 1, 2, 3},
+        {"uneven cost, load 1.2", 1.2, 1, 1, 0, longTails, 0.03, 1, 2, 3},
+        {"uneven cost, load 1.8", 1.8, 1, 1, 0, longTails, 0.03, 1, 2, 3},
+        {"uneven cost and keys, load 0.7", 0.7, 1, 1, 0, longTails, 0.03, 6, 2, 3},
+        {"uneven cost and keys, load 1.2", 1.2, 1, 1, 0, longTails, 0.03, 6, 2, 3},
+        {"uneven cost and keys, load 1.8", 1.8, 1, 1, 0, longTails, 0.03, 6, 2, 3},
+    };
+    return all;
+}
+
 Score play(const Pattern &pattern, Policy policy, std::uint64_t seed)
 {
     return World(pattern, policy, seed).run();
--- a/Tests/Bench/Replay/replay.h
+++ b/Tests/Bench/Replay/replay.h
@@ -2,6 +2,7 @@
 
 #include <LibGateway/gatewaystate.h>
 
+#include <array>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,13 @@
     OwnWithoutPrice,
     /// The same without a price of slots and nearly without a cost of leaving a key's first upstreams.
     OwnSpreading,
+    /// The gateway's own decisions with work factors, but without the learned cost of requests, without the remaining work of upstreams, and without
+    /// both.
+    OwnWithoutCost,
+    OwnWithoutRemainingWork,
+    OwnWithFactorsOnly,
+    /// The same for upstreams that report three figures.
+    OwnWithThreeFigures,
     RoundRobin,
     /// The upstream with the fewest requests by the last reports and the host's own.
     LeastLoaded,
@@ -28,6 +36,8 @@
 };
 
 const std::vector<Policy> &allPolicies();
+/// Policies that differ in what they learn of the cost of requests.
+const std::vector<Policy> &costPolicies();
 std::string_view toText(Policy policy);
 
 /// One kind of requests of the service.
@@ -65,9 +75,30 @@
     double sheds = 0;
     /// Two classes, the most urgent one first.
     std::vector<RequestClass> classes = usualClasses;
+    /// Share of requests with seven times the usual work.
+    double longShare = 0;
+    /// Factor between the work of the cheapest key and that of the dearest one.
+    double keyRange = 1;
+    /// Factor between the fastest and the slowest machine, and between the extremes of the speed of one machine. Upstreams report four figures where
+    /// one of them is not 1.
+    double machineRange = 1;
+    double speedRange = 1;
 };
 
 const std::vector<Pattern> &allPatterns();
+/// Patterns with uneven cost and uneven machines.
+const std::vector<Pattern> &costPatterns();
+
+/// How the requests of one kind were served.
+struct KindScore
+{
+    /// Part of the requests that were served within the target.
+    double inTime = 0;
+    /// Percentiles of the time of the requests that were served.
+    Milliseconds p50{0};
+    Milliseconds p95{0};
+    Milliseconds p99{0};
+};
 
 struct Score
 {
@@ -80,6 +111,7 @@
     double rejected = 0;
     /// Median time of the requests that were served.
     Milliseconds median{0};
+    std::array<KindScore, 2> kinds{};
 };
 
 /// Plays 40 s. Precondition: none.
