--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -124,6 +124,8 @@
     std::string reason{};
     /// Mean load per slot of the candidates of the latest placement.
     double load = 0;
+    /// Of the latest placement.
+    GatewayState::CostNotes cost{};
 
     /// Empty for an anonymous caller.
     std::string customerName() const
@@ -283,6 +285,7 @@
         }
         const auto &upstream = usable[placed->candidate];
         exchange.placed = *placed;
+        exchange.cost = m_state.costNotes(exchange.placement, *upstream, now);
         if (!fitsBeforeStop(exchange, *upstream, now)) {
             return exchange.mayHaveRun ? failIncomplete(exchange) : reject(exchange, s_hostStopping, s_elsewhereRetryAfter);
         }
@@ -469,6 +472,8 @@
             {"memoryWaitMs", wholeMilliseconds(end.trace.memoryWait)},
             {"expectedWorkMs", wholeMilliseconds(exchange.placed.expectedWork)},
             {"expectedWaitMs", wholeMilliseconds(exchange.placed.expectedWait)},
+            {"costSpread", exchange.cost.spread},
+            {"remainingWorkMs", wholeMilliseconds(exchange.cost.remainingWork)},
             {"cache", std::int64_t{static_cast<int>(exchange.placed.cache)}},
             {"load", exchange.load},
             {"failureRate", upstream.model.failureRate(now)}});
--- a/Libraries/LibGateway/gatewaymetrics.cpp
+++ b/Libraries/LibGateway/gatewaymetrics.cpp
@@ -15,6 +15,41 @@
     return since == BootTime{} ? -1 : std::chrono::duration<double>(now - since).count();
 }
 
+constexpr std::array<std::pair<CacheState, std::string_view>, 3> s_cacheNames = {
+    {{CacheState::Unlikely, "unlikely"}, {CacheState::Likely, "likely"}, {CacheState::Cached, "cached"}}};
+
+/// Learned cost of requests and remaining work, where upstreams report the time that work takes.
+void writeCost(ScrapeWriter &writer, const GatewayState &state, BootTime now)
+{
+    const auto &routes = state.routeStates();
+    writer.begin("trefoil_request_cost_seconds", "gauge", "Learned work of a request on a machine of usual speed, by route and state of the cache.");
+    for (const auto &[id, route] : routes) {
+        for (const auto &[cache, name] : s_cacheNames) {
+            if (route.cost.hasSamples()) {
+                const double seconds = std::chrono::duration<double>(route.cost.expected(cache, {})).count();
+                writer.sample("", {{"route", id.value()}, {"cache", name}}, seconds);
+            }
+        }
+    }
+    writer.begin("trefoil_request_cost_spread", "gauge", "Mean deviation of the work of requests from the learned one, as a fraction of the latter.");
+    for (const auto &[id, route] : routes) {
+        if (route.cost.hasSamples()) {
+            writer.sample("", {{"route", id.value()}}, route.cost.spread());
+        }
+    }
+    writer.begin("trefoil_remaining_work_seconds", "gauge", "Work that upstreams still have to do for this host's requests in flight, by service.");
+    for (const auto &[id, service] : state.serviceStates()) {
+        if (!service.reportsWorkFactor) {
+            continue;
+        }
+        Milliseconds sum(0);
+        for (const auto &upstream : service.upstreams) {
+            sum += upstream->remaining.ownWork(now);
+        }
+        writer.sample("", {{"service", id.value()}}, sum.count() / 1000);
+    }
+}
+
 } // namespace
 
 GatewayMetrics::GatewayMetrics() = default;
@@ -74,6 +109,7 @@
     writer.sample("", {}, static_cast<double>(state.evacuated().size()));
     writer.begin("trefoil_registered_hosts", "gauge", "Entry hosts that are registered, whether they live or not.");
     writer.sample("", {}, static_cast<double>(state.registeredHostCount()));
+    writeCost(writer, state, now);
 }
 
 void writeMemoryMetrics(ScrapeWriter &writer, const MemoryBudget &memory)
--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -501,6 +501,14 @@
     return position->second;
 }
 
+GatewayState::CostNotes GatewayState::costNotes(const RequestPlacement &request, const Upstream &upstream, BootTime now)
+{
+    if (!serviceState(request.service).reportsWorkFactor) {
+        return {};
+    }
+    return {routeState(*request.route).cost.spread(), upstream.remaining.ownWork(now)};
+}
+
 const ServicePolicy *GatewayState::policyOf(const ServiceId &service) const
 {
     return m_routes ? m_routes->service(service) : nullptr;
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -218,6 +218,25 @@
     RouteState &routeState(const Route &route);
     ServiceState &serviceState(const ServiceId &service);
 
+    /// Learned cost and remaining work of a request that is placed at an upstream, for logs; 0 for services whose upstreams report no work time.
+    struct CostNotes
+    {
+        double spread = 0;
+        Milliseconds remainingWork{0};
+    };
+    /// Precondition: the request has a route.
+    CostNotes costNotes(const RequestPlacement &request, const Upstream &upstream, BootTime now);
+
+    /// Routes and services with their states, for metrics. Precondition: none.
+    const std::unordered_map<RouteId, RouteState> &routeStates() const
+    {
+        return m_routeStates;
+    }
+    const std::unordered_map<ServiceId, ServiceState> &serviceStates() const
+    {
+        return m_serviceStates;
+    }
+
     /// Precondition: none.
     HostDirectory &directory()
     {
--- a/Libraries/LibSteering/remainingwork.cpp
+++ b/Libraries/LibSteering/remainingwork.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
+#include <vector>
 
 namespace Trefoil
 {
@@ -13,20 +13,59 @@
 {
 
 /// Expected rest of a request that began at an unknown time, in parts of its work. Long tails would make it longer, but a rest learned from measured
-/// times contains queueing delays, and lost up to 0.13 of the worth in overload in the replay.
+/// times contains queueing delays, and lost 0.07 of the worth in overload in the replay.
 constexpr double s_residualRatio = 0.5;
 
+/// Times until the slots of an upstream become free, while requests are added in the order in which it serves them.
+class SlotTimes
+{
+public:
+    explicit SlotTimes(int slots)
+        : m_slots(static_cast<std::size_t>(slots))
+    {
+        m_freeAt.reserve(m_slots);
+    }
+
+    int freeSlots() const
+    {
+        return static_cast<int>(m_slots - m_freeAt.size());
+    }
+
+    void add(double work)
+    {
+        if (m_freeAt.size() < m_slots) {
+            m_freeAt.push_back(work);
+            return;
+        }
+        // Slots are few, so that a search is cheaper than a heap.
+        *std::min_element(m_freeAt.begin(), m_freeAt.end()) += work;
+    }
+
+    /// 0 while a slot is free.
+    double firstFree() const
+    {
+        return freeSlots() > 0 ? 0 : *std::min_element(m_freeAt.begin(), m_freeAt.end());
+    }
+
+private:
+    std::size_t m_slots;
+    std::vector<double> m_freeAt;
+};
+
 } // namespace
 
 RemainingWork::Token RemainingWork::recordStart(const RequestCost &cost, Milliseconds expectedWork, Milliseconds expectedWait, BootTime now)
 {
-    m_inFlight.emplace(++m_lastToken, InFlight{&cost, expectedWork, now + std::chrono::duration_cast<BootClock::duration>(expectedWait)});
+    m_inFlight.push_back({++m_lastToken, &cost, expectedWork, now + std::chrono::duration_cast<BootClock::duration>(expectedWait)});
     return m_lastToken;
 }
 
 void RemainingWork::recordEnd(Token token)
 {
-    m_inFlight.erase(token);
+    const auto found = std::find_if(m_inFlight.begin(), m_inFlight.end(), [token](const InFlight &request) { return request.token == token; });
+    if (found != m_inFlight.end()) {
+        m_inFlight.erase(found);
+    }
 }
 
 RemainingWork::Milliseconds RemainingWork::remaining(const InFlight &request, BootTime now)
@@ -38,7 +77,7 @@
 RemainingWork::Milliseconds RemainingWork::ownWork(BootTime now) const
 {
     Milliseconds sum(0);
-    for (const auto &[token, request] : m_inFlight) {
+    for (const InFlight &request : m_inFlight) {
         sum += remaining(request, now);
     }
     return sum;
@@ -48,53 +87,30 @@
 {
     const double whole = std::floor(others.count);
     const double fraction = others.count - whole;
-    const auto count = static_cast<int>(whole);
-    const Milliseconds low = waitBehind(slots, count, others, now);
-    // The number of other requests decays smoothly between two reports.
-    return low + (waitBehind(slots, count + 1, others, now) - low) * fraction;
-}
-
-RemainingWork::Milliseconds RemainingWork::waitBehind(int slots, int others, const Others &model, BootTime now) const
-{
-    const auto total = static_cast<int>(m_inFlight.size()) + others;
-    if (total < slots) {
+    if (static_cast<double>(m_inFlight.size()) + others.count <= slots - 1) {
         return Milliseconds(0);
     }
-    // Times at which the slots become free, the earliest one in front.
-    std::vector<double> freeAt;
-    freeAt.reserve(static_cast<std::size_t>(slots));
-    std::vector<double> queued;
-    const auto add = [&](double work) {
-        if (static_cast<int>(freeAt.size()) < slots) {
-            freeAt.push_back(work);
-        } else {
-            queued.push_back(work);
+    SlotTimes times(slots);
+    for (const InFlight &request : m_inFlight) {
+        if (request.beginsAt <= now) {
+            times.add(remaining(request, now).count());
         }
-    };
-    std::vector<const InFlight *> ownQueued;
-    for (const auto &[token, request] : m_inFlight) {
-        if (request.beginsAt > now) {
-            ownQueued.push_back(&request);
-            continue;
-        }
-        add(remaining(request, now).count());
     }
-    const int othersRunning = std::min(others, slots - static_cast<int>(freeAt.size()));
-    for (int i = 0; i < others; ++i) {
+    const int othersRunning = std::min(static_cast<int>(whole), times.freeSlots());
+    for (int i = 0; i < static_cast<int>(whole); ++i) {
         // The starts of the running ones are unknown, so that their rests are spread evenly around the mean.
         const double spread = (2.0 * i + 1) / std::max(1, othersRunning);
-        add(model.work.count() * (i < othersRunning ? s_residualRatio * spread : 1));
-    }
-    for (const InFlight *request : ownQueued) {
-        add(remaining(*request, now).count());
+        times.add(others.work.count() * (i < othersRunning ? s_residualRatio * spread : 1));
     }
-    std::make_heap(freeAt.begin(), freeAt.end(), std::greater<>());
-    for (const double work : queued) {
-        std::pop_heap(freeAt.begin(), freeAt.end(), std::greater<>());
-        freeAt.back() += work;
-        std::push_heap(freeAt.begin(), freeAt.end(), std::greater<>());
+    for (const InFlight &request : m_inFlight) {
+        if (request.beginsAt > now) {
+            times.add(remaining(request, now).count());
+        }
     }
-    return Milliseconds(freeAt.front());
+    const double low = times.firstFree();
+    times.add(others.work.count() * (times.freeSlots() > 0 ? s_residualRatio : 1));
+    // The number of other requests decays smoothly between two reports.
+    return Milliseconds(low + (times.firstFree() - low) * fraction);
 }
 
 } // namespace Trefoil
--- a/Libraries/LibSteering/remainingwork.h
+++ b/Libraries/LibSteering/remainingwork.h
@@ -4,7 +4,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <unordered_map>
 #include <vector>
 
 namespace Trefoil
@@ -49,6 +48,7 @@
 private:
     struct InFlight
     {
+        Token token = 0;
         const RequestCost *cost = nullptr;
         Milliseconds expectedWork{0};
         /// Time at which the upstream probably begins.
@@ -56,9 +56,9 @@
     };
 
     static Milliseconds remaining(const InFlight &request, BootTime now);
-    Milliseconds waitBehind(int slots, int others, const Others &model, BootTime now) const;
 
-    std::unordered_map<Token, InFlight> m_inFlight;
+    /// In the order of their starts; a host has few requests at one upstream.
+    std::vector<InFlight> m_inFlight;
     Token m_lastToken = 0;
 };
 
--- a/Libraries/LibSteering/requestcost.cpp
+++ b/Libraries/LibSteering/requestcost.cpp
@@ -98,6 +98,7 @@
 
 void RequestCost::record(CacheState state, const CostFeatures &features, Milliseconds work)
 {
+    m_hasSamples = true;
     const double ratio = work / expected(state, features);
     recordRatio(ratio);
     m_spread += s_spreadWeight * (std::min(std::abs(ratio - 1), s_maximumSampleRatio) - m_spread);
--- a/Libraries/LibSteering/requestcost.h
+++ b/Libraries/LibSteering/requestcost.h
@@ -45,6 +45,12 @@
         return m_spread;
     }
 
+    /// Precondition: none.
+    bool hasSamples() const
+    {
+        return m_hasSamples;
+    }
+
     /// Records the work of one successful attempt, in the time of a machine of usual speed. Precondition: work is not negative.
     void record(CacheState state, const CostFeatures &features, Milliseconds work);
 
@@ -75,6 +81,7 @@
     std::array<Milliseconds, 3> m_base;
     std::vector<Factor> m_factors;
     double m_spread;
+    bool m_hasSamples = false;
     /// Decaying counts of the ratios of actual to expected work.
     std::array<double, s_buckets> m_ratios{};
 };
--- a/Libraries/LibSteering/upstreammodel.cpp
+++ b/Libraries/LibSteering/upstreammodel.cpp
@@ -29,7 +29,7 @@
 constexpr double s_unreachableWeight = 0.6;
 constexpr double s_slownessWeight = 0.25;
 constexpr double s_reportWeight = 0.6;
-/// Low, so that the mean covers several speeds of the machine: in the replay, following the last report lost up to 0.06 of the worth in overload.
+/// Low, so that the mean covers several speeds of the machine: in the replay, following the last report lost up to 0.07 of the worth in overload.
 constexpr double s_workFactorWeight = 0.1;
 /// Bounds of one sample of slowness, so that a single outlier cannot exclude an upstream.
 constexpr double s_minimumSlowness = 0.3;
--- a/Tests/LibGateway/testrequestcostuse.cpp
+++ b/Tests/LibGateway/testrequestcostuse.cpp
@@ -1,3 +1,4 @@
+#include <LibGateway/gatewaymetrics.h>
 #include <LibGateway/gatewaystate.h>
 
 #include <LibSteering/affinityranking.h>
@@ -102,6 +103,24 @@
 
 } // namespace
 
+// Guards against metrics of cost that are missing where upstreams report four figures, and against ones that show assumed values where they do not.
+Test(RequestCostUse, metricsShowLearnedCost)
+{
+    const Route served = route();
+    for (const bool hasFactor : {true, false}) {
+        const auto state = host(true);
+        decisions(*state, served, hasFactor ? std::make_optional(1.0) : std::nullopt, 1);
+        ScrapeWriter writer;
+        GatewayMetrics().writeTo(writer, *state, s_start + 20s);
+        const std::string text = writer.text();
+        for (const char *sample : {"trefoil_request_cost_seconds{route=\"route\"",
+                 "trefoil_request_cost_spread{route=\"route\"",
+                 "trefoil_remaining_work_seconds{service=\"service\""}) {
+            cr_assert_eq(text.find(sample) != std::string::npos, hasFactor, "%s: %s", sample, text.c_str());
+        }
+    }
+}
+
 // Load pattern: deployments whose upstreams report three load figures. Guards against decisions that change there because of the learned cost of
 // requests or the remaining work of upstreams, and shows that the comparison sees a difference where upstreams report four figures.
 Test(RequestCostUse, threeFiguresKeepTheDecisions)
