--- a/Tests/Bench/testreplay.cpp
+++ b/Tests/Bench/testreplay.cpp
@@ -76,3 +76,17 @@
         cr_assert(own.urgent >= unpriced.urgent + 0.1, "seed %lu: %f, without a price %f", static_cast<unsigned long>(seed), own.urgent, unpriced.urgent);
     }
 }
+
+// Load patterns: long tails, keys of different cost and uneven machines, at 0.7 to 1.8 times the slots. Guards against a learned cost and remaining
+// work with which callers are served worse than by hosts that read three load figures only.
+Test(Replay, learnedCostIsNoLoss)
+{
+    constexpr std::uint64_t seeds = 10;
+    for (const Pattern &pattern : costPatterns()) {
+        double gain = 0;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            gain += play(pattern, Policy::Own, seed).total - play(pattern, Policy::OwnWithThreeFigures, seed).total;
+        }
+        cr_assert(gain >= 0, "%s: %f less", pattern.name.c_str(), -gain / seeds);
+    }
+}
