--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -124,6 +124,8 @@
     std::string reason{};
     /// Mean load per slot of the candidates of the latest placement.
     double load = 0;
+    /// Of the latest placement.
+    GatewayState::CostNotes cost{};
 
     /// Empty for an anonymous caller.
     std::string customerName() const
@@ -253,6 +255,7 @@
     const std::string_view key = exchange.request.headers.value(m_settings.headers.affinityKey);
     exchange.placement.keyHash = route.hasAffinity && !key.empty() ? stableHash(fmt::format("{}/{}", route.id.value(), key)) : 0;
     exchange.positionHash = exchange.placement.keyHash != 0 ? exchange.placement.keyHash : stableHash(exchange.id);
+    exchange.placement.bytes = exchange.request.body.size();
     exchange.placement.service = m_state.nextService(route);
     m_state.recordArrival(exchange.placement);
     while (true) {
@@ -282,6 +285,7 @@
         }
         const auto &upstream = usable[placed->candidate];
         exchange.placed = *placed;
+        exchange.cost = m_state.costNotes(exchange.placement, *upstream, now);
         if (!fitsBeforeStop(exchange, *upstream, now)) {
             return exchange.mayHaveRun ? failIncomplete(exchange) : reject(exchange, s_hostStopping, s_elsewhereRetryAfter);
         }
@@ -407,8 +411,8 @@
     CallOptions options = callOptions(exchange, upstream);
     CallTrace trace;
     options.trace = &trace;
-    upstream.model.recordStart();
     const BootTime start = BootClock::now();
+    const RemainingWork::Token token = m_state.recordStart(exchange.placement, upstream, exchange.placed, start);
     AttemptEnd end =
         classifyCall(m_pool.call(identity.address, m_state.connectionLimit(upstream), upstreamRequest(exchange, identity), options, yield), m_settings.headers);
     end.trace = trace;
@@ -417,7 +421,7 @@
     m_state.recordAttempt(exchange.placement,
         upstream,
         exchange.placed,
-        {end.outcome, end.timedOut, now - start - trace.memoryWait, end.load, end.isUpstreamLeaving, end.requestedPause.pause},
+        {end.outcome, end.timedOut, now - start - trace.memoryWait, end.load, end.isUpstreamLeaving, end.requestedPause.pause, token},
         now);
     if (end.isMisdirected) {
         m_state.upstreamMisdirected(upstream);
@@ -471,6 +475,8 @@
             {"memoryWaitMs", wholeMilliseconds(end.trace.memoryWait)},
             {"expectedWorkMs", wholeMilliseconds(exchange.placed.expectedWork)},
             {"expectedWaitMs", wholeMilliseconds(exchange.placed.expectedWait)},
+            {"costSpread", exchange.cost.spread},
+            {"remainingWorkMs", wholeMilliseconds(exchange.cost.remainingWork)},
             {"cache", std::int64_t{static_cast<int>(exchange.placed.cache)}},
             {"load", exchange.load},
             {"failureRate", upstream.model.failureRate(now)}});
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -7,6 +7,8 @@
 #include <LibSteering/coldpacer.h>
 #include <LibSteering/customershares.h>
 #include <LibSteering/placement.h>
+#include <LibSteering/remainingwork.h>
+#include <LibSteering/requestcost.h>
 #include <LibSteering/retryallowance.h>
 #include <LibSteering/servicetimeestimate.h>
 #include <LibSteering/slotdemand.h>
@@ -35,6 +37,9 @@
     double maximumShift = 0.15;
     /// As in HostDirectorySettings.
     bool choosesHostsByCapacity = false;
+    /// Whether placement uses the learned cost of requests and the remaining work of upstreams, for services whose upstreams report a work time.
+    bool usesRequestCost = true;
+    bool usesRemainingWork = true;
 };
 
 /// One upstream, with the pacer for the time in which it is cold and the limit on connections to it.
@@ -46,6 +51,8 @@
     }
 
     UpstreamModel model;
+    /// Requests in flight, where the service reports a work time.
+    RemainingWork remaining;
     ColdPacer pacer;
     /// The pause that the upstream asked for in its responses.
     UpstreamBackoff backoff;
@@ -60,10 +67,13 @@
 {
     explicit RouteState(Milliseconds targetLatency)
         : work(targetLatency)
+        , cost(targetLatency)
     {
     }
 
     WorkEstimate work;
+    /// Learned only for services whose upstreams report a work time.
+    RequestCost cost;
     /// Time of attempts, with their queueing delay.
     ServiceTimeEstimate attemptTime;
     std::unique_ptr<TrafficSplit> split;
@@ -86,6 +96,8 @@
     std::optional<SpillShare> spill;
     /// Moving average, for each region, of the running and waiting requests per slot that its upstreams report.
     std::map<RegionId, double> load;
+    /// Whether an upstream reported the time that work takes on its machine.
+    bool reportsWorkFactor = false;
 };
 
 /// The part of a request that its placement depends on.
@@ -99,6 +111,8 @@
     BootTime deadline{};
     /// Whose request it is; null for an anonymous caller.
     const Customer *customer = nullptr;
+    /// Size of the request's body.
+    std::uint64_t bytes = 0;
 };
 
 /// Result of one attempt, as it concerns the upstream.
@@ -113,6 +127,8 @@
     bool isUpstreamLeaving = false;
     /// The pause that the response asks for.
     std::optional<std::chrono::milliseconds> pause{};
+    /// From GatewayState::recordStart(); 0 without.
+    RemainingWork::Token token = 0;
 };
 
 /// Whether upstreams of the region may serve the route. Precondition: none. Thread safety: safe from any thread.
@@ -176,6 +192,10 @@
     /// upstream.
     bool fitsBeforeStop(const RequestPlacement &request, const Upstream &upstream, const Placed &placed, BootTime hostEnd, BootTime now);
 
+    /// Records an attempt that is about to be sent. Precondition: recordAttempt() follows once, with the result as the observation's token; placed is
+    /// the placement of the request at the upstream.
+    RemainingWork::Token recordStart(const RequestPlacement &request, Upstream &upstream, const Placed &placed, BootTime now);
+
     /// Records the end of an attempt: updates the upstream's health, load and keys, and the expected times of the route and the
     /// service. Precondition: placed is the placement of the request at the upstream.
     void recordAttempt(const RequestPlacement &request, Upstream &upstream, const Placed &placed, const AttemptObservation &observation, BootTime now);
@@ -200,6 +220,25 @@
     RouteState &routeState(const Route &route);
     ServiceState &serviceState(const ServiceId &service);
 
+    /// Learned cost and remaining work of a request that is placed at an upstream, for logs; 0 for services whose upstreams report no work time.
+    struct CostNotes
+    {
+        double spread = 0;
+        Milliseconds remainingWork{0};
+    };
+    /// Precondition: the request has a route.
+    CostNotes costNotes(const RequestPlacement &request, const Upstream &upstream, BootTime now);
+
+    /// Routes and services with their states, for metrics. Precondition: none.
+    const std::unordered_map<RouteId, RouteState> &routeStates() const
+    {
+        return m_routeStates;
+    }
+    const std::unordered_map<ServiceId, ServiceState> &serviceStates() const
+    {
+        return m_serviceStates;
+    }
+
     /// Precondition: none.
     HostDirectory &directory()
     {
