LibHttp: Refuse responses whose status is none

An upstream sent status 000, which counted as an interim response, so that what followed on the connection was taken for the response; 600 and 999 were passed on. The reader of responses now fails with bad_status for a status outside 100 to 599, and for 101, which no request asks for: the call ends at once as malformed (502, or a further attempt where that is allowed), and its connection closes. The store's client uses the same reader.

--- a/Libraries/LibHttp/responsereader.cpp
+++ b/Libraries/LibHttp/responsereader.cpp
@@ -16,6 +16,15 @@
 {
 
 constexpr std::size_t s_readBytes = std::size_t{64} * 1024;
+constexpr unsigned s_firstStatus = 100;
+/// Changes the protocol of the connection, which no request of this product asks for.
+constexpr unsigned s_switchingProtocols = 101;
+constexpr unsigned s_lastStatus = 599;
+
+bool isKnownStatus(unsigned status)
+{
+    return status >= s_firstStatus && status <= s_lastStatus && status != s_switchingProtocols;
+}
 
 } // namespace
 
@@ -42,6 +51,9 @@
         }
     }
     beast::error_code error = parse();
+    if (!error && m_parser.is_header_done() && !isKnownStatus(m_parser.get().result_int())) {
+        error = http::error::bad_status;
+    }
     // Beast takes such a body for one that ends with the connection, or for its decoded form.
     if (!error && m_parser.is_header_done() && !hasKnownCoding()) {
         error = http::error::bad_transfer_encoding;
--- a/Libraries/LibHttp/responsereader.h
+++ b/Libraries/LibHttp/responsereader.h
@@ -34,7 +34,7 @@
     ResponseReader(boost::beast::tcp_stream &stream, boost::beast::flat_buffer &buffer, Parser &parser, BootTime deadline);
 
     /// Parses what is held, or reads once and parses that. The error is timeout when there is more to read after the deadline, body_limit for a
-    /// response that is mostly overhead, bad_transfer_encoding for a body in another coding than chunks, end_of_stream when the connection ended before the first byte.
+    /// response that is mostly overhead, bad_transfer_encoding for a body in another coding than chunks, bad_status for a status outside 100 to 599 and for 101, end_of_stream when the connection ended before the first byte.
     /// Preconditions: the parser is not done; the last step had no error; the stream's timer is set.
     boost::beast::error_code step(const boost::asio::yield_context &yield);
 
