--- a/Tests/Platform/storestandin.cpp
+++ b/Tests/Platform/storestandin.cpp
@@ -100,6 +100,9 @@
     if (isDown) {
         return errorResponse(503, "down", "", "");
     }
+    if (const auto rejected = rejects.find(caller); rejected != rejects.end()) {
+        return errorResponse(rejected->second, "rejected", "", "");
+    }
     const bool isFeed = request.target.find("rows-feed") != std::string::npos;
     bool isDroppedFeedCall = false;
     if (isFeed) {
@@ -115,7 +118,7 @@
     const int unresponsivePeriods = m_unresponsivePeriods;
     const bool isDroppedOnArrival = dropsResponses;
     sleepFor(m_context, delay, yield);
-    HttpResponse response = dispatch(request, yield);
+    HttpResponse response = dispatch(request, caller, yield);
     if (isDroppedOnArrival || dropsResponses || unresponsiveTo.count(caller) > 0 || unresponsivePeriods != m_unresponsivePeriods) {
         // Longer than the timeout of any client.
         sleepFor(m_context, s_droppedResponseDelay, yield);
@@ -126,7 +129,7 @@
     return response;
 }
 
-HttpResponse StoreStandIn::dispatch(const HttpRequest &request, const boost::asio::yield_context &yield)
+HttpResponse StoreStandIn::dispatch(const HttpRequest &request, const std::string &caller, const boost::asio::yield_context &yield)
 {
     const std::string path = request.target.substr(0, request.target.find('?'));
     const std::string table = parameter(request.target, "table");
@@ -142,7 +145,7 @@
         ++feedCalls;
         ++heldFeedCalls[table];
         HttpResponse response = handleFeed(
-            table, std::stoull(parameter(request.target, "after")), std::chrono::milliseconds(std::stoul(parameter(request.target, "wait_ms"))), yield);
+            caller, table, std::stoull(parameter(request.target, "after")), std::chrono::milliseconds(std::stoul(parameter(request.target, "wait_ms"))), yield);
         --heldFeedCalls[table];
         return response;
     }
@@ -162,7 +165,8 @@
     return jsonResponse(200, Json{{"rows", rows}, {"has_more", it != all.end()}, {"ver", version}, {"now", "1ms"}}.dump());
 }
 
-HttpResponse StoreStandIn::handleFeed(const std::string &table, FeedVersion after, std::chrono::milliseconds wait, const boost::asio::yield_context &yield)
+HttpResponse StoreStandIn::handleFeed(
+    const std::string &caller, const std::string &table, FeedVersion after, std::chrono::milliseconds wait, const boost::asio::yield_context &yield)
 {
     const BootTime end = BootClock::now() + wait;
     while (!isDown) {
@@ -170,10 +174,12 @@
             return errorResponse(410, "history-lost", "", "");
         }
         Json rows = Json::array();
-        FeedVersion version = m_version;
+        const auto stale = staleFeeds.find(caller);
+        const FeedVersion newest = stale != staleFeeds.end() ? stale->second : m_version;
+        FeedVersion version = newest;
         std::size_t bytes = 0;
         for (const Change &change : m_changes) {
-            if (change.table != table || change.row.version <= after) {
+            if (change.table != table || change.row.version <= after || change.row.version > newest) {
                 continue;
             }
             Json entry = entryOf(change.row);
--- a/Tests/Platform/storestandin.h
+++ b/Tests/Platform/storestandin.h
@@ -20,6 +20,12 @@
 
     explicit StoreStandIn(boost::asio::io_context &context);
 
+    /// Version of the last change of any table.
+    FeedVersion version() const
+    {
+        return m_version;
+    }
+
     std::string address() const
     {
         return m_server->address();
@@ -48,6 +54,10 @@
     bool firstPageIsFresh = false;
     /// IP addresses of hosts whose calls are never answered.
     std::set<std::string> unresponsiveTo;
+    /// IP addresses of hosts whose calls fail at once, with the status of the failure.
+    std::map<std::string, int> rejects;
+    /// IP addresses of hosts whose calls to feeds are answered as if the store had only the changes up to this version.
+    std::map<std::string, FeedVersion> staleFeeds;
     /// How many of the next calls of a host to the feed of a table are dropped.
     std::map<HostTable, int> feedCallsToDrop;
     /// Calls of a host to the feed of a table that have arrived, whether they are answered or not.
@@ -73,9 +83,10 @@
     using Tables = std::map<std::string, std::map<std::string, FeedRow>>;
 
     HttpResponse handle(const HttpRequest &request, const std::string &caller, const boost::asio::yield_context &yield);
-    HttpResponse dispatch(const HttpRequest &request, const boost::asio::yield_context &yield);
+    HttpResponse dispatch(const HttpRequest &request, const std::string &caller, const boost::asio::yield_context &yield);
     HttpResponse handleRead(const std::string &table, const std::string &from, std::size_t limit);
-    HttpResponse handleFeed(const std::string &table, FeedVersion after, std::chrono::milliseconds wait, const boost::asio::yield_context &yield);
+    HttpResponse handleFeed(
+        const std::string &caller, const std::string &table, FeedVersion after, std::chrono::milliseconds wait, const boost::asio::yield_context &yield);
     HttpResponse handleTransaction(const std::string &body);
 
     boost::asio::io_context &m_context;
