LibReplication: Prove copies by the feed alone and renew proofs in time

Change: Full reads leave the proof as it is. A host that doesn't reach the store follows another host that reads the feeds (PublisherChoice::substitute). Proofs are renewed beside the requests to a publisher from 2.7 s on. A publisher states the age at the arrival of a request, so that the time for which it is held counts once; subscribers' proofs stay below 2.5 s without faults, by calculation. All of this only with strict revocation, but for the age in messages.

--- a/Libraries/LibReplication/changeserver.cpp
+++ b/Libraries/LibReplication/changeserver.cpp
@@ -85,7 +85,7 @@
 void ChangeServer::request(const HostId &from, const AwaitChanges &request, BootTime now)
 {
     const auto wait = std::min(std::chrono::milliseconds(request.waitMilliseconds), s_maximumWait);
-    const PendingRequest pending{from, request, now + wait};
+    const PendingRequest pending{from, request, now, now + wait};
     if (m_pendingRequests.size() >= s_maximumPendingRequests) {
         m_send(from, rejection(request.sequence));
         return;
@@ -120,7 +120,9 @@
     if (served && rows->rows.empty() && now < pending.deadline) {
         return false;
     }
-    m_send(pending.from, servedResponse(request.sequence, *rows, now - table->second.confirmedAt, now - table->second.provenAt));
+    // The age of the proof is that at the arrival of the request, since the subscriber counts from when it sent the request. A proof from the time in
+    // which the request waited has the age 0.
+    m_send(pending.from, servedResponse(request.sequence, *rows, now - table->second.confirmedAt, pending.receivedAt - table->second.provenAt));
     return true;
 }
 
--- a/Libraries/LibReplication/changeserver.h
+++ b/Libraries/LibReplication/changeserver.h
@@ -64,6 +64,7 @@
     {
         HostId from;
         AwaitChanges request;
+        BootTime receivedAt;
         BootTime deadline;
     };
 
--- a/Libraries/LibReplication/feedsharing.h
+++ b/Libraries/LibReplication/feedsharing.h
@@ -45,6 +45,12 @@
         return m_choice.role(m_liveHosts(), now);
     }
 
+    /// As PublisherChoice::substitute(). Precondition: none.
+    std::optional<HostId> substitute(BootTime now) const
+    {
+        return m_choice.substitute(m_liveHosts(), now);
+    }
+
     /// Waits for changes after a version, which the store confirmed at a point in time. Returns nothing when the publisher rejects the
     /// request or does not respond before the copy is too old; it is then excluded for a while.
     /// Precondition: runs in a coroutine of the context; addTable() was called for the table.
--- a/Libraries/LibReplication/publisherchoice.cpp
+++ b/Libraries/LibReplication/publisherchoice.cpp
@@ -46,14 +46,27 @@
     if (std::find(publishers.begin(), publishers.end(), m_settings.self) != publishers.end()) {
         return PublisherRole{};
     }
-    // Each subscriber ranks the publishers by its own key, which spreads the subscribers over them.
+    const auto publisher = firstUsable(publishers, now);
+    return publisher ? FeedRole(SubscriberRole{*publisher}) : StandaloneRole{};
+}
+
+std::optional<HostId> PublisherChoice::substitute(const std::vector<HostId> &liveHosts, BootTime now) const
+{
+    std::vector<HostId> others = liveHosts;
+    others.erase(std::remove(others.begin(), others.end(), m_settings.self), others.end());
+    // In a small zone each host reads the feeds and can vouch for its copy.
+    return firstUsable(others.size() < m_settings.minimumZoneSize ? others : publishersAmong(others, m_settings), now);
+}
+
+std::optional<HostId> PublisherChoice::firstUsable(const std::vector<HostId> &publishers, BootTime now) const
+{
     for (const HostId &publisher : rankHosts(publishers, stableHash(m_settings.self.value()))) {
         const auto excluded = m_excludedUntil.find(publisher);
         if (excluded == m_excludedUntil.end() || now >= excluded->second) {
-            return SubscriberRole{publisher};
+            return publisher;
         }
     }
-    return StandaloneRole{};
+    return std::nullopt;
 }
 
 void PublisherChoice::exclude(const HostId &host, BootTime until)
--- a/Libraries/LibReplication/publisherchoice.h
+++ b/Libraries/LibReplication/publisherchoice.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -59,6 +60,11 @@
     /// Role of this host among the live hosts of its zone. Precondition: liveHosts contains this host.
     FeedRole role(const std::vector<HostId> &liveHosts, BootTime now) const;
 
+    /// The host from which this one gets changes while it doesn't reach the store, whatever its role; nothing when there is none. The other hosts
+    /// have chosen among themselves by then, since they see from its beacons that it doesn't reach the store.
+    /// Precondition: as for role().
+    std::optional<HostId> substitute(const std::vector<HostId> &liveHosts, BootTime now) const;
+
     /// Precondition: none.
     const PublisherChoiceSettings &settings() const
     {
@@ -69,6 +75,9 @@
     void exclude(const HostId &host, BootTime until);
 
 private:
+    /// The first of some publishers, in an order of this host's own, that isn't excluded. Spreads the hosts over the publishers.
+    std::optional<HostId> firstUsable(const std::vector<HostId> &publishers, BootTime now) const;
+
     PublisherChoiceSettings m_settings;
     std::map<HostId, BootTime> m_excludedUntil;
 };
--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -19,6 +19,8 @@
 constexpr std::chrono::milliseconds s_initialRetryInterval{150};
 /// Hold time of a probe: the store responds at once, whether there are changes or not.
 constexpr std::chrono::milliseconds s_probeHoldTime{1};
+/// How often a proof that is overdue is looked at.
+constexpr std::chrono::milliseconds s_proofPollInterval{20};
 /// Response timeout for a store that is slow but reachable.
 constexpr std::chrono::milliseconds s_slowResponseTimeout{2000};
 
@@ -75,8 +77,6 @@
 
     boost::asio::steady_timer timer;
     int latestNumber = 0;
-    /// Start of the read that was answered.
-    BootTime answeredCallAt{};
     /// The first response; those of the other reads are older.
     std::optional<FeedRows> response;
     /// Set when the latest read has failed. The loss of earlier ones is noticed late and says nothing about the current state of the store.
@@ -100,6 +100,10 @@
 
 void TableWatch::run(const boost::asio::yield_context &yield)
 {
+    if (m_timing.maximumProofAge) {
+        boost::asio::spawn(
+            m_context, [this, age = *m_timing.maximumProofAge](const boost::asio::yield_context &renewalYield) { renewProofs(age, renewalYield); });
+    }
     while (!m_context.stopped()) {
         const BootTime calledAt = BootClock::now();
         const bool succeeded = m_needsFullRead ? readFullTable(yield) : readChanges(yield);
@@ -118,9 +122,17 @@
     m_fullReads->waitFor(failedCall + m_backoff.next(m_random) - BootClock::now(), yield);
 }
 
-bool TableWatch::isProofOverdue() const
+void TableWatch::renewProofs(std::chrono::milliseconds maximumAge, const boost::asio::yield_context &yield)
 {
-    return BootClock::now() - m_provenAt > m_timing.maximumProofAge;
+    // Beside the requests to a publisher: one that began shortly before the age is reached may be held beyond the age at which the copy is too old.
+    while (!m_context.stopped()) {
+        const auto left = m_provenAt + maximumAge - BootClock::now();
+        const bool isOverdue = m_hasTable && !m_needsFullRead && left.count() <= 0;
+        if (isOverdue) {
+            startProbing();
+        }
+        sleepFor(m_context, left.count() > 0 ? std::chrono::ceil<std::chrono::milliseconds>(left) : s_proofPollInterval, yield);
+    }
 }
 
 void TableWatch::recordSuccess(bool isCurrent, BootTime calledAt)
@@ -195,7 +207,8 @@
         recordFailure("the response is older than the current version", calledAt, {});
         return false;
     }
-    recordSuccess(true, BootClock::now() - read.proofAge);
+    // A full read may be answered from an old state of the store, so that only the feed proves that the copy is the newest one.
+    recordSuccess(true, m_provenAt);
     replaceTable(read);
     m_isFullReadUnconfirmed = true;
     return true;
@@ -211,7 +224,6 @@
     }
     if (m_fullReads->response) {
         const auto answered = std::exchange(m_fullReads, std::make_shared<FullReads>(m_context));
-        answered->response->proofAge = std::chrono::ceil<std::chrono::milliseconds>(BootClock::now() - answered->answeredCallAt);
         return std::move(*answered->response);
     }
     return m_fullReads->failure.value_or(StoreFailure{"no response yet"});
@@ -221,7 +233,6 @@
 {
     m_fullReads->failure.reset();
     boost::asio::spawn(m_context, [this, reads = m_fullReads, number = ++m_fullReads->latestNumber](const boost::asio::yield_context &readYield) {
-        const BootTime calledAt = BootClock::now();
         ReadResult result = m_store.readTable(m_table, s_slowResponseTimeout, readYield);
         const auto *failure = std::get_if<StoreFailure>(&result);
         if (reads->response || (failure && number != reads->latestNumber)) {
@@ -231,7 +242,6 @@
             reads->failure = *failure;
         } else {
             reads->response = std::move(std::get<FeedRows>(result));
-            reads->answeredCallAt = calledAt;
         }
         reads->timer.cancel();
     });
@@ -261,11 +271,18 @@
         m_sharing.awaitRole(yield);
         m_isRoleKnown = true;
     }
-    if (!m_isReachable || isProofOverdue()) {
+    if (!m_isReachable) {
         // A subscriber probes the store as well, since other hosts choose publishers by whether they reach the store.
         startProbing();
     }
-    return std::visit(Reader{*this, yield}, m_sharing.role(BootClock::now()));
+    const FeedRole role = m_sharing.role(BootClock::now());
+    if (!m_isReachable && m_timing.maximumProofAge && !std::holds_alternative<SubscriberRole>(role)) {
+        // This host may be the only one that the store rejects.
+        if (const auto substitute = m_sharing.substitute(BootClock::now())) {
+            return readFromPublisher(*substitute, yield);
+        }
+    }
+    return std::visit(Reader{*this, yield}, role);
 }
 
 bool TableWatch::readFeed(std::chrono::milliseconds holdTime, std::chrono::milliseconds batchDelay, const boost::asio::yield_context &yield)
@@ -367,7 +384,7 @@
     const BootTime requestedAt = BootClock::now();
     if (const auto changes = m_sharing.awaitChanges(publisher, m_table, m_version, m_confirmedAt, yield)) {
         m_confirmedAt = std::max(m_confirmedAt, BootClock::now() - changes->age);
-        // The publisher stated the age later than this, at a moment that isn't known.
+        // The publisher states the age at the arrival of the request, which is later than this.
         m_provenAt = std::max(m_provenAt, requestedAt - changes->proofAge);
         if (changes->isWholeTable && changes->version >= m_version) {
             replaceTable(*changes);
--- a/Libraries/LibReplication/tablewatch.h
+++ b/Libraries/LibReplication/tablewatch.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace Trefoil
 {
@@ -39,8 +40,8 @@
     std::chrono::milliseconds probeInterval;
     /// Replaces batchDelay and holdTime while this host is a publisher.
     PublisherTiming publisher;
-    /// Age of the copy's last proof from which the store is called without a hold, whatever the publisher says.
-    std::chrono::milliseconds maximumProofAge = std::chrono::hours(1);
+    /// Age of the copy's last proof from which the store is called without a hold, whatever the publisher says. Unset if the age doesn't matter.
+    std::optional<std::chrono::milliseconds> maximumProofAge{};
 };
 
 /// Keeps a copy of one table current: reads it in full, then applies the changes from the store's feed or from a publisher, and
@@ -85,8 +86,8 @@
 
     /// The store has answered a call; the copy is current unless the answer was partial.
     void recordSuccess(bool isCurrent, BootTime calledAt);
-    /// Whether the copy's last proof is so old that the store itself has to be asked.
-    bool isProofOverdue() const;
+    /// Calls the store itself each time the copy's last proof reaches the age at which that is due, until the context stops.
+    void renewProofs(std::chrono::milliseconds maximumAge, const boost::asio::yield_context &yield);
     void recordFailure(const std::string &reason, BootTime calledAt, std::chrono::milliseconds holdTime);
     void delayRetry(BootTime failedCall, const boost::asio::yield_context &yield);
     bool readFullTable(const boost::asio::yield_context &yield);
--- a/Tests/LibReplication/testchangeserver.cpp
+++ b/Tests/LibReplication/testchangeserver.cpp
@@ -81,6 +81,20 @@
     cr_assert_eq(fixture.responses.at(0).proofAgeMilliseconds, 130);
 }
 
+// Guards against a wait that counts twice, at the publisher and at the subscriber, so that subscribers call the store without need, and against a proof
+// from the time of the wait that looks older or newer than the request.
+Test(ChangeServer, ageOfTheProofIsThatAtTheArrivalOfTheRequest)
+{
+    Fixture fixture;
+    fixture.server.request(s_subscriber, {1, "things", 10, 300}, s_start + 100ms);
+    fixture.server.respondToDueRequests(s_start + 400ms);
+    cr_assert_eq(fixture.responses.at(0).proofAgeMilliseconds, 130);
+    fixture.server.request(s_subscriber, {2, "things", 10, 200}, s_start + 400ms);
+    fixture.server.confirm("things", s_start + 550ms, s_start + 500ms);
+    fixture.server.respondToDueRequests(s_start + 600ms);
+    cr_assert_eq(fixture.responses.at(1).proofAgeMilliseconds, 0);
+}
+
 // Guards against a change that subscribers receive only when their wait is over.
 Test(ChangeServer, changesReachPendingRequests)
 {
--- a/Tests/LibReplication/testpublisherchoice.cpp
+++ b/Tests/LibReplication/testpublisherchoice.cpp
@@ -38,6 +38,23 @@
 
 } // namespace
 
+// Guards against a host that the store rejects and that waits for the store alone, because it counts itself as a publisher.
+Test(PublisherChoice, aSubstituteIsAnotherHostThatReadsTheFeeds)
+{
+    const auto liveHosts = hosts(13);
+    for (const HostId &self : liveHosts) {
+        std::vector<HostId> others = liveHosts;
+        others.erase(std::find(others.begin(), others.end(), self));
+        PublisherChoice choice = choiceOf(self);
+        const auto substitute = choice.substitute(liveHosts, s_start);
+        cr_assert(substitute && std::holds_alternative<PublisherRole>(choiceOf(*substitute).role(others, s_start)));
+        choice.exclude(*substitute, s_start + 1s);
+        cr_assert_neq(choice.substitute(liveHosts, s_start), substitute);
+    }
+    cr_assert_eq(choiceOf(HostId("host-0")).substitute(hosts(2), s_start), HostId("host-1"));
+    cr_assert_not(choiceOf(HostId("host-0")).substitute(hosts(1), s_start));
+}
+
 // Load pattern: a change that all hosts of a large deployment read at once. Guards against a load of the store that grows with the
 // number of hosts, against hosts that disagree, and against a single publisher that serves all of them.
 ParameterizedTestParameters(PublisherChoice, hostsAgreeOnFewPublishers)
--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -188,6 +188,26 @@
     });
 }
 
+// Guards against a key that is used for too long because a full read, which may come from a stale copy of the store, counts as a proof that the
+// configuration is the newest one.
+Test(TableWatch, fullReadsProveNothing)
+{
+    Fixture fixture;
+    fixture.store.set("things", "a", "1");
+    fixture.store.freezeReads(true);
+    fixture.store.set("things", "a", "2");
+    fixture.store.feedCallsToDrop[{"127.0.0.1", "things"}] = 100;
+    fixture.run([&](const asio::yield_context &yield) {
+        cr_assert(fixture.await([&] { return fixture.copy["a"] == "1"; }, yield));
+        cr_assert_eq(fixture.watch.provenAt(), BootTime{});
+        const BootTime before = BootClock::now();
+        fixture.store.feedCallsToDrop.clear();
+        cr_assert(fixture.await([&] { return fixture.copy["a"] == "2"; }, yield));
+        cr_assert_lt(fixture.watch.provenAt(), BootClock::now());
+        cr_assert(fixture.await([&] { return fixture.watch.provenAt() > before; }, yield));
+    });
+}
+
 // Guards against keeping a row that was removed while the store truncated its history, and against a stale read that restores old
 // values.
 Test(TableWatch, truncatedHistoryAndStaleRead)
