LibGateway: Show requests by customer and rejections for old configurations

CallerIdentity::keysAppearNowhere looks for keys in the log, which is all that `trefoilctl explain` reads, in metrics, responses and requests to upstreams.

--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -204,6 +204,9 @@
     }
     const auto retries = static_cast<std::uint32_t>(std::max(0, exchange.sent - 1));
     series->finished({exchange.outcome, exchange.reason, BootClock::now() - exchange.placement.arrivedAt, std::chrono::nanoseconds(0), retries});
+    if (exchange.placement.customer) {
+        m_metrics.countCustomerRequest(exchange.placement.customer->id, exchange.outcome);
+    }
     if (!exchange.id.empty() && !response.headers.find(m_settings.headers.requestId)) {
         response.headers.add(m_settings.headers.requestId, exchange.id);
     }
@@ -215,10 +218,27 @@
     return !m_settings.revocation.isStrict || Trefoil::mayUseKeys(m_settings.revocation, m_settings.configurationProvenAt(), now);
 }
 
+void Gateway::logKeyUse(bool isKeyUsable, BootTime now)
+{
+    if (isKeyUsable != m_rejectsKeys) {
+        return;
+    }
+    m_rejectsKeys = !isKeyUsable;
+    if (isKeyUsable) {
+        writeLog(LogLevel::Info, "keyed-requests-served");
+        return;
+    }
+    const BootTime provenAt = m_settings.configurationProvenAt();
+    const auto age = provenAt == BootTime{} ? std::int64_t{-1} : wholeMilliseconds(now - provenAt);
+    writeLog(LogLevel::Warning, "keyed-requests-rejected", {{"reason", std::string("configuration-too-old")}, {"proofAgeMs", age}});
+}
+
 std::optional<HttpResponse> Gateway::admitCaller(Exchange &exchange)
 {
     RequestPlacement &placement = exchange.placement;
-    if (exchange.routes->hasCustomers() && !mayUseKeys(placement.arrivedAt)) {
+    const bool isKeyUsable = !exchange.routes->hasCustomers() || mayUseKeys(placement.arrivedAt);
+    logKeyUse(isKeyUsable, placement.arrivedAt);
+    if (!isKeyUsable) {
         // A key that this host doesn't know may be new, so that an old configuration gives no reason for 401 either.
         return placement.route->isPublic ? std::nullopt : std::make_optional(reject(exchange, "configuration-too-old", s_startRetryAfter));
     }
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -80,6 +80,8 @@
 
     /// Whether keys of the configuration may be used now.
     bool mayUseKeys(BootTime now) const;
+    /// Logs it when requests with keys begin or cease to be rejected for the age of the configuration.
+    void logKeyUse(bool isKeyUsable, BootTime now);
     /// Finds the customer of a request and narrows its route. Returns the response to a request that may not be served.
     std::optional<HttpResponse> admitCaller(Exchange &exchange);
     /// The route and the customer of a request in another configuration. Nothing when that allows the request no longer, or not for its customer.
@@ -119,6 +121,8 @@
     /// Time at which this host stops waiting for upstreams, once that is known.
     std::optional<BootTime> m_end;
     bool m_hasEnded = false;
+    /// Whether the last request of a configuration with customers met one that was too old.
+    bool m_rejectsKeys = false;
     std::minstd_rand m_random;
 };
 
--- a/Libraries/LibGateway/gatewaymetrics.cpp
+++ b/Libraries/LibGateway/gatewaymetrics.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::array<std::string_view, 6> s_outcomeNames = {"success", "failed", "broken", "shed", "unreachable", "cancelled"};
 
+constexpr std::array<std::string_view, 3> s_requestOutcomeNames = {"answered", "not-run", "unknown"};
+
 double secondsSince(BootTime since, BootTime now)
 {
     return since == BootTime{} ? -1 : std::chrono::duration<double>(now - since).count();
@@ -46,6 +48,12 @@
     ++m_attempts[hasOwn ? upstream : UpstreamId("other")][static_cast<std::size_t>(outcome)];
 }
 
+void GatewayMetrics::countCustomerRequest(const CustomerId &customer, RequestOutcome outcome)
+{
+    const bool hasOwn = m_customerRequests.count(customer) > 0 || m_customerRequests.size() < s_maximumCustomers;
+    ++m_customerRequests[hasOwn ? customer : CustomerId("other")][static_cast<std::size_t>(outcome)];
+}
+
 void GatewayMetrics::writeTo(ScrapeWriter &writer, const GatewayState &state, BootTime now) const
 {
     m_requests.writeTo(writer);
@@ -57,6 +65,14 @@
             }
         }
     }
+    if (!m_customerRequests.empty()) {
+        writer.begin("trefoil_customer_requests_total", "counter", "Requests of customers by how they ended.");
+        for (const auto &[customer, counts] : m_customerRequests) {
+            for (std::size_t i = 0; i < counts.size(); ++i) {
+                writer.sample("", {{"customer", customer.value()}, {"outcome", s_requestOutcomeNames[i]}}, static_cast<double>(counts[i]));
+            }
+        }
+    }
     writer.begin("trefoil_foreign_responses_total", "counter", "Responses of upstreams that bore the id of another request and were discarded.");
     writer.sample("", {}, static_cast<double>(m_foreignResponses));
     writer.begin("trefoil_avoided_connections_total", "counter", "Idle connections not used for a request that they had answered with a failure.");
--- a/Libraries/LibGateway/gatewaymetrics.h
+++ b/Libraries/LibGateway/gatewaymetrics.h
@@ -26,6 +26,9 @@
     /// Counts an attempt that has ended. Precondition: none.
     void countAttempt(const UpstreamId &upstream, AttemptOutcome outcome, const CallTrace &trace);
 
+    /// Counts a request of a customer that has ended. Precondition: none.
+    void countCustomerRequest(const CustomerId &customer, RequestOutcome outcome);
+
     /// Records that the store has confirmed the list of upstreams now. Precondition: none.
     void recordDiscovery(BootTime now)
     {
@@ -39,9 +42,12 @@
     using CountsByOutcome = std::array<std::uint64_t, 6>;
     /// Upstreams with counters of their own; all further ones share the label "other".
     static constexpr std::size_t s_maximumUpstreams = 1024;
+    /// The same for customers; three series each.
+    static constexpr std::size_t s_maximumCustomers = 256;
 
     RequestMetrics m_requests;
     std::map<UpstreamId, CountsByOutcome> m_attempts;
+    std::map<CustomerId, std::array<std::uint64_t, 3>> m_customerRequests;
     std::uint64_t m_foreignResponses = 0;
     std::uint64_t m_avoidedConnections = 0;
     BootTime m_configurationAt{};
--- a/Tests/LibGateway/testcalleridentity.cpp
+++ b/Tests/LibGateway/testcalleridentity.cpp
@@ -1,10 +1,13 @@
 #include "gatewayfixture.h"
 
 #include <LibGateway/calleridentity.h>
+#include <LibTelemetry/log.h>
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
+#include <fcntl.h>
 #include <map>
+#include <unistd.h>
 
 using namespace Trefoil;
 using namespace Trefoil::GatewayTests;
@@ -97,6 +100,52 @@
     std::vector<HttpHeaders> received;
 };
 
+/// Collects what is written to standard output, which is the log, while it exists. A few kilobytes at most.
+class LogCapture
+{
+public:
+    LogCapture()
+        : m_output(::dup(STDOUT_FILENO))
+    {
+        cr_assert_eq(::pipe(m_ends), 0);
+        ::fcntl(m_ends[0], F_SETFL, O_NONBLOCK);
+        ::dup2(m_ends[1], STDOUT_FILENO);
+    }
+    ~LogCapture()
+    {
+        ::dup2(m_output, STDOUT_FILENO);
+        ::close(m_ends[0]);
+        ::close(m_ends[1]);
+        ::close(m_output);
+    }
+    LogCapture(const LogCapture &) = delete;
+    LogCapture &operator=(const LogCapture &) = delete;
+
+    std::string text()
+    {
+        char buffer[4096];
+        ssize_t count = 0;
+        while ((count = ::read(m_ends[0], buffer, sizeof buffer)) > 0) {
+            m_text.append(buffer, static_cast<std::size_t>(count));
+        }
+        return m_text;
+    }
+
+private:
+    int m_output;
+    int m_ends[2] = {};
+    std::string m_text;
+};
+
+std::size_t countOf(const std::string &text, const std::string &part)
+{
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
 } // namespace
 
 // Guards against a request that runs for a customer whose key it doesn't carry, and against a refusal of a valid key.
@@ -241,3 +290,55 @@
         cr_assert(questions > 1 && test.received.empty());
     });
 }
+
+// Guards against a key in a log line, which `trefoilctl explain` would show, in a metric, in a response or in a request to an upstream, and against a
+// log line for each request while the configuration is too old.
+Test(CallerIdentity, keysAppearNowhere)
+{
+    BootTime provenAt = BootClock::now();
+    GatewaySettings settings;
+    settings.revocation = {true, 1000ms};
+    settings.configurationProvenAt = [&provenAt] { return provenAt; };
+    CustomerFixture test(configurationWithCustomers(), settings);
+    LogCapture log;
+    configureLog(LogLevel::Debug, HostId("host"), ZoneId("zone"));
+    std::string responses;
+    test.fixture.run([&](const asio::yield_context &yield) {
+        const auto sendAll = [&] {
+            for (const char *credential : {"Token key-a", "Token key-unknown", "Basic key-other", "Token shared"}) {
+                for (const char *target : {"/read/1", "/open/1", "/missing/1"}) {
+                    const HttpResponse response = test.send(target, {{"Authorization", credential}}, yield);
+                    responses += response.body;
+                    for (const HttpHeader &field : response.headers.all()) {
+                        responses += field.name + ": " + field.value + "\n";
+                    }
+                }
+            }
+        };
+        sendAll();
+        provenAt -= 1000ms;
+        sendAll();
+        provenAt = BootClock::now();
+        sendAll();
+        test.fixture.state.upstreamRemoved(UpstreamId("u"));
+        sendAll();
+    });
+    ScrapeWriter writer;
+    test.fixture.metrics.writeTo(writer, test.fixture.state, BootClock::now());
+    std::string forwarded;
+    for (const HttpHeaders &headers : test.received) {
+        for (const HttpHeader &field : headers.all()) {
+            forwarded += field.name + ": " + field.value + "\n";
+        }
+    }
+    const std::string logged = log.text();
+    cr_assert_eq(countOf(logged, "keyed-requests-rejected"), 1);
+    cr_assert_eq(countOf(logged, "keyed-requests-served"), 1);
+    for (const char *key : {"key-a", "key-b", "key-unknown", "key-other", "shared"}) {
+        cr_expect_eq(countOf(logged, key), 0, "a log line shows %s", key);
+        cr_expect_eq(countOf(writer.text(), key), 0, "a metric shows %s", key);
+        cr_expect_eq(countOf(responses, key), 0, "a response shows %s", key);
+        cr_expect_eq(countOf(forwarded, key), 0, "an upstream gets %s", key);
+    }
+    cr_assert(writer.text().find("trefoil_customer_requests_total{customer=\"a\",outcome=\"answered\"} 4") != std::string::npos, "%s", writer.text().c_str());
+}
