LibGateway: Require permits for requests of customers with a rate

A request gets its permit after its caller is admitted and before it is sent: 429 with Retry-After over the limit, 503 when no lender replies. A permit whose request was not sent is used again. Without customers that have a rate, no datagram is sent.

--- a/Libraries/LibGateway/beacon.cpp
+++ b/Libraries/LibGateway/beacon.cpp
@@ -116,6 +116,13 @@
     return error ? std::string() : endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+void BeaconSocket::sendDatagram(const HostId &to, const std::string &bytes)
+{
+    if (const auto host = m_directory.registration(to)) {
+        sendTo(*host, bytes);
+    }
+}
+
 void BeaconSocket::sendTo(const HostRegistration &host, const std::string &bytes)
 {
     const auto endpoint = parseEndpoint(host.peerAddress);
@@ -141,12 +148,17 @@
         if (error == asio::error::operation_aborted) {
             return;
         }
-        const auto beacon = error ? std::nullopt : decodeBeacon(std::string_view(m_buffer.data(), size));
+        const std::string_view bytes(m_buffer.data(), error ? 0 : size);
+        const auto beacon = decodeBeacon(bytes);
         if (beacon) {
             m_directory.recordBeacon(beacon->from, beacon->phase, beacon->isStoreReachable, BootClock::now());
             if (beacon->isReplyRequested) {
                 send(encodeBeacon({m_self, m_phase, m_isStoreReachable, false}), m_sender);
             }
+        } else if (m_datagramHandler && !bytes.empty()) {
+            if (const auto reply = m_datagramHandler(bytes)) {
+                send(*reply, m_sender);
+            }
         }
         receive();
     });
--- a/Libraries/LibGateway/beacon.h
+++ b/Libraries/LibGateway/beacon.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -43,6 +44,18 @@
     /// Requests beacons from the hosts, from each of them at most every 100 ms. Precondition: none.
     void requestBeacons(const std::vector<HostRegistration> &hosts);
 
+    /// Handles datagrams that are not beacons; may return a reply for the sender.
+    using DatagramHandler = std::function<std::optional<std::string>(std::string_view bytes)>;
+
+    /// Without a handler datagrams that are not beacons are ignored. Precondition: none.
+    void setDatagramHandler(DatagramHandler handler)
+    {
+        m_datagramHandler = std::move(handler);
+    }
+
+    /// Sends a datagram to a registered host; to others nothing is sent. Precondition: the datagram has at most 512 bytes.
+    void sendDatagram(const HostId &to, const std::string &bytes);
+
     /// Local address at which beacons are received, IP:port. Precondition: none.
     std::string address() const;
 
@@ -55,6 +68,7 @@
     boost::asio::ip::udp::socket m_socket;
     HostId m_self;
     HostDirectory &m_directory;
+    DatagramHandler m_datagramHandler;
     std::array<char, 512> m_buffer{};
     boost::asio::ip::udp::endpoint m_sender;
     HostPhase m_phase = HostPhase::Starting;
--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -20,6 +20,7 @@
 
 constexpr int s_unauthorized = 401;
 constexpr int s_notFound = 404;
+constexpr int s_tooManyRequests = 429;
 constexpr int s_badGateway = 502;
 constexpr int s_unavailable = 503;
 constexpr int s_gatewayTimeout = 504;
@@ -119,6 +120,8 @@
     /// Whether any attempt may have run at an upstream.
     bool mayHaveRun = false;
     Placed placed{};
+    /// Of a customer with a rate.
+    std::optional<Permit> permit{};
     /// Outcome of the request so far, for the metrics.
     RequestOutcome outcome = RequestOutcome::Answered;
     std::string reason{};
@@ -241,6 +244,23 @@
     return std::nullopt;
 }
 
+std::optional<HttpResponse> Gateway::acquirePermit(Exchange &exchange, const asio::yield_context &yield)
+{
+    const Customer *customer = exchange.placement.customer;
+    if (!m_settings.quotas || !customer || customer->requestsPerSecond <= 0) {
+        return std::nullopt;
+    }
+    const QuotaClient::Outcome outcome = m_settings.quotas->acquire(*customer, exchange.placement.deadline, yield);
+    if (const auto *exceeded = std::get_if<QuotaExceeded>(&outcome)) {
+        return rejectFor(exchange, "quota-exceeded", exceeded->timeUntilRoom, s_tooManyRequests);
+    }
+    if (std::holds_alternative<QuotaUnavailable>(outcome)) {
+        return reject(exchange, "quota-unavailable", s_startRetryAfter);
+    }
+    exchange.permit = std::get<Permit>(outcome);
+    return std::nullopt;
+}
+
 HttpResponse Gateway::forward(Exchange &exchange, const asio::yield_context &yield)
 {
     const Route &route = *exchange.placement.route;
@@ -253,8 +273,23 @@
     const std::string_view key = exchange.request.headers.value(m_settings.headers.affinityKey);
     exchange.placement.keyHash = route.hasAffinity && !key.empty() ? stableHash(fmt::format("{}/{}", route.id.value(), key)) : 0;
     exchange.positionHash = exchange.placement.keyHash != 0 ? exchange.placement.keyHash : stableHash(exchange.id);
+    // A retry may change the customer of the exchange with the configuration.
+    const std::shared_ptr<const RouteTable> routes = exchange.routes;
+    const Customer *customer = exchange.placement.customer;
+    if (auto rejection = acquirePermit(exchange, yield)) {
+        return std::move(*rejection);
+    }
     exchange.placement.service = m_state.nextService(route);
     m_state.recordArrival(exchange.placement);
+    HttpResponse response = sendToUpstreams(exchange, yield);
+    if (exchange.permit && exchange.sent == 0) {
+        m_settings.quotas->release(*customer, *exchange.permit);
+    }
+    return response;
+}
+
+HttpResponse Gateway::sendToUpstreams(Exchange &exchange, const asio::yield_context &yield)
+{
     while (true) {
         auto chosen = choose(exchange);
         if (auto *rejection = std::get_if<HttpResponse>(&chosen)) {
@@ -573,9 +608,9 @@
     return std::uniform_real_distribution<double>(0, 1)(m_random);
 }
 
-HttpResponse Gateway::rejectFor(Exchange &exchange, std::string_view reason, Milliseconds wait)
+HttpResponse Gateway::rejectFor(Exchange &exchange, std::string_view reason, Milliseconds wait, int status)
 {
-    HttpResponse response = errorResponse(s_unavailable, "rejected", "", fmt::format("the request did not run: {}", reason));
+    HttpResponse response = errorResponse(status, "rejected", "", fmt::format("the request did not run: {}", reason));
     exchange.outcome = RequestOutcome::NotRun;
     exchange.reason = reason;
     response.headers.add("Retry-After", fmt::format("{:.2f}", wait.count() / 1000));
@@ -585,6 +620,7 @@
             {"route", exchange.placement.route ? exchange.placement.route->id.value() : std::string()},
             {"customer", exchange.customerName()},
             {"reason", std::string(reason)},
+            {"status", std::int64_t{status}},
             {"load", exchange.load},
             {"retryAfterMs", wholeMilliseconds(wait)},
             {"configuration", exchange.configurationVersion()}});
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -3,6 +3,7 @@
 #include <LibGateway/attempt.h>
 #include <LibGateway/gatewaymetrics.h>
 #include <LibHttp/httpserver.h>
+#include <LibQuota/quotaclient.h>
 #include <LibSteering/copyfreshness.h>
 
 #include <functional>
@@ -32,6 +33,8 @@
     RevocationPolicy revocation{};
     /// As mayUseKeys() expects it, for the configuration in force; required by a strict policy.
     std::function<BootTime()> configurationProvenAt{};
+    /// Gives the permits of customers with a rate; null for a gateway that limits none. Must outlive the gateway.
+    QuotaClient *quotas = nullptr;
 };
 
 /// Forwards requests of callers to upstreams: matches a route, places the request, attempts and retries it within the limits, and
@@ -84,7 +87,11 @@
     std::optional<HttpResponse> admitCaller(Exchange &exchange);
     /// The route and the customer of a request in another configuration. Nothing when that allows the request no longer, or not for its customer.
     std::optional<ApplicableRoute> applicableRoute(const Exchange &exchange, const RouteTable &routes) const;
+    /// Gets a permit for a request of a customer with a rate. Returns the response to a request that gets none.
+    std::optional<HttpResponse> acquirePermit(Exchange &exchange, const boost::asio::yield_context &yield);
     HttpResponse forward(Exchange &exchange, const boost::asio::yield_context &yield);
+    /// Attempts and retries the request.
+    HttpResponse sendToUpstreams(Exchange &exchange, const boost::asio::yield_context &yield);
     std::variant<std::shared_ptr<Upstream>, HttpResponse> choose(Exchange &exchange);
     HttpResponse respondUnplaced(Exchange &exchange, const NoRoom *noRoom);
     HttpRequest upstreamRequest(const Exchange &exchange, const UpstreamIdentity &upstream) const;
@@ -106,7 +113,7 @@
     /// Rejects the request with a Retry-After that is derived from the time until there is room.
     HttpResponse reject(Exchange &exchange, std::string_view reason, Milliseconds timeUntilRoom);
     /// Rejects the request with exactly that Retry-After.
-    HttpResponse rejectFor(Exchange &exchange, std::string_view reason, Milliseconds wait);
+    HttpResponse rejectFor(Exchange &exchange, std::string_view reason, Milliseconds wait, int status = 503);
     /// A random number from 0 to 1, which spreads callers that are told to come back.
     double spread();
 
--- a/Libraries/LibGateway/hostdirectory.cpp
+++ b/Libraries/LibGateway/hostdirectory.cpp
@@ -16,11 +16,14 @@
 void HostDirectory::setRegistered(const std::vector<HostRegistration> &registrations, BootTime now)
 {
     std::set<HostId> present{m_settings.self};
+    const bool isFirst = !m_rowsReadAt;
+    ++m_rowsVersion;
     m_isSelfRegistered = false;
     m_rowsReadAt = m_rowsReadAt.value_or(now);
     for (const HostRegistration &registration : registrations) {
         present.insert(registration.id);
         add(registration, now);
+        m_hadEarlierRow = m_hadEarlierRow || (isFirst && registration.id == m_settings.self && !m_isSelfRegistered);
     }
     for (auto it = m_hosts.begin(); it != m_hosts.end();) {
         it = present.count(it->first) > 0 ? std::next(it) : m_hosts.erase(it);
@@ -30,9 +33,11 @@
 void HostDirectory::add(const HostRegistration &registration, BootTime now)
 {
     if (registration.id == m_settings.self) {
+        ++m_rowsVersion;
         m_isSelfRegistered = m_hosts.count(registration.id) > 0 && m_hosts.at(registration.id).registration.incarnation == registration.incarnation;
         return;
     }
+    m_rowsVersion += m_hosts.count(registration.id) > 0 ? 0 : 1;
     Entry &entry = m_hosts[registration.id];
     if (entry.registration.incarnation != registration.incarnation) {
         entry.phase = HostPhase::Serving;
@@ -44,6 +49,7 @@
 
 void HostDirectory::remove(const HostId &id)
 {
+    ++m_rowsVersion;
     if (id == m_settings.self) {
         m_isSelfRegistered = false;
         return;
@@ -218,6 +224,21 @@
     return hosts;
 }
 
+std::vector<HostId> HostDirectory::hostsWithRows() const
+{
+    std::vector<HostId> hosts = registeredHosts();
+    if (!m_isSelfRegistered) {
+        hosts.erase(std::remove(hosts.begin(), hosts.end(), m_settings.self), hosts.end());
+    }
+    return hosts;
+}
+
+std::optional<HostRegistration> HostDirectory::registration(const HostId &id) const
+{
+    const auto found = m_hosts.find(id);
+    return found == m_hosts.end() || id == m_settings.self ? std::nullopt : std::make_optional(found->second.registration);
+}
+
 std::vector<HostId> HostDirectory::publisherCandidates(BootTime now) const
 {
     std::vector<HostId> hosts;
--- a/Libraries/LibGateway/hostdirectory.h
+++ b/Libraries/LibGateway/hostdirectory.h
@@ -121,6 +121,25 @@
     /// All registered hosts, whether they are live or not; empty before the rows were read. Precondition: none.
     std::vector<HostId> registeredHosts() const;
 
+    /// The hosts whose rows are in the store, in the order of their ids; this host only while the store holds the row of this process. Empty before the
+    /// rows were read. Precondition: none.
+    std::vector<HostId> hostsWithRows() const;
+
+    /// Changes whenever hostsWithRows() changes. Precondition: none.
+    std::uint64_t rowsVersion() const
+    {
+        return m_rowsVersion;
+    }
+
+    /// Whether the store held a row of an earlier process of this host when the rows were first read. Precondition: none.
+    bool hadEarlierRow() const
+    {
+        return m_hadEarlierRow;
+    }
+
+    /// The registration of another host; nothing when it is not registered. Precondition: none.
+    std::optional<HostRegistration> registration(const HostId &id) const;
+
     /// Hosts of the own availability zone whose rows this host has to remove, since they sent no beacon for abandonTimeout. One of
     /// the zone's publisher candidates removes the rows for all; the others get an empty list. Precondition: setSelf() was called.
     std::vector<HostRegistration> abandonedHosts(BootTime now) const;
@@ -168,6 +187,8 @@
     std::size_t m_nextAddress = 0;
     HostPhase m_phase = HostPhase::Starting;
     bool m_isSelfRegistered = false;
+    bool m_hadEarlierRow = false;
+    std::uint64_t m_rowsVersion = 0;
     std::optional<BootTime> m_rowsReadAt;
 };
 
--- a/Tests/LibGateway/testhostdirectory.cpp
+++ b/Tests/LibGateway/testhostdirectory.cpp
@@ -86,6 +86,33 @@
     cr_assert_eq(directory().registeredHosts().size(), 4);
 }
 
+// Guards against a host that counts itself as a lender while the others don't, and a change of the table of hosts that goes unnoticed.
+Test(HostDirectory, rowsAreThoseOfTheStore)
+{
+    HostDirectory hosts({HostId("self"), ZoneId("gulf-a"), RegionId("gulf")});
+    hosts.setSelf(registration("self", "gulf-a", "gulf", 2), HostPhase::Starting);
+    cr_assert(hosts.hostsWithRows().empty());
+    auto version = hosts.rowsVersion();
+    const auto hasChanged = [&] { return std::exchange(version, hosts.rowsVersion()) != version; };
+    hosts.setRegistered({registration("self", "gulf-a", "gulf", 1), registration("peer", "gulf-a", "gulf")}, s_start);
+    cr_assert(hasChanged() && hosts.hadEarlierRow());
+    cr_assert(hosts.hostsWithRows() == std::vector<HostId>{HostId("peer")}, "the own row is that of an earlier process");
+    hosts.add(registration("self", "gulf-a", "gulf", 2), s_start);
+    cr_assert(hasChanged());
+    cr_assert_eq(hosts.hostsWithRows().size(), 2);
+    hosts.add(registration("far", "hill-a", "hill"), s_start);
+    cr_assert(hasChanged() && hosts.registration(HostId("far"))->peerAddress == "far:81");
+    hosts.recordBeacon(HostId("far"), HostPhase::Serving, true, s_start);
+    hosts.add(registration("far", "hill-a", "hill", 2), s_start);
+    cr_assert_not(hasChanged());
+    hosts.remove(HostId("far"));
+    cr_assert(hasChanged() && !hosts.registration(HostId("far")));
+    hosts.setRegistered({registration("peer", "gulf-a", "gulf")}, s_start);
+    cr_assert(hasChanged());
+    cr_assert_eq(hosts.hostsWithRows().size(), 1, "the own row is missing");
+    cr_assert_not(directory().hadEarlierRow());
+}
+
 // Guards against a killed host that look-ups still return, and a stopping one that gets new callers.
 Test(HostDirectory, unresponsiveAndStoppingHostsAreLeftOut)
 {
--- a/Utilities/trefoilctl/explain.cpp
+++ b/Utilities/trefoilctl/explain.cpp
@@ -55,6 +55,8 @@
         {"no-upstream", "no upstream of the service may be used now"},
         {"host-stopping", "the host is stopping and couldn't have completed it"},
         {"no-configuration", "the host had no configuration yet"},
+        {"quota-exceeded", "its customer had sent more than its limit"},
+        {"quota-unavailable", "no host that lends permits of its customer replied"},
         {"shed", "the upstreams refused it before it ran"},
     };
     const auto found = std::find_if(sentences.begin(), sentences.end(), [&reason](const auto &entry) { return entry.first == reason; });
