--- a/Libraries/LibGateway/beacon.h
+++ b/Libraries/LibGateway/beacon.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -49,6 +50,18 @@
         return m_traffic;
     }
 
+    /// Handles datagrams that are not beacons; may return a reply for the sender.
+    using DatagramHandler = std::function<std::optional<std::string>(std::string_view bytes)>;
+
+    /// Without a handler datagrams that are not beacons are ignored. Precondition: none.
+    void setDatagramHandler(DatagramHandler handler)
+    {
+        m_datagramHandler = std::move(handler);
+    }
+
+    /// Sends a datagram to a registered host; to others nothing is sent. Precondition: the datagram has at most 512 bytes.
+    void sendDatagram(const HostId &to, const std::string &bytes);
+
     /// Local address at which beacons are received, IP:port. Precondition: none.
     std::string address() const;
 
@@ -61,6 +74,7 @@
     boost::asio::ip::udp::socket m_socket;
     HostId m_self;
     HostDirectory &m_directory;
+    DatagramHandler m_datagramHandler;
     std::array<char, 512> m_buffer{};
     boost::asio::ip::udp::endpoint m_sender;
     HostPhase m_phase = HostPhase::Starting;
