--- a/Libraries/LibGateway/beacon.cpp
+++ b/Libraries/LibGateway/beacon.cpp
@@ -116,6 +116,13 @@
     return error ? std::string() : endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+void BeaconSocket::sendDatagram(const HostId &to, const std::string &bytes)
+{
+    if (const auto host = m_directory.registration(to)) {
+        sendTo(*host, bytes);
+    }
+}
+
 void BeaconSocket::sendTo(const HostRegistration &host, const std::string &bytes)
 {
     const auto endpoint = parseEndpoint(host.peerAddress);
@@ -123,15 +130,19 @@
         writeLog(LogLevel::Warning, "peer-address-unreadable", {{"peer", host.id.value()}, {"address", host.peerAddress}});
         return;
     }
-    send(bytes, udp::endpoint(endpoint.value().address(), endpoint.value().port()));
+    send(host.id, bytes, udp::endpoint(endpoint.value().address(), endpoint.value().port()));
 }
 
-void BeaconSocket::send(const std::string &bytes, const udp::endpoint &to)
+void BeaconSocket::send(const HostId &host, const std::string &bytes, const udp::endpoint &to)
 {
     boost::system::error_code error;
     m_socket.send_to(asio::buffer(bytes), to, 0, error);
     if (error) {
         writeLog(LogLevel::Warning, "beacon-not-sent", {{"to", to.address().to_string()}, {"reason", error.message()}});
+        return;
+    }
+    if (const auto relation = m_directory.relationTo(host)) {
+        m_traffic.add(TrafficPurpose::Beacon, *relation, bytes.size());
     }
 }
 
@@ -141,11 +152,16 @@
         if (error == asio::error::operation_aborted) {
             return;
         }
-        const auto beacon = error ? std::nullopt : decodeBeacon(std::string_view(m_buffer.data(), size));
+        const std::string_view bytes(m_buffer.data(), error ? 0 : size);
+        const auto beacon = decodeBeacon(bytes);
         if (beacon) {
             m_directory.recordBeacon(beacon->from, beacon->phase, beacon->isStoreReachable, BootClock::now());
             if (beacon->isReplyRequested) {
-                send(encodeBeacon({m_self, m_phase, m_isStoreReachable, false}), m_sender);
+                send(beacon->from, encodeBeacon({m_self, m_phase, m_isStoreReachable, false}), m_sender);
+            }
+        } else if (m_datagramHandler && !bytes.empty()) {
+            if (const auto reply = m_datagramHandler(bytes)) {
+                send(*reply, m_sender);
             }
         }
         receive();
--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -20,6 +20,7 @@
 
 constexpr int s_unauthorized = 401;
 constexpr int s_notFound = 404;
+constexpr int s_tooManyRequests = 429;
 constexpr int s_badGateway = 502;
 constexpr int s_unavailable = 503;
 constexpr int s_gatewayTimeout = 504;
@@ -119,11 +120,15 @@
     /// Whether any attempt may have run at an upstream.
     bool mayHaveRun = false;
     Placed placed{};
+    /// Of a customer with a rate.
+    std::optional<Permit> permit{};
     /// Outcome of the request so far, for the metrics.
     RequestOutcome outcome = RequestOutcome::Answered;
     std::string reason{};
     /// Mean load per slot of the candidates of the latest placement.
     double load = 0;
+    /// Of the latest placement.
+    GatewayState::CostNotes cost{};
 
     /// Empty for an anonymous caller.
     std::string customerName() const
@@ -204,6 +209,9 @@
     }
     const auto retries = static_cast<std::uint32_t>(std::max(0, exchange.sent - 1));
     series->finished({exchange.outcome, exchange.reason, BootClock::now() - exchange.placement.arrivedAt, std::chrono::nanoseconds(0), retries});
+    if (exchange.placement.customer) {
+        m_metrics.countCustomerRequest(exchange.placement.customer->id, exchange.outcome);
+    }
     if (!exchange.id.empty() && !response.headers.find(m_settings.headers.requestId)) {
         response.headers.add(m_settings.headers.requestId, exchange.id);
     }
@@ -215,10 +223,27 @@
     return !m_settings.revocation.isStrict || Trefoil::mayUseKeys(m_settings.revocation, m_settings.configurationProvenAt(), now);
 }
 
+void Gateway::logKeyUse(bool isKeyUsable, BootTime now)
+{
+    if (isKeyUsable != m_rejectsKeys) {
+        return;
+    }
+    m_rejectsKeys = !isKeyUsable;
+    if (isKeyUsable) {
+        writeLog(LogLevel::Info, "keyed-requests-served");
+        return;
+    }
+    const BootTime provenAt = m_settings.configurationProvenAt();
+    const auto age = provenAt == BootTime{} ? std::int64_t{-1} : wholeMilliseconds(now - provenAt);
+    writeLog(LogLevel::Warning, "keyed-requests-rejected", {{"reason", std::string("configuration-too-old")}, {"proofAgeMs", age}});
+}
+
 std::optional<HttpResponse> Gateway::admitCaller(Exchange &exchange)
 {
     RequestPlacement &placement = exchange.placement;
-    if (exchange.routes->hasCustomers() && !mayUseKeys(placement.arrivedAt)) {
+    const bool isKeyUsable = !exchange.routes->hasCustomers() || mayUseKeys(placement.arrivedAt);
+    logKeyUse(isKeyUsable, placement.arrivedAt);
+    if (!isKeyUsable) {
         // A key that this host doesn't know may be new, so that an old configuration gives no reason for 401 either.
         return placement.route->isPublic ? std::nullopt : std::make_optional(reject(exchange, "configuration-too-old", s_startRetryAfter));
     }
@@ -241,6 +266,23 @@
     return std::nullopt;
 }
 
+std::optional<HttpResponse> Gateway::acquirePermit(Exchange &exchange, const asio::yield_context &yield)
+{
+    const Customer *customer = exchange.placement.customer;
+    if (!m_settings.quotas || !customer || customer->requestsPerSecond <= 0) {
+        return std::nullopt;
+    }
+    const QuotaClient::Outcome outcome = m_settings.quotas->acquire(*customer, exchange.placement.deadline, yield);
+    if (const auto *exceeded = std::get_if<QuotaExceeded>(&outcome)) {
+        return rejectFor(exchange, "quota-exceeded", exceeded->timeUntilRoom, s_tooManyRequests);
+    }
+    if (std::holds_alternative<QuotaUnavailable>(outcome)) {
+        return reject(exchange, "quota-unavailable", s_startRetryAfter);
+    }
+    exchange.permit = std::get<Permit>(outcome);
+    return std::nullopt;
+}
+
 HttpResponse Gateway::forward(Exchange &exchange, const asio::yield_context &yield)
 {
     const Route &route = *exchange.placement.route;
@@ -253,8 +295,24 @@
     const std::string_view key = exchange.request.headers.value(m_settings.headers.affinityKey);
     exchange.placement.keyHash = route.hasAffinity && !key.empty() ? stableHash(fmt::format("{}/{}", route.id.value(), key)) : 0;
     exchange.positionHash = exchange.placement.keyHash != 0 ? exchange.placement.keyHash : stableHash(exchange.id);
+    exchange.placement.bytes = exchange.request.body.size();
+    // A retry may change the customer of the exchange with the configuration.
+    const std::shared_ptr<const RouteTable> routes = exchange.routes;
+    const Customer *customer = exchange.placement.customer;
+    if (auto rejection = acquirePermit(exchange, yield)) {
+        return std::move(*rejection);
+    }
     exchange.placement.service = m_state.nextService(route);
     m_state.recordArrival(exchange.placement);
+    HttpResponse response = sendToUpstreams(exchange, yield);
+    if (exchange.permit && exchange.sent == 0) {
+        m_settings.quotas->release(*customer, *exchange.permit);
+    }
+    return response;
+}
+
+HttpResponse Gateway::sendToUpstreams(Exchange &exchange, const asio::yield_context &yield)
+{
     while (true) {
         auto chosen = choose(exchange);
         if (auto *rejection = std::get_if<HttpResponse>(&chosen)) {
@@ -282,6 +340,7 @@
         }
         const auto &upstream = usable[placed->candidate];
         exchange.placed = *placed;
+        exchange.cost = m_state.costNotes(exchange.placement, *upstream, now);
         if (!fitsBeforeStop(exchange, *upstream, now)) {
             return exchange.mayHaveRun ? failIncomplete(exchange) : reject(exchange, s_hostStopping, s_elsewhereRetryAfter);
         }
@@ -407,8 +466,8 @@
     CallOptions options = callOptions(exchange, upstream);
     CallTrace trace;
     options.trace = &trace;
-    upstream.model.recordStart();
     const BootTime start = BootClock::now();
+    const RemainingWork::Token token = m_state.recordStart(exchange.placement, upstream, exchange.placed, start);
     AttemptEnd end =
         classifyCall(m_pool.call(identity.address, m_state.connectionLimit(upstream), upstreamRequest(exchange, identity), options, yield), m_settings.headers);
     end.trace = trace;
@@ -417,12 +476,14 @@
     m_state.recordAttempt(exchange.placement,
         upstream,
         exchange.placed,
-        {end.outcome, end.timedOut, now - start - trace.memoryWait, end.load, end.isUpstreamLeaving, end.requestedPause.pause},
+        {end.outcome, end.timedOut, now - start - trace.memoryWait, end.load, end.isUpstreamLeaving, end.requestedPause.pause, token},
         now);
     if (end.isMisdirected) {
         m_state.upstreamMisdirected(upstream);
     }
     m_metrics.countAttempt(identity.id, end.outcome, trace);
+    const PlacementSettings &place = m_state.settings().placement;
+    m_metrics.countTraffic(relationBetween(place.zone, place.region, identity.zone, identity.region), trace);
     ++(end.wasSent ? exchange.sent : exchange.unsent);
     exchange.mayHaveRun = exchange.mayHaveRun || end.execution == Execution::Possible;
     logAttempt(exchange, upstream, end, now - start, now);
@@ -460,6 +521,7 @@
             {"address", upstream.model.identity().address},
             {"connection", static_cast<std::int64_t>(end.trace.connection)},
             {"earlierRequests", static_cast<std::int64_t>(end.trace.earlierRequests)},
+            {"opened", std::string(end.trace.opened ? toText(*end.trace.opened) : std::string_view())},
             {"foreignResponses", std::int64_t{end.trace.foreignResponses}},
             {"avoidedConnections", std::int64_t{end.trace.avoidedConnections}},
             {"reason", end.reason},
@@ -468,6 +530,8 @@
             {"memoryWaitMs", wholeMilliseconds(end.trace.memoryWait)},
             {"expectedWorkMs", wholeMilliseconds(exchange.placed.expectedWork)},
             {"expectedWaitMs", wholeMilliseconds(exchange.placed.expectedWait)},
+            {"costSpread", exchange.cost.spread},
+            {"remainingWorkMs", wholeMilliseconds(exchange.cost.remainingWork)},
             {"cache", std::int64_t{static_cast<int>(exchange.placed.cache)}},
             {"load", exchange.load},
             {"failureRate", upstream.model.failureRate(now)}});
@@ -573,9 +637,9 @@
     return std::uniform_real_distribution<double>(0, 1)(m_random);
 }
 
-HttpResponse Gateway::rejectFor(Exchange &exchange, std::string_view reason, Milliseconds wait)
+HttpResponse Gateway::rejectFor(Exchange &exchange, std::string_view reason, Milliseconds wait, int status)
 {
-    HttpResponse response = errorResponse(s_unavailable, "rejected", "", fmt::format("the request did not run: {}", reason));
+    HttpResponse response = errorResponse(status, "rejected", "", fmt::format("the request did not run: {}", reason));
     exchange.outcome = RequestOutcome::NotRun;
     exchange.reason = reason;
     response.headers.add("Retry-After", fmt::format("{:.2f}", wait.count() / 1000));
@@ -585,6 +649,7 @@
             {"route", exchange.placement.route ? exchange.placement.route->id.value() : std::string()},
             {"customer", exchange.customerName()},
             {"reason", std::string(reason)},
+            {"status", std::int64_t{status}},
             {"load", exchange.load},
             {"retryAfterMs", wholeMilliseconds(wait)},
             {"configuration", exchange.configurationVersion()}});
--- a/Libraries/LibGateway/gatewaymetrics.cpp
+++ b/Libraries/LibGateway/gatewaymetrics.cpp
@@ -10,11 +10,48 @@
 
 constexpr std::array<std::string_view, 6> s_outcomeNames = {"success", "failed", "broken", "shed", "unreachable", "cancelled"};
 
+constexpr std::array<std::string_view, 3> s_requestOutcomeNames = {"answered", "not-run", "unknown"};
+
 double secondsSince(BootTime since, BootTime now)
 {
     return since == BootTime{} ? -1 : std::chrono::duration<double>(now - since).count();
 }
 
+constexpr std::array<std::pair<CacheState, std::string_view>, 3> s_cacheNames = {
+    {{CacheState::Unlikely, "unlikely"}, {CacheState::Likely, "likely"}, {CacheState::Cached, "cached"}}};
+
+/// Learned cost of requests and remaining work, where upstreams report the time that work takes.
+void writeCost(ScrapeWriter &writer, const GatewayState &state, BootTime now)
+{
+    const auto &routes = state.routeStates();
+    writer.begin("trefoil_request_cost_seconds", "gauge", "Learned work of a request on a machine of usual speed, by route and state of the cache.");
+    for (const auto &[id, route] : routes) {
+        for (const auto &[cache, name] : s_cacheNames) {
+            if (route.cost.hasSamples()) {
+                const double seconds = std::chrono::duration<double>(route.cost.expected(cache, {})).count();
+                writer.sample("", {{"route", id.value()}, {"cache", name}}, seconds);
+            }
+        }
+    }
+    writer.begin("trefoil_request_cost_spread", "gauge", "Mean deviation of the work of requests from the learned one, as a fraction of the latter.");
+    for (const auto &[id, route] : routes) {
+        if (route.cost.hasSamples()) {
+            writer.sample("", {{"route", id.value()}}, route.cost.spread());
+        }
+    }
+    writer.begin("trefoil_remaining_work_seconds", "gauge", "Work that upstreams still have to do for this host's requests in flight, by service.");
+    for (const auto &[id, service] : state.serviceStates()) {
+        if (!service.reportsWorkFactor) {
+            continue;
+        }
+        Milliseconds sum(0);
+        for (const auto &upstream : service.upstreams) {
+            sum += upstream->remaining.ownWork(now);
+        }
+        writer.sample("", {{"service", id.value()}}, sum.count() / 1000);
+    }
+}
+
 } // namespace
 
 GatewayMetrics::GatewayMetrics() = default;
@@ -42,10 +79,19 @@
 {
     m_foreignResponses += static_cast<std::uint64_t>(trace.foreignResponses);
     m_avoidedConnections += static_cast<std::uint64_t>(trace.avoidedConnections);
+    if (trace.opened) {
+        ++m_openedConnections[static_cast<std::size_t>(*trace.opened)];
+    }
     const bool hasOwn = m_attempts.count(upstream) > 0 || m_attempts.size() < s_maximumUpstreams;
     ++m_attempts[hasOwn ? upstream : UpstreamId("other")][static_cast<std::size_t>(outcome)];
 }
 
+void GatewayMetrics::countCustomerRequest(const CustomerId &customer, RequestOutcome outcome)
+{
+    const bool hasOwn = m_customerRequests.count(customer) > 0 || m_customerRequests.size() < s_maximumCustomers;
+    ++m_customerRequests[hasOwn ? customer : CustomerId("other")][static_cast<std::size_t>(outcome)];
+}
+
 void GatewayMetrics::writeTo(ScrapeWriter &writer, const GatewayState &state, BootTime now) const
 {
     m_requests.writeTo(writer);
@@ -57,10 +103,22 @@
             }
         }
     }
+    if (!m_customerRequests.empty()) {
+        writer.begin("trefoil_customer_requests_total", "counter", "Requests of customers by how they ended.");
+        for (const auto &[customer, counts] : m_customerRequests) {
+            for (std::size_t i = 0; i < counts.size(); ++i) {
+                writer.sample("", {{"customer", customer.value()}, {"outcome", s_requestOutcomeNames[i]}}, static_cast<double>(counts[i]));
+            }
+        }
+    }
     writer.begin("trefoil_foreign_responses_total", "counter", "Responses of upstreams that bore the id of another request and were discarded.");
     writer.sample("", {}, static_cast<double>(m_foreignResponses));
     writer.begin("trefoil_avoided_connections_total", "counter", "Idle connections not used for a request that they had answered with a failure.");
     writer.sample("", {}, static_cast<double>(m_avoidedConnections));
+    writer.begin("trefoil_upstream_connections_opened_total", "counter", "Connections opened to upstreams by why no idle one was used.");
+    for (std::size_t i = 0; i < m_openedConnections.size(); ++i) {
+        writer.sample("", {{"cause", toText(static_cast<ConnectionCause>(i))}}, static_cast<double>(m_openedConnections[i]));
+    }
     const auto routes = state.routes();
     writer.begin("trefoil_configuration_version", "gauge", "Version of the configuration in force; 0 before the first one.");
     writer.sample("", {}, routes ? static_cast<double>(routes->configuration().version.value()) : 0);
@@ -74,6 +132,7 @@
     writer.sample("", {}, static_cast<double>(state.evacuated().size()));
     writer.begin("trefoil_registered_hosts", "gauge", "Entry hosts that are registered, whether they live or not.");
     writer.sample("", {}, static_cast<double>(state.registeredHostCount()));
+    writeCost(writer, state, now);
 }
 
 void writeMemoryMetrics(ScrapeWriter &writer, const MemoryBudget &memory)
--- a/Libraries/LibGateway/gatewaymetrics.h
+++ b/Libraries/LibGateway/gatewaymetrics.h
@@ -26,6 +26,22 @@
     /// Counts an attempt that has ended. Precondition: none.
     void countAttempt(const UpstreamId &upstream, AttemptOutcome outcome, const CallTrace &trace);
 
+    /// Counts the bytes of an attempt by where its upstream is. Precondition: none.
+    void countTraffic(ZoneRelation relation, const CallTrace &trace)
+    {
+        m_traffic.add(TrafficPurpose::Request, relation, trace.bytesWritten);
+        m_traffic.add(TrafficPurpose::Response, relation, trace.bytesRead);
+    }
+
+    /// Bytes to and from upstreams. Precondition: none.
+    const TrafficBytes &traffic() const
+    {
+        return m_traffic;
+    }
+
+    /// Counts a request of a customer that has ended. Precondition: none.
+    void countCustomerRequest(const CustomerId &customer, RequestOutcome outcome);
+
     /// Records that the store has confirmed the list of upstreams now. Precondition: none.
     void recordDiscovery(BootTime now)
     {
@@ -39,11 +55,16 @@
     using CountsByOutcome = std::array<std::uint64_t, 6>;
     /// Upstreams with counters of their own; all further ones share the label "other".
     static constexpr std::size_t s_maximumUpstreams = 1024;
+    /// The same for customers; three series each.
+    static constexpr std::size_t s_maximumCustomers = 256;
 
     RequestMetrics m_requests;
     std::map<UpstreamId, CountsByOutcome> m_attempts;
+    std::map<CustomerId, std::array<std::uint64_t, 3>> m_customerRequests;
     std::uint64_t m_foreignResponses = 0;
     std::uint64_t m_avoidedConnections = 0;
+    TrafficBytes m_traffic;
+    std::array<std::uint64_t, s_connectionCauseCount> m_openedConnections{};
     BootTime m_configurationAt{};
     BootTime m_discoveryAt{};
 };
--- a/Libraries/LibGateway/hostdirectory.cpp
+++ b/Libraries/LibGateway/hostdirectory.cpp
@@ -16,11 +16,14 @@
 void HostDirectory::setRegistered(const std::vector<HostRegistration> &registrations, BootTime now)
 {
     std::set<HostId> present{m_settings.self};
+    const bool isFirst = !m_rowsReadAt;
+    ++m_rowsVersion;
     m_isSelfRegistered = false;
     m_rowsReadAt = m_rowsReadAt.value_or(now);
     for (const HostRegistration &registration : registrations) {
         present.insert(registration.id);
         add(registration, now);
+        m_hadEarlierRow = m_hadEarlierRow || (isFirst && registration.id == m_settings.self && !m_isSelfRegistered);
     }
     for (auto it = m_hosts.begin(); it != m_hosts.end();) {
         it = present.count(it->first) > 0 ? std::next(it) : m_hosts.erase(it);
@@ -30,9 +33,11 @@
 void HostDirectory::add(const HostRegistration &registration, BootTime now)
 {
     if (registration.id == m_settings.self) {
+        ++m_rowsVersion;
         m_isSelfRegistered = m_hosts.count(registration.id) > 0 && m_hosts.at(registration.id).registration.incarnation == registration.incarnation;
         return;
     }
+    m_rowsVersion += m_hosts.count(registration.id) > 0 ? 0 : 1;
     Entry &entry = m_hosts[registration.id];
     if (entry.registration.incarnation != registration.incarnation) {
         entry.phase = HostPhase::Serving;
@@ -44,6 +49,7 @@
 
 void HostDirectory::remove(const HostId &id)
 {
+    ++m_rowsVersion;
     if (id == m_settings.self) {
         m_isSelfRegistered = false;
         return;
@@ -142,30 +148,47 @@
     }
 }
 
+std::vector<const HostRegistration *> HostDirectory::entryHostsAmong(std::vector<const HostRegistration *> hosts) const
+{
+    if (!m_settings.choosesByCapacity) {
+        return hosts;
+    }
+    std::vector<EntryHostCandidate> candidates;
+    candidates.reserve(hosts.size());
+    for (const HostRegistration *host : hosts) {
+        candidates.push_back({stableHash(host->id.value()), host->capacity});
+    }
+    std::vector<const HostRegistration *> chosen;
+    for (const std::size_t index : chooseEntryHosts(candidates)) {
+        chosen.push_back(hosts[index]);
+    }
+    return chosen;
+}
+
 std::vector<std::string> HostDirectory::addressesFor(const RegionId &region, const ZoneId &zone, BootTime now)
 {
     m_lookedUpAt[zone] = now;
-    std::vector<std::string> inZone;
-    std::vector<std::string> inRegion;
-    std::vector<std::string> inOwnZone;
+    std::vector<const HostRegistration *> inZone;
+    std::vector<const HostRegistration *> inRegion;
+    std::vector<const HostRegistration *> inOwnZone;
     for (const auto &[id, entry] : m_hosts) {
         if (!isLive(entry, now)) {
             continue;
         }
         if (entry.registration.zone == zone) {
-            inZone.push_back(entry.registration.address);
+            inZone.push_back(&entry.registration);
         }
         if (entry.registration.region == region) {
-            inRegion.push_back(entry.registration.address);
+            inRegion.push_back(&entry.registration);
         }
         if (entry.registration.zone == m_settings.zone) {
-            inOwnZone.push_back(entry.registration.address);
+            inOwnZone.push_back(&entry.registration);
         }
     }
     if (inZone.empty()) {
         recordRegionLookup(region, now);
     }
-    auto &chosen = !inZone.empty() ? inZone : !inRegion.empty() ? inRegion : inOwnZone;
+    auto chosen = entryHostsAmong(std::move(!inZone.empty() ? inZone : !inRegion.empty() ? inRegion : inOwnZone));
     if (chosen.size() > m_settings.maximumAddresses) {
         // Each look-up starts where the previous one ended, so that callers spread over all hosts of a large zone.
         m_nextAddress %= chosen.size();
@@ -173,7 +196,12 @@
         m_nextAddress += m_settings.maximumAddresses;
         chosen.resize(m_settings.maximumAddresses);
     }
-    return std::move(chosen);
+    std::vector<std::string> addresses;
+    addresses.reserve(chosen.size());
+    for (const HostRegistration *host : chosen) {
+        addresses.push_back(host->address);
+    }
+    return addresses;
 }
 
 std::vector<BeaconTarget> HostDirectory::beaconTargets(BootTime now) const
@@ -196,12 +224,22 @@
 
 std::vector<HostId> HostDirectory::hostsOf(const ZoneId &zone, BootTime now) const
 {
-    std::vector<HostId> hosts;
+    const bool isOwnZone = zone == m_settings.zone;
+    std::vector<const HostRegistration *> registrations;
     for (const auto &[id, entry] : m_hosts) {
-        if (entry.registration.zone == zone && (zone != m_settings.zone || id == m_settings.self || isLive(entry, now))) {
-            hosts.push_back(id);
+        if (entry.registration.zone == zone && (!isOwnZone || id == m_settings.self || isLive(entry, now))) {
+            registrations.push_back(&entry.registration);
         }
     }
+    if (isOwnZone) {
+        // Hosts that get no callers would leave the cold upstreams that they own without requests.
+        registrations = entryHostsAmong(std::move(registrations));
+    }
+    std::vector<HostId> hosts;
+    hosts.reserve(registrations.size());
+    for (const HostRegistration *registration : registrations) {
+        hosts.push_back(registration->id);
+    }
     return hosts;
 }
 
@@ -218,6 +256,21 @@
     return hosts;
 }
 
+std::vector<HostId> HostDirectory::hostsWithRows() const
+{
+    std::vector<HostId> hosts = registeredHosts();
+    if (!m_isSelfRegistered) {
+        hosts.erase(std::remove(hosts.begin(), hosts.end(), m_settings.self), hosts.end());
+    }
+    return hosts;
+}
+
+std::optional<HostRegistration> HostDirectory::registration(const HostId &id) const
+{
+    const auto found = m_hosts.find(id);
+    return found == m_hosts.end() || id == m_settings.self ? std::nullopt : std::make_optional(found->second.registration);
+}
+
 std::vector<HostId> HostDirectory::publisherCandidates(BootTime now) const
 {
     std::vector<HostId> hosts;
@@ -258,6 +311,16 @@
     return registrations;
 }
 
+std::optional<ZoneRelation> HostDirectory::relationTo(const HostId &id) const
+{
+    const auto found = m_hosts.find(id);
+    if (found == m_hosts.end()) {
+        return std::nullopt;
+    }
+    const HostRegistration &other = found->second.registration;
+    return relationBetween(m_settings.zone, m_settings.region, other.zone, other.region);
+}
+
 std::vector<HostRegistration> HostDirectory::zonePeers() const
 {
     std::vector<HostRegistration> registrations;
--- a/Libraries/LibGateway/hostdirectory.h
+++ b/Libraries/LibGateway/hostdirectory.h
@@ -2,6 +2,8 @@
 
 #include <LibCore/bootclock.h>
 #include <LibCore/strongid.h>
+#include <LibGateway/trafficbytes.h>
+#include <LibSteering/hostchoice.h>
 
 #include <cstdint>
 #include <map>
@@ -27,6 +29,8 @@
     std::uint64_t incarnation = 0;
     /// Version of the row; 0 for a registration that was not read from the store.
     std::uint64_t rowVersion = 0;
+    /// Unknown in rows of older versions.
+    HostCapacity capacity{};
 };
 
 /// Phase of a host process, as its beacons report it.
@@ -62,6 +66,8 @@
     std::chrono::milliseconds abandonTimeout{60000};
     /// Maximum number of addresses that one look-up returns.
     std::size_t maximumAddresses = 16;
+    /// Whether look-ups list the hosts that chooseEntryHosts() chooses instead of all live hosts.
+    bool choosesByCapacity = false;
 };
 
 /// The hosts that callers may be sent to. Rows in the store list the registered hosts, beacons show which of them are live. Hosts
@@ -92,7 +98,7 @@
     void setSelf(const HostRegistration &registration, HostPhase phase);
 
     /// Returns addresses for callers of an availability zone: its live hosts, else live hosts of its region, else live hosts of this
-    /// host's own zone. Records the look-up. Precondition: now does not go back.
+    /// host's own zone; with choosesByCapacity the entry hosts among them. Records the look-up. Precondition: now does not go back.
     std::vector<std::string> addressesFor(const RegionId &region, const ZoneId &zone, BootTime now);
 
     /// Hosts whose beacons a look-up for an availability zone has to await: those of the zone while none of them is live, then those
@@ -115,12 +121,32 @@
         return m_rowsReadAt;
     }
 
-    /// For the own availability zone its live hosts and this one; for another zone all registered hosts. Precondition: none.
+    /// For the own availability zone its live hosts and this one, with choosesByCapacity the entry hosts among them; for another zone all
+    /// registered hosts. Precondition: none.
     std::vector<HostId> hostsOf(const ZoneId &zone, BootTime now) const;
 
     /// All registered hosts, whether they are live or not; empty before the rows were read. Precondition: none.
     std::vector<HostId> registeredHosts() const;
 
+    /// The hosts whose rows are in the store, in the order of their ids; this host only while the store holds the row of this process. Empty before the
+    /// rows were read. Precondition: none.
+    std::vector<HostId> hostsWithRows() const;
+
+    /// Changes whenever hostsWithRows() changes. Precondition: none.
+    std::uint64_t rowsVersion() const
+    {
+        return m_rowsVersion;
+    }
+
+    /// Whether the store held a row of an earlier process of this host when the rows were first read. Precondition: none.
+    bool hadEarlierRow() const
+    {
+        return m_hadEarlierRow;
+    }
+
+    /// The registration of another host; nothing when it is not registered. Precondition: none.
+    std::optional<HostRegistration> registration(const HostId &id) const;
+
     /// Hosts of the own availability zone whose rows this host has to remove, since they sent no beacon for abandonTimeout. One of
     /// the zone's publisher candidates removes the rows for all; the others get an empty list. Precondition: setSelf() was called.
     std::vector<HostRegistration> abandonedHosts(BootTime now) const;
@@ -128,6 +154,9 @@
     /// Registered hosts of the own availability zone except this one, whether they are live or not. Precondition: none.
     std::vector<HostRegistration> zonePeers() const;
 
+    /// Where a host is, as seen from this one; nothing for a host that isn't registered. Precondition: none.
+    std::optional<ZoneRelation> relationTo(const HostId &id) const;
+
     /// Number of registered hosts including this one, whether they are live or not. Precondition: none.
     std::size_t registeredCount() const
     {
@@ -160,6 +189,8 @@
     bool hasPendingRequest(const Entry &entry, BootTime now) const;
     void recordRegionLookup(const RegionId &region, BootTime now);
     bool isUnresponsive(const Entry &entry, BootTime now) const;
+    /// The entry hosts among the live hosts of a place: all of them unless choosesByCapacity.
+    std::vector<const HostRegistration *> entryHostsAmong(std::vector<const HostRegistration *> hosts) const;
 
     HostDirectorySettings m_settings;
     std::map<HostId, Entry> m_hosts;
@@ -168,6 +199,8 @@
     std::size_t m_nextAddress = 0;
     HostPhase m_phase = HostPhase::Starting;
     bool m_isSelfRegistered = false;
+    bool m_hadEarlierRow = false;
+    std::uint64_t m_rowsVersion = 0;
     std::optional<BootTime> m_rowsReadAt;
 };
 
--- a/Tests/LibSteering/testplacement.cpp
+++ b/Tests/LibSteering/testplacement.cpp
@@ -700,6 +700,47 @@
     cr_assert(model.failureRate(s_start + 20s) < 0.05);
 }
 
+// Load pattern: machines whose speed changes many times a second. Guards against one report that decides alone, against a speed that counts twice
+// because the measured slowness holds it, too, and against one that is assumed where none was reported.
+Test(UpstreamModel, reportedWorkFactorIsAveraged)
+{
+    UpstreamModel model(identity("u", "gulf-a", "gulf"));
+    const auto end = [&model](std::optional<double> slowness, std::optional<double> factor) {
+        model.recordStart();
+        model.recordEnd(AttemptOutcome::Success, slowness, LoadReport{1, 0, factor}, s_start);
+    };
+    end(std::nullopt, std::nullopt);
+    cr_assert_eq(model.workFactor(s_start), 1);
+    end(std::nullopt, 1e9);
+    cr_assert(model.workFactor(s_start) < 3);
+    for (int i = 0; i < 100; ++i) {
+        end(std::nullopt, i % 2 == 0 ? 1 : 5);
+    }
+    cr_assert_float_eq(model.workFactor(s_start), 3, 0.3);
+    end(model.workFactor(s_start), model.workFactor(s_start));
+    cr_assert_float_eq(model.slowness(s_start), 1, 1e-9);
+    cr_assert(model.workFactor(s_start + 20s) < 1.1);
+}
+
+// Load pattern: uneven machines. Guards against a request that goes to the slower of two idle upstreams although both report their speed.
+Test(Placement, reportedWorkFactorScalesServiceTime)
+{
+    WorkEstimate work(600ms);
+    UpstreamModel slow(identity("a", "gulf-a", "gulf"));
+    UpstreamModel fast(identity("b", "gulf-a", "gulf"));
+    for (int i = 0; i < 200; ++i) {
+        for (UpstreamModel *model : {&slow, &fast}) {
+            model->recordStart();
+            model->recordEnd(AttemptOutcome::Success, std::nullopt, LoadReport{1, 0, model == &slow ? 1.5 : 0.5}, s_start);
+        }
+    }
+    const PlacementResult result = place({&slow, &fast}, query(work, 0, s_start), settings());
+    const auto *placed = std::get_if<Placed>(&result);
+    cr_assert(placed);
+    cr_assert_eq(placed->candidate, 1);
+    cr_assert_float_eq(placed->expectedWork.count(), 0.5 * work.expected(placed->cache).count(), 1e-6);
+}
+
 // Load pattern: keys that are warmed while upstreams work at their normal speed. Guards against warm-up that is mistaken for slowness.
 Test(WorkEstimate, warmUpIsNotSlowness)
 {
