--- a/Libraries/LibGateway/beacon.cpp
+++ b/Libraries/LibGateway/beacon.cpp
@@ -135,10 +135,7 @@
 
 void BeaconSocket::send(const HostId &host, const std::string &bytes, const udp::endpoint &to)
 {
-    boost::system::error_code error;
-    m_socket.send_to(asio::buffer(bytes), to, 0, error);
-    if (error) {
-        writeLog(LogLevel::Warning, "beacon-not-sent", {{"to", to.address().to_string()}, {"reason", error.message()}});
+    if (!transmit(bytes, to)) {
         return;
     }
     if (const auto relation = m_directory.relationTo(host)) {
@@ -146,6 +143,16 @@
     }
 }
 
+bool BeaconSocket::transmit(const std::string &bytes, const udp::endpoint &to)
+{
+    boost::system::error_code error;
+    m_socket.send_to(asio::buffer(bytes), to, 0, error);
+    if (error) {
+        writeLog(LogLevel::Warning, "beacon-not-sent", {{"to", to.address().to_string()}, {"reason", error.message()}});
+    }
+    return !error;
+}
+
 void BeaconSocket::receive()
 {
     m_socket.async_receive_from(asio::buffer(m_buffer), m_sender, [this](const boost::system::error_code &error, std::size_t size) {
@@ -161,7 +168,7 @@
             }
         } else if (m_datagramHandler && !bytes.empty()) {
             if (const auto reply = m_datagramHandler(bytes)) {
-                send(*reply, m_sender);
+                transmit(*reply, m_sender);
             }
         }
         receive();
--- a/Libraries/LibGateway/beacon.h
+++ b/Libraries/LibGateway/beacon.h
@@ -44,7 +44,7 @@
     /// Requests beacons from the hosts, from each of them at most every 100 ms. Precondition: none.
     void requestBeacons(const std::vector<HostRegistration> &hosts);
 
-    /// Bytes of the beacons that were sent to registered hosts. Precondition: none.
+    /// Bytes of the beacons and requests for permits that were sent to registered hosts. Precondition: none.
     const TrafficBytes &traffic() const
     {
         return m_traffic;
@@ -69,7 +69,9 @@
     BeaconSocket(boost::asio::io_context &context, HostId self, HostDirectory &directory);
     void receive();
     void sendTo(const HostRegistration &host, const std::string &bytes);
+    /// Sends a datagram and counts it by where the host is.
     void send(const HostId &host, const std::string &bytes, const boost::asio::ip::udp::endpoint &to);
+    bool transmit(const std::string &bytes, const boost::asio::ip::udp::endpoint &to);
 
     boost::asio::ip::udp::socket m_socket;
     HostId m_self;
