--- a/Tests/LibGateway/testrequestcostuse.cpp
+++ b/Tests/LibGateway/testrequestcostuse.cpp
@@ -89,7 +89,7 @@
             state.recordAttempt(attempt.request, *attempt.upstream, attempt.placed, observation, now);
         }
         RequestPlacement request{&route, s_service, stableHash(fmt::format("key-{}", keyNumber)), now, now + 4s};
-        request.bytes = keyNumber * 100;
+        request.bytes = std::uint64_t{keyNumber} * 100;
         const auto usable = state.usableUpstreams(s_service, route, {}, now);
         const PlacementResult decision = state.place(request, usable, now);
         result.push_back(toText(decision));
--- a/Tests/LibSteering/testrequestcost.cpp
+++ b/Tests/LibSteering/testrequestcost.cpp
@@ -167,6 +167,7 @@
     }
     RemainingWork remaining;
     std::vector<RemainingWork::Token> tokens;
+    tokens.reserve(static_cast<std::size_t>(testCase->own));
     for (int i = 0; i < testCase->own; ++i) {
         tokens.push_back(remaining.recordStart(cost, 100ms, 0ms, s_start));
     }
