--- a/Tests/LibQuota/testquota.cpp
+++ b/Tests/LibQuota/testquota.cpp
@@ -95,9 +95,9 @@
 ParameterizedTestParameters(QuotaRules, shares)
 {
     static ShareCase cases[] = {
-        {"small customer", 4, 4, 4, 1, (4 + 0.5 * 22.4) / 4, 300},
+        {"small customer", 4, 4, 4, 1.2, 0.5 * 22.4 / 4, 300},
         {"large customer", 400, 0, 4, 100, 0.5 * 220 / 4, 137},
-        {"fewer hosts than lenders", 4, 4, 1, 4, 4 + 0.5 * 22.4, 300},
+        {"fewer hosts than lenders", 4, 4, 1, 4.8, 0.5 * 22.4, 300},
         {"very large customer", 100000, 0, 4, 25000, 0.5 * 50020 / 4, 125},
     };
     return cr_make_param_array(ShareCase, cases, std::size(cases));
@@ -179,14 +179,14 @@
 // Guards against a bucket that starts full, overflows, or lends fractions twice.
 Test(QuotaLender, bucketStartsEmptyAndFillsToItsDepth)
 {
-    QuotaLender own = lender({10, 2});
+    QuotaLender own = lender({9, 5});
     cr_assert_eq(own.reply(request(1), s_start).granted, 0, "empty");
     cr_assert_eq(own.reply(request(5), s_start + 100ms).granted, 1);
     cr_assert_eq(own.reply(request(5), s_start + 199ms).granted, 0);
     cr_assert_eq(own.reply(request(5), s_start + 200ms).granted, 1);
-    // 2 + (0.1 x 52 + 20) / 2
-    cr_assert_eq(own.reply(request(100), s_start + 1min).granted, 14);
-    cr_assert_eq(own.lentPermits(), 16);
+    // (0.1 x 50 + 20) / 2
+    cr_assert_eq(own.reply(request(100), s_start + 1min).granted, 12);
+    cr_assert_eq(own.lentPermits(), 14);
 }
 
 // Guards against a lender that names a time at which it has nothing, and one to which all borrowers come back at once, or very often.
@@ -234,7 +234,8 @@
     own.update(hosts(1), {{s_customer, {10, 0}}}, s_start, s_start + 10s);
     cr_assert_eq(own.reply(request(1000), s_start + 10s).granted, 12, "the depth of the lowered limit");
     own.update(hosts(1), {{s_customer, {100, 100}}}, s_start, s_start + 11s);
-    cr_assert_eq(own.reply(request(1000), s_start + 12s).granted, 110);
+    // 0.5 are left, and the second at the lowered limit adds 10.
+    cr_assert_eq(own.reply(request(1000), s_start + 11200ms).granted, 34);
     own.update(hosts(1), {{s_customer, {0, 0}}}, s_start, s_start + 13s);
     cr_assert_eq(own.customerCount(), 0, "no limit");
 }
