--- a/Libraries/LibSettings/gatewaysettings.cpp
+++ b/Libraries/LibSettings/gatewaysettings.cpp
@@ -76,16 +76,32 @@
         return value->get<bool>();
     }
 
-    EntryHostChoice entryHostChoice(const std::string &place)
+    std::optional<EntryHostChoice> entryHostChoice(const std::string &place)
     {
         const Json *value = find(place);
-        if (value && *value == "capacity") {
-            return EntryHostChoice::Capacity;
+        if (!value) {
+            return std::nullopt;
         }
-        if (value && *value != "even") {
+        if (*value != "even" && *value != "capacity") {
             m_findings.push_back({place, "\"even\" or \"capacity\" is required", ""});
         }
-        return EntryHostChoice::Even;
+        return *value == "capacity" ? EntryHostChoice::Capacity : EntryHostChoice::Even;
+    }
+
+    std::vector<std::string> texts(const std::string &place)
+    {
+        std::vector<std::string> result;
+        const Json *value = find(place);
+        if (value && !value->is_array()) {
+            m_findings.push_back({place, "a list of texts is required", ""});
+            return result;
+        }
+        for (const Json &entry : value ? *value : Json::array()) {
+            if (entry.is_string()) {
+                result.push_back(entry.get<std::string>());
+            }
+        }
+        return result;
     }
 
     std::chrono::milliseconds duration(const std::string &place, std::chrono::milliseconds fallback)
@@ -179,6 +195,7 @@
     settings.metricsAddress = reader.text("/metricsAddress");
     settings.zones = reader.regionsOfZones("/zones");
     settings.storeAddress = reader.text("/store/address");
+    settings.terms = reader.texts("/terms");
     settings.isFirstStart = reader.boolean("/firstStart", settings.isFirstStart);
     GatewayLimits &limits = settings.limits;
     limits.stopGrace = reader.duration("/limits/stopGrace", limits.stopGrace);
--- a/Libraries/LibSettings/gatewaysettings.h
+++ b/Libraries/LibSettings/gatewaysettings.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Trefoil
 {
@@ -52,7 +53,8 @@
     double cores = 0;
     double linkMegabits = 0;
     double descriptors = 0;
-    EntryHostChoice entryHostChoice = EntryHostChoice::Even;
+    /// Nothing where the settings leave it to the deployment's terms.
+    std::optional<EntryHostChoice> entryHostChoice;
 };
 
 /// Settings of a host that runs as a gateway on the operators' platform.
@@ -76,6 +78,8 @@
     /// IP:port of the platform's store.
     std::string storeAddress;
     GatewayLimits limits;
+    /// Names of the terms that are in force in the deployment; the adapter of the platform reads them.
+    std::vector<std::string> terms;
     /// Whether all hosts of the deployment start for the first time, so that the store holds no rows of hosts yet.
     bool isFirstStart = false;
 };
--- a/Tests/LibSettings/testgatewaysettings.cpp
+++ b/Tests/LibSettings/testgatewaysettings.cpp
@@ -82,7 +82,7 @@
 {
     Json document = settingsDocument();
     const GatewayLimits defaults = parseGatewaySettings(document.dump()).value().limits;
-    cr_assert(!defaults.isRevocationStrict && defaults.entryHostChoice == EntryHostChoice::Even && defaults.cores == 0);
+    cr_assert(!defaults.isRevocationStrict && !defaults.entryHostChoice && defaults.cores == 0);
     document["limits"].update({{"strictRevocation", true}, {"revocationTime", "4s"}, {"quotaWindow", "2s"}, {"quotaOverage", 0.1}, {"quotaSlack", 20}});
     document["limits"].update({{"cores", 0.5}, {"linkMegabits", 10}, {"descriptors", 4100}, {"entryHostChoice", "capacity"}});
     const GatewayLimits limits = parseGatewaySettings(document.dump()).value().limits;
@@ -106,6 +106,7 @@
         {"/limits/quotaSlack", "-1"},
         {"/limits/strictRevocation", "1"},
         {"/limits/entryHostChoice", "\"best\""},
+        {"/terms", "\"pressure\""},
         {"/store/address", "null"}};
     return cr_make_param_array(FindingCase, cases, std::size(cases));
 }
