--- a/Tests/LibQuota/testquota.cpp
+++ b/Tests/LibQuota/testquota.cpp
@@ -19,6 +19,7 @@
 std::vector<HostId> hosts(int count)
 {
     std::vector<HostId> result;
+    result.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         result.emplace_back("host-" + std::to_string(i));
     }
--- a/Tests/LibQuota/testquotasimulation.cpp
+++ b/Tests/LibQuota/testquotasimulation.cpp
@@ -39,8 +39,8 @@
     Event event;
     int hosts;
     double lost;
-    int tableLagMs;
     double headroom;
+    int tableLagMs;
     /// Time after the change at which all customers begin to send ten times their usual rate, after a pause in which their bursts accumulate;
     /// 0 for never. The bursts are then in the same window as what the change adds.
     int surgeAtMs;
@@ -180,36 +180,36 @@
 ParameterizedTestParameters(QuotaSimulation, windowsKeepToTheLimit)
 {
     static SimulationCase cases[] = {
-        {"calm, 10 hosts", Event::None, 10, 0, 3000, 1.6, 0},
-        {"calm, 70 hosts", Event::None, 70, 0, 3000, 1.6, 0},
-        {"lost datagrams", Event::None, 70, 0.1, 3000, 1.6, 0},
-        {"all above their limits", Event::None, 70, 0.02, 3000, 0.2, 0},
-        {"one above its limit", Event::Tenfold, 70, 0, 3000, 1.6, 0},
-        {"one above its limit, lost datagrams", Event::Tenfold, 10, 0.1, 3000, 1.6, 0},
-        {"rolling restart", Event::RollingRestart, 70, 0.01, 3000, 1.6, 0},
-        {"rolling restart above the limits", Event::RollingRestart, 30, 0.01, 8000, 0.4, 0},
-        {"hosts added", Event::HostsAdded, 40, 0.01, 3000, 1.6, 0},
-        {"hosts added above the limits, old tables", Event::HostsAdded, 10, 0.01, 8000, 0.4, 0},
-        {"a third cut off", Event::ThirdCutOff, 30, 0.01, 3000, 1.6, 0},
-        {"a third cut off above the limits", Event::ThirdCutOff, 30, 0.01, 8000, 0.4, 0},
-        {"hosts added during a cut", Event::AddedDuringCut, 30, 0.01, 8000, 0.4, 0},
-        {"a third killed", Event::ThirdKilled, 70, 0.01, 3000, 1.6, 0},
-        {"a third killed above the limits", Event::ThirdKilled, 30, 0.01, 3000, 0.4, 0},
-        {"all killed and restarted", Event::AllRestarted, 30, 0, 3000, 0.4, 0},
-        {"limit lowered", Event::LimitLowered, 70, 0.01, 3000, 1.0, 0},
-        {"limit raised", Event::LimitRaised, 70, 0.01, 3000, 0.5, 0},
-        {"three hosts", Event::HostsAdded, 3, 0.01, 3000, 0.4, 0},
-        {"surge", Event::None, 70, 0, 3000, 1.6, 1000},
-        {"surge, few hosts", Event::None, 5, 0, 3000, 1.6, 1000},
-        {"surge before hosts are added", Event::HostsAdded, 12, 0, 8000, 1.6, 900},
-        {"surge after hosts are added", Event::HostsAdded, 12, 0, 8000, 1.6, 2000},
-        {"surge while a third is cut off", Event::ThirdCutOff, 30, 0, 8000, 1.6, 500},
-        {"surge when the cut ends", Event::ThirdCutOff, 30, 0, 8000, 1.6, 11500},
-        {"surge, hosts added during a cut", Event::AddedDuringCut, 12, 0, 8000, 1.6, 1500},
-        {"surge before a third is killed", Event::ThirdKilled, 12, 0, 8000, 1.6, -1000},
-        {"surge before all are killed and restarted", Event::AllRestarted, 30, 0, 8000, 1.6, -1000},
-        {"surge in a rolling restart", Event::RollingRestart, 12, 0, 8000, 1.6, 5000},
-        {"surge when a limit is lowered", Event::LimitLowered, 30, 0, 3000, 1.6, 3000},
+        {"calm, 10 hosts", Event::None, 10, 0, 1.6, 3000, 0},
+        {"calm, 70 hosts", Event::None, 70, 0, 1.6, 3000, 0},
+        {"lost datagrams", Event::None, 70, 0.1, 1.6, 3000, 0},
+        {"all above their limits", Event::None, 70, 0.02, 0.2, 3000, 0},
+        {"one above its limit", Event::Tenfold, 70, 0, 1.6, 3000, 0},
+        {"one above its limit, lost datagrams", Event::Tenfold, 10, 0.1, 1.6, 3000, 0},
+        {"rolling restart", Event::RollingRestart, 70, 0.01, 1.6, 3000, 0},
+        {"rolling restart above the limits", Event::RollingRestart, 30, 0.01, 0.4, 8000, 0},
+        {"hosts added", Event::HostsAdded, 40, 0.01, 1.6, 3000, 0},
+        {"hosts added above the limits, old tables", Event::HostsAdded, 10, 0.01, 0.4, 8000, 0},
+        {"a third cut off", Event::ThirdCutOff, 30, 0.01, 1.6, 3000, 0},
+        {"a third cut off above the limits", Event::ThirdCutOff, 30, 0.01, 0.4, 8000, 0},
+        {"hosts added during a cut", Event::AddedDuringCut, 30, 0.01, 0.4, 8000, 0},
+        {"a third killed", Event::ThirdKilled, 70, 0.01, 1.6, 3000, 0},
+        {"a third killed above the limits", Event::ThirdKilled, 30, 0.01, 0.4, 3000, 0},
+        {"all killed and restarted", Event::AllRestarted, 30, 0, 0.4, 3000, 0},
+        {"limit lowered", Event::LimitLowered, 70, 0.01, 1.0, 3000, 0},
+        {"limit raised", Event::LimitRaised, 70, 0.01, 0.5, 3000, 0},
+        {"three hosts", Event::HostsAdded, 3, 0.01, 0.4, 3000, 0},
+        {"surge", Event::None, 70, 0, 1.6, 3000, 1000},
+        {"surge, few hosts", Event::None, 5, 0, 1.6, 3000, 1000},
+        {"surge before hosts are added", Event::HostsAdded, 12, 0, 1.6, 8000, 900},
+        {"surge after hosts are added", Event::HostsAdded, 12, 0, 1.6, 8000, 2000},
+        {"surge while a third is cut off", Event::ThirdCutOff, 30, 0, 1.6, 8000, 500},
+        {"surge when the cut ends", Event::ThirdCutOff, 30, 0, 1.6, 8000, 11500},
+        {"surge, hosts added during a cut", Event::AddedDuringCut, 12, 0, 1.6, 8000, 1500},
+        {"surge before a third is killed", Event::ThirdKilled, 12, 0, 1.6, 8000, -1000},
+        {"surge before all are killed and restarted", Event::AllRestarted, 30, 0, 1.6, 8000, -1000},
+        {"surge in a rolling restart", Event::RollingRestart, 12, 0, 1.6, 8000, 5000},
+        {"surge when a limit is lowered", Event::LimitLowered, 30, 0, 1.6, 3000, 3000},
     };
     return cr_make_param_array(SimulationCase, cases, std::size(cases));
 }
--- a/Tests/LibSteering/testcopyfreshness.cpp
+++ b/Tests/LibSteering/testcopyfreshness.cpp
@@ -13,9 +13,9 @@
 
 struct AgeCase
 {
+    std::chrono::milliseconds age;
     bool isStrict;
     bool isProven;
-    std::chrono::milliseconds age;
     bool mayUse;
 };
 
@@ -25,13 +25,13 @@
 ParameterizedTestParameters(CopyFreshness, ages)
 {
     static AgeCase cases[] = {
-        {false, false, 0ms, true},
-        {false, true, 1h, true},
-        {true, false, 0ms, false},
-        {true, true, 0ms, true},
-        {true, true, 4500ms, true},
-        {true, true, 4501ms, false},
-        {true, true, 1h, false},
+        {0ms, false, false, true},
+        {1h, false, true, true},
+        {0ms, true, false, false},
+        {0ms, true, true, true},
+        {4500ms, true, true, true},
+        {4501ms, true, true, false},
+        {1h, true, true, false},
     };
     return cr_make_param_array(AgeCase, cases, std::size(cases));
 }
--- a/Tests/LibSteering/testcustomershares.cpp
+++ b/Tests/LibSteering/testcustomershares.cpp
@@ -14,10 +14,10 @@
 struct ShareCase
 {
     char name[48];
-    /// Entitled and actual requests per second of the customer that is asked about, and of each of nine others.
+    /// Entitled requests per second of the customer that is asked about, and of each of nine others; then the actual ones.
     double weight;
-    int rate;
     double otherWeight;
+    int rate;
     int otherRate;
     double minimum;
     double maximum;
@@ -30,13 +30,13 @@
 {
     static ShareCase cases[] = {
         {"all send their part", 20, 20, 20, 20, 0.95, 1.05},
-        {"a large customer sends its part", 200, 200, 20, 20, 0.95, 1.05},
-        {"ten times its part", 20, 200, 20, 20, 2.0, 2.5},
+        {"a large customer sends its part", 200, 20, 200, 20, 0.95, 1.05},
+        {"ten times its part", 20, 20, 200, 20, 2.0, 2.5},
         {"beside a customer that sends too much", 20, 20, 20, 60, 0.6, 0.7},
-        {"all send too much alike", 20, 80, 20, 80, 0.95, 1.05},
-        {"a small customer without requests", 1, 0, 20, 20, 0.6, 1},
+        {"all send too much alike", 20, 20, 80, 80, 0.95, 1.05},
+        {"a small customer without requests", 1, 20, 0, 20, 0.6, 1},
         {"without a limit, as an average one", 0, 20, 20, 20, 0.95, 1.05},
-        {"no customer has a limit", 0, 20, 0, 20, 0.95, 1.05},
+        {"no customer has a limit", 0, 0, 20, 20, 0.95, 1.05},
     };
     return cr_make_param_array(ShareCase, cases, std::size(cases));
 }
