--- a/Tests/Platform/testmisbehavingcallers.cpp
+++ b/Tests/Platform/testmisbehavingcallers.cpp
@@ -39,9 +39,9 @@
 constexpr int s_largeCrowd = 300;
 /// Their bodies together are several times the memory of the host.
 constexpr int s_bodyCrowd = 150;
-constexpr std::size_t s_bodyBytes = 1000 * 1000;
+constexpr std::size_t s_bodyBytes = std::size_t{1000} * 1000;
 constexpr std::size_t s_smallBodyBytes = 60000;
-constexpr std::size_t s_bodyLimit = 1024 * 1024;
+constexpr std::size_t s_bodyLimit = std::size_t{1024} * 1024;
 /// Below the limit of 16,384 for headers.
 constexpr std::size_t s_fieldBytes = 15900;
 constexpr int s_pipelinedRequests = 200;
