Tests: Let slow callers read at their rate when wake-ups are late

Its callers paused after each block of 64 KiB for the time that the block takes at their rate, so that 128 late wake-ups added up to each response: 3,643 ms in all on an idle machine, 4,541 ms beside other work (load 9), of 6,000 ms that requests have. Checks and bounds are unchanged.

--- a/Tests/LibGateway/memoryscenario.cpp
+++ b/Tests/LibGateway/memoryscenario.cpp
@@ -219,11 +219,17 @@
     {
         std::string sink(std::min(bytes, s_blockBytes), ' ');
         std::size_t count = 0;
+        const BootTime start = BootClock::now();
         while (!error && count < bytes) {
             const std::size_t part = socket.async_read_some(asio::buffer(sink.data(), std::min(sink.size(), bytes - count)), yield[error]);
             count += part;
             if (bytesPerSecond > 0) {
-                sleepFor(m_fixture.context, std::chrono::microseconds(part * 1000000 / bytesPerSecond), yield);
+                // Counted from the start, since late wake-ups would add up over the parts and make the caller slower than its rate.
+                const auto due = start + std::chrono::microseconds(count * 1000000 / bytesPerSecond);
+                const auto pause = std::chrono::duration_cast<std::chrono::microseconds>(due - BootClock::now());
+                if (pause.count() > 0) {
+                    sleepFor(m_fixture.context, pause, yield);
+                }
             }
         }
         return count;
