--- a/Libraries/LibGateway/calleridentity.cpp
+++ b/Libraries/LibGateway/calleridentity.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/calleridentity.h>
 
+#include <LibHttp/fieldvalue.h>
+
 namespace Trefoil
 {
 
@@ -8,12 +10,6 @@
 
 constexpr std::string_view s_blanks = " \t";
 
-std::string_view trimmed(std::string_view text)
-{
-    const auto first = text.find_first_not_of(s_blanks);
-    return first == std::string_view::npos ? std::string_view() : text.substr(first, text.find_last_not_of(s_blanks) - first + 1);
-}
-
 CallerIdentity identifyByKey(const HttpHeaders &headers, const RouteTable &routes, const GatewayHeaders &names)
 {
     const std::size_t count = headers.count(names.credential);
--- a/Libraries/LibGateway/gatewayheaders.cpp
+++ b/Libraries/LibGateway/gatewayheaders.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/gatewayheaders.h>
 
+#include <LibHttp/fieldvalue.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -10,15 +12,6 @@
 namespace
 {
 
-std::string_view trimmed(std::string_view text)
-{
-    const auto first = text.find_first_not_of(" \t");
-    if (first == std::string_view::npos) {
-        return {};
-    }
-    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
-}
-
 /// Figures of a load report without the optional work time.
 constexpr std::size_t s_loadFigures = 3;
 /// Reported work time of a machine that works at its usual speed.
--- a/Libraries/LibHttp/requestframing.cpp
+++ b/Libraries/LibHttp/requestframing.cpp
@@ -1,5 +1,6 @@
 #include <LibHttp/requestframing.h>
 
+#include <LibHttp/fieldvalue.h>
 #include <LibHttp/message.h>
 
 #include <algorithm>
@@ -45,17 +46,6 @@
     return character == ' ' || character == '\t';
 }
 
-std::string_view trimmed(std::string_view text)
-{
-    while (!text.empty() && isSpace(text.front())) {
-        text.remove_prefix(1);
-    }
-    while (!text.empty() && isSpace(text.back())) {
-        text.remove_suffix(1);
-    }
-    return text;
-}
-
 struct Field
 {
     std::string_view name;
