LibReplication: Pass on and apply the latest change of each row only

A host that returned from a partition received every version of a large configuration, from the store and from its publisher, and decoded each of them (0.16 s for one of 400 KB), although all but the last were replaced already. The log of a publisher now keeps one change for each row, so that it also reaches further back, and a watch applies the last change of each row of an answer. ChangeLog::replacedChangesAreDiscarded and TableWatch::replacedChangesAreNotApplied failed before. ChangeLog::memoryIsBounded and ChangeServer::responsesAreBounded filled the log with changes of one row, which are no longer kept; they use different rows with the same sizes and counts.

--- a/Libraries/LibReplication/changelog.cpp
+++ b/Libraries/LibReplication/changelog.cpp
@@ -23,6 +23,7 @@
 void ChangeLog::reset(FeedVersion version)
 {
     m_rows.clear();
+    m_rowsByKey.clear();
     m_bytes = 0;
     m_startVersion = version;
     m_version = version;
@@ -32,17 +33,26 @@
 void ChangeLog::append(const FeedRows &changes)
 {
     for (const FeedRow &row : changes.rows) {
-        m_rows.push_back(row);
+        if (const auto replaced = m_rowsByKey.find(row.key); replaced != m_rowsByKey.end()) {
+            discard(replaced->second);
+        }
+        m_rowsByKey.emplace(row.key, m_rows.insert(m_rows.end(), row));
         m_bytes += sizeOf(row);
     }
     m_version = std::max(m_version, changes.version);
     while (m_bytes > m_maximumBytes && m_rows.size() > 1) {
         m_startVersion = std::max(m_startVersion, m_rows.front().version);
-        m_bytes -= sizeOf(m_rows.front());
-        m_rows.pop_front();
+        discard(m_rows.begin());
     }
 }
 
+void ChangeLog::discard(std::list<FeedRow>::iterator row)
+{
+    m_bytes -= sizeOf(*row);
+    m_rowsByKey.erase(row->key);
+    m_rows.erase(row);
+}
+
 std::variant<FeedRows, HistoryTruncated> ChangeLog::since(FeedVersion after) const
 {
     if (!m_isInitialized || after < m_startVersion) {
--- a/Libraries/LibReplication/changelog.h
+++ b/Libraries/LibReplication/changelog.h
@@ -3,12 +3,15 @@
 #include <LibReplication/feedrow.h>
 
 #include <cstddef>
-#include <deque>
+#include <list>
+#include <string>
+#include <unordered_map>
 
 namespace Trefoil
 {
 
-/// Bounded log of the latest changes of one table, kept for subscribers. Thread safety: one thread at a time.
+/// Bounded log of the latest change of each row of one table, kept for subscribers. Changes that a later one of the same row replaces are discarded: a
+/// subscriber that returns after a partition would receive every version of a large configuration. Thread safety: one thread at a time.
 class ChangeLog
 {
 public:
@@ -21,14 +24,18 @@
     /// Appends changes after the current version, in order. Precondition: reset() was called.
     void append(const FeedRows &changes);
 
-    /// Returns all changes after a version; no rows for a version that is ahead of this log. Precondition: none.
+    /// Returns the latest change of each row that changed after a version; no rows for a version that is ahead of this log. Precondition: none.
     std::variant<FeedRows, HistoryTruncated> since(FeedVersion after) const;
 
 private:
+    void discard(std::list<FeedRow>::iterator row);
+
     std::size_t m_maximumBytes;
     std::size_t m_bytes = 0;
-    std::deque<FeedRow> m_rows;
-    /// The log contains all changes after this version.
+    /// In the order of their versions, one for each key.
+    std::list<FeedRow> m_rows;
+    std::unordered_map<std::string, std::list<FeedRow>::iterator> m_rowsByKey;
+    /// The log contains all changes after this version, apart from replaced ones.
     FeedVersion m_startVersion = 0;
     FeedVersion m_version = 0;
     bool m_isInitialized = false;
--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <iterator>
 #include <optional>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 
 namespace Trefoil
@@ -24,6 +26,22 @@
 /// Response timeout for a store that is slow but reachable.
 constexpr std::chrono::milliseconds s_slowResponseTimeout{2000};
 
+/// The last change of each row after a version. The feed holds every version of a row, and decoding a large configuration that is replaced already
+/// delays the one that is in force.
+std::vector<FeedRow> latestChanges(const std::vector<FeedRow> &rows, FeedVersion after)
+{
+    std::unordered_map<std::string_view, FeedVersion> latest;
+    for (const FeedRow &row : rows) {
+        FeedVersion &version = latest[row.key];
+        version = std::max(version, row.version);
+    }
+    std::vector<FeedRow> result;
+    std::copy_if(rows.begin(), rows.end(), std::back_inserter(result), [&latest, after](const FeedRow &row) {
+        return row.version > after && row.version == latest.at(row.key);
+    });
+    return result;
+}
+
 } // namespace
 
 /// Calls for changes after a failure, until the store has answered one. The next one is sent before a slow store would answer the
@@ -403,7 +421,7 @@
     // Some of them may have been received from the store or another host since the call began.
     FeedRows fresh;
     fresh.version = std::max(m_version, changes.version);
-    std::copy_if(changes.rows.begin(), changes.rows.end(), std::back_inserter(fresh.rows), [this](const FeedRow &row) { return row.version > m_version; });
+    fresh.rows = latestChanges(changes.rows, m_version);
     m_version = fresh.version;
     m_sharing.server().append(m_table, fresh, BootClock::now());
     if (fresh.rows.empty()) {
--- a/Tests/LibReplication/testchangelog.cpp
+++ b/Tests/LibReplication/testchangelog.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
+#include <fmt/format.h>
 
 using namespace Trefoil;
 
@@ -73,10 +74,29 @@
     ChangeLog log(1000000);
     log.reset(0);
     for (FeedVersion version = 1; version <= 1000; ++version) {
-        log.append({{{"config", std::string(300000, 'x'), version, false}}, version});
+        log.append({{{fmt::format("c{} ", version), std::string(300000, 'x'), version, false}}, version});
     }
     cr_assert_eq(keysSince(log, 990), "lost");
-    cr_assert_eq(keysSince(log, 997), "configconfigconfig");
+    cr_assert_eq(keysSince(log, 997), "c998 c999 c1000 ");
     log.append({{{"config", std::string(3000000, 'x'), 1001, false}}, 1001});
     cr_assert_eq(keysSince(log, 1000), "config");
+    cr_assert_eq(keysSince(log, 999), "lost");
+}
+
+// Guards against hosts that apply a configuration seconds late after a partition, because their publisher sends them every version of it over a
+// narrow link. Replaced versions must not push other changes out of the log either.
+Test(ChangeLog, replacedChangesAreDiscarded)
+{
+    ChangeLog log(1000000);
+    log.reset(0);
+    log.append({{{"zone", "1", 1, false}}, 1});
+    for (FeedVersion version = 2; version <= 1000; ++version) {
+        log.append({{{"config", std::string(300000, 'x'), version, false}}, version});
+    }
+    log.append({{{"zone", "", 1001, true}}, 1001});
+    cr_assert_eq(keysSince(log, 0), "configzone");
+    cr_assert_eq(keysSince(log, 999), "configzone");
+    cr_assert_eq(keysSince(log, 1000), "zone");
+    cr_assert_eq(std::get<FeedRows>(log.since(0)).rows.front().version, 1000);
+    cr_assert(std::get<FeedRows>(log.since(0)).rows.back().removed);
 }
--- a/Tests/LibReplication/testchangeserver.cpp
+++ b/Tests/LibReplication/testchangeserver.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
+#include <fmt/format.h>
 
 using namespace Trefoil;
 using namespace std::chrono_literals;
@@ -130,7 +131,7 @@
     Fixture fixture;
     FeedRows changes;
     for (FeedVersion version = 11; version <= 6010; ++version) {
-        changes.rows.push_back({"key", "", version, true});
+        changes.rows.push_back({fmt::format("key{}", version), "", version, true});
     }
     changes.version = 6010;
     fixture.server.append("things", changes, s_start);
--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -39,6 +39,7 @@
                 } else {
                     copy[row.key] = row.value;
                 }
+                ++changes[row.key];
             }
         };
         return {[this, change](const FeedRows &table) {
@@ -82,6 +83,8 @@
     FeedSharing sharing;
     TableWatch watch;
     std::map<std::string, std::string> copy;
+    /// How often each row was passed to the handlers.
+    std::map<std::string, int> changes;
     std::string reachability;
     int replacements = 0;
 };
@@ -161,6 +164,31 @@
     });
 }
 
+// Guards against a configuration that is in force seconds late after a partition: each version that a later one of the same answer replaces takes
+// as long to decode as the one that counts.
+Test(TableWatch, replacedChangesAreNotApplied)
+{
+    static constexpr int versions = 8;
+    Fixture fixture;
+    fixture.store.set("things", "configuration", "0");
+    fixture.run([&](const asio::yield_context &yield) {
+        cr_assert(fixture.await([&] { return fixture.copy.count("configuration") == 1; }, yield));
+        fixture.store.isDown = true;
+        cr_assert(fixture.await([&] { return !fixture.watch.isReachable(); }, yield));
+        for (int i = 1; i <= versions; ++i) {
+            fixture.store.set("things", "configuration", std::to_string(i));
+            fixture.store.set("things", "other", std::to_string(i));
+        }
+        fixture.store.remove("things", "other");
+        fixture.changes.clear();
+        fixture.store.isDown = false;
+        cr_assert(fixture.await([&] { return fixture.copy["configuration"] == std::to_string(versions); }, yield));
+        cr_assert_eq(fixture.changes["configuration"], 1, "applied %d times", fixture.changes["configuration"]);
+        cr_assert_eq(fixture.changes["other"], 1, "applied %d times", fixture.changes["other"]);
+        cr_assert_eq(fixture.copy.count("other"), 0);
+    });
+}
+
 // Guards against a table that does not fit into one page.
 Test(TableWatch, readsAllPages)
 {
