LibReplication: Wait for an answer that is arriving before calling again

After a failure, a watch calls the store again while the earlier call is unanswered. It did so too while the answer was arriving over a narrow link, so that each further answer brought the same changes once more and delayed all of them. TableWatch::arrivingAnswerIsNotRequestedAgain failed before (one answer of 1.7 s was requested several times).

--- a/Libraries/LibHttp/jsonclient.cpp
+++ b/Libraries/LibHttp/jsonclient.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <utility>
 
 namespace Trefoil
 {
@@ -142,6 +143,7 @@
     ResponseReader::Parser parser;
     parser.body_limit(m_settings.maximumBodyBytes);
     ResponseReader reader(stream, buffer, parser, deadline);
+    bool hasBegun = false;
     while (!parser.is_done()) {
         const BootTime limit = parser.is_header_done() ? BootClock::now() + s_longestPause : request.answerBegins.value_or(deadline);
         stream.expires_after(std::max(std::min(limit, deadline) - BootClock::now(), BootClock::duration(0)));
@@ -154,6 +156,9 @@
             m_bytesReceived += reader.bytesParsed();
             return RequestAmbiguous{"the response declares no length"};
         }
+        if (parser.is_header_done() && !std::exchange(hasBegun, true) && request.answerBegan) {
+            request.answerBegan();
+        }
     }
     m_bytesReceived += reader.bytesParsed();
     // The response still follows on this connection, where the next request would take it for its own.
--- a/Libraries/LibHttp/jsonclient.h
+++ b/Libraries/LibHttp/jsonclient.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -42,6 +43,8 @@
     std::string ifNoneMatch{};
     /// The request is given up when no answer has begun by then, so that a long transfer and a lost request differ.
     std::optional<BootTime> answerBegins{};
+    /// Called once the head of the answer was read; may be empty.
+    std::function<void()> answerBegan{};
 };
 
 /// A complete response with a declared length.
--- a/Libraries/LibReplication/feedstore.h
+++ b/Libraries/LibReplication/feedstore.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/spawn.hpp>
 #include <chrono>
+#include <functional>
 
 namespace Trefoil
 {
@@ -15,6 +16,8 @@
     std::chrono::milliseconds holdTime;
     /// The call fails when no response has begun this long after the hold time.
     std::chrono::milliseconds responseTimeout;
+    /// Called when the response has begun to arrive; may be empty.
+    std::function<void()> responseBegan{};
 };
 
 /// Read access to the tables of the store and their change feeds. Thread safety: one thread at a time, the one that runs the context.
--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -25,6 +25,8 @@
 constexpr std::chrono::milliseconds s_proofPollInterval{20};
 /// Response timeout for a store that is slow but reachable.
 constexpr std::chrono::milliseconds s_slowResponseTimeout{2000};
+/// How long a response that has begun may take: several configurations of the largest size over a link that others use as well.
+constexpr std::chrono::milliseconds s_longestTransfer{10000};
 
 /// The last change of each row after a version. The feed holds every version of a row, and decoding a large configuration that is replaced already
 /// delays the one that is in force.
@@ -70,6 +72,8 @@
     boost::asio::steady_timer answered;
     bool isAnswered = false;
     int callCount = 0;
+    /// Calls whose response has begun to arrive and is not complete.
+    int arriving = 0;
     /// Why the latest call failed.
     std::optional<std::string> failure{};
 };
@@ -344,7 +348,13 @@
     const int call = ++probes.callCount;
     probes.failure.reset();
     boost::asio::spawn(m_context, [this, call, calledAt, shared = m_probes](const boost::asio::yield_context &callYield) {
-        const FeedResult result = m_store.awaitChanges(m_table, m_version, {s_probeHoldTime, s_slowResponseTimeout}, callYield);
+        bool hasBegun = false;
+        const auto responseBegan = [&shared, &hasBegun] {
+            hasBegun = true;
+            ++shared->arriving;
+        };
+        const FeedResult result = m_store.awaitChanges(m_table, m_version, {s_probeHoldTime, s_slowResponseTimeout, responseBegan}, callYield);
+        shared->arriving -= hasBegun ? 1 : 0;
         if (shared->isAnswered) {
             // Another call was answered first; this response is older.
             return;
@@ -364,6 +374,9 @@
     const auto isAnswered = [&probes] { return probes.isAnswered; };
     Probes::await(
         probes.callEnded, [&probes] { return probes.isAnswered || probes.failure; }, calledAt + m_timing.probeInterval, yield);
+    // The response to a further call would share a slow link with the one that is arriving. The client ends a call whose response stops to arrive.
+    Probes::await(
+        probes.callEnded, [&probes] { return probes.isAnswered || probes.arriving == 0; }, calledAt + s_longestTransfer, yield);
     if (isAnswered()) {
         return;
     }
--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -189,6 +189,74 @@
     });
 }
 
+namespace
+{
+
+/// A store whose answers begin at once and take a while to arrive.
+class SlowLinkStore final : public FeedStore
+{
+public:
+    explicit SlowLinkStore(asio::io_context &context)
+        : m_context(context)
+    {
+    }
+
+    ReadResult readTable(const std::string & /*table*/, std::chrono::milliseconds /*responseTimeout*/, const asio::yield_context & /*yield*/) override
+    {
+        return FeedRows{{{"a", "1", 1, false}}, 1};
+    }
+
+    FeedResult awaitChanges(const std::string & /*table*/, FeedVersion after, const FeedCallTiming &timing, const asio::yield_context &yield) override
+    {
+        if (isDown) {
+            return StoreFailure{"down"};
+        }
+        transfers += after < 2 ? 1 : 0;
+        if (timing.responseBegan) {
+            timing.responseBegan();
+        }
+        sleepFor(m_context, after < 2 ? transferTime : 20ms, yield);
+        return FeedRows{{{"a", "2", 2, false}}, 2};
+    }
+
+    static constexpr std::chrono::milliseconds transferTime{1700};
+    bool isDown = true;
+    /// Calls that are answered with the change.
+    int transfers = 0;
+
+private:
+    asio::io_context &m_context;
+};
+
+} // namespace
+
+// Guards against calls that are repeated while the answer to an earlier one is still arriving over a narrow link: each brings the same changes once
+// more and delays all of them.
+Test(TableWatch, arrivingAnswerIsNotRequestedAgain)
+{
+    asio::io_context context(1);
+    SlowLinkStore store(context);
+    FeedSharing sharing(
+        context, {HostId("alone")}, [](const HostId &, const PeerMessage &) {}, [] { return std::vector<HostId>{HostId("alone")}; });
+    std::string value;
+    const auto change = [&value](const std::vector<FeedRow> &rows) { value = rows.back().value; };
+    TableWatch watch(
+        context, store, sharing, "things", s_timing, {[&change](const FeedRows &table) { change(table.rows); }, change, [](bool, const std::string &) {}});
+    asio::spawn(context, [&](const asio::yield_context &yield) { watch.run(yield); });
+    asio::spawn(context, [&](const asio::yield_context &yield) {
+        while (watch.isReachable() || value != "1") {
+            sleepFor(context, 10ms, yield);
+        }
+        store.isDown = false;
+        while (value != "2") {
+            sleepFor(context, 10ms, yield);
+        }
+        cr_assert_eq(store.transfers, 1, "%d calls", store.transfers);
+        context.stop();
+    });
+    context.run();
+}
+
 // Guards against a table that does not fit into one page.
 Test(TableWatch, readsAllPages)
 {
