--- a/Libraries/LibGateway/hostdirectory.cpp
+++ b/Libraries/LibGateway/hostdirectory.cpp
@@ -271,6 +271,12 @@
     return found == m_hosts.end() || id == m_settings.self ? std::nullopt : std::make_optional(found->second.registration);
 }
 
+double HostDirectory::linkMegabitsOf(const HostId &id) const
+{
+    const auto found = m_hosts.find(id);
+    return found == m_hosts.end() ? 0 : found->second.registration.capacity.linkMegabits;
+}
+
 std::vector<HostId> HostDirectory::publisherCandidates(BootTime now) const
 {
     std::vector<HostId> hosts;
--- a/Libraries/LibGateway/hostdirectory.h
+++ b/Libraries/LibGateway/hostdirectory.h
@@ -151,6 +151,9 @@
     /// the zone's publisher candidates removes the rows for all; the others get an empty list. Precondition: setSelf() was called.
     std::vector<HostRegistration> abandonedHosts(BootTime now) const;
 
+    /// Link that a host states in its row, in Mbit/s; 0 where it is not known. Precondition: none.
+    double linkMegabitsOf(const HostId &id) const;
+
     /// Registered hosts of the own availability zone except this one, whether they are live or not. Precondition: none.
     std::vector<HostRegistration> zonePeers() const;
 
--- a/Libraries/LibReplication/publisherchoice.cpp
+++ b/Libraries/LibReplication/publisherchoice.cpp
@@ -28,6 +28,11 @@
 {
     static const std::uint64_t publisherKey = stableHash("publishers");
     std::vector<HostId> publishers = rankHosts(hosts, publisherKey);
+    if (settings.linkMegabits) {
+        std::stable_sort(publishers.begin(), publishers.end(), [&settings](const HostId &a, const HostId &b) {
+            return settings.linkMegabits(a) > settings.linkMegabits(b);
+        });
+    }
     publishers.resize((hosts.size() + settings.hostsPerPublisher - 1) / settings.hostsPerPublisher);
     return publishers;
 }
--- a/Libraries/LibReplication/publisherchoice.h
+++ b/Libraries/LibReplication/publisherchoice.h
@@ -4,6 +4,7 @@
 #include <LibCore/strongid.h>
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <optional>
 #include <variant>
@@ -19,6 +20,9 @@
     std::size_t hostsPerPublisher = 12;
     /// In zones with fewer hosts each one reads the store itself: a publisher would call the store more often than they do.
     std::size_t minimumZoneSize = 5;
+    /// Link of a host in Mbit/s, 0 where it is not known. Hosts with wider links publish first, since a publisher sends each change to all of its
+    /// subscribers. Empty where all links count as equal.
+    std::function<double(const HostId &host)> linkMegabits{};
 };
 
 /// The host reads the store's feeds and serves subscribers.
--- a/Tests/LibReplication/testpublisherchoice.cpp
+++ b/Tests/LibReplication/testpublisherchoice.cpp
@@ -55,6 +55,28 @@
     cr_assert_not(choiceOf(HostId("host-0")).substitute(hosts(1), s_start));
 }
 
+// Load pattern: large configurations in quick succession in a zone whose hosts have unequal links. Guards against a publisher with a narrow link, which
+// needs seconds to send a change to its subscribers, so that these give it up and call the store.
+Test(PublisherChoice, hostsWithWideLinksPublish)
+{
+    PublisherChoiceSettings settings;
+    settings.self = HostId("host-0");
+    settings.linkMegabits = [](const HostId &host) {
+        return host == HostId("host-3") || host == HostId("host-7") ? 200.0 : host == HostId("host-9") ? 0.0 : 10.0;
+    };
+    const std::set<HostId> wide = {HostId("host-3"), HostId("host-7")};
+    for (const std::size_t count : {13, 24}) {
+        const auto publishers = publishersAmong(hosts(count), settings);
+        cr_assert(std::set<HostId>(publishers.begin(), publishers.end()) == wide, "%zu hosts", count);
+    }
+    cr_assert_eq(wide.count(publishersAmong(hosts(12), settings).front()), 1);
+    const auto three = publishersAmong(hosts(25), settings);
+    cr_assert(three.size() == 3 && three.back() != HostId("host-9") && wide.count(three.back()) == 0);
+    settings.linkMegabits = [](const HostId &) { return 10.0; };
+    PublisherChoiceSettings equal;
+    cr_assert(publishersAmong(hosts(25), settings) == publishersAmong(hosts(25), equal), "equal links change nothing");
+}
+
 // Load pattern: a change that all hosts of a large deployment read at once. Guards against a load of the store that grows with the
 // number of hosts, against hosts that disagree, and against a single publisher that serves all of them.
 ParameterizedTestParameters(PublisherChoice, hostsAgreeOnFewPublishers)
