--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <iterator>
 #include <optional>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 
 namespace Trefoil
@@ -23,6 +25,24 @@
 constexpr std::chrono::milliseconds s_proofPollInterval{20};
 /// Response timeout for a store that is slow but reachable.
 constexpr std::chrono::milliseconds s_slowResponseTimeout{2000};
+/// How long a response that has begun may take: several configurations of the largest size over a link that others use as well.
+constexpr std::chrono::milliseconds s_longestTransfer{10000};
+
+/// The last change of each row after a version. The feed holds every version of a row, and decoding a large configuration that is replaced already
+/// delays the one that is in force.
+std::vector<FeedRow> latestChanges(const std::vector<FeedRow> &rows, FeedVersion after)
+{
+    std::unordered_map<std::string_view, FeedVersion> latest;
+    for (const FeedRow &row : rows) {
+        FeedVersion &version = latest[row.key];
+        version = std::max(version, row.version);
+    }
+    std::vector<FeedRow> result;
+    std::copy_if(rows.begin(), rows.end(), std::back_inserter(result), [&latest, after](const FeedRow &row) {
+        return row.version > after && row.version == latest.at(row.key);
+    });
+    return result;
+}
 
 } // namespace
 
@@ -52,6 +72,8 @@
     boost::asio::steady_timer answered;
     bool isAnswered = false;
     int callCount = 0;
+    /// Calls whose response has begun to arrive and is not complete.
+    int arriving = 0;
     /// Why the latest call failed.
     std::optional<std::string> failure{};
 };
@@ -326,7 +348,13 @@
     const int call = ++probes.callCount;
     probes.failure.reset();
     boost::asio::spawn(m_context, [this, call, calledAt, shared = m_probes](const boost::asio::yield_context &callYield) {
-        const FeedResult result = m_store.awaitChanges(m_table, m_version, {s_probeHoldTime, s_slowResponseTimeout}, callYield);
+        bool hasBegun = false;
+        const auto responseBegan = [&shared, &hasBegun] {
+            hasBegun = true;
+            ++shared->arriving;
+        };
+        const FeedResult result = m_store.awaitChanges(m_table, m_version, {s_probeHoldTime, s_slowResponseTimeout, responseBegan}, callYield);
+        shared->arriving -= hasBegun ? 1 : 0;
         if (shared->isAnswered) {
             // Another call was answered first; this response is older.
             return;
@@ -346,6 +374,9 @@
     const auto isAnswered = [&probes] { return probes.isAnswered; };
     Probes::await(
         probes.callEnded, [&probes] { return probes.isAnswered || probes.failure; }, calledAt + m_timing.probeInterval, yield);
+    // The response to a further call would share a slow link with the one that is arriving. The client ends a call whose response stops to arrive.
+    Probes::await(
+        probes.callEnded, [&probes] { return probes.isAnswered || probes.arriving == 0; }, calledAt + s_longestTransfer, yield);
     if (isAnswered()) {
         return;
     }
@@ -403,7 +434,7 @@
     // Some of them may have been received from the store or another host since the call began.
     FeedRows fresh;
     fresh.version = std::max(m_version, changes.version);
-    std::copy_if(changes.rows.begin(), changes.rows.end(), std::back_inserter(fresh.rows), [this](const FeedRow &row) { return row.version > m_version; });
+    fresh.rows = latestChanges(changes.rows, m_version);
     m_version = fresh.version;
     m_sharing.server().append(m_table, fresh, BootClock::now());
     if (fresh.rows.empty()) {
