--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -71,6 +71,8 @@
     boost::asio::steady_timer callEnded;
     boost::asio::steady_timer answered;
     bool isAnswered = false;
+    /// Set when the next call must not wait.
+    bool isRetryDue = false;
     int callCount = 0;
     /// Calls whose response has begun to arrive and is not complete.
     int arriving = 0;
@@ -347,6 +349,7 @@
     const BootTime calledAt = BootClock::now();
     const int call = ++probes.callCount;
     probes.failure.reset();
+    probes.isRetryDue = false;
     boost::asio::spawn(m_context, [this, call, calledAt, shared = m_probes](const boost::asio::yield_context &callYield) {
         bool hasBegun = false;
         const auto responseBegan = [&shared, &hasBegun] {
@@ -373,7 +376,7 @@
     });
     const auto isAnswered = [&probes] { return probes.isAnswered; };
     Probes::await(
-        probes.callEnded, [&probes] { return probes.isAnswered || probes.failure; }, calledAt + m_timing.probeInterval, yield);
+        probes.callEnded, [&probes] { return probes.isAnswered || probes.failure || probes.isRetryDue; }, calledAt + m_timing.probeInterval, yield);
     // The response to a further call would share a slow link with the one that is arriving. The client ends a call whose response stops to arrive.
     Probes::await(
         probes.callEnded, [&probes] { return probes.isAnswered || probes.arriving == 0; }, calledAt + s_longestTransfer, yield);
@@ -383,7 +386,16 @@
     recordFailure(probes.failure.value_or("no response yet"), calledAt, s_probeHoldTime);
     // The delay counts from the start of the call: one that failed late has already waited, one that failed at once must not be repeated
     // at once.
-    Probes::await(probes.callEnded, isAnswered, calledAt + m_backoff.next(m_random), yield);
+    Probes::await(
+        probes.callEnded, [&probes] { return probes.isAnswered || probes.isRetryDue; }, calledAt + m_backoff.next(m_random), yield);
+}
+
+void TableWatch::retryNow()
+{
+    if (m_probes) {
+        m_probes->isRetryDue = true;
+        m_probes->callEnded.cancel();
+    }
 }
 
 void TableWatch::awaitProbes(const boost::asio::yield_context &yield)
--- a/Libraries/LibReplication/tablewatch.h
+++ b/Libraries/LibReplication/tablewatch.h
@@ -61,6 +61,9 @@
     /// Watches the table until the context stops. Precondition: runs in a coroutine of the context.
     void run(const boost::asio::yield_context &yield);
 
+    /// The store has answered a call for another table, so that one for this table is worth an immediate try. Precondition: none.
+    void retryNow();
+
     /// Whether the last call to the store succeeded and no full read is due. Precondition: none.
     bool isReachable() const
     {
--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -209,6 +209,7 @@
     FeedResult awaitChanges(const std::string & /*table*/, FeedVersion after, const FeedCallTiming &timing, const asio::yield_context &yield) override
     {
         if (isDown) {
+            ++failedCalls;
             return StoreFailure{"down"};
         }
         transfers += after < 2 ? 1 : 0;
@@ -221,6 +222,7 @@
 
     static constexpr std::chrono::milliseconds transferTime{1700};
     bool isDown = true;
+    int failedCalls = 0;
     /// Calls that are answered with the change.
     int transfers = 0;
 
@@ -257,6 +259,39 @@
     context.run();
 }
 
+// Guards against a table that is seconds late after a partition although another table's call has shown that the store is back: after several failures
+// the next call waits for the longest retry interval.
+Test(TableWatch, answerForAnotherTableEndsTheWait)
+{
+    asio::io_context context(1);
+    SlowLinkStore store(context);
+    FeedSharing sharing(
+        context, {HostId("alone")}, [](const HostId &, const PeerMessage &) {}, [] { return std::vector<HostId>{HostId("alone")}; });
+    TableWatchTiming timing = s_timing;
+    timing.maximumRetryInterval = 600s;
+    int failures = 0;
+    std::string value;
+    const auto change = [&value](const std::vector<FeedRow> &rows) { value = rows.back().value; };
+    TableWatch watch(
+        context, store, sharing, "things", timing, {[&change](const FeedRows &table) { change(table.rows); }, change, [](bool, const std::string &) {}});
+    asio::spawn(context, [&](const asio::yield_context &yield) { watch.run(yield); });
+    asio::spawn(context, [&](const asio::yield_context &yield) {
+        // Waits are random up to a bound that doubles from 150 ms on: after the sixth failure it is 9.6 s, far above the time that this test allows.
+        for (; failures < 6; failures = store.failedCalls) {
+            sleepFor(context, 10ms, yield);
+        }
+        store.isDown = false;
+        const BootTime allowed = BootClock::now() + 500ms;
+        watch.retryNow();
+        while (store.transfers == 0 && BootClock::now() < allowed) {
+            sleepFor(context, 10ms, yield);
+        }
+        cr_assert_eq(store.transfers, 1, "the store was not called");
+        context.stop();
+    });
+    context.run();
+}
+
 // Guards against a table that does not fit into one page.
 Test(TableWatch, readsAllPages)
 {
