Tests: Play customers in the replay

The effect of CustomerShares was not measured, since the replay had no customers. GatewayStateSettings::usesCustomerShares switches the term off for the comparison. `benchreplay customers` prints the served shares by group of customers and worth. Arrivals of these patterns come from a generator of their own, so that both policies get the same requests.

--- a/Libraries/LibGateway/gatewaystate.cpp
+++ b/Libraries/LibGateway/gatewaystate.cpp
@@ -368,7 +368,7 @@
         query.slotTime = query.work->expected(CacheState::Unlikely);
     }
     query.displacedValue = demand.displacedValue(request.route->priority);
-    if (request.customer) {
+    if (request.customer && m_settings.usesCustomerShares) {
         query.customerFactor = serviceState(request.service).customers.priceFactor(request.customer->id.value(), now);
     }
     query.now = now;
--- a/Libraries/LibGateway/gatewaystate.h
+++ b/Libraries/LibGateway/gatewaystate.h
@@ -41,6 +41,8 @@
     /// Whether placement uses the learned cost of requests and the remaining work of upstreams, for services whose upstreams report a work time.
     bool usesRequestCost = true;
     bool usesRemainingWork = true;
+    /// Whether the price of slots depends on what the request's customer sent recently.
+    bool usesCustomerShares = true;
 };
 
 /// One upstream, with the pacer for the time in which it is cold and the limit on connections to it.
--- a/Tests/Bench/Replay/replay.cpp
+++ b/Tests/Bench/Replay/replay.cpp
@@ -36,10 +36,16 @@
 constexpr Milliseconds s_faultUntil{20000};
 constexpr Milliseconds s_burstFrom{12000};
 constexpr Milliseconds s_burstUntil{16000};
+constexpr Milliseconds s_surgeFrom{10000};
+constexpr Milliseconds s_surgeUntil{30000};
+/// A customer's limit, relative to its usual rate.
+constexpr double s_customerLimit = 1.6;
 constexpr double s_longWork = 7;
 /// Time for which a machine keeps its speed.
 constexpr Milliseconds s_speedInterval{100};
 constexpr double s_lateWorth = 0.2;
+/// Stream of the generator for the arrivals of patterns with customers.
+constexpr std::uint64_t s_arrivalStream = 1;
 /// Enough to break ties between upstreams.
 constexpr double s_spreadingRankCost = 0.02;
 constexpr int s_mostAttempts = 2;
@@ -62,7 +68,8 @@
         Policy::OwnWithoutCost,
         Policy::OwnWithoutRemainingWork,
         Policy::OwnWithFactorsOnly,
-        Policy::OwnWithThreeFigures};
+        Policy::OwnWithThreeFigures,
+        Policy::OwnWithoutCustomerShares};
     return own.count(policy) > 0;
 }
 
@@ -74,6 +81,8 @@
     Milliseconds bornAt{0};
     int returns = 0;
     std::set<UpstreamId> tried{};
+    /// Index in the pattern's customers.
+    std::size_t customer = 0;
 };
 
 /// An upstream with slots, a bounded queue, and a memory of the keys it handled last.
@@ -104,7 +113,10 @@
         , m_policy(policy)
         , m_seed(seed)
         , m_random(seed)
+        , m_arrivalRandom(seed, s_arrivalStream)
         , m_upstreams(s_upstreams)
+        , m_customers(createCustomers(pattern))
+        , m_customerCounts(pattern.customers.size())
     {
         for (std::size_t i = 0; i < m_pattern.classes.size(); ++i) {
             Route route;
@@ -160,6 +172,7 @@
         }
         settings.usesRequestCost = m_policy != Policy::OwnWithoutCost && m_policy != Policy::OwnWithFactorsOnly;
         settings.usesRemainingWork = m_policy != Policy::OwnWithoutRemainingWork && m_policy != Policy::OwnWithFactorsOnly;
+        settings.usesCustomerShares = m_policy != Policy::OwnWithoutCustomerShares;
         auto state = std::make_unique<GatewayState>(settings);
         for (int i = 0; i < s_upstreams; ++i) {
             UpstreamRegistration registration;
@@ -170,9 +183,74 @@
             registration.slots = SlotCount(s_slots);
             state->upstreamStarted(registration, BootTime());
         }
+        if (!m_customers.empty()) {
+            RoutingConfiguration configuration;
+            configuration.version = ConfigurationVersion(1);
+            configuration.customers = m_customers;
+            state->setConfiguration(std::move(configuration));
+        }
         return state;
     }
 
+    /// Requests per millisecond at a load.
+    static double requestRate(const Pattern &pattern, double load)
+    {
+        Milliseconds meanWork(0);
+        for (const RequestClass &requestClass : pattern.classes) {
+            meanWork += requestClass.work * requestClass.share;
+        }
+        return load * s_upstreams * s_slots / meanWork.count();
+    }
+
+    static std::vector<Customer> createCustomers(const Pattern &pattern)
+    {
+        std::vector<Customer> customers;
+        for (const CustomerLoad &load : pattern.customers) {
+            Customer customer;
+            customer.id = CustomerId(load.name);
+            customer.requestsPerSecond = s_customerLimit * load.share * requestRate(pattern, pattern.load) * 1000;
+            customers.push_back(std::move(customer));
+        }
+        return customers;
+    }
+
+    static bool isInSurge(Milliseconds time)
+    {
+        return time >= s_surgeFrom && time < s_surgeUntil;
+    }
+
+    /// The part of all requests that a customer sends at a time, relative to what all customers usually send.
+    static double demandOf(const CustomerLoad &customer, Milliseconds time)
+    {
+        return customer.share * (isInSurge(time) ? customer.surge : 1);
+    }
+
+    /// Factor on the load at a time; 1 without customers.
+    double customerDemand(Milliseconds time) const
+    {
+        if (m_pattern.customers.empty()) {
+            return 1;
+        }
+        double demand = 0;
+        for (const CustomerLoad &customer : m_pattern.customers) {
+            demand += demandOf(customer, time);
+        }
+        return demand;
+    }
+
+    /// Draws the sender of a request that arrives at a time. Precondition: the pattern has customers.
+    std::size_t drawCustomer(Milliseconds time)
+    {
+        double left = std::uniform_real_distribution<double>(0, customerDemand(time))(arrivalRandom());
+        for (std::size_t i = 0; i + 1 < m_pattern.customers.size(); ++i) {
+            left -= demandOf(m_pattern.customers[i], time);
+            if (left < 0) {
+                return i;
+            }
+        }
+        return m_pattern.customers.size() - 1;
+    }
+
     static BootTime bootTime(Milliseconds time)
     {
         return BootTime(std::chrono::hours(1)) + std::chrono::duration_cast<BootClock::duration>(time);
@@ -183,6 +261,12 @@
         return std::uniform_real_distribution<double>(low, high)(m_random);
     }
 
+    /// Source of randomness for arrivals. In patterns with customers it is separate, so that all policies get the same requests.
+    pcg32 &arrivalRandom()
+    {
+        return m_customers.empty() ? m_random : m_arrivalRandom;
+    }
+
     void at(Milliseconds time, std::function<void()> action)
     {
         m_events.push({time, ++m_order, std::make_shared<std::function<void()>>(std::move(action))});
@@ -190,23 +274,23 @@
 
     void scheduleArrival(Milliseconds from)
     {
-        Milliseconds meanWork(0);
-        for (const RequestClass &requestClass : m_pattern.classes) {
-            meanWork += requestClass.work * requestClass.share;
-        }
         const bool isBurst = from >= s_burstFrom && from < s_burstUntil;
-        const double perMillisecond = m_pattern.load * (isBurst ? m_pattern.burst : 1) * s_upstreams * s_slots / meanWork.count();
-        const Milliseconds next = from + Milliseconds(std::exponential_distribution<double>(perMillisecond)(m_random));
+        const double perMillisecond = requestRate(m_pattern, m_pattern.load * (isBurst ? m_pattern.burst : 1)) * customerDemand(from);
+        const Milliseconds next = from + Milliseconds(std::exponential_distribution<double>(perMillisecond)(arrivalRandom()));
         if (next >= s_length) {
             return;
         }
         at(next, [this, next] {
             Request request;
-            request.requestClass = uniform(0, 1) < m_pattern.classes[0].share ? 0 : 1;
-            request.keyHash = stableHash(fmt::format("{}/{}", request.requestClass, m_random(s_keysPerClass)));
+            request.requestClass = std::uniform_real_distribution<double>(0, 1)(arrivalRandom()) < m_pattern.classes[0].share ? 0 : 1;
+            request.keyHash = stableHash(fmt::format("{}/{}", request.requestClass, arrivalRandom()(s_keysPerClass)));
             request.host = m_random(s_hosts);
             request.bornAt = next;
             ++m_born[request.requestClass];
+            if (!m_customers.empty()) {
+                request.customer = drawCustomer(next);
+                m_customerCounts[request.customer].arrived += isInSurge(next) ? 1 : 0;
+            }
             arrive(std::move(request));
             scheduleArrival(next);
         });
@@ -215,7 +299,10 @@
     RequestPlacement placement(const Request &request) const
     {
         const Route &route = m_routes[request.requestClass];
-        return {&route, ServiceId("service"), request.keyHash, bootTime(m_now), bootTime(request.bornAt + m_pattern.classes[request.requestClass].limit)};
+        RequestPlacement result{
+            &route, ServiceId("service"), request.keyHash, bootTime(m_now), bootTime(request.bornAt + m_pattern.classes[request.requestClass].limit)};
+        result.customer = m_customers.empty() ? nullptr : &m_customers[request.customer];
+        return result;
     }
 
     void arrive(Request request)
@@ -398,6 +485,9 @@
         m_times.push_back(time);
         m_timesByKind[request.requestClass].push_back(time);
         m_inTimeByKind[request.requestClass] += isInTime ? 1 : 0;
+        if (!m_customers.empty() && isInSurge(request.bornAt)) {
+            ++m_customerCounts[request.customer].served;
+        }
     }
 
     void reject(Request request, Milliseconds untilRoom)
@@ -433,7 +523,8 @@
             m_late / requests,
             m_rejected / requests,
             m_times.empty() ? Milliseconds(0) : m_times[m_times.size() / 2],
-            kinds};
+            kinds,
+            m_customerCounts};
     }
 
     /// Precondition: times are sorted.
@@ -446,9 +537,12 @@
     Policy m_policy;
     std::uint64_t m_seed;
     pcg32 m_random;
+    pcg32 m_arrivalRandom;
     std::vector<Route> m_routes;
     std::vector<std::unique_ptr<GatewayState>> m_hosts;
     std::vector<EmulatedUpstream> m_upstreams;
+    std::vector<Customer> m_customers;
+    std::vector<CustomerCount> m_customerCounts;
     std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
     std::uint64_t m_order = 0;
     std::size_t m_next = 0;
@@ -504,6 +598,8 @@
         return "two choices";
     case Policy::AffinityOnly:
         return "affinity only";
+    case Policy::OwnWithoutCustomerShares:
+        return "own, without customer shares";
     }
     return "";
 }
--- a/Tests/Bench/Replay/replay.h
+++ b/Tests/Bench/Replay/replay.h
@@ -33,6 +33,8 @@
     TwoChoices,
     /// Always the first upstream in the key's order.
     AffinityOnly,
+    /// The gateway's own decisions without CustomerShares.
+    OwnWithoutCustomerShares,
 };
 
 const std::vector<Policy> &allPolicies();
@@ -62,6 +64,16 @@
     {"ordinary", 2, 0.8, Milliseconds(880), Milliseconds(600), Milliseconds(4000), 1},
 };
 
+/// One customer of the service.
+struct CustomerLoad
+{
+    std::string name;
+    /// Share of all requests while every customer sends as usual.
+    double share = 0;
+    /// Factor on its rate between 10 and 30 s.
+    double surge = 1;
+};
+
 struct Pattern
 {
     std::string name;
@@ -83,6 +95,8 @@
     /// one of them is not 1.
     double machineRange = 1;
     double speedRange = 1;
+    /// Empty for a service without customers; otherwise the load is that of all customers while they send as usual.
+    std::vector<CustomerLoad> customers{};
 };
 
 const std::vector<Pattern> &allPatterns();
@@ -100,6 +114,14 @@
     Milliseconds p99{0};
 };
 
+/// Requests of one customer that arrived between 10 and 30 s.
+struct CustomerCount
+{
+    double arrived = 0;
+    /// Served within the limit of their class.
+    double served = 0;
+};
+
 struct Score
 {
     /// Parts of the worth of all requests, and of those of the most urgent class.
@@ -112,6 +134,8 @@
     /// Median time of the requests that were served.
     Milliseconds median{0};
     std::array<KindScore, 2> kinds{};
+    /// In the order of the pattern's customers.
+    std::vector<CustomerCount> customers{};
 };
 
 /// Plays 40 s. Precondition: none.
--- a/Tests/Bench/benchreplay.cpp
+++ b/Tests/Bench/benchreplay.cpp
@@ -1,4 +1,4 @@
-#include <Bench/Replay/replay.h>
+#include <Bench/Replay/customerreplay.h>
 
 #include <cmath>
 #include <fmt/format.h>
@@ -49,16 +49,43 @@
     }
 }
 
+/// Prints, for the patterns with customers, how they were served without and with their shares.
+void printCustomers()
+{
+    fmt::print("| pattern | policy | worth | spread | all | worst tenth | worst tenth within its rate | worst within its rate | sends too much | others |\n");
+    fmt::print("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+    for (const Pattern &pattern : customerPatterns()) {
+        for (const Policy policy : customerPolicies()) {
+            const CustomerScore score = playCustomers(pattern, policy, s_seeds);
+            fmt::print("| {} | {} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {} | {:.3f} |\n",
+                pattern.name,
+                toText(policy),
+                score.worth,
+                score.spread,
+                score.all,
+                score.worstTenth,
+                score.worstTenthWithinRate,
+                score.worstWithinRate,
+                score.sender > 0 ? fmt::format("{:.3f}", score.sender) : "–",
+                score.others);
+        }
+    }
+}
+
 } // namespace
 
 /// Plays all patterns against all policies with the same seeds, and prints a table with the spread over the seeds. With the argument "cost", it plays
-/// the patterns with uneven cost.
+/// the patterns with uneven cost; with "customers", those with customers.
 int main(int argc, char **argv)
 {
     if (argc > 1 && std::string_view(argv[1]) == "cost") {
         printCosts();
         return 0;
     }
+    if (argc > 1 && std::string_view(argv[1]) == "customers") {
+        printCustomers();
+        return 0;
+    }
     fmt::print("| pattern | policy | worth | spread | urgent | in time | late | rejections a request | median ms |\n");
     fmt::print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
     for (const Pattern &pattern : allPatterns()) {
