--- a/Tests/LibSteering/testcustomershares.cpp
+++ b/Tests/LibSteering/testcustomershares.cpp
@@ -73,6 +73,8 @@
 {
     CustomerShares shares;
     shares.setWeights({{"a", 10}, {"b", 10}});
+    // A customer that sends nothing lends its part.
+    shares.recordArrival("b", s_start);
     for (int i = 0; i < 200; ++i) {
         shares.recordArrival("a", s_start);
     }
@@ -81,3 +83,54 @@
     shares.setWeights({{"b", 10}});
     cr_assert_float_eq(shares.priceFactor("a", s_start), 1, 1e-9);
 }
+
+// Guards against a small customer that pays more because each decision about it counts the request that is decided, and against one that pays for a
+// chance excess: beside 20 requests per second of each of nine others it sends one request.
+Test(CustomerShares, aSingleRequestIsNotCharged)
+{
+    for (const int requests : {1, 2}) {
+        CustomerShares shares;
+        std::unordered_map<std::string, double> weights{{"small", 0.1}};
+        for (int i = 0; i < 9; ++i) {
+            weights.emplace("other " + std::to_string(i), 20);
+        }
+        shares.setWeights(weights);
+        BootTime now = s_start;
+        for (int step = 0; step < 100; ++step) {
+            now += 50ms;
+            for (int i = 0; i < 9; ++i) {
+                shares.recordArrival("other " + std::to_string(i), now);
+            }
+        }
+        for (int i = 0; i < requests; ++i) {
+            shares.recordArrival("small", now);
+        }
+        const double factor = shares.priceFactor("small", now);
+        cr_assert(factor <= 1, "%d requests: %f", requests, factor);
+    }
+}
+
+// Guards against customers that pay for the part of another one which has stopped sending: each of four sends 20 requests per second, a fifth one, which
+// is entitled to half of the service, stops after 10 s.
+Test(CustomerShares, theShareOfASilentCustomerIsLent)
+{
+    CustomerShares shares;
+    shares.setWeights({{"large", 80}, {"a", 20}, {"b", 20}, {"c", 20}, {"d", 20}});
+    BootTime now = s_start;
+    for (int step = 0; step < 400; ++step) {
+        now += 50ms;
+        for (const char *customer : {"a", "b", "c", "d"}) {
+            shares.recordArrival(customer, now);
+        }
+        for (int i = 0; step < 200 && i < 4; ++i) {
+            shares.recordArrival("large", now);
+        }
+        if (step == 199) {
+            cr_assert_float_eq(shares.priceFactor("a", now), 1, 0.05);
+        }
+    }
+    cr_assert_float_eq(shares.priceFactor("a", now), 1, 0.05);
+    // The customer comes back: its part counts again at once, although its count is low.
+    shares.recordArrival("large", now);
+    cr_assert(shares.priceFactor("large", now) <= 0.7);
+}
