Tests: Check that customers are served fairly

Replay::customersAreServedFairly plays each pattern with customers 100 times: no customer within its rate, nor the one that sends too much, is served less than a quarter as often as all together, and the worst tenth of those within their rate is not served worse than without the term. Replay::theShareOfAStoppedCustomerIsUsed compares the others before and after the largest one stops.

--- a/Tests/Bench/testreplay.cpp
+++ b/Tests/Bench/testreplay.cpp
@@ -1,3 +1,4 @@
+#include <Bench/Replay/customerreplay.h>
 #include <Bench/Replay/replay.h>
 
 #include <algorithm>
@@ -90,3 +91,48 @@
         cr_assert(gain >= 0, "%s: %f less", pattern.name.c_str(), -gain / seeds);
     }
 }
+
+// Load patterns: even overload, one customer that sends 7.5 to 10 times its rate, a small customer beside large ones, and one that stops sending.
+// Guards against a customer that is hardly served because another one sends more (a deployment fails if a customer is served less than a quarter as
+// often as all customers together), and against a fairness term that harms those whom it is to protect. The worst tenth is of the customers within their
+// rate: the others are to be served less. With fewer seeds, the worst tenth of small customers depends on chance alone.
+ParameterizedTestParameters(Replay, customersAreServedFairly)
+{
+    static std::vector<PatternCase> cases;
+    for (std::size_t i = 0; i < customerPatterns().size(); ++i) {
+        cases.push_back({i});
+    }
+    return cr_make_param_array(PatternCase, cases.data(), cases.size());
+}
+
+ParameterizedTest(PatternCase *testCase, Replay, customersAreServedFairly)
+{
+    const Pattern &pattern = customerPatterns()[testCase->index];
+    constexpr std::uint64_t seeds = 100;
+    const CustomerScore own = playCustomers(pattern, Policy::Own, seeds);
+    const CustomerScore without = playCustomers(pattern, Policy::OwnWithoutCustomerShares, seeds);
+    cr_assert(own.worstWithinRate >= own.all / 4, "%s: %f, all customers %f", pattern.name.c_str(), own.worstWithinRate, own.all);
+    cr_assert(own.worstTenthWithinRate >= without.worstTenthWithinRate,
+        "%s: worst tenth %f, without the term %f",
+        pattern.name.c_str(),
+        own.worstTenthWithinRate,
+        without.worstTenthWithinRate);
+    const bool hasSender = std::any_of(pattern.customers.begin(), pattern.customers.end(), [](const CustomerLoad &customer) { return customer.surge > 1; });
+    cr_assert(!hasSender || own.sender >= own.all / 4, "%s: %f for the sender, all customers %f", pattern.name.c_str(), own.sender, own.all);
+}
+
+// Load pattern: 1.9 times the slots, of which the largest customer stops to send its fifth. Guards against a share that is kept for a customer which
+// doesn't use it.
+Test(Replay, theShareOfAStoppedCustomerIsUsed)
+{
+    constexpr std::uint64_t seeds = 10;
+    const auto find = [](std::string_view name) {
+        return std::find_if(customerPatterns().begin(), customerPatterns().end(), [name](const Pattern &each) { return each.name == name; });
+    };
+    const auto even = find("customers, load 1.9");
+    const auto stopped = find("largest customer stops, load 1.9");
+    cr_assert(even != customerPatterns().end() && stopped != customerPatterns().end());
+    const double before = playCustomers(*even, Policy::Own, seeds).others;
+    const double after = playCustomers(*stopped, Policy::Own, seeds).others;
+    cr_assert(after > before, "others served %f, beside the customer %f", after, before);
+}
