--- a/Tests/Bench/Replay/customerreplay.cpp
+++ b/Tests/Bench/Replay/customerreplay.cpp
@@ -159,6 +159,8 @@
     result.others = servedShare(sumOf(withinRate, withinRate.size()));
     result.worstTenth = worstTenthOf(sending);
     result.worstTenthWithinRate = worstTenthOf(withinRate);
+    const double worstTenthArrived = sumOf(withinRate, (withinRate.size() + 9) / 10).arrived;
+    result.worstTenthError = std::sqrt(result.worstTenthWithinRate * (1 - result.worstTenthWithinRate) / worstTenthArrived);
     result.worstWithinRate = servedShare(withinRate.front());
     return result;
 }
--- a/Tests/Bench/Replay/customerreplay.h
+++ b/Tests/Bench/Replay/customerreplay.h
@@ -23,6 +23,8 @@
     /// The tenth of the customers that was served worst, rounded up: of all customers, and of those that stay within their rate.
     double worstTenth = 0;
     double worstTenthWithinRate = 0;
+    /// Standard error of that share, as of so many independent requests.
+    double worstTenthError = 0;
     /// The customer of those within their rate that was served worst.
     double worstWithinRate = 0;
     /// The customer that sends too much; 0 without one.
--- a/Tests/Bench/testreplay.cpp
+++ b/Tests/Bench/testreplay.cpp
@@ -2,6 +2,7 @@
 #include <Bench/Replay/replay.h>
 
 #include <algorithm>
+#include <cmath>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
@@ -112,7 +113,9 @@
     const CustomerScore own = playCustomers(pattern, Policy::Own, seeds);
     const CustomerScore without = playCustomers(pattern, Policy::OwnWithoutCustomerShares, seeds);
     cr_assert(own.worstWithinRate >= own.all / 4, "%s: %f, all customers %f", pattern.name.c_str(), own.worstWithinRate, own.all);
-    cr_assert(own.worstTenthWithinRate >= without.worstTenthWithinRate,
+    // Where nearly all requests are served, the two policies differ by chance in either direction.
+    const double chance = 2 * std::hypot(own.worstTenthError, without.worstTenthError);
+    cr_assert(own.worstTenthWithinRate >= without.worstTenthWithinRate - chance,
         "%s: worst tenth %f, without the term %f",
         pattern.name.c_str(),
         own.worstTenthWithinRate,
