Tests: Forward crowds through a host with few descriptors

A crowd whose requests are all forwarded takes a connection to an upstream for each of them, beside what the servers of the host accept, and nothing bounds these connections together. hostOutlivesAForwardedCrowd has 300 callers that keep sending, 60 silent ones at each other address, and 40 upstreams with 640 slots; the bounds are those of the other crowds.

--- a/Tests/Platform/testmisbehavingcallers.cpp
+++ b/Tests/Platform/testmisbehavingcallers.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <filesystem>
@@ -48,6 +49,16 @@
 /// How long the crowd stays after its last member has begun; longer than a request waits for memory.
 constexpr std::chrono::milliseconds s_stay{1500};
 constexpr std::chrono::milliseconds s_answerLimit{30000};
+/// Of one ordinary request; its deadline is 5 s.
+constexpr std::chrono::milliseconds s_requestLimit{10000};
+
+/// Upstreams with 640 slots together, so that all requests of a crowd are forwarded.
+constexpr int s_upstreams = 40;
+constexpr int s_slots = 16;
+/// Connects to each address besides the callers'; more than the share of look-ups, the largest of these.
+constexpr int s_besideCrowd = 60;
+/// How long a crowd keeps sending: several requests of each member.
+constexpr std::chrono::milliseconds s_sendingStay{5000};
 
 /// A crowd, and the address that it connects to. The fields are arrays since Criterion copies cases between processes.
 struct CrowdCase
@@ -63,6 +74,13 @@
     return fmt::format("127.{}.{}.{}", 64 + (pid >> 16U) % 64, (pid >> 8U) % 256, pid % 256);
 }
 
+/// A crowd whose requests are all forwarded, and after which time the upstreams answer it.
+struct ForwardedCase
+{
+    char kind[24];
+    int delayMilliseconds;
+};
+
 /// What each member of a crowd writes before it waits with its connection open.
 struct Script
 {
@@ -70,6 +88,15 @@
     std::string text{};
     /// The text is written in pieces of that size with pauses between them.
     std::size_t pieceBytes = std::string::npos;
+    /// The text is written again once a response begins.
+    bool isRepeated = false;
+};
+
+struct UpstreamBehaviour
+{
+    int count = 1;
+    /// Time after which requests of the crowd are answered; others are answered at once.
+    std::chrono::milliseconds crowdDelay{0};
 };
 
 std::string chunksOf(std::size_t bytes)
@@ -126,11 +153,11 @@
     return {s_bodyCrowd, requests};
 }
 
-/// A host in a process of its own, with a store and one upstream in the process of the test.
+/// A host in a process of its own, with a store and upstreams in the process of the test.
 class Deployment
 {
 public:
-    Deployment()
+    explicit Deployment(UpstreamBehaviour behaviour = {})
         : m_ip(ownAddress())
         , m_store(m_context)
     {
@@ -139,13 +166,19 @@
         m_folder = folder;
         HttpServerSettings settings;
         settings.address = m_ip + ":0";
-        m_upstream = std::move(HttpServer::create(m_context, settings, [](HttpRequest &request, CallerConnection &, const asio::yield_context &) {
+        const auto answer = [this, behaviour](HttpRequest &request, CallerConnection &, const asio::yield_context &yield) {
+            if (behaviour.crowdDelay > 0ms && request.target == "/read/crowd") {
+                sleepFor(m_context, behaviour.crowdDelay, yield);
+            }
             HttpResponse response;
             response.headers.add("Request-Id", request.headers.value("Request-Id"));
             response.headers.add("Server-Stamp", "stamp");
             response.body = std::string(4000, 'r');
             return response;
-        }).value());
+        };
+        for (int i = 0; i < behaviour.count; ++i) {
+            m_upstreams.push_back(std::move(HttpServer::create(m_context, settings, answer).value()));
+        }
     }
 
     void play(const std::function<void(const asio::yield_context &yield)> &body)
@@ -163,16 +196,19 @@
             {"routes", {route}},
             {"services", Json::array({{{"name", "desk"}}})},
             {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", s_bodyLimit}, {"header_timeout", "3000ms"}, {"idle_timeout", "15000ms"}}}};
-        const Json registration = {{"service", "desk"},
-            {"address", m_upstream->address()},
-            {"zone", "east-a"},
-            {"version", "v1"},
-            {"max_concurrency", 16},
-            {"state", "ready"},
-            {"cold_remaining", "0ms"},
-            {"seq_no", 1}};
         m_store.set("op", "config", configuration.dump());
-        m_store.set("servers", "i-1", registration.dump());
+        int number = 0;
+        for (const auto &upstream : m_upstreams) {
+            const Json registration = {{"service", "desk"},
+                {"address", upstream->address()},
+                {"zone", "east-a"},
+                {"version", "v1"},
+                {"max_concurrency", s_slots},
+                {"state", "ready"},
+                {"cold_remaining", "0ms"},
+                {"seq_no", 1}};
+            m_store.set("servers", fmt::format("i-{}", ++number), registration.dump());
+        }
         asio::spawn(m_context, [this, &body](const asio::yield_context &yield) {
             start();
             awaitStatus(addressOf("readiness"), "/api/ready", yield);
@@ -242,16 +278,18 @@
 private:
     std::string get(const std::string &address, const std::string &target, const asio::yield_context &yield)
     {
-        tcp::socket socket(m_context);
+        boost::beast::tcp_stream stream(m_context);
+        // A request that is never answered must end as a failure of the check, with the log of the host.
+        stream.expires_after(s_requestLimit);
         boost::system::error_code error;
-        socket.async_connect(parseEndpoint(address).value(), yield[error]);
+        stream.async_connect(parseEndpoint(address).value(), yield[error]);
         const std::string request =
             fmt::format("GET {} HTTP/1.1\r\nHost: crowd.example\r\nRequest-Id: r-{}\r\nDeadline-Ms: 5000\r\nConnection: close\r\n\r\n", target, ++m_requests);
-        asio::async_write(socket, asio::buffer(request), yield[error]);
+        asio::async_write(stream, asio::buffer(request), yield[error]);
         std::string answer;
         while (!error) {
             std::array<char, 4096> piece{};
-            const std::size_t count = socket.async_read_some(asio::buffer(piece), yield[error]);
+            const std::size_t count = stream.async_read_some(asio::buffer(piece), yield[error]);
             answer.append(piece.data(), count);
         }
         return answer;
@@ -289,13 +327,13 @@
     std::string m_ip;
     std::string m_folder;
     StoreStandIn m_store;
-    std::unique_ptr<HttpServer> m_upstream;
+    std::vector<std::unique_ptr<HttpServer>> m_upstreams;
     pid_t m_pid = 0;
     int m_requests = 0;
     Scenarios::Processes m_processes;
 };
 
-/// Callers that follow one script and keep their connections open without reading.
+/// Callers that follow one script and keep their connections open. They read nothing unless the script is repeated.
 class Crowd
 {
 public:
@@ -334,6 +372,14 @@
         ++m_writing;
         boost::system::error_code error;
         socket.async_connect(parseEndpoint(m_address).value(), yield[error]);
+        do {
+            writeOnce(socket, error, yield);
+        } while (m_script.isRepeated && !error && !m_hasEnded && awaitAnswer(socket, error, yield));
+        --m_writing;
+    }
+
+    void writeOnce(tcp::socket &socket, boost::system::error_code &error, const asio::yield_context &yield)
+    {
         for (std::size_t i = 0; i < m_script.text.size() && !error && !m_hasEnded; i += std::min(m_script.pieceBytes, m_script.text.size() - i)) {
             const std::string_view piece = std::string_view(m_script.text).substr(i, m_script.pieceBytes);
             asio::async_write(socket, asio::buffer(piece), yield[error]);
@@ -341,7 +387,16 @@
                 sleepFor(m_deployment.context(), 50ms, yield);
             }
         }
-        --m_writing;
+    }
+
+    /// Reads what has come of a response. False when the connection has ended.
+    bool awaitAnswer(tcp::socket &socket, boost::system::error_code &error, const asio::yield_context &yield)
+    {
+        std::array<char, 8192> piece{};
+        socket.async_read_some(asio::buffer(piece), yield[error]);
+        // Spreads the members, and limits the rate of those that are rejected at once.
+        sleepFor(m_deployment.context(), 20ms, yield);
+        return !error;
     }
 
     Deployment &m_deployment;
@@ -401,3 +456,50 @@
         cr_expect(deployment.isRunning(), "%s at %s", testCase->kind, testCase->address);
     });
 }
+
+// Guards against a host that runs out of descriptors since each request of a crowd takes a connection to an upstream, beside what its servers accept.
+ParameterizedTestParameters(MisbehavingCallers, hostOutlivesAForwardedCrowd)
+{
+    static ForwardedCase cases[] = {
+        // The upstreams hold all requests until their deadline.
+        {"silent-upstreams", 60000},
+        // Connections become idle at many upstreams.
+        {"slow-upstreams", 300},
+    };
+    return cr_make_param_array(ForwardedCase, cases, std::size(cases));
+}
+
+ParameterizedTest(ForwardedCase *testCase, MisbehavingCallers, hostOutlivesAForwardedCrowd)
+{
+    Deployment deployment({s_upstreams, std::chrono::milliseconds(testCase->delayMilliseconds)});
+    deployment.play([&](const asio::yield_context &yield) {
+        std::list<Crowd> crowds;
+        Script sending;
+        sending.text = "GET /read/crowd HTTP/1.1\r\nHost: crowd.example\r\nRequest-Id: crowd\r\nDeadline-Ms: 1000\r\n\r\n";
+        sending.isRepeated = true;
+        crowds.emplace_back(deployment, deployment.addressOf("callers"), sending);
+        for (const std::string_view address : {"readiness", "look-ups", "metrics"}) {
+            crowds.emplace_back(deployment, deployment.addressOf(address), Script{s_besideCrowd});
+        }
+        for (Crowd &crowd : crowds) {
+            crowd.start();
+        }
+        std::size_t sockets = 0;
+        for (auto time = 0ms; time < s_sendingStay; time += 50ms) {
+            sleepFor(deployment.context(), 50ms, yield);
+            sockets = std::max(sockets, deployment.openSockets());
+        }
+        for (Crowd &crowd : crowds) {
+            crowd.end(yield);
+        }
+        deployment.awaitStatus(deployment.addressOf("callers"), "/read/ordinary", yield);
+        for (const std::string_view address : {"readiness", "look-ups", "metrics"}) {
+            deployment.awaitStatus(deployment.addressOf(address), pathFor(address), yield);
+        }
+        const std::size_t memory = deployment.peakMemory();
+        cr_log_info("%s: %zu KB at most, %zu sockets", testCase->kind, memory / 1024, sockets);
+        cr_expect(memory <= s_memoryBound, "%s: %zu KB", testCase->kind, memory / 1024);
+        cr_expect(sockets <= s_socketBound, "%s: %zu sockets", testCase->kind, sockets);
+        cr_expect(deployment.isRunning(), "%s", testCase->kind);
+    });
+}
