LibHttp: Limit all connections of a pool together

The connections of a pool followed from the requests in progress and from idle ones, up to 64 an address, so that a host with many upstreams could run out of descriptors. ConnectionPoolSettings::connectionLimit counts connections from before they are opened until they are closed. At the limit the pool closes the connection that was idle for longest, at any address; where none is idle, the call ends with PoolExhausted before anything is sent. The default, 0, leaves pools without a limit as they were. Idle connections and losses of an address are one entry now, and entries without idle connections are dropped at 4,096 addresses: before, both maps grew with each address that was ever used. Idle connections give their read buffer back.

--- a/Libraries/LibHttp/connectioncause.h
+++ b/Libraries/LibHttp/connectioncause.h
@@ -10,7 +10,7 @@
 
 /// Why a connection was opened instead of using an idle one.
 enum class ConnectionCause {
-    /// There was no connection to the address before.
+    /// There was no connection to the address before, or so many other addresses were used since that it was forgotten.
     FirstUse,
     /// All connections to the address carried requests.
     AllInUse,
@@ -20,7 +20,7 @@
     IdleClosedByPeer,
     /// This process had closed the connection after its idle time, or just before the time that the other side announced.
     IdleClosedHere,
-    /// The connection had made room at the limit on connections, or was one idle connection too many.
+    /// The connection had made room at a limit on connections, or was one idle connection too many.
     Limit,
     /// A call had failed on the connection, had been given up, or had left it in a state that can't be told from a failure.
     Failure,
--- a/Libraries/LibHttp/connectionlimit.h
+++ b/Libraries/LibHttp/connectionlimit.h
@@ -28,7 +28,7 @@
     std::shared_ptr<ConnectionLimit> m_limit;
 };
 
-/// Bound on the open connections to one upstream, shared by the pools of all worker threads.
+/// Bound on open connections: those to one upstream, shared by the pools of all worker threads, or all of one pool.
 class ConnectionLimit : public std::enable_shared_from_this<ConnectionLimit>
 {
 public:
--- a/Libraries/LibHttp/connectionpool.cpp
+++ b/Libraries/LibHttp/connectionpool.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <limits>
 #include <netinet/in.h>
 #include <unordered_map>
 #include <vector>
@@ -31,12 +32,20 @@
 /// A connection that its other end announced to close is not used in the last second, as a request may cross the close.
 constexpr std::chrono::milliseconds s_keepAliveMargin{1000};
 
+struct ConnectionPermits
+{
+    /// Counts against the pool's limit.
+    ConnectionPermit pool;
+    /// Counts against the limit of the address, where it has one.
+    std::optional<ConnectionPermit> address;
+};
+
 struct PooledConnection
 {
-    PooledConnection(asio::io_context &context, std::optional<ConnectionPermit> permitForIt)
+    PooledConnection(asio::io_context &context, ConnectionPermits permitsForIt)
         : stream(context)
         , buffer(s_responseBufferLimit)
-        , permit(std::move(permitForIt))
+        , permits(std::move(permitsForIt))
     {
     }
 
@@ -53,7 +62,7 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
-    std::optional<ConnectionPermit> permit;
+    ConnectionPermits permits;
     BootTime openedAt = BootClock::now();
     BootTime idleSince{};
     /// Announced by the upstream; it closes the connection after being idle for this long.
@@ -420,6 +429,8 @@
     switch (kind) {
     case CallFailureKind::NoConnection:
         return "connection-limit";
+    case CallFailureKind::PoolExhausted:
+        return "host-connection-limit";
     case CallFailureKind::ConnectFailed:
         return "connect-failed";
     case CallFailureKind::ConnectTimeout:
@@ -460,6 +471,9 @@
         if (!m_settings.memory) {
             m_settings.memory = std::make_shared<MemoryBudget>(MemoryLimits{});
         }
+        constexpr std::size_t unlimited = std::numeric_limits<std::int32_t>::max();
+        const std::size_t limit = m_settings.connectionLimit == 0 ? unlimited : std::min(m_settings.connectionLimit, unlimited);
+        m_limit = ConnectionLimit::create(ConnectionCount(static_cast<std::int32_t>(limit)));
     }
 
     CallResult call(const std::string &address,
@@ -475,7 +489,7 @@
         ConnectionPointer current = std::move(std::get<ConnectionPointer>(obtained));
         const HookScope hook(options.cancellation, current->stream);
         if (options.cancellation && options.cancellation->isRequested()) {
-            m_losses[address].recordLoss(ConnectionCause::Failure);
+            stateOf(address).losses.recordLoss(ConnectionCause::Failure);
             return CallFailure{CallFailureKind::Cancelled, false, "cancelled before the request was sent"};
         }
         if (BootClock::now() >= options.deadline) {
@@ -508,9 +522,9 @@
         }
         current->awaitsResponse = false;
         if (!exchange.isReusable()) {
-            m_losses[address].recordLoss(exchange.loss());
+            stateOf(address).losses.recordLoss(exchange.loss());
         } else if (options.cancellation && options.cancellation->isRequested()) {
-            m_losses[address].recordLoss(ConnectionCause::Failure);
+            stateOf(address).losses.recordLoss(ConnectionCause::Failure);
         } else {
             giveBack(address, std::move(current));
         }
@@ -519,9 +533,10 @@
 
     void closeExpired(BootTime now)
     {
-        for (auto &[address, idle] : m_idle) {
+        for (auto &[address, state] : m_addresses) {
             // Bytes that belong to no request would fill the receive buffer, which counts as memory of the host.
-            ConnectionLosses &losses = m_losses[address];
+            ConnectionLosses &losses = state.losses;
+            auto &idle = state.idle;
             const auto isSpent = [this, now, &losses](const ConnectionPointer &connection) {
                 auto loss = idleLoss(*connection);
                 if (!loss && now - connection->idleSince >= m_settings.idleTimeout) {
@@ -541,23 +556,75 @@
         return m_opened;
     }
 
+    ConnectionUse use() const
+    {
+        ConnectionUse result;
+        for (const auto &[address, state] : m_addresses) {
+            result.idle += state.idle.size();
+        }
+        result.inUse = static_cast<std::size_t>(m_limit->open().value()) - result.idle;
+        result.limit = m_settings.connectionLimit;
+        result.rejectedCalls = m_rejectedCalls;
+        result.closedForRoom = m_closedForRoom;
+        return result;
+    }
+
+    std::size_t rememberedAddresses() const
+    {
+        return m_addresses.size();
+    }
+
 private:
     using Obtained = std::variant<ConnectionPointer, CallFailure>;
+    using IdleConnections = std::vector<ConnectionPointer>;
+
+    struct AddressState
+    {
+        /// In the order in which they became idle.
+        IdleConnections idle;
+        ConnectionLosses losses;
+    };
+
+    /// References are valid until the next call for another address.
+    AddressState &stateOf(const std::string &address)
+    {
+        const auto known = m_addresses.find(address);
+        if (known != m_addresses.end()) {
+            return known->second;
+        }
+        if (m_addresses.size() >= m_settings.rememberedAddressLimit) {
+            forgetUnusedAddresses();
+        }
+        return m_addresses[address];
+    }
+
+    /// Only the cause of the next connection to a forgotten address is affected: it counts as the first use.
+    void forgetUnusedAddresses()
+    {
+        for (auto position = m_addresses.begin(); position != m_addresses.end();) {
+            position = position->second.idle.empty() ? m_addresses.erase(position) : std::next(position);
+        }
+    }
 
     Obtained connection(const std::string &address, const std::shared_ptr<ConnectionLimit> &limit, const CallOptions &options, const asio::yield_context &yield)
     {
-        const std::size_t lossesBefore = m_losses[address].pending();
+        const std::size_t lossesBefore = stateOf(address).losses.pending();
         if (auto idle = takeIdle(address, options)) {
             return idle;
         }
-        const bool hasIdle = !m_idle[address].empty();
+        const bool hasIdle = !stateOf(address).idle.empty();
         std::optional<ConnectionPermit> permit = limit ? acquirePermit(address, *limit) : std::nullopt;
         if (limit && !permit) {
             return CallFailure{CallFailureKind::NoConnection, false, "the connection limit is reached"};
         }
-        Obtained obtained = connect(address, std::move(permit), options, yield);
+        std::optional<ConnectionPermit> poolPermit = acquirePoolPermit();
+        if (!poolPermit) {
+            ++m_rejectedCalls;
+            return CallFailure{CallFailureKind::PoolExhausted, false, "the limit on connections to all upstreams is reached"};
+        }
+        Obtained obtained = connect(address, {std::move(*poolPermit), std::move(permit)}, options, yield);
         if (std::holds_alternative<ConnectionPointer>(obtained)) {
-            const ConnectionCause cause = m_losses[address].recordOpened(lossesBefore, hasIdle);
+            const ConnectionCause cause = stateOf(address).losses.recordOpened(lossesBefore, hasIdle);
             if (options.trace) {
                 options.trace->opened = cause;
             }
@@ -579,21 +646,46 @@
         if (auto permit = limit.tryAcquire()) {
             return permit;
         }
-        auto &idle = m_idle[address];
-        if (!idle.empty()) {
-            idle.erase(idle.begin());
-            m_losses[address].recordLoss(ConnectionCause::Limit);
-        }
+        closeLongestIdle(stateOf(address));
         return limit.tryAcquire();
     }
 
+    /// At the limit, the connection that was idle for longest makes room, whatever its address.
+    std::optional<ConnectionPermit> acquirePoolPermit()
+    {
+        if (auto permit = m_limit->tryAcquire()) {
+            return permit;
+        }
+        AddressState *longestIdle = nullptr;
+        for (auto &[address, state] : m_addresses) {
+            if (!state.idle.empty() && (!longestIdle || state.idle.front()->idleSince < longestIdle->idle.front()->idleSince)) {
+                longestIdle = &state;
+            }
+        }
+        if (!longestIdle) {
+            return std::nullopt;
+        }
+        closeLongestIdle(*longestIdle);
+        ++m_closedForRoom;
+        return m_limit->tryAcquire();
+    }
+
+    static void closeLongestIdle(AddressState &state)
+    {
+        if (!state.idle.empty()) {
+            state.idle.erase(state.idle.begin());
+            state.losses.recordLoss(ConnectionCause::Limit);
+        }
+    }
+
     /// The connection used last, since the others can then expire together.
     ConnectionPointer takeIdle(const std::string &address, const CallOptions &options)
     {
         if (options.requestId.empty()) {
             return nullptr;
         }
-        auto &idle = m_idle[address];
+        AddressState &state = stateOf(address);
+        auto &idle = state.idle;
         const BootTime now = BootClock::now();
         // The last one was idle for the shortest time.
         for (auto position = idle.end(); position != idle.begin() && now - (*std::prev(position))->idleSince <= options.maximumIdle;) {
@@ -616,21 +708,23 @@
                 connection->reused = true;
                 return connection;
             }
-            m_losses[address].recordLoss(*loss);
+            state.losses.recordLoss(*loss);
         }
         return nullptr;
     }
 
     void giveBack(const std::string &address, ConnectionPointer connection)
     {
-        auto &idle = m_idle[address];
-        if (idle.size() >= m_settings.idleLimitPerAddress) {
-            m_losses[address].recordLoss(ConnectionCause::Limit);
+        AddressState &state = stateOf(address);
+        if (state.idle.size() >= m_settings.idleLimitPerAddress) {
+            state.losses.recordLoss(ConnectionCause::Limit);
             return;
         }
         connection->stream.expires_never();
         connection->idleSince = BootClock::now();
-        idle.push_back(std::move(connection));
+        // The buffer is empty, but keeps the capacity for the largest response so far.
+        connection->buffer.shrink_to_fit();
+        state.idle.push_back(std::move(connection));
     }
 
     /// A fault on the path silences all connections that were open at that time, while new ones work. Idle connections
@@ -638,19 +732,18 @@
     CallFailure afterFailure(const std::string &address, const PooledConnection &failedConnection, CallFailure failure)
     {
         const bool wentSilent = failure.kind == CallFailureKind::Stalled || failure.kind == CallFailureKind::DeadlineExceeded;
-        ConnectionLosses &losses = m_losses[address];
-        losses.recordLoss(ConnectionCause::Failure);
+        AddressState &state = stateOf(address);
+        state.losses.recordLoss(ConnectionCause::Failure);
         if (wentSilent && failedConnection.reused) {
-            auto &idle = m_idle[address];
-            for (std::size_t i = 0; i < idle.size(); ++i) {
-                losses.recordLoss(ConnectionCause::Failure);
+            for (std::size_t i = 0; i < state.idle.size(); ++i) {
+                state.losses.recordLoss(ConnectionCause::Failure);
             }
-            idle.clear();
+            state.idle.clear();
         }
         return failure;
     }
 
-    Obtained connect(const std::string &address, std::optional<ConnectionPermit> permit, const CallOptions &options, const asio::yield_context &yield)
+    Obtained connect(const std::string &address, ConnectionPermits permits, const CallOptions &options, const asio::yield_context &yield)
     {
         const auto endpoint = parseEndpoint(address);
         if (endpoint.has_error()) {
@@ -660,7 +753,7 @@
         if (left <= BootClock::duration::zero()) {
             return CallFailure{CallFailureKind::DeadlineExceeded, false, "the deadline passed before connecting"};
         }
-        auto fresh = std::make_unique<PooledConnection>(m_context, std::move(permit));
+        auto fresh = std::make_unique<PooledConnection>(m_context, std::move(permits));
         const HookScope hook(options.cancellation, fresh->stream);
         if (auto failed = bindSource(fresh->stream.socket())) {
             return *failed;
@@ -711,9 +804,12 @@
 
     asio::io_context &m_context;
     ConnectionPoolSettings m_settings;
-    std::unordered_map<std::string, std::vector<ConnectionPointer>> m_idle;
-    std::unordered_map<std::string, ConnectionLosses> m_losses;
+    /// Of all connections together.
+    std::shared_ptr<ConnectionLimit> m_limit;
+    std::unordered_map<std::string, AddressState> m_addresses;
     std::uint64_t m_opened = 0;
+    std::uint64_t m_rejectedCalls = 0;
+    std::uint64_t m_closedForRoom = 0;
 };
 
 ConnectionPool::ConnectionPool(asio::io_context &context, ConnectionPoolSettings settings)
@@ -742,4 +838,14 @@
     return m_implementation->opened();
 }
 
+ConnectionUse ConnectionPool::use() const
+{
+    return m_implementation->use();
+}
+
+std::size_t ConnectionPool::rememberedAddresses() const
+{
+    return m_implementation->rememberedAddresses();
+}
+
 } // namespace Trefoil
--- a/Libraries/LibHttp/connectionpool.h
+++ b/Libraries/LibHttp/connectionpool.h
@@ -21,8 +21,10 @@
 {
 
 enum class CallFailureKind {
-    /// The connection limit is reached and no connection is idle.
+    /// The connection limit of the upstream is reached and no connection is idle.
     NoConnection,
+    /// The pool's limit on all connections together is reached and no connection is idle.
+    PoolExhausted,
     ConnectFailed,
     ConnectTimeout,
     /// The deadline passed.
@@ -125,6 +127,12 @@
     /// A new connection costs the upstream about 1 ms, so warm ones are kept through ordinary pauses.
     std::chrono::seconds idleTimeout{60};
     std::size_t idleLimitPerAddress = 64;
+    /// Most open connections to all addresses together, with idle ones and those that are being opened; 0 for no limit. At the limit the pool
+    /// closes the connection that was idle for longest; where none is idle, a call ends before anything is sent.
+    std::size_t connectionLimit = 0;
+    /// Most addresses of which the pool remembers why connections ended, besides those with idle connections. More than a deployment has
+    /// upstreams, and bounded since upstreams that are replaced come back at other addresses.
+    std::size_t rememberedAddressLimit = 4096;
     /// Sent bytes that stay unacknowledged for this long end the connection, as does an idle peer that answers no
     /// keep-alive probes; 0 leaves both to the system.
     std::chrono::milliseconds unacknowledgedTimeout{0};
@@ -133,6 +141,20 @@
     std::shared_ptr<MemoryBudget> memory{};
 };
 
+/// Connections of a pool, and what its limit on all of them has caused since the start.
+struct ConnectionUse
+{
+    /// Connections that carry a request or are being opened.
+    std::size_t inUse = 0;
+    std::size_t idle = 0;
+    /// 0 for no limit.
+    std::size_t limit = 0;
+    /// Calls that were not sent.
+    std::uint64_t rejectedCalls = 0;
+    /// Idle connections that were closed to make room.
+    std::uint64_t closedForRoom = 0;
+};
+
 /// Keep-alive connections to upstreams and other hosts, for one worker thread.
 /// A connection carries one request at a time. It is reused only after a complete response that belongs to its
 /// request; every other end closes it. A request is not sent again on a connection that answered it with a failure. Thread safety: all calls on the thread that runs the context.
@@ -160,6 +182,12 @@
     /// Connections opened since the start. Precondition: none.
     std::uint64_t opened() const;
 
+    /// Precondition: none.
+    ConnectionUse use() const;
+
+    /// Addresses of which the pool holds state. Precondition: none.
+    std::size_t rememberedAddresses() const;
+
 private:
     class Implementation;
     std::unique_ptr<Implementation> m_implementation;
--- a/Services/trefoilmountd/requestpath.cpp
+++ b/Services/trefoilmountd/requestpath.cpp
@@ -65,6 +65,7 @@
     }
     switch (std::get<CallFailure>(result).kind) {
     case CallFailureKind::NoConnection:
+    case CallFailureKind::PoolExhausted:
     case CallFailureKind::WriteRefused:
     case CallFailureKind::Cancelled:
         return UpstreamOutcome::Cancelled;
--- a/Tests/LibHttp/testconnectionpool.cpp
+++ b/Tests/LibHttp/testconnectionpool.cpp
@@ -2,6 +2,7 @@
 #include <LibHttp/connectionpool.h>
 #include <StandIns/upstream.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -249,6 +250,178 @@
     });
 }
 
+namespace
+{
+
+/// Several upstreams and a pool with a limit on all connections together.
+struct PoolLimitFixture
+{
+    explicit PoolLimitFixture(std::size_t limit, int upstreamCount)
+        : pool(context, settings(limit))
+    {
+        for (int i = 0; i < upstreamCount; ++i) {
+            upstreams.push_back(std::move(UpstreamStandIn::create(context, {}).value()));
+        }
+    }
+
+    static ConnectionPoolSettings settings(std::size_t limit)
+    {
+        ConnectionPoolSettings result;
+        result.connectionLimit = limit;
+        return result;
+    }
+
+    CallResult call(std::size_t upstream, const asio::yield_context &yield)
+    {
+        CallOptions options;
+        options.deadline = BootClock::now() + std::chrono::seconds(3);
+        options.progressTimeout = s_progressTimeout;
+        options.requestId = fmt::format("r-{}", ++sent);
+        HttpRequest request{"POST", "/order", {}, "two casts"};
+        request.headers.add("Trefoil-Request-Id", options.requestId);
+        return pool.call(upstreams[upstream]->address(), nullptr, request, options, yield);
+    }
+
+    void wait(std::chrono::milliseconds time, const asio::yield_context &yield)
+    {
+        asio::steady_timer timer(context, time);
+        timer.async_wait(yield);
+    }
+
+    asio::io_context context{1};
+    std::vector<std::unique_ptr<UpstreamStandIn>> upstreams;
+    ConnectionPool pool;
+    int sent = 0;
+};
+
+struct EvictionCase
+{
+    char name[40];
+    std::size_t limit;
+    /// Upstreams that are called one after the other, by number.
+    char calls[8];
+    std::uint64_t opened;
+    std::uint64_t closedForRoom;
+    std::size_t idle;
+};
+
+} // namespace
+
+// Guards against idle connections that use up the limit on all connections, and against closing one that was used more recently than another.
+ParameterizedTestParameters(ConnectionPool, longestIdleConnectionMakesRoom)
+{
+    static EvictionCase cases[] = {
+        {"below the limit", 3, "012012", 3, 0, 3},
+        {"no limit", 0, "012012", 3, 0, 3},
+        {"another address makes room", 1, "01", 2, 1, 1},
+        {"each call closes the other", 1, "0101", 4, 3, 1},
+        {"the longest idle is closed", 2, "010210", 5, 3, 2},
+        {"the one used last is kept", 2, "01020", 3, 1, 2},
+    };
+    return cr_make_param_array(EvictionCase, cases, std::size(cases));
+}
+
+ParameterizedTest(EvictionCase *testCase, ConnectionPool, longestIdleConnectionMakesRoom)
+{
+    PoolLimitFixture fixture(testCase->limit, 3);
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        for (const char upstream : std::string_view(testCase->calls)) {
+            cr_assert_eq(textOf(fixture.call(static_cast<std::size_t>(upstream - '0'), yield)), "200", "%s", testCase->name);
+            cr_assert(testCase->limit == 0 || fixture.pool.use().idle <= testCase->limit, "%s", testCase->name);
+        }
+    });
+    const ConnectionUse use = fixture.pool.use();
+    cr_expect_eq(fixture.pool.opened(), testCase->opened, "%s: %zu", testCase->name, static_cast<std::size_t>(fixture.pool.opened()));
+    cr_expect_eq(use.closedForRoom, testCase->closedForRoom, "%s: %zu", testCase->name, static_cast<std::size_t>(use.closedForRoom));
+    cr_expect_eq(use.idle, testCase->idle, "%s: %zu", testCase->name, use.idle);
+    cr_expect_eq(use.inUse, 0U, "%s: %zu", testCase->name, use.inUse);
+    cr_expect_eq(use.rejectedCalls, 0U, "%s", testCase->name);
+    cr_expect_eq(use.limit, testCase->limit, "%s", testCase->name);
+}
+
+// Guards against a call that opens a connection beyond the limit, or is reported as if it could have run, and against places that are lost with
+// connections that failed.
+Test(ConnectionPool, callBeyondThePoolLimitIsNotSent)
+{
+    PoolLimitFixture fixture(1, 2);
+    cr_assert(fixture.upstreams[0]->control({{"mode", "silent-after-read"}, {"count", 1}}).has_value());
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        bool hasEnded = false;
+        asio::spawn(fixture.context, [&](const asio::yield_context &inner) {
+            cr_assert_eq(textOf(fixture.call(0, inner)), "stalled");
+            hasEnded = true;
+        });
+        fixture.wait(s_progressTimeout / 2, yield);
+        cr_assert_eq(fixture.pool.use().inUse, 1U);
+        const CallResult rejected = fixture.call(1, yield);
+        cr_assert_eq(textOf(rejected), "host-connection-limit");
+        cr_assert_not(std::get<CallFailure>(rejected).anyByteWritten);
+        cr_assert_eq(fixture.upstreams[1]->counts().connectionsOpened, 0U);
+        cr_assert_eq(fixture.pool.use().rejectedCalls, 1U);
+        fixture.wait(s_progressTimeout, yield);
+        cr_assert(hasEnded);
+        cr_assert_eq(fixture.pool.use().inUse, 0U);
+        cr_assert_eq(textOf(fixture.call(1, yield)), "200");
+    });
+}
+
+// Guards against connections that don't count while they are being opened: a burst of calls would open them all.
+Test(ConnectionPool, connectionsBeingOpenedCountAgainstThePoolLimit)
+{
+    PoolLimitFixture fixture(2, 5);
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        std::vector<std::string> ends;
+        for (std::size_t i = 0; i < fixture.upstreams.size(); ++i) {
+            asio::spawn(fixture.context, [&fixture, &ends, i](const asio::yield_context &inner) { ends.push_back(textOf(fixture.call(i, inner))); });
+        }
+        fixture.wait(s_progressTimeout, yield);
+        cr_assert_eq(ends.size(), 5U);
+        cr_assert_eq(std::count(ends.begin(), ends.end(), "200"), 2);
+        cr_assert_eq(std::count(ends.begin(), ends.end(), "host-connection-limit"), 3);
+        cr_assert_eq(fixture.pool.opened(), 2U);
+    });
+}
+
+// Guards against places that are lost with connections that could not be opened.
+Test(ConnectionPool, failedConnectionsLeaveTheirPlaces)
+{
+    PoolLimitFixture fixture(1, 1);
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        for (int i = 0; i < 3; ++i) {
+            CallOptions options;
+            options.deadline = BootClock::now() + std::chrono::seconds(3);
+            cr_assert_eq(textOf(fixture.pool.call("127.0.0.1:1", nullptr, {"GET", "/"}, options, yield)), "connect-failed");
+        }
+        cr_assert_eq(fixture.pool.use().inUse, 0U);
+        cr_assert_eq(textOf(fixture.call(0, yield)), "200");
+    });
+}
+
+// Guards against state for each address that was ever used, and against an idle connection that is forgotten with it.
+Test(ConnectionPool, unusedAddressesAreForgotten)
+{
+    constexpr std::size_t limit = 8;
+    Fixture fixture;
+    ConnectionPoolSettings settings;
+    settings.rememberedAddressLimit = limit;
+    ConnectionPool pool(fixture.context, settings);
+    const auto callUpstream = [&](const std::string &id, const asio::yield_context &yield) {
+        HttpRequest request{"POST", "/order", {}, "two casts"};
+        request.headers.add("Trefoil-Request-Id", id);
+        return textOf(pool.call(fixture.upstream->address(), nullptr, request, fixture.options(id), yield));
+    };
+    runCoroutine(fixture.context, [&](const asio::yield_context &yield) {
+        cr_assert_eq(callUpstream("first", yield), "200");
+        for (int i = 1; i <= 50; ++i) {
+            const std::string closed = fmt::format("127.0.1.{}:1", i);
+            cr_assert_eq(textOf(pool.call(closed, nullptr, {"GET", "/"}, fixture.options("other"), yield)), "connect-failed");
+            cr_assert(pool.rememberedAddresses() <= limit, "%zu", pool.rememberedAddresses());
+        }
+        cr_assert_eq(callUpstream("second", yield), "200");
+        cr_assert_eq(pool.opened(), 1U);
+    });
+}
+
 // Guards against a failed connection that is reported as if the request could have run, and against writes after the last check refused.
 Test(ConnectionPool, nothingWrittenIsReportedTruthfully)
 {
