LibGateway: Limit the connections of a host to upstreams

A request for which there is no connection is tried at no further upstream and answered 503 with Retry-After, since nothing was sent; the upstream's health and the quota are not affected.

--- a/Libraries/LibGateway/attempt.cpp
+++ b/Libraries/LibGateway/attempt.cpp
@@ -18,14 +18,16 @@
     end.reason = toText(failure.kind);
     end.execution = failure.anyByteWritten ? Execution::Possible : Execution::NotRun;
     end.wasSent = failure.anyByteWritten;
+    end.isPoolExhausted = failure.kind == CallFailureKind::PoolExhausted;
     switch (failure.kind) {
     case CallFailureKind::Cancelled:
-    // A further attempt would lack the memory, too, and it says nothing about the upstream's health.
+    // A further attempt would lack the memory or the connection, too, and neither says anything about the upstream's health.
     case CallFailureKind::NoMemory:
+    case CallFailureKind::PoolExhausted:
         end.outcome = AttemptOutcome::Cancelled;
         break;
     case CallFailureKind::NoConnection:
-        // The host's own connection limit was reached, which says nothing about the upstream's health.
+        // The limit on connections of this host to the upstream was reached, which says nothing about the upstream's health.
         end.outcome = AttemptOutcome::Shed;
         break;
     case CallFailureKind::ConnectFailed:
--- a/Libraries/LibGateway/attempt.h
+++ b/Libraries/LibGateway/attempt.h
@@ -34,6 +34,8 @@
     bool timedOut = false;
     /// Whether the address now belongs to another upstream.
     bool isMisdirected = false;
+    /// Whether all connections that this host may have to upstreams carry requests.
+    bool isPoolExhausted = false;
     CallTrace trace{};
 };
 
--- a/Libraries/LibGateway/gateway.cpp
+++ b/Libraries/LibGateway/gateway.cpp
@@ -32,6 +32,9 @@
 constexpr Milliseconds s_startRetryAfter{500};
 /// Basis of Retry-After when upstreams shed a request although they seem to have free slots: a retry is likely to succeed.
 constexpr Milliseconds s_shedRetryAfter{20};
+/// Basis of Retry-After when all connections to upstreams carry requests: about half the mean work of a request, after which many of them
+/// are free.
+constexpr Milliseconds s_connectionRetryAfter{500};
 /// Basis of Retry-After while this host stops: other hosts serve the request right away.
 constexpr Milliseconds s_elsewhereRetryAfter{20};
 /// Reason for requests that this host doesn't complete since it stops.
@@ -91,6 +94,17 @@
     return both;
 }
 
+ConnectionPoolSettings poolSettings(const GatewaySettings &settings)
+{
+    ConnectionPoolSettings pool;
+    pool.sourceAddress = settings.sourceAddress;
+    pool.connectTimeout = settings.connectTimeout;
+    pool.connectionLimit = settings.upstreamConnectionLimit;
+    pool.unacknowledgedTimeout = settings.unacknowledgedTimeout;
+    pool.memory = settings.memory;
+    return pool;
+}
+
 bool sendsTo(const Route &route, const ServiceId &service)
 {
     return std::any_of(
@@ -169,7 +183,7 @@
     : m_settings(std::move(settings))
     , m_state(state)
     , m_metrics(metrics)
-    , m_pool(context, {m_settings.sourceAddress, m_settings.connectTimeout, std::chrono::seconds(60), 64, m_settings.unacknowledgedTimeout, m_settings.memory})
+    , m_pool(context, poolSettings(m_settings))
     , m_random(std::random_device{}())
 {
 }
@@ -473,6 +487,9 @@
     end.trace = trace;
     const BootTime now = BootClock::now();
     logNotices(exchange, upstream, end);
+    if (end.isPoolExhausted) {
+        logExhaustedPool(exchange, upstream);
+    }
     m_state.recordAttempt(exchange.placement,
         upstream,
         exchange.placed,
@@ -490,6 +507,18 @@
     return end;
 }
 
+void Gateway::logExhaustedPool(const Exchange &exchange, const Upstream &upstream) const
+{
+    const ConnectionUse use = m_pool.use();
+    writeLog(LogLevel::Warning,
+        "upstream-connections-exhausted",
+        {{"request", exchange.id},
+            {"upstream", upstream.model.identity().id.value()},
+            {"inUse", static_cast<std::int64_t>(use.inUse)},
+            {"limit", static_cast<std::int64_t>(use.limit)},
+            {"rejectedCalls", static_cast<std::int64_t>(use.rejectedCalls)}});
+}
+
 void Gateway::logNotices(const Exchange &exchange, const Upstream &upstream, const AttemptEnd &end) const
 {
     const std::string &id = upstream.model.identity().id.value();
@@ -594,7 +623,10 @@
         return response;
     }
     if (!exchange.mayHaveRun) {
-        return m_hasEnded ? reject(exchange, s_hostStopping, s_elsewhereRetryAfter) : reject(exchange, end.reason, s_shedRetryAfter);
+        if (m_hasEnded) {
+            return reject(exchange, s_hostStopping, s_elsewhereRetryAfter);
+        }
+        return reject(exchange, end.reason, end.isPoolExhausted ? s_connectionRetryAfter : s_shedRetryAfter);
     }
     if (m_hasEnded) {
         return fail(exchange, RequestOutcome::Unknown, s_gatewayTimeout, s_hostStopping, "the host stopped before the upstream responded");
--- a/Libraries/LibGateway/gateway.h
+++ b/Libraries/LibGateway/gateway.h
@@ -30,6 +30,8 @@
     std::chrono::milliseconds maximumIdleForNonIdempotent{1500};
     /// Budget for responses; null gives the gateway one of its own.
     std::shared_ptr<MemoryBudget> memory{};
+    /// Most connections to all upstreams together; 0 for no limit.
+    std::size_t upstreamConnectionLimit = 0;
     RevocationPolicy revocation{};
     /// As mayUseKeys() expects it, for the configuration in force; required by a strict policy.
     std::function<BootTime()> configurationProvenAt{};
@@ -68,6 +70,12 @@
     /// Closes connections to upstreams whose idle time has expired. Precondition: none.
     void closeExpired(BootTime now);
 
+    /// Connections to upstreams. Precondition: none.
+    ConnectionUse connectionUse() const
+    {
+        return m_pool.use();
+    }
+
 private:
     struct Exchange;
     class InFlightScope;
@@ -104,6 +112,7 @@
     bool fitsBeforeStop(const Exchange &exchange, const Upstream &upstream, BootTime now) const;
     CallOptions callOptions(Exchange &exchange, Upstream &upstream) const;
     void logAttempt(const Exchange &exchange, const Upstream &upstream, const AttemptEnd &end, Milliseconds duration, BootTime now) const;
+    void logExhaustedPool(const Exchange &exchange, const Upstream &upstream) const;
     void logNotices(const Exchange &exchange, const Upstream &upstream, const AttemptEnd &end) const;
     AttemptEnd attempt(Exchange &exchange, Upstream &upstream, const boost::asio::yield_context &yield);
     /// Narrows the request's route to what the configuration in force allows, too. False when no destination remains.
--- a/Libraries/LibGateway/gatewaymetrics.cpp
+++ b/Libraries/LibGateway/gatewaymetrics.cpp
@@ -147,4 +147,16 @@
     }
 }
 
+void writeConnectionMetrics(ScrapeWriter &writer, const ConnectionUse &use)
+{
+    writer.begin("trefoil_upstream_connections", "gauge", "Connections to upstreams that are open or being opened.");
+    writer.sample("", {{"state", "in-use"}}, static_cast<double>(use.inUse));
+    writer.sample("", {{"state", "idle"}}, static_cast<double>(use.idle));
+    writer.begin("trefoil_upstream_connections_limit", "gauge", "Most connections to all upstreams together; 0 for no limit.");
+    writer.sample("", {}, static_cast<double>(use.limit));
+    writer.begin("trefoil_upstream_connection_limit_total", "counter", "What the limit on connections to all upstreams has caused.");
+    writer.sample("", {{"event", "call-rejected"}}, static_cast<double>(use.rejectedCalls));
+    writer.sample("", {{"event", "idle-closed"}}, static_cast<double>(use.closedForRoom));
+}
+
 } // namespace Trefoil
--- a/Libraries/LibGateway/gatewaymetrics.h
+++ b/Libraries/LibGateway/gatewaymetrics.h
@@ -72,4 +72,7 @@
 /// Writes the state of the budget to a scrape. Precondition: none. Thread safety: as the budget.
 void writeMemoryMetrics(ScrapeWriter &writer, const MemoryBudget &memory);
 
+/// Writes the connections to upstreams and their limit to a scrape. Precondition: none. Thread safety: safe from any thread.
+void writeConnectionMetrics(ScrapeWriter &writer, const ConnectionUse &use);
+
 } // namespace Trefoil
--- a/Tests/LibGateway/testgateway.cpp
+++ b/Tests/LibGateway/testgateway.cpp
@@ -157,6 +157,59 @@
     });
 }
 
+struct ExhaustedCase
+{
+    char target[12];
+    std::size_t limit;
+    int served;
+};
+
+// Guards against a request that is reported as not run although it was sent, or that is tried at further upstreams, while all connections that the host may have to upstreams are in use.
+ParameterizedTestParameters(Gateway, requestsBeyondTheConnectionLimitAreRejected)
+{
+    static ExhaustedCase cases[] = {
+        {"/read/1", 1, 1},
+        {"/write/1", 1, 1},
+        {"/read/1", 2, 2},
+        {"/read/1", 0, 4},
+    };
+    return cr_make_param_array(ExhaustedCase, cases, std::size(cases));
+}
+
+ParameterizedTest(ExhaustedCase *testCase, Gateway, requestsBeyondTheConnectionLimitAreRejected)
+{
+    GatewaySettings settings;
+    settings.upstreamConnectionLimit = testCase->limit;
+    Fixture fixture(4, 100000us, settings);
+    constexpr int requests = 4;
+    fixture.run([&](const asio::yield_context &yield) {
+        int ended = 0;
+        int served = 0;
+        std::vector<std::unique_ptr<GatewayTests::TestCaller>> callers;
+        for (int i = 0; i < requests; ++i) {
+            auto *caller = callers.emplace_back(std::make_unique<GatewayTests::TestCaller>()).get();
+            asio::spawn(fixture.context, [&, caller, i](const asio::yield_context &inner) {
+                HttpRequest request{"POST", testCase->target, {}, "two casts"};
+                request.headers.add("Host", "a.example");
+                request.headers.add("Trefoil-Request-Id", "id-" + std::to_string(i));
+                request.headers.add("Trefoil-Deadline-Ms", "500");
+                const HttpResponse response = fixture.gateway.handle(request, *caller, inner);
+                ++ended;
+                served += response.status == 200 ? 1 : 0;
+                cr_expect(response.status == 200 || response.status == 503, "%d", response.status);
+                cr_expect(response.status == 200 || response.headers.find("Retry-After"));
+            });
+        }
+        asio::steady_timer timer(fixture.context, 600ms);
+        timer.async_wait(yield);
+        cr_expect_eq(ended, requests);
+        cr_expect_eq(served, testCase->served, "%d", served);
+        cr_expect_eq(fixture.begun(), static_cast<std::uint64_t>(testCase->served));
+        cr_expect_eq(fixture.gateway.connectionUse().rejectedCalls, static_cast<std::uint64_t>(requests - testCase->served));
+        cr_expect_eq(fixture.send(testCase->target, yield).status, 200, "the host serves again");
+    });
+}
+
 // Guards against a late response that is delivered to the next caller, and against one that makes the next request fail.
 Test(Gateway, lateResponseIsSkipped)
 {
--- a/Tests/LibGateway/testgatewayparts.cpp
+++ b/Tests/LibGateway/testgatewayparts.cpp
@@ -242,6 +242,7 @@
         {Kind::Truncated, true, Execution::Possible, AttemptOutcome::Broken},
         {Kind::DeadlineExceeded, true, Execution::Possible, AttemptOutcome::Broken},
         {Kind::Cancelled, true, Execution::Possible, AttemptOutcome::Cancelled},
+        {Kind::PoolExhausted, false, Execution::NotRun, AttemptOutcome::Cancelled},
     };
     return cr_make_param_array(FailureCase, cases, std::size(cases));
 }
