--- a/Tests/Platform/testconnectionshares.cpp
+++ b/Tests/Platform/testconnectionshares.cpp
@@ -70,15 +70,15 @@
 // Guards against shares that together need more descriptors than the host has, of which its files use 200.
 Test(ConnectionShares, allSharesFitTheDescriptors)
 {
-    for (double memory = 48; memory <= 4096; memory *= 1.3) {
-        for (double descriptors = 400; descriptors <= 65536; descriptors *= 1.1) {
+    for (int memory = 48; memory <= 4096; memory += 16) {
+        for (int descriptors = 400; descriptors <= 65536; descriptors += 500) {
             GatewayLimits limits;
             limits.memory = memory;
             limits.descriptors = descriptors;
             const auto shares = connectionSharesFor(limits);
             const auto sum = static_cast<double>(shares.callers + shares.lookups + shares.readiness + shares.metrics + shares.upstreams);
-            const double sockets = descriptors - 200;
-            cr_expect(sum <= sockets * 15 / 16, "%.0f MB, %.0f descriptors: %.0f", memory, descriptors, sum);
+            const int sockets = descriptors - 200;
+            cr_expect(sum <= sockets * 15.0 / 16, "%d MB, %d descriptors: %.0f", memory, descriptors, sum);
         }
     }
 }
