Platform: Read the era of the store from its answers

The store states in the header Store-Era how often it has come back from an older copy. JsonClient now returns the value of one named header, and MetadataStore puts the era into the results of reads, feeds, truncated histories and writes; 0 without the header. A full read whose pages are of two eras fails, since a row that was lost between them would stay. The stand-in of the tests can go back to an older copy and states the era when a test asks for it; without, it answers as before.

--- a/Libraries/LibHttp/jsonclient.cpp
+++ b/Libraries/LibHttp/jsonclient.cpp
@@ -56,6 +56,20 @@
     return message;
 }
 
+std::optional<std::string> headerIn(const http::response<http::string_body> &response, const std::string &name)
+{
+    std::optional<std::string> joined;
+    if (name.empty()) {
+        return joined;
+    }
+    const auto fields = response.equal_range(name);
+    for (auto it = fields.first; it != fields.second; ++it) {
+        const std::string value(it->value().data(), it->value().size());
+        joined = joined ? *joined + ", " + value : value;
+    }
+    return joined;
+}
+
 } // namespace
 
 nlohmann::json JsonResponse::json() const
@@ -171,7 +185,8 @@
         keep(std::move(stream));
     }
     const auto tag = response[http::field::etag];
-    return JsonResponse{static_cast<int>(response.result_int()), std::move(response.body()), std::string(tag.data(), tag.size())};
+    auto header = headerIn(response, m_settings.returnedHeader);
+    return JsonResponse{static_cast<int>(response.result_int()), std::move(response.body()), std::string(tag.data(), tag.size()), std::move(header)};
 }
 
 } // namespace Trefoil
--- a/Libraries/LibHttp/jsonclient.h
+++ b/Libraries/LibHttp/jsonclient.h
@@ -31,6 +31,8 @@
     /// Longest wait for a connection, within the deadline of the request. A lost first packet is sent again only after
     /// seconds, so that a new connection gets through earlier.
     std::chrono::milliseconds connectTimeout = std::chrono::hours(1);
+    /// Name of a header whose value is returned with each response; empty for none.
+    std::string returnedHeader{};
 };
 
 struct JsonRequest
@@ -53,6 +55,8 @@
     int status = 0;
     std::string body;
     std::string entityTag;
+    /// Value of JsonClientSettings::returnedHeader, joined with commas when the response holds it several times; nothing when it doesn't hold it.
+    std::optional<std::string> returnedHeader{};
 
     /// The body as JSON; a discarded value when it is not JSON. Thread safety: safe for concurrent readers.
     nlohmann::json json() const;
--- a/Libraries/LibReplication/feedrow.h
+++ b/Libraries/LibReplication/feedrow.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <LibCore/era.h>
+
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -10,7 +12,7 @@
 namespace Trefoil
 {
 
-/// Value of the store-wide transaction counter; grows with each transaction.
+/// Value of the store-wide transaction counter; grows with each transaction of an era.
 using FeedVersion = std::uint64_t;
 
 /// State of one row after a change.
@@ -36,11 +38,15 @@
     std::chrono::milliseconds age{0};
     /// Time since the start of the call to the store that showed this; 0 for rows from the store itself.
     std::chrono::milliseconds proofAge{0};
+    /// Era of the store that the rows and the version are from.
+    StoreEra era{};
 };
 
 /// The feed no longer reaches back to the requested version; the table must be read in full.
 struct HistoryTruncated
 {
+    /// Era of the store that answered.
+    StoreEra era{};
 };
 
 /// The call failed. A write without a response may still take effect.
--- a/Tests/Platform/storestandin.cpp
+++ b/Tests/Platform/storestandin.cpp
@@ -95,10 +95,42 @@
     m_isUnresponsive = isUnresponsive;
 }
 
+void StoreStandIn::keepCopy()
+{
+    m_copy = m_tables;
+    m_copiedChanges = m_changes;
+    m_copiedVersion = m_version;
+}
+
+void StoreStandIn::restoreCopy()
+{
+    m_tables = m_copy;
+    m_changes = m_copiedChanges;
+    m_version = m_copiedVersion;
+    ++m_restorations;
+    if (era) {
+        ++*era;
+    }
+}
+
+void StoreStandIn::stateEra(HttpResponse &response, const std::string &caller) const
+{
+    const auto stale = staleEras.find(caller);
+    if (eraText) {
+        response.headers.add("Store-Era", *eraText);
+    } else if (stale != staleEras.end()) {
+        response.headers.add("Store-Era", std::to_string(stale->second));
+    } else if (era) {
+        response.headers.add("Store-Era", std::to_string(*era));
+    }
+}
+
 HttpResponse StoreStandIn::handle(const HttpRequest &request, const std::string &caller, const boost::asio::yield_context &yield)
 {
     if (isDown) {
-        return errorResponse(503, "down", "", "");
+        HttpResponse response = errorResponse(503, "down", "", "");
+        stateEra(response, caller);
+        return response;
     }
     if (const auto rejected = rejects.find(caller); rejected != rejects.end()) {
         return errorResponse(rejected->second, "rejected", "", "");
@@ -119,6 +151,11 @@
     const bool isDroppedOnArrival = dropsResponses;
     sleepFor(m_context, delay, yield);
     HttpResponse response = dispatch(request, caller, yield);
+    stateEra(response, caller);
+    if (pageRead && request.target.find("rows-get") != std::string::npos) {
+        const auto hook = pageRead;
+        hook();
+    }
     if (isDroppedOnArrival || dropsResponses || unresponsiveTo.count(caller) > 0 || unresponsivePeriods != m_unresponsivePeriods) {
         // Longer than the timeout of any client.
         sleepFor(m_context, s_droppedResponseDelay, yield);
@@ -169,8 +206,10 @@
     const std::string &caller, const std::string &table, FeedVersion after, std::chrono::milliseconds wait, const boost::asio::yield_context &yield)
 {
     const BootTime end = BootClock::now() + wait;
-    while (!isDown) {
-        if (after < m_historyStart) {
+    const int restorations = m_restorations;
+    while (!isDown && restorations == m_restorations) {
+        const bool isUnknownVersion = era && after > m_version;
+        if (after < m_historyStart || isUnknownVersion) {
             return errorResponse(410, "history-lost", "", "");
         }
         Json rows = Json::array();
--- a/Tests/Platform/storestandin.h
+++ b/Tests/Platform/storestandin.h
@@ -4,8 +4,10 @@
 #include <platform/metadatastore.h>
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace Trefoil::Platform
@@ -44,6 +46,21 @@
     /// While unresponsive, calls are dropped: those that are open when it begins and those that arrive meanwhile are never answered.
     void setUnresponsive(bool isUnresponsive);
 
+    /// Keeps a copy of the tables as they are now.
+    void keepCopy();
+
+    /// Comes back from the copy: what was written since is gone, its versions are assigned again, and the era rises by one. Calls that are held are
+    /// answered with status 503, as by a store that was away for a moment.
+    void restoreCopy();
+
+    /// Era that the store states; no header while unset.
+    std::optional<std::uint64_t> era;
+    /// Value of the header in place of the era; for values that can't be read.
+    std::optional<std::string> eraText;
+    /// IP addresses of hosts that are answered with the header of an earlier era.
+    std::map<std::string, std::uint64_t> staleEras;
+    /// Called before each page of a full read is sent. Optional.
+    std::function<void()> pageRead;
     /// All calls fail with status 503.
     bool isDown = false;
     /// Calls take effect, but the responses of those that arrive or end meanwhile are dropped.
@@ -83,6 +100,7 @@
     using Tables = std::map<std::string, std::map<std::string, FeedRow>>;
 
     HttpResponse handle(const HttpRequest &request, const std::string &caller, const boost::asio::yield_context &yield);
+    void stateEra(HttpResponse &response, const std::string &caller) const;
     HttpResponse dispatch(const HttpRequest &request, const std::string &caller, const boost::asio::yield_context &yield);
     HttpResponse handleRead(const std::string &table, const std::string &from, std::size_t limit);
     HttpResponse handleFeed(
@@ -100,6 +118,11 @@
     std::vector<Change> m_changes;
     FeedVersion m_version = 1;
     FeedVersion m_historyStart = 0;
+    Tables m_copy;
+    std::vector<Change> m_copiedChanges;
+    FeedVersion m_copiedVersion = 0;
+    /// How often the store came back from a copy.
+    int m_restorations = 0;
     std::unique_ptr<HttpServer> m_server;
 };
 
--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -437,6 +437,75 @@
 namespace
 {
 
+struct EraCase
+{
+    char name[40];
+    /// Value of the header; "none" without one.
+    char header[24];
+    std::uint64_t era;
+};
+
+} // namespace
+
+// Guards against results without the era that the store states, and against a store without eras, or with a damaged header, that isn't served.
+ParameterizedTestParameters(MetadataStore, resultsHoldTheEra)
+{
+    static EraCase cases[] = {
+        {"no header", "none", 0},
+        {"an era", "4", 4},
+        {"no number", "four", 0},
+        {"two numbers", "4, 5", 0},
+        {"empty", "", 0},
+    };
+    return cr_make_param_array(EraCase, cases, std::size(cases));
+}
+
+ParameterizedTest(EraCase *testCase, MetadataStore, resultsHoldTheEra)
+{
+    Fixture fixture;
+    if (std::string(testCase->header) != "none") {
+        fixture.store.eraText = testCase->header;
+    }
+    asio::spawn(fixture.context, [&](const asio::yield_context &yield) {
+        const StoreEra era(testCase->era);
+        cr_assert_eq(std::get<Written>(fixture.client.put("things", "k", "1", yield)).era, era, "%s", testCase->name);
+        cr_assert_eq(std::get<FeedRows>(fixture.client.readTable("things", 2s, yield)).era, era, "%s", testCase->name);
+        const auto changes = fixture.client.awaitChanges("things", 1, {1ms, 500ms}, yield);
+        cr_assert_eq(std::get<FeedRows>(changes).era, era, "%s", testCase->name);
+        fixture.store.truncateHistory();
+        const auto truncated = fixture.client.awaitChanges("things", 1, {1ms, 500ms}, yield);
+        cr_assert_eq(std::get<HistoryTruncated>(truncated).era, era, "%s", testCase->name);
+        fixture.context.stop();
+    });
+    fixture.context.run();
+}
+
+// Guards against a table that is put together from pages of two eras: a row that was lost between them would be kept.
+Test(MetadataStore, pagesOfTwoErasAreNoTable)
+{
+    Fixture fixture;
+    fixture.store.era = 1;
+    for (int i = 1000; i < 1600; ++i) {
+        fixture.store.set("things", "key" + std::to_string(i), "1");
+    }
+    fixture.store.keepCopy();
+    fixture.store.set("things", "key1000", "lost");
+    fixture.store.pageRead = [&fixture] {
+        fixture.store.pageRead = nullptr;
+        fixture.store.restoreCopy();
+    };
+    asio::spawn(fixture.context, [&](const asio::yield_context &yield) {
+        cr_assert(std::holds_alternative<StoreFailure>(fixture.client.readTable("things", 2s, yield)));
+        const auto table = std::get<FeedRows>(fixture.client.readTable("things", 2s, yield));
+        cr_assert(table.era == StoreEra(2) && table.rows.size() == 600 && table.rows.front().value == "1");
+        fixture.context.stop();
+    });
+    fixture.context.run();
+}
+
+namespace
+{
+
 /// Hosts of one availability zone that share the feed of a table. Messages between them take no time.
 class Zone
 {
