LibReplication: Follow the store into a new era

After the store has come back from an older copy, versions go back and are assigned again: a watch waited for versions above the lost ones, kept lost rows and missed changes. FeedSharing now keeps the highest era that the store or another host stated. A watch takes answers of a lower era for failed calls, and reads its table in full when a higher one is known; a subscriber copies it from its publisher if that has it. ChangeServer serves versions of its own era only and states it, also when it rejects; hosts without a copy get the whole table. AwaitChanges and ChangesSince carry the era in an optional field, left out for era 0, so that without the header messages and calls are as before.

--- a/Libraries/LibPeer/codec.cpp
+++ b/Libraries/LibPeer/codec.cpp
@@ -143,6 +143,7 @@
     fields.shortText("tab", message.table);
     fields.number("v", message.after);
     fields.number("ms", message.waitMilliseconds);
+    fields.optionalNumber("era", message.era);
 }
 
 template<typename Fields, typename Message>
@@ -158,6 +159,7 @@
     fields.boolean("all", message.isWholeTable);
     fields.number("age", message.ageMilliseconds);
     fields.number("proof", message.proofAgeMilliseconds);
+    fields.optionalNumber("era", message.era);
 }
 
 /// Writes the fields of a message into a JSON object.
@@ -190,6 +192,14 @@
     {
         m_object[name] = value.value();
     }
+    /// Left out when it is 0, as in messages of hosts that don't know the field.
+    template<typename Tag>
+    void optionalNumber(const char *name, const StrongId<Tag, std::uint64_t> &value)
+    {
+        if (value.value() != 0) {
+            number(name, value);
+        }
+    }
     void slots(const char *name, SlotCount value)
     {
         m_object[name] = value.value();
@@ -380,6 +390,13 @@
         read(name, value);
         target = StrongId<Tag, std::uint64_t>(value);
     }
+    template<typename Tag>
+    void optionalNumber(const char *name, StrongId<Tag, std::uint64_t> &target)
+    {
+        if (m_fields.count(name) > 0) {
+            number(name, target);
+        }
+    }
     void slots(const char *name, SlotCount &target)
     {
         std::uint64_t value = 0;
--- a/Libraries/LibPeer/messages.h
+++ b/Libraries/LibPeer/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/era.h>
 #include <LibCore/strongid.h>
 #include <LibCore/units.h>
 
@@ -112,6 +113,8 @@
     std::string table;
     std::uint64_t after = 0;
     std::uint64_t waitMilliseconds = 0;
+    /// Era of the store that the version is from; 0 is left out of the message.
+    StoreEra era{};
 };
 
 /// Answers AwaitChanges. Rows stand in the order in which they changed; entry i of each list belongs to row i.
@@ -133,6 +136,8 @@
     std::uint64_t ageMilliseconds = 0;
     /// How long ago the sender, or the host that it has the copy from, began the call to the store that confirmed the copy.
     std::uint64_t proofAgeMilliseconds = 0;
+    /// Era of the store that the sender's copy is from, also when the request isn't served; 0 is left out of the message.
+    StoreEra era{};
 };
 
 using PeerMessage = std::variant<Hello,
--- a/Libraries/LibReplication/changelog.cpp
+++ b/Libraries/LibReplication/changelog.cpp
@@ -20,13 +20,14 @@
 {
 }
 
-void ChangeLog::reset(FeedVersion version)
+void ChangeLog::reset(FeedVersion version, StoreEra era)
 {
     m_rows.clear();
     m_rowsByKey.clear();
     m_bytes = 0;
     m_startVersion = version;
     m_version = version;
+    m_era = era;
     m_isInitialized = true;
 }
 
@@ -60,6 +61,7 @@
     }
     FeedRows changes;
     changes.version = m_version;
+    changes.era = m_era;
     std::copy_if(m_rows.begin(), m_rows.end(), std::back_inserter(changes.rows), [after](const FeedRow &row) { return row.version > after; });
     return changes;
 }
--- a/Libraries/LibReplication/changelog.h
+++ b/Libraries/LibReplication/changelog.h
@@ -18,13 +18,19 @@
     /// Keeps rows of maximumBytes in total; a single row may exceed it. Precondition: none.
     explicit ChangeLog(std::size_t maximumBytes);
 
-    /// Discards all changes after a full read, which does not contain the changes before it. Precondition: none.
-    void reset(FeedVersion version);
+    /// Discards all changes after a full read, which does not contain the changes before it and is of an era of the store. Precondition: none.
+    void reset(FeedVersion version, StoreEra era = {});
 
-    /// Appends changes after the current version, in order. Precondition: reset() was called.
+    /// Era of the store that the changes are from. Precondition: none.
+    StoreEra era() const
+    {
+        return m_era;
+    }
+
+    /// Appends changes after the current version, in order. Precondition: reset() was called; the changes are of era().
     void append(const FeedRows &changes);
 
-    /// Returns the latest change of each row that changed after a version; no rows for a version that is ahead of this log. Precondition: none.
+    /// Returns the latest change of each row that changed after a version; no rows for a version that is ahead of this log. Precondition: the version is of era(), or 0.
     std::variant<FeedRows, HistoryTruncated> since(FeedVersion after) const;
 
 private:
@@ -38,6 +44,7 @@
     /// The log contains all changes after this version, apart from replaced ones.
     FeedVersion m_startVersion = 0;
     FeedVersion m_version = 0;
+    StoreEra m_era;
     bool m_isInitialized = false;
 };
 
--- a/Libraries/LibReplication/changeserver.cpp
+++ b/Libraries/LibReplication/changeserver.cpp
@@ -1,5 +1,7 @@
 #include <LibReplication/changeserver.h>
 
+#include <LibReplication/storeera.h>
+
 #include <algorithm>
 
 namespace Trefoil
@@ -30,6 +32,7 @@
     message.sequence = sequence;
     message.isServed = true;
     message.version = changes.version;
+    message.era = changes.era;
     message.isWholeTable = changes.isWholeTable;
     message.ageMilliseconds = wholeMilliseconds(age);
     message.proofAgeMilliseconds = wholeMilliseconds(proofAge);
@@ -42,10 +45,11 @@
     return message;
 }
 
-ChangesSince rejection(std::uint64_t sequence)
+ChangesSince rejection(std::uint64_t sequence, StoreEra era)
 {
     ChangesSince message;
     message.sequence = sequence;
+    message.era = era;
     return message;
 }
 
@@ -63,7 +67,7 @@
 
 void ChangeServer::reset(const std::string &table, const FeedRows &rows)
 {
-    m_tables.at(table).log.reset(rows.version);
+    m_tables.at(table).log.reset(rows.version, rows.era);
     m_tables.at(table).image.replace(rows);
 }
 
@@ -87,7 +91,7 @@
     const auto wait = std::min(std::chrono::milliseconds(request.waitMilliseconds), s_maximumWait);
     const PendingRequest pending{from, request, now, now + wait};
     if (m_pendingRequests.size() >= s_maximumPendingRequests) {
-        m_send(from, rejection(request.sequence));
+        m_send(from, rejection(request.sequence, StoreEra()));
         return;
     }
     if (!tryRespond(pending, now)) {
@@ -105,8 +109,9 @@
     const AwaitChanges &request = pending.request;
     const auto table = m_tables.find(request.table);
     const bool isCurrent = table != m_tables.end() && table->second.confirmedAt != BootTime{} && now - table->second.confirmedAt <= table->second.maximumAge;
-    if (!isCurrent) {
-        m_send(pending.from, rejection(request.sequence));
+    const StoreEra era = table != m_tables.end() ? table->second.log.era() : StoreEra();
+    if (!isCurrent || useOfRequest(era, {request.era, request.after}) == RequestUse::Reject) {
+        m_send(pending.from, rejection(request.sequence, era));
         return true;
     }
     const auto changes = table->second.log.since(request.after);
@@ -114,7 +119,7 @@
     const auto whole = served ? std::nullopt : table->second.image.rows();
     const FeedRows *rows = served ? served : whole ? &*whole : nullptr;
     if (!rows || rows->rows.size() > s_maximumRowsPerResponse) {
-        m_send(pending.from, rejection(request.sequence));
+        m_send(pending.from, rejection(request.sequence, era));
         return true;
     }
     if (served && rows->rows.empty() && now < pending.deadline) {
--- a/Libraries/LibReplication/changeserver.h
+++ b/Libraries/LibReplication/changeserver.h
@@ -15,7 +15,8 @@
 {
 
 /// Serves the changes of tables to subscribers, and whole tables to hosts that start or are further behind than the log reaches. Rejects their requests once its own copy is no longer confirmed by the store, so that
-/// the subscribers of a host that has lost the store notice it before a missed change has to be in force.
+/// the subscribers of a host that has lost the store notice it before a missed change has to be in force. Rejects versions of another era of the store,
+/// and states the own one.
 /// Thread safety: one thread at a time.
 class ChangeServer
 {
@@ -28,10 +29,11 @@
     /// Registers a table. Requests are rejected when its last confirmation is older than maximumAge. Precondition: none.
     void addTable(const std::string &table, std::chrono::milliseconds maximumAge);
 
-    /// Replaces what is known of a table after a full read. Precondition: addTable() was called for the table.
+    /// Replaces what is known of a table after a full read. Pending requests of an earlier era are rejected with respondToDueRequests(). Precondition: addTable() was called for the table.
     void reset(const std::string &table, const FeedRows &rows);
 
-    /// Appends changes and sends them to the subscribers that wait. Precondition: addTable() was called for the table.
+    /// Appends changes and sends them to the subscribers that wait. Precondition: addTable() was called for the table; the changes are of the era of the
+    /// last reset().
     void append(const std::string &table, const FeedRows &changes, BootTime now);
 
     /// Records that the store has just confirmed, in answer to a call that began at provenAt, that this host has all changes of a table.
--- a/Libraries/LibReplication/feedsharing.cpp
+++ b/Libraries/LibReplication/feedsharing.cpp
@@ -43,21 +43,26 @@
 }
 
 std::optional<FeedRows> FeedSharing::awaitChanges(
-    const HostId &publisher, const std::string &table, FeedVersion after, BootTime confirmedAt, const boost::asio::yield_context &yield)
+    const HostId &publisher, const std::string &table, const StorePosition &after, BootTime confirmedAt, const boost::asio::yield_context &yield)
 {
     const PublisherTiming &timing = m_timings.at(table);
     const auto age = std::chrono::ceil<std::chrono::milliseconds>(BootClock::now() - confirmedAt);
     // A copy that is too old may still be renewed by a publisher that answers at once.
     const auto wait = subscriptionWait(age, timing).value_or(std::chrono::milliseconds(0));
     PeerFeedResult result = m_feed.awaitChanges(publisher, table, after, wait, timing.responseMargin, yield);
-    if (auto *changes = std::get_if<FeedRows>(&result)) {
+    auto *changes = std::get_if<FeedRows>(&result);
+    if (changes && changes->era >= era()) {
         return std::move(*changes);
     }
+    const auto *rejected = std::get_if<PublisherRejected>(&result);
+    if (rejected && rejected->era > after.era) {
+        return std::nullopt;
+    }
     const bool isUnresponsive = std::holds_alternative<PublisherUnresponsive>(result);
     m_choice.exclude(publisher, BootClock::now() + (isUnresponsive ? s_unresponsivePublisherExclusionTime : s_rejectingPublisherExclusionTime));
     writeLog(LogLevel::Info,
         "publisher-left",
-        {{"publisher", publisher.value()}, {"table", table}, {"knownVersion", static_cast<std::int64_t>(after)}, {"isSilent", isUnresponsive}});
+        {{"publisher", publisher.value()}, {"table", table}, {"knownVersion", static_cast<std::int64_t>(after.version)}, {"isSilent", isUnresponsive}});
     return std::nullopt;
 }
 
@@ -87,9 +92,9 @@
 std::optional<FeedRows> FeedSharing::copyTable(const HostId &host, const std::string &table, const boost::asio::yield_context &yield)
 {
     const BootTime start = BootClock::now();
-    PeerFeedResult result = m_feed.awaitChanges(host, table, FeedVersion{0}, std::chrono::milliseconds(0), s_copyTimeout, yield);
+    PeerFeedResult result = m_feed.awaitChanges(host, table, StorePosition{era(), 0}, std::chrono::milliseconds(0), s_copyTimeout, yield);
     auto *rows = std::get_if<FeedRows>(&result);
-    const bool isCopied = rows && (rows->isWholeTable || !rows->rows.empty());
+    const bool isCopied = rows && rows->era >= era() && (rows->isWholeTable || !rows->rows.empty());
     writeLog(LogLevel::Info,
         isCopied ? "table-copied" : "table-not-copied",
         {{"table", table},
@@ -103,6 +108,28 @@
     return std::move(*rows);
 }
 
+std::optional<FeedRows> FeedSharing::copyEra(const HostId &publisher, const std::string &table, const boost::asio::yield_context &yield)
+{
+    auto copy = copyTable(publisher, table, yield);
+    if (!copy) {
+        m_choice.exclude(publisher, BootClock::now() + s_rejectingPublisherExclusionTime);
+    }
+    return copy;
+}
+
+void FeedSharing::recordEra(StoreEra stated)
+{
+    if (m_era && stated <= *m_era) {
+        return;
+    }
+    if (stated != StoreEra()) {
+        writeLog(m_era ? LogLevel::Warning : LogLevel::Info,
+            m_era ? "store-era-raised" : "store-era-known",
+            {{"era", static_cast<std::int64_t>(stated.value())}, {"earlierEra", static_cast<std::int64_t>(era().value())}});
+    }
+    m_era = stated;
+}
+
 void FeedSharing::awaitRole(const boost::asio::yield_context &yield)
 {
     while (m_knowledge && !m_context.stopped()) {
@@ -119,9 +146,17 @@
 
 void FeedSharing::receive(const HostId &from, const PeerMessage &message, BootTime now)
 {
+    // A host that knows no era yet, or doesn't know the field, states 0; this says nothing of the store.
+    const auto recordStated = [this](StoreEra stated) {
+        if (stated != StoreEra()) {
+            recordEra(stated);
+        }
+    };
     if (const auto *request = std::get_if<AwaitChanges>(&message)) {
+        recordStated(request->era);
         m_server.request(from, *request, now);
     } else if (const auto *response = std::get_if<ChangesSince>(&message)) {
+        recordStated(response->era);
         m_feed.receive(from, *response);
     }
 }
--- a/Libraries/LibReplication/feedsharing.h
+++ b/Libraries/LibReplication/feedsharing.h
@@ -31,10 +31,23 @@
     /// From where the first copy of a table comes; waits while that is undecided. Precondition: runs in a coroutine of the context.
     std::variant<ReadFromStore, CopyFrom> awaitStartSource(const std::string &table, const boost::asio::yield_context &yield);
 
-    /// Copies a whole table from another host; nothing when it doesn't send one in time.
+    /// Copies a whole table from another host; nothing when it doesn't send one of era() in time.
     /// Precondition: as for awaitChanges().
     std::optional<FeedRows> copyTable(const HostId &host, const std::string &table, const boost::asio::yield_context &yield);
 
+    /// Copies a whole table of era() from a publisher. Returns nothing when it doesn't send one in time; it is then excluded for a while.
+    /// Precondition: as for awaitChanges().
+    std::optional<FeedRows> copyEra(const HostId &publisher, const std::string &table, const boost::asio::yield_context &yield);
+
+    /// Highest era of the store that this host knows of; 0 before the first answer. Precondition: none.
+    StoreEra era() const
+    {
+        return m_era.value_or(StoreEra());
+    }
+
+    /// Records the era that the store or another host stated, and logs a new one. Precondition: none.
+    void recordEra(StoreEra era);
+
     /// Waits until the other hosts of the zone had time to send beacons, so that the role of this host is known. Returns at once in small
     /// zones and without shareStarts(). Precondition: runs in a coroutine of the context.
     void awaitRole(const boost::asio::yield_context &yield);
@@ -51,11 +64,12 @@
         return m_choice.substitute(m_liveHosts(), now);
     }
 
-    /// Waits for changes after a version, which the store confirmed at a point in time. Returns nothing when the publisher rejects the
-    /// request or does not respond before the copy is too old; it is then excluded for a while.
+    /// Waits for changes after a position, which the store confirmed at a point in time. Returns nothing when the publisher rejects the
+    /// request, does not respond before the copy is too old, or is of an earlier era than era(); it is then excluded for a while, unless it
+    /// is of a later era than the request.
     /// Precondition: runs in a coroutine of the context; addTable() was called for the table.
     std::optional<FeedRows> awaitChanges(
-        const HostId &publisher, const std::string &table, FeedVersion after, BootTime confirmedAt, const boost::asio::yield_context &yield);
+        const HostId &publisher, const std::string &table, const StorePosition &after, BootTime confirmedAt, const boost::asio::yield_context &yield);
 
     /// Handles a message from another host; messages unrelated to feeds are ignored. Precondition: none.
     void receive(const HostId &from, const PeerMessage &message, BootTime now);
@@ -81,6 +95,8 @@
     Knowledge m_knowledge;
     /// Hosts that sent no copy to this one while it started.
     std::set<HostId> m_failedStartSources;
+    /// Unset before the first answer.
+    std::optional<StoreEra> m_era;
 };
 
 } // namespace Trefoil
--- a/Libraries/LibReplication/peerfeed.cpp
+++ b/Libraries/LibReplication/peerfeed.cpp
@@ -23,10 +23,11 @@
     const std::size_t count = response.keys.size();
     // Lists of different lengths are malformed and treated like a rejection.
     if (!response.isServed || response.values.size() != count || response.versions.size() != count || response.removed.size() != count) {
-        return PublisherRejected{};
+        return PublisherRejected{response.era};
     }
     FeedRows changes;
     changes.version = response.version;
+    changes.era = response.era;
     changes.isWholeTable = response.isWholeTable;
     changes.age = boundedAge(response.ageMilliseconds);
     changes.proofAge = boundedAge(response.proofAgeMilliseconds);
@@ -55,7 +56,7 @@
 
 PeerFeedResult PeerFeed::awaitChanges(const HostId &publisher,
     const std::string &table,
-    FeedVersion after,
+    const StorePosition &after,
     std::chrono::milliseconds holdTime,
     std::chrono::milliseconds responseMargin,
     const boost::asio::yield_context &yield)
@@ -63,7 +64,7 @@
     const std::uint64_t sequence = ++m_sequence;
     Call call{publisher, boost::asio::steady_timer(m_context, holdTime + responseMargin)};
     m_calls.emplace(sequence, &call);
-    m_send(publisher, AwaitChanges{sequence, table, after, static_cast<std::uint64_t>(holdTime.count())});
+    m_send(publisher, AwaitChanges{sequence, table, after.version, static_cast<std::uint64_t>(holdTime.count()), after.era});
     boost::system::error_code cancelledByResponse;
     call.timer.async_wait(yield[cancelledByResponse]);
     m_calls.erase(sequence);
--- a/Libraries/LibReplication/peerfeed.h
+++ b/Libraries/LibReplication/peerfeed.h
@@ -2,7 +2,7 @@
 
 #include <LibCore/strongid.h>
 #include <LibPeer/messages.h>
-#include <LibReplication/feedrow.h>
+#include <LibReplication/storeera.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
@@ -16,9 +16,11 @@
 namespace Trefoil
 {
 
-/// The publisher does not read the store, has lost it, or its log does not reach back far enough.
+/// The publisher does not read the store, has lost it, its log does not reach back far enough, or its copy is of another era.
 struct PublisherRejected
 {
+    /// Era of the publisher's copy.
+    StoreEra era{};
 };
 
 /// The publisher did not respond in time.
@@ -41,7 +43,7 @@
     /// responseMargin counts as lost. Precondition: runs in a coroutine of the context.
     PeerFeedResult awaitChanges(const HostId &publisher,
         const std::string &table,
-        FeedVersion after,
+        const StorePosition &after,
         std::chrono::milliseconds holdTime,
         std::chrono::milliseconds responseMargin,
         const boost::asio::yield_context &yield);
--- a/Libraries/LibReplication/tableimage.cpp
+++ b/Libraries/LibReplication/tableimage.cpp
@@ -25,6 +25,7 @@
     m_rows.clear();
     m_bytes = 0;
     m_version = table.version;
+    m_era = table.era;
     m_isComplete = true;
     for (const FeedRow &row : table.rows) {
         set(row);
@@ -49,6 +50,7 @@
     }
     FeedRows table;
     table.version = m_version;
+    table.era = m_era;
     table.isWholeTable = true;
     table.rows.reserve(m_rows.size());
     for (const auto &[key, row] : m_rows) {
--- a/Libraries/LibReplication/tableimage.h
+++ b/Libraries/LibReplication/tableimage.h
@@ -34,6 +34,7 @@
     std::size_t m_bytes = 0;
     std::map<std::string, FeedRow> m_rows;
     FeedVersion m_version = 0;
+    StoreEra m_era;
     bool m_isComplete = false;
 };
 
--- a/Libraries/LibReplication/tablewatch.cpp
+++ b/Libraries/LibReplication/tablewatch.cpp
@@ -44,6 +44,23 @@
     return result;
 }
 
+/// Era of an answer of the store; nothing for a failed call.
+struct EraOf
+{
+    std::optional<StoreEra> operator()(const FeedRows &rows) const
+    {
+        return rows.era;
+    }
+    std::optional<StoreEra> operator()(const HistoryTruncated &truncated) const
+    {
+        return truncated.era;
+    }
+    std::optional<StoreEra> operator()(const StoreFailure & /*failure*/) const
+    {
+        return std::nullopt;
+    }
+};
+
 } // namespace
 
 /// Calls for changes after a failure, until the store has answered one. The next one is sent before a slow store would answer the
@@ -128,7 +145,7 @@
     }
     while (!m_context.stopped()) {
         const BootTime calledAt = BootClock::now();
-        const bool succeeded = m_needsFullRead ? readFullTable(yield) : readChanges(yield);
+        const bool succeeded = isFullReadDue() ? readFullTable(yield) : readChanges(yield);
         // The history that the store keeps may begin after the version of its full reads.
         const bool isFullReadTooOld = m_needsFullRead && m_isFullReadUnconfirmed;
         if (!succeeded || isFullReadTooOld) {
@@ -149,7 +166,7 @@
     // Beside the requests to a publisher: one that began shortly before the age is reached may be held beyond the age at which the copy is too old.
     while (!m_context.stopped()) {
         const auto left = m_provenAt + maximumAge - BootClock::now();
-        const bool isOverdue = m_hasTable && !m_needsFullRead && left.count() <= 0;
+        const bool isOverdue = m_hasTable && !isFullReadDue() && left.count() <= 0;
         if (isOverdue) {
             startProbing();
         }
@@ -204,8 +221,28 @@
     return false;
 }
 
+bool TableWatch::copyNewEra(const boost::asio::yield_context &yield)
+{
+    const auto role = m_sharing.role(BootClock::now());
+    const auto *subscriber = std::get_if<SubscriberRole>(&role);
+    if (!subscriber || !m_hasTable || m_era >= m_sharing.era()) {
+        return false;
+    }
+    const BootTime requestedAt = BootClock::now();
+    const auto table = m_sharing.copyEra(subscriber->publisher, m_table, yield);
+    const bool isUsable = table && useOfTable({m_era, m_version}, m_sharing.era(), {table->era, table->version}) == AnswerUse::Apply;
+    if (isUsable) {
+        // The handlers may ask for the proof of the earlier era.
+        replaceTable(*table);
+        m_confirmedAt = BootClock::now() - table->age;
+        m_provenAt = std::max(m_provenAt, requestedAt - table->proofAge);
+    }
+    return isUsable;
+}
+
 void TableWatch::replaceTable(const FeedRows &table)
 {
+    m_era = table.era;
     m_handlers.replace(table);
     m_version = table.version;
     m_sharing.server().reset(m_table, table);
@@ -215,7 +252,7 @@
 
 bool TableWatch::readFullTable(const boost::asio::yield_context &yield)
 {
-    if (copyTable(yield)) {
+    if (copyTable(yield) || copyNewEra(yield)) {
         return true;
     }
     const BootTime calledAt = BootClock::now();
@@ -225,7 +262,7 @@
         return false;
     }
     const auto &read = std::get<FeedRows>(result);
-    if (read.version < m_version) {
+    if (useOfTable({m_era, m_version}, m_sharing.era(), {read.era, read.version}) == AnswerUse::Ignore) {
         recordFailure("the response is older than the current version", calledAt, {});
         return false;
     }
@@ -255,7 +292,7 @@
 {
     m_fullReads->failure.reset();
     boost::asio::spawn(m_context, [this, reads = m_fullReads, number = ++m_fullReads->latestNumber](const boost::asio::yield_context &readYield) {
-        ReadResult result = m_store.readTable(m_table, s_slowResponseTimeout, readYield);
+        ReadResult result = checkEra(m_store.readTable(m_table, s_slowResponseTimeout, readYield));
         const auto *failure = std::get_if<StoreFailure>(&result);
         if (reads->response || (failure && number != reads->latestNumber)) {
             return;
@@ -318,12 +355,13 @@
     // the copy earlier, or subscribers would be refused.
     const auto sinceConfirmed = std::chrono::ceil<std::chrono::milliseconds>(calledAt - m_confirmedAt);
     const auto boundedHoldTime = m_hasBacklog ? s_probeHoldTime : std::clamp(batchDelay + holdTime - sinceConfirmed, s_probeHoldTime, holdTime);
-    const FeedResult result = m_store.awaitChanges(m_table, m_version, {boundedHoldTime, m_timing.responseTimeout}, yield);
+    const StoreEra calledEra = m_era;
+    const FeedResult result = checkEra(m_store.awaitChanges(m_table, m_version, {boundedHoldTime, m_timing.responseTimeout}, yield));
     if (const auto *failure = std::get_if<StoreFailure>(&result)) {
         recordFailure(failure->reason, calledAt, boundedHoldTime);
         return false;
     }
-    if (applyResult(result, calledAt) && !m_hasBacklog) {
+    if (applyResult(result, calledAt, calledEra) && !m_hasBacklog) {
         sleepFor(m_context, batchDelay, yield);
     }
     return true;
@@ -353,7 +391,8 @@
             hasBegun = true;
             ++shared->arriving;
         };
-        const FeedResult result = m_store.awaitChanges(m_table, m_version, {s_probeHoldTime, s_slowResponseTimeout, responseBegan}, callYield);
+        const StoreEra calledEra = m_era;
+        const FeedResult result = checkEra(m_store.awaitChanges(m_table, m_version, {s_probeHoldTime, s_slowResponseTimeout, responseBegan}, callYield));
         shared->arriving -= hasBegun ? 1 : 0;
         if (shared->isAnswered) {
             // Another call was answered first; this response is older.
@@ -366,7 +405,7 @@
         } else {
             shared->isAnswered = true;
             m_probes.reset();
-            applyResult(result, calledAt);
+            applyResult(result, calledAt, calledEra);
             shared->answered.cancel();
         }
         shared->callEnded.cancel();
@@ -395,13 +434,36 @@
     }
 }
 
-bool TableWatch::applyResult(const FeedResult &result, BootTime calledAt)
+template<typename Answer>
+Answer TableWatch::checkEra(Answer answer)
+{
+    const auto era = std::visit(EraOf{}, answer);
+    if (!era) {
+        return answer;
+    }
+    if (*era < m_sharing.era()) {
+        return StoreFailure{"the response is from an earlier era of the store"};
+    }
+    m_sharing.recordEra(*era);
+    return answer;
+}
+
+bool TableWatch::applyResult(const FeedResult &result, BootTime calledAt, StoreEra calledEra)
 {
     const auto *read = std::get_if<FeedRows>(&result);
     if (!read) {
         m_needsFullRead = true;
         return false;
     }
+    const AnswerUse use = useOfChanges({m_era, calledEra, m_sharing.era()}, read->era);
+    if (use == AnswerUse::ReadInFull) {
+        m_needsFullRead = true;
+        return false;
+    }
+    if (use == AnswerUse::Ignore) {
+        recordSuccess(false, calledAt);
+        return false;
+    }
     m_backoff.reset();
     m_isFullReadUnconfirmed = false;
     m_hasBacklog = read->mayBePartial;
@@ -413,27 +475,46 @@
 bool TableWatch::readFromPublisher(const HostId &publisher, const boost::asio::yield_context &yield)
 {
     const BootTime requestedAt = BootClock::now();
-    if (const auto changes = m_sharing.awaitChanges(publisher, m_table, m_version, m_confirmedAt, yield)) {
-        m_confirmedAt = std::max(m_confirmedAt, BootClock::now() - changes->age);
-        // The publisher states the age at the arrival of the request, which is later than this.
-        m_provenAt = std::max(m_provenAt, requestedAt - changes->proofAge);
-        if (changes->isWholeTable && changes->version >= m_version) {
-            replaceTable(*changes);
-        } else if (!changes->isWholeTable) {
-            applyChanges(*changes);
-        }
-    } else {
+    const StoreEra requestedEra = m_era;
+    if (const auto changes = m_sharing.awaitChanges(publisher, m_table, {m_era, m_version}, m_confirmedAt, yield)) {
+        applyPublished(*changes, requestedAt, requestedEra);
+    } else if (!isFullReadDue()) {
         // The next publisher may fail as well, and so may a call to the store.
         startProbing();
     }
     return true;
 }
 
+void TableWatch::applyPublished(const FeedRows &changes, BootTime requestedAt, StoreEra requestedEra)
+{
+    const AnswerUse use = changes.isWholeTable && changes.era > m_era ? AnswerUse::Apply : useOfChanges({m_era, requestedEra, m_sharing.era()}, changes.era);
+    if (use == AnswerUse::ReadInFull) {
+        m_needsFullRead = true;
+    }
+    if (use != AnswerUse::Apply) {
+        return;
+    }
+    const bool isNewEra = changes.era > m_era;
+    if (isNewEra) {
+        // The handlers may ask for the proof of the earlier era.
+        replaceTable(changes);
+    }
+    m_confirmedAt = std::max(m_confirmedAt, BootClock::now() - changes.age);
+    // The publisher states the age at the arrival of the request, which is later than this.
+    m_provenAt = std::max(m_provenAt, requestedAt - changes.proofAge);
+    if (!changes.isWholeTable) {
+        applyChanges(changes);
+    } else if (!isNewEra && changes.version >= m_version) {
+        replaceTable(changes);
+    }
+}
+
 bool TableWatch::applyChanges(const FeedRows &changes)
 {
     // Some of them may have been received from the store or another host since the call began.
     FeedRows fresh;
     fresh.version = std::max(m_version, changes.version);
+    fresh.era = m_era;
     fresh.rows = latestChanges(changes.rows, m_version);
     m_version = fresh.version;
     m_sharing.server().append(m_table, fresh, BootClock::now());
--- a/Libraries/LibReplication/tablewatch.h
+++ b/Libraries/LibReplication/tablewatch.h
@@ -45,7 +45,8 @@
 };
 
 /// Keeps a copy of one table current: reads it in full, then applies the changes from the store's feed or from a publisher, and
-/// reads it in full again when the store has truncated its history. Responses older than the current version are ignored.
+/// reads it in full again when the store has truncated its history or has come back from an older copy. Responses older than the current version, or of
+/// an earlier era than the one that FeedSharing knows, are ignored.
 /// Thread safety: the thread of the context.
 class TableWatch
 {
@@ -64,7 +65,13 @@
     /// Whether the last call to the store succeeded and no full read is due. Precondition: none.
     bool isReachable() const
     {
-        return m_isReachable && !m_needsFullRead;
+        return m_isReachable && !isFullReadDue();
+    }
+
+    /// Era of the copy; within the handlers, that of the rows that they get. Precondition: none.
+    StoreEra era() const
+    {
+        return m_era;
     }
 
     /// When the store or a publisher last confirmed that the copy is current; unset before the first time. Precondition: none.
@@ -84,6 +91,15 @@
     struct Probes;
     struct FullReads;
 
+    /// Whether the copy can't be brought up to date by changes.
+    bool isFullReadDue() const
+    {
+        return m_needsFullRead || (m_hasTable && m_era < m_sharing.era());
+    }
+    /// Records the era of an answer. One of an earlier era counts as a failed call.
+    template<typename Answer>
+    Answer checkEra(Answer answer);
+
     /// The store has answered a call; the copy is current unless the answer was partial.
     void recordSuccess(bool isCurrent, BootTime calledAt);
     /// Calls the store itself each time the copy's last proof reaches the age at which that is due, until the context stops.
@@ -93,6 +109,8 @@
     bool readFullTable(const boost::asio::yield_context &yield);
     /// Copies the table from another host at the start. False when it is to be read from the store.
     bool copyTable(const boost::asio::yield_context &yield);
+    /// Copies the table from a publisher when a later era of the store is known. False when it is to be read from the store.
+    bool copyNewEra(const boost::asio::yield_context &yield);
     void replaceTable(const FeedRows &table);
     ReadResult awaitFullRead(const boost::asio::yield_context &yield);
     void startFullRead();
@@ -101,8 +119,10 @@
     void startProbing();
     void probe(Probes &probes, const boost::asio::yield_context &yield);
     void awaitProbes(const boost::asio::yield_context &yield);
-    bool applyResult(const FeedResult &result, BootTime calledAt);
+    /// The call began at calledAt with a version of calledEra.
+    bool applyResult(const FeedResult &result, BootTime calledAt, StoreEra calledEra);
     bool readFromPublisher(const HostId &publisher, const boost::asio::yield_context &yield);
+    void applyPublished(const FeedRows &changes, BootTime requestedAt, StoreEra requestedEra);
     /// Applies the changes after the current version; returns whether there were any.
     bool applyChanges(const FeedRows &changes);
 
@@ -113,6 +133,7 @@
     TableWatchTiming m_timing;
     TableWatchHandlers m_handlers;
     FeedVersion m_version = 0;
+    StoreEra m_era;
     BootTime m_confirmedAt{};
     BootTime m_provenAt{};
     bool m_needsFullRead = true;
--- a/Tests/LibPeer/testcodec.cpp
+++ b/Tests/LibPeer/testcodec.cpp
@@ -27,8 +27,8 @@
         ConfigurationCopy{ConfigurationVersion(13), s_digest, "{}"},
         ReclaimVoteRequest{HostId("gulf-a-2"), Epoch(4), 1},
         ReclaimVote{HostId("gulf-a-2"), Epoch(4), 1, true},
-        AwaitChanges{17, "servers", 900, 1000},
-        ChangesSince{17, true, 905, {"a", "b"}, {"{}", ""}, {903, 905}, {0, 1}}};
+        AwaitChanges{17, "servers", 900, 1000, StoreEra(3)},
+        ChangesSince{17, true, 905, {"a", "b"}, {"{}", ""}, {903, 905}, {0, 1}, false, 0, 0, StoreEra(3)}};
 }
 
 std::string cbor(const json &value)
@@ -60,6 +60,17 @@
     }
 }
 
+// Guards against hosts of different versions that don't understand each other: messages of era 0 are those of hosts that don't know the field.
+Test(PeerCodec, eraIsOptional)
+{
+    const std::string encoded = encodePeerMessage(AwaitChanges{17, "servers", 900, 1000});
+    cr_assert_eq(json::from_cbor(encoded).count("era"), 0);
+    const auto decoded = decodePeerMessage(encoded);
+    cr_assert(decoded.has_value() && std::get<AwaitChanges>(decoded.value()).era == StoreEra());
+    const auto inEra = decodePeerMessage(encodePeerMessage(AwaitChanges{17, "servers", 900, 1000, StoreEra(3)}));
+    cr_assert(inEra.has_value() && std::get<AwaitChanges>(inEra.value()).era == StoreEra(3));
+}
+
 // Guards against heartbeats that grow beyond the control traffic of a host: 20 heartbeats and 20 acknowledgements a
 // second, sent and received together, must stay below 2 KB.
 Test(PeerCodec, heartbeatsAreSmall)
--- a/Tests/LibReplication/testchangeserver.cpp
+++ b/Tests/LibReplication/testchangeserver.cpp
@@ -73,6 +73,62 @@
     }
 }
 
+namespace
+{
+
+struct EraCase
+{
+    char name[64];
+    std::uint64_t tableEra;
+    std::uint64_t requestEra;
+    FeedVersion after;
+    /// As in RequestCase.
+    char expected[8];
+};
+
+} // namespace
+
+// Guards against a subscriber that misses changes because its version is from another era of the store, and that never hears of the new era.
+ParameterizedTestParameters(ChangeServer, requestsOfOtherEras)
+{
+    static EraCase cases[] = {
+        {"the same era, nothing new", 2, 2, 11, "wait"},
+        {"the same era, behind", 2, 2, 10, "serve"},
+        {"a subscriber that has not seen the new era", 2, 1, 10, "reject"},
+        {"a publisher that has not seen the new era", 1, 2, 10, "reject"},
+        {"a subscriber that doesn't know the field", 2, 0, 10, "reject"},
+        {"a starting host that knows no era", 2, 0, 0, "whole"},
+        {"a host that needs the copy of a later era", 1, 2, 0, "reject"},
+    };
+    return cr_make_param_array(EraCase, cases, std::size(cases));
+}
+
+ParameterizedTest(EraCase *testCase, ChangeServer, requestsOfOtherEras)
+{
+    Fixture fixture;
+    FeedRows table{{{"a", "0", 9, false}}, 10};
+    table.era = StoreEra(testCase->tableEra);
+    fixture.server.reset("things", table);
+    fixture.server.append("things", {{{"a", "1", 11, false}}, 11}, s_start);
+    fixture.server.request(s_subscriber, {7, "things", testCase->after, 500, StoreEra(testCase->requestEra)}, s_start);
+    const ChangesSince *sent = fixture.responses.empty() ? nullptr : &fixture.responses.front();
+    const std::string outcome = !sent ? "wait" : !sent->isServed ? "reject" : sent->isWholeTable ? "whole" : "serve";
+    cr_assert_eq(outcome, testCase->expected, "%s: %s", testCase->name, outcome.c_str());
+    cr_assert(!sent || sent->era == StoreEra(testCase->tableEra), "%s: the response doesn't state the era", testCase->name);
+}
+
+// Guards against a subscriber that waits for the changes of an era that has ended.
+Test(ChangeServer, newEraEndsPendingRequests)
+{
+    Fixture fixture;
+    fixture.server.request(s_subscriber, {1, "things", 10, 500}, s_start);
+    FeedRows table{{{"a", "0", 5, false}}, 6};
+    table.era = StoreEra(1);
+    fixture.server.reset("things", table);
+    fixture.server.respondToDueRequests(s_start + 1ms);
+    cr_assert(fixture.responses.size() == 1 && !fixture.responses[0].isServed && fixture.responses[0].era == StoreEra(1));
+}
+
 // Guards against a copy that looks younger at a subscriber than at its publisher: the age of its proof has to add up.
 Test(ChangeServer, ageOfTheProofCountsFromTheCall)
 {
--- a/Tests/LibReplication/testpeerfeed.cpp
+++ b/Tests/LibReplication/testpeerfeed.cpp
@@ -45,7 +45,9 @@
     });
     target = &feed;
     PeerFeedResult result = PublisherUnresponsive{};
-    asio::spawn(context, [&](const asio::yield_context &yield) { result = feed.awaitChanges(HostId("publisher"), "things", 11, 20ms, 10ms, yield); });
+    asio::spawn(context, [&](const asio::yield_context &yield) {
+        result = feed.awaitChanges(HostId("publisher"), "things", {StoreEra(), 11}, 20ms, 10ms, yield);
+    });
     context.run();
     cr_assert_eq(result.index(), testCase->result, "%s", testCase->name);
     const auto *changes = std::get_if<FeedRows>(&result);
--- a/Tests/Platform/testtablewatch.cpp
+++ b/Tests/Platform/testtablewatch.cpp
@@ -437,6 +437,122 @@
 namespace
 {
 
+/// When the store comes back from an older copy.
+enum class Return {
+    BetweenFeedCalls,
+    DuringAnOutage,
+    /// Versions have passed those of the earlier era when the host calls again.
+    WithMoreChangesThanWereLost,
+    DuringAFullRead,
+    Twice,
+};
+
+struct ReturnCase
+{
+    char name[48];
+    Return kind;
+};
+
+} // namespace
+
+// Guards against a copy that mixes rows of two eras of the store: rows that the store lost stay, or changes whose versions were assigned again are missed.
+ParameterizedTestParameters(TableWatch, copyFollowsTheStoreIntoANewEra)
+{
+    static ReturnCase cases[] = {
+        {"between two calls to the feed", Return::BetweenFeedCalls},
+        {"during an outage", Return::DuringAnOutage},
+        {"with more changes than were lost", Return::WithMoreChangesThanWereLost},
+        {"during a full read of several pages", Return::DuringAFullRead},
+        {"twice in a row", Return::Twice},
+    };
+    return cr_make_param_array(ReturnCase, cases, std::size(cases));
+}
+
+ParameterizedTest(ReturnCase *testCase, TableWatch, copyFollowsTheStoreIntoANewEra)
+{
+    Fixture fixture;
+    StoreStandIn &store = fixture.store;
+    store.era = 3;
+    for (int i = 1000; i < 1600; ++i) {
+        store.set("things", "key" + std::to_string(i), "1");
+    }
+    fixture.run([&](const asio::yield_context &yield) {
+        cr_assert(fixture.await([&] { return fixture.copy.size() == 600; }, yield));
+        std::map<std::string, std::string> expected = fixture.copy;
+        store.keepCopy();
+        store.set("things", "key1000", "lost");
+        store.set("things", "key1599", "lost");
+        store.set("things", "lost", "1");
+        store.remove("things", "key1001");
+        cr_assert(fixture.await([&] { return fixture.copy.count("lost") == 1 && fixture.copy["key1599"] == "lost"; }, yield));
+        if (testCase->kind == Return::DuringAnOutage || testCase->kind == Return::WithMoreChangesThanWereLost) {
+            store.isDown = true;
+            cr_assert(fixture.await([&] { return !fixture.watch.isReachable(); }, yield));
+        }
+        if (testCase->kind == Return::DuringAFullRead) {
+            store.pageRead = [&store] {
+                store.pageRead = nullptr;
+                store.restoreCopy();
+            };
+            store.truncateHistory();
+            store.set("other", "x", "1");
+            store.truncateHistory();
+        } else {
+            store.restoreCopy();
+        }
+        if (testCase->kind == Return::Twice) {
+            store.set("things", "lost again", "1");
+            fixture.sleep(100ms, yield);
+            store.restoreCopy();
+        }
+        const int changes = testCase->kind == Return::WithMoreChangesThanWereLost ? 20 : 1;
+        if (testCase->kind == Return::DuringAFullRead) {
+            cr_assert(fixture.await([&] { return !store.pageRead; }, yield));
+        }
+        for (int i = 0; i < changes; ++i) {
+            store.set("things", "new" + std::to_string(i), "1");
+            expected["new" + std::to_string(i)] = "1";
+        }
+        store.isDown = false;
+        cr_assert(fixture.await([&] { return fixture.copy == expected; }, yield), "%s: %zu rows", testCase->name, fixture.copy.size());
+        cr_assert_eq(fixture.watch.era(), StoreEra(testCase->kind == Return::Twice ? 5 : 4), "%s", testCase->name);
+        store.set("things", "key1000", "2");
+        cr_assert(fixture.await([&] { return fixture.copy["key1000"] == "2"; }, yield), "%s: a later change is missed", testCase->name);
+    });
+}
+
+// Guards against an old state of the store that undoes what is known, counts as a proof that the copy is current, or is asked for without a pause.
+Test(TableWatch, answersOfAnEarlierEraAreIgnored)
+{
+    Fixture fixture;
+    fixture.store.era = 1;
+    fixture.store.set("things", "a", "1");
+    fixture.run([&](const asio::yield_context &yield) {
+        cr_assert(fixture.await([&] { return fixture.copy.count("a") == 1; }, yield));
+        fixture.store.keepCopy();
+        fixture.store.restoreCopy();
+        fixture.store.set("things", "a", "2");
+        cr_assert(fixture.await([&] { return fixture.copy["a"] == "2" && fixture.watch.era() == StoreEra(2); }, yield));
+        fixture.store.staleEras["127.0.0.1"] = 1;
+        fixture.store.set("things", "a", "3");
+        fixture.sleep(400ms, yield);
+        const BootTime provenBefore = fixture.watch.provenAt();
+        const int callsBefore = fixture.store.feedCalls + fixture.store.readCalls;
+        fixture.sleep(2000ms, yield);
+        cr_assert_eq(fixture.copy["a"], "2", "an answer of an earlier era was applied");
+        cr_assert(fixture.watch.provenAt() == provenBefore, "an answer of an earlier era proves that the copy is current");
+        cr_assert_not(fixture.watch.isReachable());
+        // The store grants ten hosts together 2000 calls in 2 s for three tables.
+        const int calls = fixture.store.feedCalls + fixture.store.readCalls - callsBefore;
+        cr_assert_leq(calls, 2000 / 10 / 3, "%d calls in 2 s", calls);
+        fixture.store.staleEras.clear();
+        cr_assert(fixture.await([&] { return fixture.copy["a"] == "3" && fixture.watch.isReachable(); }, yield));
+    });
+}
+
+namespace
+{
+
 struct EraCase
 {
     char name[40];
@@ -592,10 +708,18 @@
         self.sharing = std::make_unique<FeedSharing>(context, choice, send, [this] { return ids; });
         const auto change = [&self](const std::vector<FeedRow> &rows) {
             for (const FeedRow &row : rows) {
-                self.copy[row.key] = row.value;
+                if (row.removed) {
+                    self.copy.erase(row.key);
+                } else {
+                    self.copy[row.key] = row.value;
+                }
             }
         };
-        const TableWatchHandlers handlers{[change](const FeedRows &table) { change(table.rows); }, change, [](bool, const std::string &) {}};
+        const auto replace = [&self, change](const FeedRows &table) {
+            self.copy.clear();
+            change(table.rows);
+        };
+        const TableWatchHandlers handlers{replace, change, [](bool, const std::string &) {}};
         // Changes must be received within one second.
         const TableWatchTiming timing{350ms, 5s, 2s, 1200ms, 500ms, {150ms, 350ms, 100ms}};
         self.watch = std::make_unique<TableWatch>(context, *self.client, *self.sharing, "things", timing, handlers);
@@ -671,3 +795,79 @@
         cr_assert_leq(time.count(), testCase->maximumMilliseconds, "%s: %d ms", testCase->name, static_cast<int>(time.count()));
     });
 }
+
+namespace
+{
+
+/// Which hosts notice first that the store came back from an older copy.
+enum class Notice {
+    Publisher,
+    Subscriber,
+    PublisherDuringAnOutage,
+};
+
+struct NoticeCase
+{
+    char name[64];
+    Notice kind;
+    /// Pages of full reads; a host that can copy the table from its publisher does not read it.
+    int maximumReads;
+};
+
+} // namespace
+
+// Guards against hosts of different eras that take each other's older data for newer data, and against all hosts of a zone reading the whole table from a
+// store that has just come back.
+ParameterizedTestParameters(TableWatch, hostsOfAZoneFollowIntoANewEra)
+{
+    static NoticeCase cases[] = {
+        {"the publisher has seen the new era, the subscribers have not", Notice::Publisher, 4},
+        {"a subscriber has seen the new era, the publisher has not", Notice::Subscriber, 16},
+        {"during an outage", Notice::PublisherDuringAnOutage, 16},
+    };
+    return cr_make_param_array(NoticeCase, cases, std::size(cases));
+}
+
+ParameterizedTest(NoticeCase *testCase, TableWatch, hostsOfAZoneFollowIntoANewEra)
+{
+    Zone zone(8);
+    zone.store.era = 1;
+    zone.run([&](const asio::yield_context &yield) {
+        zone.store.set("things", "first", "1");
+        cr_assert_lt(zone.timeUntilReceived("first", nullptr, yield).count(), 2000);
+        zone.store.keepCopy();
+        zone.store.set("things", "lost", "1");
+        cr_assert_lt(zone.timeUntilReceived("lost", nullptr, yield).count(), 2000);
+        // Hosts whose first request was rejected read the store themselves until their held calls end.
+        for (int i = 0; i < 800 && zone.store.heldFeedCalls["things"] > 1; ++i) {
+            sleepFor(zone.context, 10ms, yield);
+        }
+        cr_assert_leq(zone.store.heldFeedCalls["things"], 1, "the hosts do not share the feed");
+        const int readsBefore = zone.store.readCalls;
+        Zone::Host &publisher = zone.publisher();
+        if (testCase->kind == Notice::PublisherDuringAnOutage) {
+            zone.store.isDown = true;
+            sleepFor(zone.context, 3000ms, yield);
+        } else if (testCase->kind == Notice::Subscriber) {
+            // The publisher is answered as if the store had not come back yet.
+            zone.store.staleEras[publisher.address] = 1;
+        }
+        zone.store.restoreCopy();
+        if (testCase->kind == Notice::Subscriber) {
+            Zone::Host &subscriber = *zone.hosts[&publisher == zone.hosts.front().get() ? 1 : 0];
+            subscriber.sharing->recordEra(StoreEra(2));
+            sleepFor(zone.context, 1000ms, yield);
+            cr_assert(subscriber.copy.count("lost") == 0 && subscriber.copy.count("first") == 1, "the subscriber follows the publisher back");
+            zone.store.staleEras.clear();
+        }
+        zone.store.isDown = false;
+        zone.store.set("things", "second", "1");
+        cr_assert_lt(zone.timeUntilReceived("second", nullptr, yield).count(), 2000, "%s: a change is missed", testCase->name);
+        const std::map<std::string, std::string> expected{{"first", "1"}, {"second", "1"}};
+        for (const auto &host : zone.hosts) {
+            cr_expect(host->copy == expected, "%s: %s has %zu rows", testCase->name, host->id.value().c_str(), host->copy.size());
+            cr_expect_eq(host->watch->era(), StoreEra(2), "%s: %s", testCase->name, host->id.value().c_str());
+        }
+        cr_expect_leq(zone.store.readCalls - readsBefore, testCase->maximumReads, "%s: %d reads", testCase->name, zone.store.readCalls - readsBefore);
+    });
+}
