LibRouting: Order rows of upstreams by era and version

After the store has come back from an older copy, rows with a lower version of the new era counted as old ones, so that reports were ignored until the versions had passed the lost ones. UpstreamCatalog now orders rows by the era of the store and the version. follow() takes a row that the store still holds although a newer report was lost, removeLost() removes an upstream whose row was lost and lets its process write the same report again; in both a process that was leaving stays so. HostRegistration has room for the era of its row.

--- a/Libraries/LibGateway/hostdirectory.h
+++ b/Libraries/LibGateway/hostdirectory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/bootclock.h>
+#include <LibCore/era.h>
 #include <LibCore/strongid.h>
 #include <LibGateway/trafficbytes.h>
 #include <LibSteering/hostchoice.h>
@@ -29,6 +30,8 @@
     std::uint64_t incarnation = 0;
     /// Version of the row; 0 for a registration that was not read from the store.
     std::uint64_t rowVersion = 0;
+    /// Era of the store that the version is from.
+    StoreEra rowEra{};
     /// Unknown in rows of older versions.
     HostCapacity capacity{};
 };
--- a/Libraries/LibRouting/upstreamcatalog.cpp
+++ b/Libraries/LibRouting/upstreamcatalog.cpp
@@ -1,6 +1,7 @@
 #include <LibRouting/upstreamcatalog.h>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace Trefoil
@@ -11,12 +12,14 @@
 
 /// The start of a report whose row doesn't name one.
 constexpr std::int64_t s_unknownStart = 0;
+/// Below the number of any report.
+constexpr std::int64_t s_noReport = std::numeric_limits<std::int64_t>::min();
 
 } // namespace
 
 RegistrationChange UpstreamCatalog::apply(UpstreamRegistration registration)
 {
-    if (!advance(registration.id, registration.rowVersion)) {
+    if (!advance(registration.id, {registration.rowEra, registration.rowVersion})) {
         return RegistrationChange::None;
     }
     const UpstreamId id = registration.id;
@@ -28,6 +31,12 @@
     if (isWrittenLate(history, registration) && ++history.lateReports < s_maximumLateReports) {
         return RegistrationChange::None;
     }
+    return putInForce(history, std::move(registration));
+}
+
+RegistrationChange UpstreamCatalog::putInForce(History &history, UpstreamRegistration registration)
+{
+    const UpstreamId id = registration.id;
     history.lateReports = 0;
     const Process &process = recordReport(history, registration);
     // A process that leaves doesn't come back, whatever a later report of it says.
@@ -70,14 +79,42 @@
     return processes.back();
 }
 
-RegistrationChange UpstreamCatalog::remove(const UpstreamId &id, RowVersion version)
+RegistrationChange UpstreamCatalog::remove(const UpstreamId &id, RowVersion version, StoreEra era)
 {
-    if (!advance(id, version)) {
+    if (!advance(id, {era, version})) {
         return RegistrationChange::None;
     }
     return removeRegistration(id);
 }
 
+RegistrationChange UpstreamCatalog::follow(UpstreamRegistration registration)
+{
+    const RowPosition position{registration.rowEra, registration.rowVersion};
+    History &history = m_histories.try_emplace(registration.id, History{position, {}, 0}).first->second;
+    if (position < history.position) {
+        return RegistrationChange::None;
+    }
+    history.position = position;
+    return putInForce(history, std::move(registration));
+}
+
+RegistrationChange UpstreamCatalog::removeLost(const UpstreamId &id, RowVersion version, StoreEra era)
+{
+    if (!advance(id, {era, version})) {
+        return RegistrationChange::None;
+    }
+    for (Process &process : m_histories.at(id).processes) {
+        process.reportNumber = s_noReport;
+    }
+    return removeRegistration(id);
+}
+
+bool UpstreamCatalog::hasLaterProcess(const UpstreamRegistration &report) const
+{
+    const auto known = m_registrations.find(report.id);
+    return known != m_registrations.end() && known->second.startedAt > report.startedAt;
+}
+
 RegistrationChange UpstreamCatalog::removeRegistration(const UpstreamId &id)
 {
     const bool wasRegistered = m_registrations.erase(id) > 0;
@@ -85,13 +122,13 @@
     return wasRegistered ? RegistrationChange::Gone : RegistrationChange::None;
 }
 
-bool UpstreamCatalog::advance(const UpstreamId &id, RowVersion version)
+bool UpstreamCatalog::advance(const UpstreamId &id, const RowPosition &position)
 {
-    const auto [history, isNew] = m_histories.try_emplace(id, History{version, {}, 0});
-    if (!isNew && version <= history->second.version) {
+    const auto [history, isNew] = m_histories.try_emplace(id, History{position, {}, 0});
+    if (!isNew && !(history->second.position < position)) {
         return false;
     }
-    history->second.version = version;
+    history->second.position = position;
     return true;
 }
 
@@ -105,7 +142,7 @@
         if (m_registrations.count(it->first) > 0) {
             continue;
         }
-        if (oldest == m_histories.end() || it->second.version < oldest->second.version) {
+        if (oldest == m_histories.end() || it->second.position < oldest->second.position) {
             oldest = it;
         }
     }
--- a/Libraries/LibRouting/upstreamcatalog.h
+++ b/Libraries/LibRouting/upstreamcatalog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/bootclock.h>
+#include <LibCore/era.h>
 #include <LibCore/strongid.h>
 #include <LibCore/units.h>
 
@@ -12,7 +13,7 @@
 namespace Trefoil
 {
 
-/// Version of a row of the store: one counter for all rows that grows with each transaction.
+/// Version of a row of the store: one counter for all rows that grows with each transaction of an era.
 using RowVersion = StrongId<struct RowVersionTag, std::uint64_t>;
 
 /// What an upstream last said of itself.
@@ -34,6 +35,8 @@
     std::int64_t reportNumber = 0;
     /// Version of the row that holds the report.
     RowVersion rowVersion;
+    /// Era of the store that the version is from.
+    StoreEra rowEra{};
 };
 
 /// What has become of the row of one upstream.
@@ -48,7 +51,8 @@
     Gone,
 };
 
-/// All registrations that are in force, kept from rows that may come late, twice, or out of order.
+/// All registrations that are in force, kept from rows that may come late, twice, or out of order. Rows are ordered by the era of the store and their
+/// version.
 /// Thread safety: one thread at a time.
 class UpstreamCatalog
 {
@@ -61,7 +65,18 @@
 
     /// Takes that the row is gone or unreadable as of a version of the store. Changes nothing when the last row under the id is newer.
     /// Precondition: none.
-    RegistrationChange remove(const UpstreamId &id, RowVersion version);
+    RegistrationChange remove(const UpstreamId &id, RowVersion version, StoreEra era = {});
+
+    /// Takes a report whatever its start and number: the store came back from an older copy, and the newer one that it lost was not written again. A
+    /// process that was leaving stays so. Changes nothing when the last row under the id is newer. Precondition: the id is not empty.
+    RegistrationChange follow(UpstreamRegistration registration);
+
+    /// Removes an upstream whose row the store lost and that was not written again as of a version. Later reports of its processes count whatever their
+    /// numbers, since the process may write the lost ones again. Changes nothing when the last row under the id is newer. Precondition: none.
+    RegistrationChange removeLost(const UpstreamId &id, RowVersion version, StoreEra era);
+
+    /// Whether a registration is in force whose process has a later start than a report. Precondition: none.
+    bool hasLaterProcess(const UpstreamRegistration &report) const;
 
     /// Ids that are in the catalog but not among those given, for a full read of the table. Precondition: none.
     std::vector<UpstreamId> missingFrom(const std::set<UpstreamId> &present) const;
@@ -83,6 +98,18 @@
     /// whose number or start was spoilt by another writer goes on reporting.
     static constexpr int s_maximumLateReports = 3;
 
+    /// Place of a row in the history of the store.
+    struct RowPosition
+    {
+        StoreEra era;
+        RowVersion version;
+
+        bool operator<(const RowPosition &other) const
+        {
+            return era < other.era || (era == other.era && version < other.version);
+        }
+    };
+
     /// A process under an id. Processes keep their service, so that a row of another writer that names another one says nothing of the
     /// process.
     struct Process
@@ -102,7 +129,7 @@
     struct History
     {
         /// Of the last row, or of its removal.
-        RowVersion version;
+        RowPosition position;
         /// In the order of their last reports.
         std::vector<Process> processes;
         /// Reports since the last one that counted that look as if they were written late.
@@ -114,11 +141,13 @@
     static bool isWrittenLate(const History &history, const UpstreamRegistration &report);
     /// Records the process of a report that counts.
     static const Process &recordReport(History &history, const UpstreamRegistration &report);
-    /// Records the version of the last row; false when the known one is as new.
-    bool advance(const UpstreamId &id, RowVersion version);
+    /// Puts a report that counts in force.
+    RegistrationChange putInForce(History &history, UpstreamRegistration registration);
+    /// Records the position of the last row; false when the known one is as new.
+    bool advance(const UpstreamId &id, const RowPosition &position);
     /// Removes the registration, but keeps the history.
     RegistrationChange removeRegistration(const UpstreamId &id);
-    /// Removes the history with the oldest version among the upstreams without a row, when there are too many.
+    /// Removes the history with the oldest position among the upstreams without a row, when there are too many.
     void forgetOldestGone();
 
     std::map<UpstreamId, UpstreamRegistration> m_registrations;
--- a/Tests/LibRouting/testupstreamcatalog.cpp
+++ b/Tests/LibRouting/testupstreamcatalog.cpp
@@ -282,3 +282,121 @@
     cr_assert_eq(missing[0].value(), "a");
     cr_assert_eq(missing[1].value(), "c");
 }
+
+namespace
+{
+
+struct EraReport
+{
+    std::uint64_t era;
+    /// "apply", "follow", "remove" or "lost".
+    char call[8];
+    Report report;
+};
+
+struct EraCase
+{
+    char name[72];
+    std::int64_t count;
+    EraReport reports[5];
+    bool isThere;
+    bool isLeaving;
+};
+
+} // namespace
+
+// Guards against rows of a later era of the store that count as old ones since versions went back, and against a process that left and gets work again because
+// the store came back with one of its earlier rows.
+ParameterizedTestParameters(UpstreamCatalog, rowsOfSeveralEras)
+{
+    using Change = RegistrationChange;
+    static EraCase cases[] = {
+        {"a lower version of a higher era",
+            2,
+            {{0, "apply", {50, 10, 1, false, false, Change::Started}}, {1, "apply", {20, 10, 2, true, false, Change::Updated}}},
+            true,
+            true},
+        {"a higher version of a lower era",
+            2,
+            {{1, "apply", {20, 10, 1, false, false, Change::Started}}, {0, "apply", {50, 10, 2, true, false, Change::None}}},
+            true,
+            false},
+        {"removed in a higher era",
+            2,
+            {{0, "apply", {50, 10, 1, false, false, Change::Started}}, {1, "remove", {20, 0, 0, false, true, Change::Gone}}},
+            false,
+            false},
+        {"a restored row of a leaving process",
+            3,
+            {{0, "apply", {40, 10, 1, false, false, Change::Started}},
+                {0, "apply", {50, 10, 2, true, false, Change::Updated}},
+                {1, "apply", {40, 10, 1, false, false, Change::None}}},
+            true,
+            true},
+        {"a restored row of a leaving process that is followed",
+            3,
+            {{0, "apply", {50, 10, 2, true, false, Change::Started}},
+                {1, "apply", {40, 10, 1, false, false, Change::None}},
+                {1, "follow", {40, 10, 1, false, false, Change::Updated}}},
+            true,
+            true},
+        {"a restored row of the process before",
+            3,
+            {{0, "apply", {40, 10, 1, false, false, Change::Started}},
+                {0, "apply", {50, 20, 1, false, false, Change::Started}},
+                {1, "follow", {40, 10, 1, false, false, Change::Started}}},
+            true,
+            false},
+        {"a newer row than the one that is followed",
+            3,
+            {{0, "apply", {50, 10, 2, false, false, Change::Started}},
+                {1, "apply", {45, 10, 3, true, false, Change::Updated}},
+                {1, "follow", {40, 10, 1, false, false, Change::None}}},
+            true,
+            true},
+        {"a lost row that is written again late with its number",
+            3,
+            {{0, "apply", {50, 10, 2, false, false, Change::Started}},
+                {1, "lost", {40, 0, 0, false, true, Change::Gone}},
+                {1, "apply", {45, 10, 2, false, false, Change::Started}}},
+            true,
+            false},
+        {"a lost row of a leaving process that is written again late",
+            3,
+            {{0, "apply", {50, 10, 2, true, false, Change::Started}},
+                {1, "lost", {40, 0, 0, false, true, Change::Gone}},
+                {1, "apply", {45, 10, 1, false, false, Change::Started}}},
+            true,
+            true},
+        {"a lost row that was written again",
+            3,
+            {{0, "apply", {50, 10, 2, false, false, Change::Started}},
+                {1, "apply", {45, 10, 3, false, false, Change::Updated}},
+                {1, "lost", {40, 0, 0, false, true, Change::None}}},
+            true,
+            false},
+    };
+    return cr_make_param_array(EraCase, cases, std::size(cases));
+}
+
+ParameterizedTest(EraCase *testCase, UpstreamCatalog, rowsOfSeveralEras)
+{
+    UpstreamCatalog catalog;
+    const UpstreamId id("u1");
+    for (std::int64_t i = 0; i < testCase->count; ++i) {
+        const EraReport &entry = testCase->reports[i];
+        const StoreEra era(entry.era);
+        const RowVersion version(entry.report.version);
+        UpstreamRegistration row = registration(entry.report);
+        row.rowEra = era;
+        const std::string call = entry.call;
+        const RegistrationChange change = call == "apply" ? catalog.apply(row)
+            : call == "follow"                            ? catalog.follow(row)
+            : call == "lost"                              ? catalog.removeLost(id, version, era)
+                                                          : catalog.remove(id, version, era);
+        cr_expect_eq(static_cast<int>(change), static_cast<int>(entry.report.expected), "%s: report %ld", testCase->name, static_cast<long>(i));
+    }
+    const auto found = catalog.all().find(id);
+    cr_assert_eq(found != catalog.all().end(), testCase->isThere, "%s", testCase->name);
+    cr_assert(!testCase->isThere || found->second.leaving == testCase->isLeaving, "%s", testCase->name);
+}
