--- a/Tests/Platform/testplatformtables.cpp
+++ b/Tests/Platform/testplatformtables.cpp
@@ -479,3 +479,165 @@
         cr_assert(usableBecomes(1), "%s: the good row is not used", testCase->name);
     });
 }
+
+namespace
+{
+
+/// What the store loses when it comes back from an older copy.
+enum class Loss {
+    Evacuation,
+    Configuration,
+    LeavingUpstream,
+    Upstream,
+    OwnRow,
+};
+
+struct LossCase
+{
+    char name[48];
+    Loss loss;
+    bool isWrittenAgain;
+    /// Whether the state from before holds 2 s after the return, and after the time in which its writer would have written again.
+    bool holdsAtFirst;
+    bool holdsLater;
+};
+
+HostRegistration ownRegistration()
+{
+    HostRegistration registration;
+    registration.id = HostId("alone");
+    registration.address = "127.0.0.1:1";
+    registration.peerAddress = "127.0.0.1:2";
+    registration.zone = ZoneId("east-a");
+    registration.region = RegionId("east");
+    registration.incarnation = 7;
+    return registration;
+}
+
+/// A host whose store comes back from a copy that lacks something the host knows.
+struct LossFixture : Fixture
+{
+    LossFixture()
+    {
+        store.era = 1;
+        store.set(registrationTable, "upstream", reportOf(1790000000000, 1, "ready"));
+        state.directory().setSelf(ownRegistration(), HostPhase::Serving);
+    }
+
+    /// Writes the row that will be lost, as its writer does again later.
+    void write(Loss loss)
+    {
+        switch (loss) {
+        case Loss::Evacuation:
+            store.set(operatorTable, std::string(evacuationKeyPrefix) + "east-a", "1");
+            return;
+        case Loss::Configuration:
+            declare(2, "west");
+            return;
+        case Loss::LeavingUpstream:
+            store.set(registrationTable, "upstream", reportOf(1790000000000, 2, "draining"));
+            return;
+        case Loss::Upstream:
+            store.set(registrationTable, "second", reportOf(1790000000000, 5, "ready"));
+            return;
+        case Loss::OwnRow:
+            store.set(hostTable, "alone", encodeHostRegistration(ownRegistration()));
+            return;
+        }
+    }
+
+    /// Whether what the row says is in force.
+    bool holds(Loss loss)
+    {
+        switch (loss) {
+        case Loss::Evacuation:
+        case Loss::LeavingUpstream:
+        case Loss::Configuration:
+            return usableUpstreamCount() == 0;
+        case Loss::Upstream:
+            return usableUpstreamCount() == 2;
+        case Loss::OwnRow:
+            return state.directory().isSelfRegistered();
+        }
+        return false;
+    }
+};
+
+} // namespace
+
+// Guards against acknowledged state that a host undoes because the store came back from an older copy, and against state that stays for ever although nobody
+// writes it again.
+ParameterizedTestParameters(PlatformTables, lostRowsStayInForceForAWhile)
+{
+    static LossCase cases[] = {
+        {"an evacuation that is written again", Loss::Evacuation, true, true, true},
+        {"an evacuation that is not written again", Loss::Evacuation, false, true, false},
+        {"a configuration that is written again", Loss::Configuration, true, true, true},
+        {"a configuration that is not written again", Loss::Configuration, false, true, true},
+        {"a leaving upstream that writes again", Loss::LeavingUpstream, true, true, true},
+        {"a leaving upstream that doesn't write again", Loss::LeavingUpstream, false, true, true},
+        {"an upstream that writes again", Loss::Upstream, true, true, true},
+        {"an upstream that doesn't write again", Loss::Upstream, false, true, false},
+        {"the own row, not written again", Loss::OwnRow, false, false, false},
+        {"the own row, written again", Loss::OwnRow, true, true, true},
+    };
+    return cr_make_param_array(LossCase, cases, std::size(cases));
+}
+
+ParameterizedTest(LossCase *testCase, PlatformTables, lostRowsStayInForceForAWhile)
+{
+    LossFixture fixture;
+    fixture.run([&](const asio::yield_context &yield) {
+        const Loss loss = testCase->loss;
+        const auto isReturnNoticed = [&] { return fixture.sharing.era() == StoreEra(2); };
+        cr_assert_lt(fixture.timeUntil([&] { return fixture.usableUpstreamCount() == 1; }, 5s, yield).count(), 5000);
+        fixture.store.keepCopy();
+        fixture.write(loss);
+        cr_assert_lt(fixture.timeUntil([&] { return fixture.holds(loss); }, 10s, yield).count(), 10000, "%s: never in force", testCase->name);
+        fixture.store.restoreCopy();
+        const BootTime returnedAt = BootClock::now();
+        cr_assert_lt(fixture.timeUntil(isReturnNoticed, 2s, yield).count(), 2000, "%s: the new era is not noticed", testCase->name);
+        sleepFor(fixture.context, 500ms, yield);
+        if (testCase->isWrittenAgain) {
+            fixture.write(loss);
+        }
+        if (loss != Loss::OwnRow) {
+            bool hasHeld = true;
+            while (BootClock::now() - returnedAt < 2s) {
+                hasHeld = hasHeld && fixture.holds(loss);
+                sleepFor(fixture.context, 5ms, yield);
+            }
+            cr_expect_eq(hasHeld, testCase->holdsAtFirst, "%s: at first", testCase->name);
+        }
+        // The host table may lag by the sum of its hold time and its batch delay, 8 s.
+        sleepFor(fixture.context, loss == Loss::OwnRow ? 8s : 4500ms, yield);
+        cr_expect_eq(fixture.holds(loss), testCase->holdsLater, "%s: later", testCase->name);
+    });
+}
+
+// Guards against a key that is used after it was taken away: the store came back with the configuration from before, so that its answers don't show that the
+// one in force is the newest.
+Test(PlatformTables, restoredConfigurationProvesNothing)
+{
+    LossFixture fixture;
+    fixture.run([&](const asio::yield_context &yield) {
+        const auto isProvenSince = [&](BootTime time) { return fixture.tables.configurationProvenAt() > time; };
+        cr_assert_lt(fixture.timeUntil([&] { return isProvenSince(BootTime{}); }, 5s, yield).count(), 5000);
+        fixture.store.keepCopy();
+        fixture.write(Loss::Configuration);
+        cr_assert_lt(fixture.timeUntil([&] { return fixture.holds(Loss::Configuration); }, 5s, yield).count(), 5000);
+        fixture.store.restoreCopy();
+        const BootTime returnedAt = BootClock::now();
+        while (BootClock::now() - returnedAt < 2500ms) {
+            cr_assert_not(isProvenSince(returnedAt), "proven by an older configuration");
+            sleepFor(fixture.context, 5ms, yield);
+        }
+        fixture.write(Loss::Configuration);
+        cr_assert_lt(fixture.timeUntil([&] { return isProvenSince(returnedAt); }, 5s, yield).count(), 2000, "not proven by the configuration in force");
+        // A return that loses nothing.
+        fixture.store.keepCopy();
+        fixture.store.restoreCopy();
+        const BootTime secondReturn = BootClock::now();
+        cr_assert_lt(fixture.timeUntil([&] { return isProvenSince(secondReturn); }, 5s, yield).count(), 2000, "not proven after a return without loss");
+    });
+}
