--- a/Tests/LibGateway/testgateway.cpp
+++ b/Tests/LibGateway/testgateway.cpp
@@ -159,19 +159,19 @@
 
 struct ExhaustedCase
 {
-    char target[12];
     std::size_t limit;
     int served;
+    char target[12];
 };
 
 // Guards against a request that is reported as not run although it was sent, or that is tried at further upstreams, while all connections that the host may have to upstreams are in use.
 ParameterizedTestParameters(Gateway, requestsBeyondTheConnectionLimitAreRejected)
 {
     static ExhaustedCase cases[] = {
-        {"/read/1", 1, 1},
-        {"/write/1", 1, 1},
-        {"/read/1", 2, 2},
-        {"/read/1", 0, 4},
+        {1, 1, "/read/1"},
+        {1, 1, "/write/1"},
+        {2, 2, "/read/1"},
+        {0, 4, "/read/1"},
     };
     return cr_make_param_array(ExhaustedCase, cases, std::size(cases));
 }
