Soak: Check the promises to customers

CustomerPromises compares what callers and upstreams saw with the versions of the configuration: keys and the name in Tenant-Id, regions of customers, requests that were sent more than 5 s after the removal of their key, requests of each window against the limit, 401 for keys in force and 429 without a limit. 401 and 429 promise, as 503, that the request did not run. A lowered limit counts for windows that begin 3 s after it was written, or later if a host or the store was disturbed, but 5 s at most: hosts that don't know it by then serve no customers.

Types of requests and executions move to a header of their own. Without customers nothing changes. Soak::customerPromises feeds each check what must and what must not be reported.

--- a/Tests/Platform/Soak/promises.cpp
+++ b/Tests/Platform/Soak/promises.cpp
@@ -69,6 +69,14 @@
     m_routes[route].push_back(std::move(change));
 }
 
+void Promises::customersConfigured(CustomerVersions customers, BootTime sentAt, BootTime acknowledgedAt)
+{
+    if (!m_customers) {
+        m_customers.emplace();
+    }
+    m_customers->configured(std::move(customers), sentAt, acknowledgedAt);
+}
+
 void Promises::upstreamBanned(const std::string &upstream, Disturbance ban)
 {
     m_bans.emplace(upstream, ban);
@@ -135,7 +143,8 @@
     if (executions > most) {
         found.push_back(fmt::format("{}: ran {} times, {} at most", request.id, executions, most));
     }
-    if (request.end == ResponseKind::Rejected && executions > 0) {
+    const bool isToldNotRun = request.end == ResponseKind::Rejected || request.end == ResponseKind::Unauthorized || request.end == ResponseKind::QuotaExceeded;
+    if (isToldNotRun && executions > 0) {
         found.push_back(fmt::format("{}: told that it did not run, but ran", request.id));
     }
     if (request.end == ResponseKind::Served && executions == 0) {
@@ -228,6 +237,34 @@
     }
 }
 
+BootTime Promises::limitInForceBy(BootTime writtenAt) const
+{
+    BootTime latest = writtenAt + s_limitBound;
+    for (const auto &[host, disturbances] : m_hosts) {
+        latest = std::max(latest, inForceBy(host, writtenAt));
+    }
+    return std::min(latest, writtenAt + CustomerRules().revocationTime);
+}
+
+void Promises::checkCustomers(std::vector<std::string> &found) const
+{
+    if (!m_customers) {
+        return;
+    }
+    for (const CallerRequest &request : m_requests) {
+        const auto executions = m_executions.equal_range(request.id);
+        for (auto execution = executions.first; execution != executions.second; ++execution) {
+            m_customers->checkExecution(request, execution->second, found);
+        }
+        if (isCalm(request.host, request.sentAt, request.endedAt)) {
+            m_customers->checkEnd(
+                request, [this, &request](BootTime writtenAt) { return inForceBy(request.host, writtenAt); }, found);
+        }
+    }
+    m_customers->checkWindows(
+        m_executions, [this](BootTime writtenAt) { return limitInForceBy(writtenAt); }, found);
+}
+
 std::vector<std::string> Promises::violations() const
 {
     std::vector<std::string> found = m_notes;
@@ -245,12 +282,18 @@
             checkExecution(request, execution->second, found);
         }
     }
+    checkCustomers(found);
     return found;
 }
 
+std::size_t Promises::entitled() const
+{
+    return static_cast<std::size_t>(std::count_if(m_requests.begin(), m_requests.end(), [](const CallerRequest &request) { return request.isEntitled; }));
+}
+
 std::size_t Promises::served() const
 {
-    const auto isServed = [](const CallerRequest &request) { return request.end == ResponseKind::Served; };
+    const auto isServed = [](const CallerRequest &request) { return request.isEntitled && request.end == ResponseKind::Served; };
     return static_cast<std::size_t>(std::count_if(m_requests.begin(), m_requests.end(), isServed));
 }
 
@@ -261,8 +304,10 @@
         ++counts[request.end];
     }
     const auto endedInOrder = std::count_if(m_unanswered.begin(), m_unanswered.end(), [](const UnansweredRequest &request) { return request.endedInOrder; });
+    const std::string ofCustomers =
+        m_customers ? fmt::format(", unauthorized {}, above quotas {}", counts[ResponseKind::Unauthorized], counts[ResponseKind::QuotaExceeded]) : "";
     return fmt::format(
-        "requests {}, served {}, rejected {}, failed {}, lost {}, held {}, executions {}, steady callers' without a response {} ({} ended in order)",
+        "requests {}, served {}, rejected {}, failed {}, lost {}, held {}, executions {}, steady callers' without a response {} ({} ended in order){}",
         m_requests.size(),
         counts[ResponseKind::Served],
         counts[ResponseKind::Rejected],
@@ -271,7 +316,8 @@
         counts[ResponseKind::Held],
         m_executions.size(),
         m_unanswered.size(),
-        endedInOrder);
+        endedInOrder,
+        ofCustomers);
 }
 
 } // namespace Trefoil::Soak
--- a/Tests/Platform/Soak/promises.h
+++ b/Tests/Platform/Soak/promises.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <LibCore/bootclock.h>
+#include <Platform/Soak/customerpromises.h>
+#include <Platform/Soak/promisetypes.h>
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -11,81 +11,6 @@
 namespace Trefoil::Soak
 {
 
-/// How a request ended for its caller.
-enum class ResponseKind {
-    /// The upstream's response.
-    Served,
-    /// 503: told that it did not run.
-    Rejected,
-    /// 404, 502 or 504.
-    Failed,
-    /// The connection ended without a complete response, or none could be opened.
-    ConnectionLost,
-    /// The caller gave up long after the request's time had passed.
-    Held,
-};
-
-/// One request as its caller sees it.
-struct CallerRequest
-{
-    std::string id;
-    std::string route;
-    std::size_t host = 0;
-    bool isIdempotent = false;
-    BootTime sentAt;
-    std::chrono::milliseconds timeout{0};
-    BootTime endedAt;
-    ResponseKind end = ResponseKind::Served;
-    std::string body{};
-};
-
-/// A request whose connection ended without a complete response, as its caller saw it.
-struct UnansweredRequest
-{
-    std::string id;
-    std::size_t host = 0;
-    BootTime sentAt;
-    BootTime endedAt;
-    /// The host took the request from the kernel, which resets a connection that is closed with unread bytes.
-    bool endedInOrder = false;
-};
-
-/// One execution as its upstream sees it.
-struct Execution
-{
-    std::string id;
-    std::string service;
-    std::string upstream;
-    BootTime begunAt;
-    /// Time that the request still has, as the host told; absent when it told none.
-    std::optional<std::chrono::milliseconds> timeLeft{};
-    /// Region of the upstream.
-    std::string region{};
-};
-
-/// A time in which less is promised.
-struct Disturbance
-{
-    BootTime from;
-    BootTime until;
-};
-
-/// What a version of the configuration says of a route, and when it was written.
-struct RouteChange
-{
-    BootTime at;
-    std::string service;
-    /// Regions that the route allows; empty when it allows all.
-    std::vector<std::string> regions{};
-};
-
-/// How long the system may take until a change is in force everywhere.
-constexpr std::chrono::milliseconds s_changeBound{2000};
-/// A request that crosses the close of its connection ends within this time.
-constexpr std::chrono::milliseconds s_lossSlack{200};
-/// Timers, scheduling and the network between the processes of one machine.
-constexpr std::chrono::milliseconds s_tolerance{500};
-
 /// Collects what callers and upstreams saw, and compares it with what the system promises.
 /// Thread safety: one thread at a time.
 class Promises
@@ -115,6 +40,9 @@
     /// A version of the configuration changes the route. Precondition: calls come in the order of their times.
     void routeChanged(const std::string &route, RouteChange change);
 
+    /// The store got a version of the configuration's customers between the two times. Precondition: as for CustomerPromises::configured().
+    void customersConfigured(CustomerVersions customers, BootTime sentAt, BootTime acknowledgedAt);
+
     /// The upstream must get no further request. Precondition: until is when the ban ends.
     void upstreamBanned(const std::string &upstream, Disturbance ban);
 
@@ -127,11 +55,8 @@
     /// Requests by their end, and executions.
     std::string summary() const;
 
-    /// Requests that ended, and those of them that were served.
-    std::size_t requests() const
-    {
-        return m_requests.size();
-    }
+    /// Requests that ended and must be served while nothing fails, and those of them that were served.
+    std::size_t entitled() const;
     std::size_t served() const;
 
 private:
@@ -147,6 +72,10 @@
     /// Versions that may be in force at the host at some moment of a time; empty when any may be.
     std::vector<RouteChange> versionsInForce(const CallerRequest &request, BootTime from, BootTime until) const;
 
+    void checkCustomers(std::vector<std::string> &found) const;
+    /// When all hosts must know a limit that was written at a time. Hosts that don't know it by the revocation time serve no customers.
+    BootTime limitInForceBy(BootTime writtenAt) const;
+
     std::vector<CallerRequest> m_requests;
     std::multimap<std::string, Execution> m_executions;
     std::map<std::size_t, std::vector<Disturbance>> m_hosts;
@@ -157,6 +86,7 @@
     std::vector<Disturbance> m_store;
     std::map<std::string, std::vector<RouteChange>> m_routes;
     std::multimap<std::string, Disturbance> m_bans;
+    std::optional<CustomerPromises> m_customers;
     std::vector<std::string> m_notes;
 };
 
--- a/Tests/Platform/Soak/soakrun.cpp
+++ b/Tests/Platform/Soak/soakrun.cpp
@@ -685,9 +685,9 @@
         }
     }
     const std::size_t before = m_promises.served();
-    const std::size_t total = m_promises.requests();
+    const std::size_t total = m_promises.entitled();
     sleepFor(m_context, s_calmEnd, yield);
-    const auto requests = static_cast<double>(m_promises.requests() - total);
+    const auto requests = static_cast<double>(m_promises.entitled() - total);
     const auto served = static_cast<double>(m_promises.served() - before);
     if (served < requests * s_calmServed) {
         m_promises.note(fmt::format("only {} of {} requests were served after all faults had ended", served, requests));
--- a/Tests/Platform/Soak/testsoak.cpp
+++ b/Tests/Platform/Soak/testsoak.cpp
@@ -296,3 +296,261 @@
     }
     cr_assert_eq(kinds.size(), allFaultKinds().size());
 }
+
+namespace
+{
+
+/// A request with the key of "museum", which has no limit, beside "library" with one; both were configured long before.
+struct CustomerCase
+{
+    const char *name;
+    void (*change)(CallerRequest &request, Execution &execution, CustomerVersions &customers, Promises &promises);
+    /// Part of the violation; empty when nothing is broken.
+    const char *violation;
+};
+
+void configure(Promises &promises, const CustomerVersions &customers, BootTime at)
+{
+    promises.customersConfigured(customers, at, at);
+}
+
+void end(CallerRequest &request, Execution &execution, ResponseKind kind)
+{
+    request.end = kind;
+    execution.id = "other";
+}
+
+/// The limit is 10 x 5 + 10, so that 86 requests may run in a window.
+void runRequests(Promises &promises, int count, BootTime from, std::chrono::milliseconds length)
+{
+    for (int i = 0; i < count; ++i) {
+        Execution execution{"q-" + std::to_string(i), "alpha", "u", from + length * i / count, 990ms, "east", "library"};
+        promises.began(execution);
+    }
+}
+
+const std::vector<CustomerCase> s_customerCases = {
+    {"served", [](CallerRequest &, Execution &, CustomerVersions &, Promises &) {}, ""},
+    {"no key", [](CallerRequest &request, Execution &, CustomerVersions &, Promises &) { request.key.clear(); }, "without a key that a configuration held"},
+    {"unknown key",
+        [](CallerRequest &request, Execution &, CustomerVersions &, Promises &) { request.key = "k-9"; },
+        "without a key that a configuration held"},
+    {"key of two customers",
+        [](CallerRequest &request, Execution &, CustomerVersions &, Promises &) { request.key = "k-shared"; },
+        "without a key that a configuration held"},
+    {"key that is added later",
+        [](CallerRequest &request, Execution &, CustomerVersions &customers, Promises &promises) {
+            request.key = "k-new";
+            customers["museum"].keys.emplace_back("k-new");
+            configure(promises, customers, s_now + 20ms);
+        },
+        "without a key that a configuration held"},
+    {"another customer's name",
+        [](CallerRequest &, Execution &execution, CustomerVersions &, Promises &) { execution.customer = "library"; },
+        "under the name \"library\", its key is of museum"},
+    {"no name", [](CallerRequest &, Execution &execution, CustomerVersions &, Promises &) { execution.customer.clear(); }, "under the name \"\""},
+    {"two names",
+        [](CallerRequest &, Execution &execution, CustomerVersions &, Promises &) { execution.customer = "museum,library"; },
+        "under the name \"museum,library\""},
+    {"public route without a key",
+        [](CallerRequest &request, Execution &execution, CustomerVersions &, Promises &) {
+            request.isPublic = true;
+            request.key.clear();
+            execution.customer.clear();
+        },
+        ""},
+    {"public route under a name that the caller sent",
+        [](CallerRequest &request, Execution &, CustomerVersions &, Promises &) {
+            request.isPublic = true;
+            request.key.clear();
+        },
+        "its key is of nobody"},
+    {"key removed 5 s before",
+        [](CallerRequest &, Execution &, CustomerVersions &customers, Promises &promises) {
+            customers["museum"].keys.clear();
+            configure(promises, customers, s_now - 5s);
+        },
+        ""},
+    {"key removed more than 5 s before",
+        [](CallerRequest &, Execution &, CustomerVersions &customers, Promises &promises) {
+            customers["museum"].keys.clear();
+            configure(promises, customers, s_now - 5001ms);
+        },
+        "its key of museum had been removed more than 5000 ms"},
+    {"key removed at a host without the store",
+        [](CallerRequest &, Execution &, CustomerVersions &customers, Promises &promises) {
+            customers["museum"].keys.clear();
+            configure(promises, customers, s_now - 5001ms);
+            promises.storeDisturbed({s_now - 10s, s_now + 1s});
+            promises.hostDisturbed(0, {s_now - 10s, s_now + 1s});
+        },
+        "its key of museum had been removed more than 5000 ms"},
+    {"removed key on a public route",
+        [](CallerRequest &request, Execution &, CustomerVersions &customers, Promises &promises) {
+            request.isPublic = true;
+            customers["museum"].keys.clear();
+            configure(promises, customers, s_now - 5001ms);
+        },
+        "its key is of nobody"},
+    {"key removed and given back",
+        [](CallerRequest &, Execution &, CustomerVersions &customers, Promises &promises) {
+            const CustomerVersions before = customers;
+            customers["museum"].keys.clear();
+            configure(promises, customers, s_now - 8s);
+            configure(promises, before, s_now);
+        },
+        ""},
+    {"region of the customer",
+        [](CallerRequest &, Execution &execution, CustomerVersions &, Promises &) { execution.region = "west"; },
+        "ran in west, which customer museum does not allow"},
+    {"401 for a key in force",
+        [](CallerRequest &request, Execution &execution, CustomerVersions &, Promises &) { end(request, execution, ResponseKind::Unauthorized); },
+        "answered 401 by host 0"},
+    {"401 that ran",
+        [](CallerRequest &request, Execution &, CustomerVersions &, Promises &) { request.end = ResponseKind::Unauthorized; },
+        "told that it did not run"},
+    {"429 that ran",
+        [](CallerRequest &request, Execution &, CustomerVersions &, Promises &) { request.end = ResponseKind::QuotaExceeded; },
+        "told that it did not run"},
+    {"401 without a key",
+        [](CallerRequest &request, Execution &execution, CustomerVersions &, Promises &) {
+            end(request, execution, ResponseKind::Unauthorized);
+            request.key.clear();
+        },
+        ""},
+    {"401 on a public route",
+        [](CallerRequest &request, Execution &execution, CustomerVersions &, Promises &) {
+            end(request, execution, ResponseKind::Unauthorized);
+            request.key.clear();
+            request.isPublic = true;
+        },
+        "401 on a public route"},
+    {"401 for a key that was added 2.5 s before",
+        [](CallerRequest &request, Execution &execution, CustomerVersions &customers, Promises &promises) {
+            end(request, execution, ResponseKind::Unauthorized);
+            request.key = "k-new";
+            customers["museum"].keys.emplace_back("k-new");
+            configure(promises, customers, s_now - 2500ms);
+        },
+        "answered 401 by host 0, 2500 ms after its key was added"},
+    {"401 for a key that may not be in force",
+        [](CallerRequest &request, Execution &execution, CustomerVersions &customers, Promises &promises) {
+            end(request, execution, ResponseKind::Unauthorized);
+            request.key = "k-new";
+            customers["museum"].keys.emplace_back("k-new");
+            configure(promises, customers, s_now - 2499ms);
+        },
+        ""},
+    {"401 for a key that was added while the store was away",
+        [](CallerRequest &request, Execution &execution, CustomerVersions &customers, Promises &promises) {
+            end(request, execution, ResponseKind::Unauthorized);
+            request.key = "k-new";
+            customers["museum"].keys.emplace_back("k-new");
+            configure(promises, customers, s_now - 6s);
+            promises.storeDisturbed({s_now - 7s, s_now - 1s});
+        },
+        ""},
+    {"401 for a key that is removed meanwhile",
+        [](CallerRequest &request, Execution &execution, CustomerVersions &customers, Promises &promises) {
+            end(request, execution, ResponseKind::Unauthorized);
+            customers["museum"].keys.clear();
+            configure(promises, customers, s_now + 50ms);
+        },
+        ""},
+    {"429 without a limit",
+        [](CallerRequest &request, Execution &execution, CustomerVersions &, Promises &) { end(request, execution, ResponseKind::QuotaExceeded); },
+        "museum has no limit"},
+    {"429 with a limit",
+        [](CallerRequest &request, Execution &execution, CustomerVersions &, Promises &) {
+            end(request, execution, ResponseKind::QuotaExceeded);
+            request.key = "k-2";
+        },
+        ""},
+    {"window at its bound", [](CallerRequest &, Execution &, CustomerVersions &, Promises &promises) { runRequests(promises, 86, s_now, 4999ms); }, ""},
+    {"window above its bound",
+        [](CallerRequest &, Execution &, CustomerVersions &, Promises &promises) { runRequests(promises, 87, s_now, 4999ms); },
+        "library: 87 requests ran in a window of 5000 ms that begins with q-0, 86.0 are allowed"},
+    {"more than a window", [](CallerRequest &, Execution &, CustomerVersions &, Promises &promises) { runRequests(promises, 172, s_now, 10s); }, ""},
+    {"requests that ran at two upstreams",
+        [](CallerRequest &, Execution &, CustomerVersions &, Promises &promises) {
+            runRequests(promises, 60, s_now, 2s);
+            runRequests(promises, 60, s_now + 2s, 2s);
+        },
+        ""},
+    {"limit lowered 3 s before",
+        [](CallerRequest &, Execution &, CustomerVersions &customers, Promises &promises) {
+            customers["library"].rate = 5;
+            customers["library"].burst = 5;
+            configure(promises, customers, s_now - 3s);
+            runRequests(promises, 54, s_now, 4999ms);
+        },
+        "54 requests ran in a window of 5000 ms that begins with q-0, 53.0 are allowed"},
+    {"limit lowered shortly before",
+        [](CallerRequest &, Execution &, CustomerVersions &customers, Promises &promises) {
+            customers["library"].rate = 5;
+            customers["library"].burst = 5;
+            configure(promises, customers, s_now - 2900ms);
+            // No window that begins when the lowered limit is known has more than 53.
+            runRequests(promises, 54, s_now, 4999ms);
+        },
+        ""},
+    {"limit lowered while the store was away",
+        [](CallerRequest &, Execution &, CustomerVersions &customers, Promises &promises) {
+            customers["library"].rate = 5;
+            customers["library"].burst = 5;
+            configure(promises, customers, s_now - 4s);
+            promises.hostDisturbed(1, {s_now - 5s, s_now - 1s});
+            runRequests(promises, 54, s_now, 500ms);
+        },
+        ""},
+    {"limit lowered longer ago than the revocation time while the store is away",
+        [](CallerRequest &, Execution &, CustomerVersions &customers, Promises &promises) {
+            customers["library"].rate = 5;
+            customers["library"].burst = 5;
+            configure(promises, customers, s_now - 5s);
+            promises.hostDisturbed(1, {s_now - 10s, s_now + 10s});
+            runRequests(promises, 54, s_now, 4999ms);
+        },
+        "53.0 are allowed"},
+    {"limit raised meanwhile",
+        [](CallerRequest &, Execution &, CustomerVersions &customers, Promises &promises) {
+            customers["library"].rate = 20;
+            configure(promises, customers, s_now + 4s);
+            runRequests(promises, 120, s_now, 4999ms);
+        },
+        ""},
+};
+
+} // namespace
+
+// Guards against a soak that passes although a promise to customers was broken, and against one that complains of what is allowed.
+ParameterizedTestParameters(Soak, customerPromises)
+{
+    static std::vector<PromiseCase> cases(s_customerCases.size());
+    for (std::size_t i = 0; i < s_customerCases.size(); ++i) {
+        cases[i].index = i;
+    }
+    return cr_make_param_array(PromiseCase, cases.data(), cases.size());
+}
+
+ParameterizedTest(PromiseCase *testCase, Soak, customerPromises)
+{
+    const CustomerCase &change = s_customerCases[testCase->index];
+    Promises promises;
+    CustomerVersions customers = {{"museum", {{"k-1", "k-shared"}, {"east"}, 0, 0}}, {"library", {{"k-2", "k-shared"}, {}, 10, 10}}};
+    configure(promises, customers, s_now - 60s);
+    CallerRequest request{"id", "read", 0, false, s_now, 1000ms, s_now + 100ms, ResponseKind::Served, "id", "k-1"};
+    Execution execution{"id", "alpha", "u", s_now + 10ms, 990ms, "east", "museum"};
+    change.change(request, execution, customers, promises);
+    promises.began(execution);
+    promises.ended(request);
+    const auto violations = promises.violations();
+    if (change.violation[0] == '\0') {
+        cr_assert(violations.empty(), "%s: %s", change.name, violations.front().c_str());
+        return;
+    }
+    cr_assert(!violations.empty(), "%s", change.name);
+    const bool isFound = std::any_of(
+        violations.begin(), violations.end(), [&change](const std::string &violation) { return violation.find(change.violation) != std::string::npos; });
+    cr_assert(isFound, "%s: %s", change.name, violations.front().c_str());
+}
