Soak: Plan series of changes of customers

Keys are removed and added and limits lowered and restored in series, and in four of ten series two neighbouring hosts can't reach the store meanwhile. The series have random numbers of their own and come with PlanSettings::hasCustomers only.

--- a/Tests/Platform/Soak/soakplan.cpp
+++ b/Tests/Platform/Soak/soakplan.cpp
@@ -52,6 +52,10 @@
         {FaultKind::ConfigurationUnreadable, "configuration-unreadable", 0.5, milliseconds(100), milliseconds(2000)},
         {FaultKind::ZoneEvacuated, "zone-evacuated", 0.7, milliseconds(3000), milliseconds(5000)},
         {FaultKind::StoreHangs, "store-hangs", 0, milliseconds(1000), milliseconds(8000)},
+        {FaultKind::KeyRemoved, "key-removed", 0, milliseconds(0), milliseconds(1)},
+        {FaultKind::KeyAdded, "key-added", 0, milliseconds(0), milliseconds(1)},
+        {FaultKind::LimitLowered, "limit-lowered", 0, milliseconds(0), milliseconds(1)},
+        {FaultKind::LimitRestored, "limit-restored", 0, milliseconds(0), milliseconds(1)},
     };
     return all;
 }
@@ -66,6 +70,24 @@
 constexpr std::uint32_t s_mostSeriesRestarts = 4;
 constexpr milliseconds s_restartGap{1000};
 
+/// As for the other series.
+constexpr std::uint64_t s_customerStream = 41;
+constexpr std::uint32_t s_leastCustomerChanges = 2;
+constexpr std::uint32_t s_mostCustomerChanges = 5;
+constexpr double s_customerSeriesMs = 2500;
+/// Share of the series in which neighbouring hosts can't reach the store, how many these are, and for how long.
+constexpr double s_cutShare = 0.4;
+constexpr std::size_t s_cutHosts = 2;
+constexpr double s_shortestCutMs = 3000;
+constexpr double s_longestCutMs = 7000;
+/// Removed keys and lowered limits are what hosts may miss; the others give back what these take.
+const std::vector<std::pair<FaultKind, double>> s_customerChanges = {
+    {FaultKind::KeyRemoved, 5},
+    {FaultKind::KeyAdded, 4},
+    {FaultKind::LimitLowered, 3},
+    {FaultKind::LimitRestored, 1},
+};
+
 constexpr std::uint64_t s_stopStream = 29;
 constexpr milliseconds s_firstStop{500};
 constexpr std::uint32_t s_mostStops = 3;
@@ -144,6 +166,39 @@
     std::stable_sort(faults.begin(), faults.end(), [](const Fault &left, const Fault &right) { return left.at < right.at; });
 }
 
+/// Adds the series of changes of customers and leaves the other faults as they are.
+void addCustomerSeries(std::vector<Fault> &faults, const PlanSettings &settings)
+{
+    pcg32 random(settings.seed, s_customerStream);
+    std::uniform_real_distribution<double> drawShare(0, 1);
+    std::exponential_distribution<double> drawGap(1.0 / static_cast<double>(settings.meanCustomerGap.count()));
+    std::vector<double> weights;
+    for (const auto &[kind, weight] : s_customerChanges) {
+        weights.push_back(weight);
+    }
+    std::discrete_distribution<std::size_t> drawKind(weights.begin(), weights.end());
+    const auto drawTime = [&](double shortestMs, double longestMs) {
+        return milliseconds(static_cast<std::int64_t>(shortestMs + drawShare(random) * (longestMs - shortestMs)));
+    };
+    milliseconds at(static_cast<std::int64_t>(drawGap(random)));
+    while (at < settings.length) {
+        if (drawShare(random) < s_cutShare) {
+            const std::size_t firstHost = random();
+            const milliseconds cut = drawTime(s_shortestCutMs, s_longestCutMs);
+            for (std::size_t i = 0; i < s_cutHosts; ++i) {
+                faults.push_back({FaultKind::StoreCutFromHost, at, cut, firstHost + i});
+            }
+        }
+        const std::uint32_t changes = s_leastCustomerChanges + random(s_mostCustomerChanges - s_leastCustomerChanges + 1);
+        for (std::uint32_t i = 0; i < changes; ++i) {
+            const FaultKind kind = s_customerChanges[drawKind(random)].first;
+            faults.push_back({kind, at + drawTime(0, s_customerSeriesMs), milliseconds(0), random()});
+        }
+        at += milliseconds(static_cast<std::int64_t>(s_customerSeriesMs + drawGap(random)));
+    }
+    std::stable_sort(faults.begin(), faults.end(), [](const Fault &left, const Fault &right) { return left.at < right.at; });
+}
+
 } // namespace
 
 const std::vector<FaultKind> &allFaultKinds()
@@ -222,6 +277,9 @@
         faults.push_back({drawn.kind, at, duration, target});
     }
     addAllSeries(faults, settings);
+    if (settings.hasCustomers) {
+        addCustomerSeries(faults, settings);
+    }
     return faults;
 }
 
--- a/Tests/Platform/Soak/soakplan.h
+++ b/Tests/Platform/Soak/soakplan.h
@@ -40,6 +40,11 @@
     Configuration,
     ConfigurationUnreadable,
     ZoneEvacuated,
+    /// Changes of customers; they come in series of their own, with PlanSettings::hasCustomers only.
+    KeyRemoved,
+    KeyAdded,
+    LimitLowered,
+    LimitRestored,
 };
 
 /// All kinds in the order of their names. Thread safety: safe from any thread.
@@ -68,13 +73,18 @@
     std::chrono::milliseconds meanGap{700};
     /// Mean time between a series and the next one; 0 for none.
     std::chrono::milliseconds meanSeriesGap{8000};
+    /// Keys and limits of customers change in series that overlap with the other faults, which stay as they are.
+    bool hasCustomers = false;
+    /// Mean time between a series of such changes and the next one.
+    std::chrono::milliseconds meanCustomerGap{1500};
     /// Plays planStops() instead.
     bool isPlanned = false;
 };
 
 /// Draws the faults of one run, in the order of their times. Faults overlap; one in four repeats its predecessor's target.
 /// In a series the store hangs while configurations change and hosts restart one after the other; nothing else happens to the store
-/// until what hosts then know was seen. Precondition: length and meanGap are positive, meanSeriesGap is not negative. Thread safety: safe from any thread.
+/// until what hosts then know was seen. With customers, a series of changes often meets a third of the hosts without the store.
+/// Precondition: length, meanGap and meanCustomerGap are positive, meanSeriesGap is not negative. Thread safety: safe from any thread.
 std::vector<Fault> planFaults(const PlanSettings &settings);
 
 /// Draws series of planned work that overlap over several hosts: stops with further signals, configurations and, beside them, the kill of another
--- a/Tests/Platform/Soak/testsoak.cpp
+++ b/Tests/Platform/Soak/testsoak.cpp
@@ -281,20 +281,118 @@
     cr_assert(kinds == (std::set<FaultKind>{FaultKind::HostStopped, FaultKind::HostKilled, FaultKind::HostHangup, FaultKind::Configuration}));
 }
 
-// Guards against faults that can't be played again, and kinds that are never drawn.
+// Guards against faults that can't be played again, kinds that are never drawn, and changes of customers in a run that has none.
 Test(Soak, plansAreRepeatableAndReachAllKinds)
+{
+    for (const bool hasCustomers : {false, true}) {
+        PlanSettings settings;
+        settings.length = 600s;
+        settings.hasCustomers = hasCustomers;
+        const auto first = planFaults(settings);
+        const auto second = planFaults(settings);
+        cr_assert_eq(first.size(), second.size());
+        std::set<FaultKind> kinds;
+        for (std::size_t i = 0; i < first.size(); ++i) {
+            cr_assert(first[i].kind == second[i].kind && first[i].at == second[i].at && first[i].target == second[i].target);
+            kinds.insert(first[i].kind);
+        }
+        std::set<FaultKind> expected(allFaultKinds().begin(), allFaultKinds().end());
+        if (!hasCustomers) {
+            for (const FaultKind kind : {FaultKind::KeyRemoved, FaultKind::KeyAdded, FaultKind::LimitLowered, FaultKind::LimitRestored}) {
+                expected.erase(kind);
+            }
+        }
+        cr_assert(kinds == expected);
+    }
+}
+
+namespace
+{
+
+struct PlanDigest
+{
+    std::uint64_t seed;
+    bool isPlanned;
+    std::size_t faults;
+    std::uint64_t digest;
+};
+
+/// FNV-1a of all fields, each letter and number as eight bytes.
+std::uint64_t digestOf(const std::vector<Fault> &faults)
+{
+    std::uint64_t digest = 14695981039346656037U;
+    const auto addNumber = [&digest](std::uint64_t number) {
+        for (unsigned i = 0; i < 8; ++i) {
+            digest = (digest ^ ((number >> (8 * i)) & 0xffU)) * 1099511628211U;
+        }
+    };
+    for (const Fault &fault : faults) {
+        for (const char letter : toText(fault.kind)) {
+            addNumber(static_cast<unsigned char>(letter));
+        }
+        addNumber(static_cast<std::uint64_t>(fault.at.count()));
+        addNumber(static_cast<std::uint64_t>(fault.duration.count()));
+        addNumber(fault.target);
+    }
+    return digest;
+}
+
+} // namespace
+
+// Guards against kept seeds that play other faults after a change of the planner, such as a new kind of fault.
+ParameterizedTestParameters(Soak, plansOfKeptSeedsStayTheSame)
+{
+    static PlanDigest cases[] = {
+        {1, false, 89, 12714628710736425413U},
+        {1, true, 89, 8461568280067591250U},
+        {100, false, 86, 16312635690453228865U},
+        {100, true, 107, 2933731369537481078U},
+        {2001, false, 79, 14252668254808258265U},
+        {2001, true, 168, 1094470207365820080U},
+        {9103, false, 106, 17143760718072371608U},
+        {9103, true, 99, 15422799980758476680U},
+    };
+    return cr_make_param_array(PlanDigest, cases, sizeof(cases) / sizeof(cases[0]));
+}
+
+ParameterizedTest(PlanDigest *testCase, Soak, plansOfKeptSeedsStayTheSame)
 {
     PlanSettings settings;
-    settings.length = 600s;
-    const auto first = planFaults(settings);
-    const auto second = planFaults(settings);
-    cr_assert_eq(first.size(), second.size());
-    std::set<FaultKind> kinds;
-    for (std::size_t i = 0; i < first.size(); ++i) {
-        cr_assert(first[i].kind == second[i].kind && first[i].at == second[i].at && first[i].target == second[i].target);
-        kinds.insert(first[i].kind);
+    settings.seed = testCase->seed;
+    settings.isPlanned = testCase->isPlanned;
+    settings.length = 60s;
+    const auto faults = planFaults(settings);
+    cr_expect_eq(faults.size(), testCase->faults);
+    cr_expect_eq(digestOf(faults), testCase->digest);
+}
+
+// Guards against runs with customers whose other faults differ from those without, and against changes that never meet hosts without the store.
+Test(Soak, customerSeriesOverlapWithTheOtherFaults)
+{
+    PlanSettings settings;
+    settings.length = 60s;
+    const auto plain = planFaults(settings);
+    settings.hasCustomers = true;
+    const auto withCustomers = planFaults(settings);
+    const auto isSame = [](const Fault &left, const Fault &right) {
+        return left.kind == right.kind && left.at == right.at && left.duration == right.duration && left.target == right.target;
+    };
+    for (const Fault &fault : plain) {
+        cr_assert(std::any_of(withCustomers.begin(), withCustomers.end(), [&](const Fault &other) { return isSame(fault, other); }));
+    }
+    std::size_t removalsDuringCuts = 0;
+    for (const Fault &fault : withCustomers) {
+        if (fault.kind != FaultKind::KeyRemoved) {
+            continue;
+        }
+        removalsDuringCuts +=
+            std::any_of(withCustomers.begin(),
+                withCustomers.end(),
+                [&fault](const Fault &cut) { return cut.kind == FaultKind::StoreCutFromHost && cut.at <= fault.at && fault.at < cut.at + cut.duration; })
+            ? 1
+            : 0;
     }
-    cr_assert_eq(kinds.size(), allFaultKinds().size());
+    cr_assert_gt(removalsDuringCuts, 0U);
 }
 
 namespace
