Soak: Play customers with keys, quotas and strict revocation

Upstreams report each request in which a key turns up, and no log of a host may hold one. Hosts start with firstStart once, since nobody lends permits otherwise for 15 s.

--- a/Tests/Platform/Soak/main.cpp
+++ b/Tests/Platform/Soak/main.cpp
@@ -34,7 +34,10 @@
     application.add_option("--network", settings.network, "first two numbers of the loopback addresses");
     application.add_option("--folder", folder, "where logs and settings go");
     application.add_flag("--verbose", settings.isVerbose, "shows the faults as they happen");
-    application.add_flag("--planned", settings.plan.isPlanned, "plays planned stops in series, with upstreams and callers in processes of their own");
+    CLI::Option *customers =
+        application.add_flag("--customers", settings.plan.hasCustomers, "customers with keys, quotas and strict revocation, which change in series");
+    application.add_flag("--planned", settings.plan.isPlanned, "plays planned stops in series, with upstreams and callers in processes of their own")
+        ->excludes(customers);
     application.add_option("--caller-processes", callerProcesses, "with --planned: processes of callers for each host")->check(CLI::Range(0, 200));
     application.add_option("--callers", settings.callersInProcess, "with --planned: callers in each process")->check(CLI::Range(1, 1000));
     application.add_option("--slots", plannedSlots, "with --planned: requests at once at each upstream")->check(CLI::Range(1, 1000));
--- a/Tests/Platform/Soak/soakrun.cpp
+++ b/Tests/Platform/Soak/soakrun.cpp
@@ -1,6 +1,8 @@
 #include <Platform/Soak/soakrun.h>
 
 #include <LibCore/sleep.h>
+#include <LibGateway/gatewayheaders.h>
+#include <platform/decode.h>
 
 #include <csignal>
 #include <fmt/format.h>
@@ -43,6 +45,9 @@
 /// With both, a version differs from each of the three before it. Their prefixes are nested.
 const std::vector<RegionalRoute> s_regionalRoutes = {{"home", 1}, {"home/inner", 2}};
 
+/// A route that needs no key, with customers only.
+const std::string s_publicRoute = "open";
+
 constexpr std::chrono::milliseconds s_requestTimeout{1500};
 /// Callers wait this much longer than the request may take, to see whether it is held.
 constexpr std::chrono::milliseconds s_callerPatience{3000};
@@ -91,7 +96,16 @@
     if (response.status == 200) {
         return ResponseKind::Served;
     }
-    return response.status == 503 ? ResponseKind::Rejected : ResponseKind::Failed;
+    switch (response.status) {
+    case 401:
+        return ResponseKind::Unauthorized;
+    case 429:
+        return ResponseKind::QuotaExceeded;
+    case 503:
+        return ResponseKind::Rejected;
+    default:
+        return ResponseKind::Failed;
+    }
 }
 
 } // namespace
@@ -102,6 +116,9 @@
     , m_store(m_context)
     , m_pool(m_context, {})
 {
+    if (m_settings.plan.hasCustomers) {
+        m_customers.emplace(m_settings.plan.seed);
+    }
     createPlaces();
     createProxy();
 }
@@ -123,6 +140,7 @@
             s_services[i % s_services.size()],
             region,
             endpoint(place.ip, s_upstreamPort));
+        place.upstream->onKeySeen = [this, ip = place.ip](const std::string &requestId) { m_promises.note(requestId + ": its key reached " + ip); };
         if (m_settings.hasUpstreamProcesses) {
             place.process = UpstreamProcess{fmt::format("u-{}-0", place.ip),
                 place.upstream->service(),
@@ -190,7 +208,16 @@
     for (const auto &[zone, region] : s_zones) {
         zones[zone] = region;
     }
-    const Json document = {{"host", host.name},
+    Json limits = {{"stopGrace", fmt::format("{}ms", s_stopGrace.count())}};
+    if (m_customers) {
+        const CustomerRules rules;
+        limits.update({{"strictRevocation", true},
+            {"revocationTime", fmt::format("{}ms", rules.revocationTime.count())},
+            {"quotaWindow", fmt::format("{}ms", rules.quotaWindow.count())},
+            {"quotaOverage", rules.quotaOverage},
+            {"quotaSlack", rules.quotaSlack}});
+    }
+    Json document = {{"host", host.name},
         {"zone", host.zone},
         {"region", zones[host.zone]},
         {"sourceAddress", host.ip},
@@ -201,14 +228,19 @@
         {"metricsAddress", endpoint(host.ip, s_metricsPort)},
         {"zones", zones},
         {"store", {{"address", endpoint(m_settings.network + ".3.1", s_proxyPort)}}},
-        {"limits", {{"stopGrace", fmt::format("{}ms", s_stopGrace.count())}}}};
+        {"limits", limits}};
+    if (m_customers) {
+        // Otherwise no host lends permits in the first 15 s.
+        document["firstStart"] = !host.hasStarted;
+    }
     std::ofstream(m_settings.folder + "/" + host.name + ".json") << document.dump(1) << "\n";
 }
 
 void SoakRun::startHost(std::size_t index, const boost::asio::yield_context &yield)
 {
-    const Host &host = m_hosts[index];
+    Host &host = m_hosts[index];
     writeSettings(host);
+    host.hasStarted = true;
     const std::string settings = "TREFOILMOUNT_SETTINGS=" + m_settings.folder + "/" + host.name + ".json";
     // env replaces itself by the program, so that the process id stays.
     const auto started =
@@ -271,11 +303,19 @@
         routes.back()["allowed_regions"] = Json::array({region});
         m_promises.routeChanged(route.name, {now, "alpha", {region}});
     }
-    const Json document = {{"version", fmt::format("r{}", m_version)},
+    Json document = {{"version", fmt::format("r{}", m_version)},
         {"routes", routes},
         {"services", services},
         {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 1048576}, {"header_timeout", "3000ms"}, {"idle_timeout", "15000ms"}}}};
+    if (m_customers) {
+        document["routes"].push_back(routeDocument(s_publicRoute, "safe", "alpha"));
+        document["routes"].back()["public"] = true;
+        document["tenants"] = m_customers->document();
+    }
     m_store.set("op", "config", document.dump());
+    if (m_customers) {
+        m_promises.customersConfigured(m_customers->versions(), now, BootClock::now());
+    }
     m_promises.routeChanged("moving", {now, moving});
 }
 
@@ -483,6 +523,25 @@
     place.isBusy = false;
 }
 
+void SoakRun::changeCustomer(const Fault &fault)
+{
+    switch (fault.kind) {
+    case FaultKind::KeyRemoved:
+        m_customers->removeKey(fault.target);
+        break;
+    case FaultKind::KeyAdded:
+        m_customers->addKey(fault.target);
+        break;
+    case FaultKind::LimitLowered:
+        m_customers->lowerLimit(fault.target);
+        break;
+    default:
+        m_customers->restoreLimit(fault.target);
+        break;
+    }
+    writeConfiguration();
+}
+
 void SoakRun::evacuate(const Fault &fault, const boost::asio::yield_context &yield)
 {
     if (m_isEvacuated) {
@@ -536,6 +595,12 @@
         sleepFor(m_context, fault.duration, yield);
         writeConfiguration();
         return;
+    case FaultKind::KeyRemoved:
+    case FaultKind::KeyAdded:
+    case FaultKind::LimitLowered:
+    case FaultKind::LimitRestored:
+        changeCustomer(fault);
+        return;
     case FaultKind::ZoneEvacuated:
         evacuate(fault, yield);
         return;
@@ -635,12 +700,44 @@
     }
 }
 
+void SoakRun::identify(CallerRequest &request, HttpRequest &message)
+{
+    if (!m_customers) {
+        return;
+    }
+    const GatewayHeaders names = Platform::platformHeaders();
+    const Credentials credentials = m_customers->draw();
+    for (const std::string &authorization : credentials.authorizations) {
+        message.headers.add(names.credential, authorization);
+    }
+    for (const std::string &name : credentials.names) {
+        message.headers.add(names.customer, name);
+    }
+    request.key = credentials.key;
+    request.isPublic = request.route == s_publicRoute;
+    request.isEntitled = !credentials.isLimited && (request.isPublic || credentials.isKnownEverywhere);
+}
+
+void SoakRun::checkLogs()
+{
+    for (const Host &host : m_hosts) {
+        std::ifstream log(m_settings.folder + "/" + host.name + ".log");
+        std::string line;
+        while (std::getline(log, line)) {
+            if (line.find(s_keyMark) != std::string::npos) {
+                m_promises.note(host.name + " logged a key: " + line);
+            }
+        }
+    }
+}
+
 void SoakRun::call(const boost::asio::yield_context &yield)
 {
-    static const std::vector<std::string> routes = {"read", "write", "moving", s_regionalRoutes[0].name, s_regionalRoutes[1].name};
+    static const std::vector<std::string> allRoutes = {"read", "write", "moving", s_regionalRoutes[0].name, s_regionalRoutes[1].name, s_publicRoute};
+    const std::size_t routes = m_customers ? allRoutes.size() : allRoutes.size() - 1;
     CallerRequest request;
     request.id = fmt::format("{:x}-{}", m_settings.plan.seed, ++m_sent);
-    request.route = routes[m_random(static_cast<std::uint32_t>(routes.size()))];
+    request.route = allRoutes[m_random(static_cast<std::uint32_t>(routes))];
     request.host = m_random(static_cast<std::uint32_t>(m_hosts.size()));
     request.isIdempotent = request.route != "write";
     request.timeout = s_requestTimeout;
@@ -649,6 +746,7 @@
     message.headers.add("Request-Id", request.id);
     message.headers.add("Affinity-Key", fmt::to_string(m_random(40)));
     message.headers.add("Deadline-Ms", fmt::to_string(s_requestTimeout.count()));
+    identify(request, message);
     request.sentAt = BootClock::now();
     CallOptions options;
     options.deadline = request.sentAt + s_requestTimeout + s_callerPatience;
@@ -728,6 +826,7 @@
         sleepFor(m_context, 20ms, yield);
     }
     collectReports(yield);
+    checkLogs();
     for (const Host &host : m_hosts) {
         if (!m_processes.isRunning(host.name)) {
             m_promises.note(host.name + " ended by itself");
--- a/Tests/Platform/Soak/soakrun.h
+++ b/Tests/Platform/Soak/soakrun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Platform/Soak/customerbook.h>
 #include <Platform/Soak/promises.h>
 #include <Platform/Soak/soakplan.h>
 #include <Platform/Soak/soakupstream.h>
@@ -69,6 +70,7 @@
         bool isBusy = false;
         /// It got SIGTERM and runs; further signals reach it.
         bool isStopping = false;
+        bool hasStarted = false;
     };
     struct UpstreamPlace
     {
@@ -103,6 +105,8 @@
     /// process repeats its rejections.
     void crashUpstream(UpstreamPlace &place, std::chrono::milliseconds pause, const boost::asio::yield_context &yield);
     void removeUpstream(UpstreamPlace &place, std::chrono::milliseconds pause, const boost::asio::yield_context &yield);
+    /// Changes a key or a limit and writes the configuration.
+    void changeCustomer(const Fault &fault);
     void evacuate(const Fault &fault, const boost::asio::yield_context &yield);
 
     void startUpstream(UpstreamPlace &place);
@@ -113,6 +117,10 @@
 
     void callers(const boost::asio::yield_context &yield);
     void call(const boost::asio::yield_context &yield);
+    /// Adds the headers of a customer's caller, with customers only.
+    void identify(CallerRequest &request, HttpRequest &message);
+    /// No log of a host holds a key.
+    void checkLogs();
     void expectRecovery(const boost::asio::yield_context &yield);
 
     void link(const std::string &from, const std::string &to, const std::string &mode, const nlohmann::json &more = {});
@@ -123,6 +131,8 @@
     boost::asio::io_context m_context{1};
     Promises m_promises;
     pcg32 m_random;
+    /// Set with customers only.
+    std::optional<CustomerBook> m_customers;
     Platform::StoreStandIn m_store;
     std::unique_ptr<LinkProxy::Proxy> m_proxy;
     std::vector<Host> m_hosts;
--- a/Tests/Platform/Soak/soakupstream.cpp
+++ b/Tests/Platform/Soak/soakupstream.cpp
@@ -1,3 +1,4 @@
+#include <Platform/Soak/customerbook.h>
 #include <Platform/Soak/soakupstream.h>
 
 #include <LibCore/sleep.h>
@@ -5,11 +6,13 @@
 #include <LibHttp/endpoint.h>
 #include <platform/decode.h>
 
+#include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <csignal>
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 #include <fstream>
 #include <stdexcept>
 
@@ -123,6 +126,16 @@
     }
 }
 
+void SoakUpstream::reportKeys(const HttpRequest &request, const std::string &requestId) const
+{
+    const auto hasKey = [](const std::string &text) { return text.find(s_keyMark) != std::string::npos; };
+    const auto &fields = request.headers.all();
+    const bool isInHeaders = std::any_of(fields.begin(), fields.end(), [&](const HttpHeader &field) { return hasKey(field.name) || hasKey(field.value); });
+    if (onKeySeen && (isInHeaders || hasKey(request.target) || hasKey(request.body))) {
+        onKeySeen(requestId);
+    }
+}
+
 HttpResponse SoakUpstream::answer(const HttpRequest &request, const boost::asio::yield_context &yield)
 {
     static const GatewayHeaders names = Platform::platformHeaders();
@@ -130,6 +143,7 @@
     HttpResponse response;
     response.headers.add(names.requestId, requestId);
     response.headers.add(names.load, fmt::format("{},0,{}", m_running, m_work.slots));
+    reportKeys(request, requestId);
     if (request.headers.value(names.expectedUpstream) != m_id) {
         response.status = s_misdirected;
         return response;
@@ -139,7 +153,14 @@
         response.headers.add(names.notRun, "1");
         return response;
     }
-    m_observer({requestId, m_service, m_id, BootClock::now(), parseMilliseconds(request.headers.value(names.timeLeft)), m_region});
+    std::vector<std::string> customers;
+    for (const HttpHeader &field : request.headers.all()) {
+        if (isSameHeaderName(field.name, names.customer)) {
+            customers.push_back(field.value);
+        }
+    }
+    const auto timeLeft = parseMilliseconds(request.headers.value(names.timeLeft));
+    m_observer({requestId, m_service, m_id, BootClock::now(), timeLeft, m_region, fmt::format("{}", fmt::join(customers, ","))});
     ++m_running;
     const auto range = static_cast<std::uint32_t>((m_work.longest - m_work.shortest).count());
     const std::chrono::duration<double, std::milli> workTime = m_work.shortest + std::chrono::milliseconds(m_random(range + 1));
--- a/Tests/Platform/Soak/soakupstream.h
+++ b/Tests/Platform/Soak/soakupstream.h
@@ -68,6 +68,8 @@
     }
 
     UpstreamBehaviour behaviour;
+    /// Gets the id of each request in which a customer's key turns up. Set before the start; may be empty.
+    std::function<void(const std::string &requestId)> onKeySeen;
 
 private:
     using Socket = boost::asio::ip::tcp::socket;
@@ -81,6 +83,7 @@
 
     void accept(const std::shared_ptr<Process> &process, const boost::asio::yield_context &yield);
     void serve(Socket &socket, const boost::asio::yield_context &yield);
+    void reportKeys(const HttpRequest &request, const std::string &requestId) const;
     HttpResponse answer(const HttpRequest &request, const boost::asio::yield_context &yield);
 
     boost::asio::io_context &m_context;
--- a/Tests/Platform/Soak/testsoak.cpp
+++ b/Tests/Platform/Soak/testsoak.cpp
@@ -1,3 +1,4 @@
+#include <Platform/Soak/customerbook.h>
 #include <Platform/Soak/promises.h>
 #include <Platform/Soak/soakplan.h>
 
@@ -652,3 +653,34 @@
         violations.begin(), violations.end(), [&change](const std::string &violation) { return violation.find(change.violation) != std::string::npos; });
     cr_assert(isFound, "%s: %s", change.name, violations.front().c_str());
 }
+
+// Guards against keys that reach upstreams unseen: requests of a caller carry the mark that upstreams look for, and the book draws each kind of header.
+Test(Soak, callersSendRecognisableKeys)
+{
+    CustomerBook book(1);
+    book.removeKey(0);
+    book.addKey(1);
+    const CustomerVersions versions = book.versions();
+    std::set<std::size_t> headers;
+    std::size_t known = 0;
+    std::size_t forged = 0;
+    for (int i = 0; i < 2000; ++i) {
+        const Credentials credentials = book.draw();
+        headers.insert(credentials.authorizations.size());
+        forged += credentials.names.empty() ? 0 : 1;
+        for (const std::string &authorization : credentials.authorizations) {
+            cr_assert(authorization.find(s_keyMark) != std::string::npos, "%s", authorization.c_str());
+        }
+        known += std::any_of(versions.begin(),
+                     versions.end(),
+                     [&credentials](const auto &entry) {
+                         const std::vector<std::string> &keys = entry.second.keys;
+                         return std::find(keys.begin(), keys.end(), credentials.key) != keys.end();
+                     })
+            ? 1
+            : 0;
+    }
+    cr_assert(headers == (std::set<std::size_t>{0, 1, 2}));
+    cr_assert(known > 1200 && known < 1700, "%zu of 2000 keys are known", known);
+    cr_assert(forged > 300 && forged < 500, "%zu of 2000 names are forged", forged);
+}
