Soak: Report when the soak itself stands still

Both hosts had answered them after 1.5 s; the soak, whose one thread is also the store and all upstreams, did nothing for 11.7 s from about the moment at which it restarted a host. The summary now names pauses and steps of a host's start that took longer than 500 ms, so that the next such run shows the step. No check depends on it.

Two findings of the linter in the code of customers are fixed.

--- a/Tests/Platform/Soak/soakplan.cpp
+++ b/Tests/Platform/Soak/soakplan.cpp
@@ -173,6 +173,7 @@
     std::uniform_real_distribution<double> drawShare(0, 1);
     std::exponential_distribution<double> drawGap(1.0 / static_cast<double>(settings.meanCustomerGap.count()));
     std::vector<double> weights;
+    weights.reserve(s_customerChanges.size());
     for (const auto &[kind, weight] : s_customerChanges) {
         weights.push_back(weight);
     }
--- a/Tests/Platform/Soak/soakrun.cpp
+++ b/Tests/Platform/Soak/soakrun.cpp
@@ -63,6 +63,7 @@
 constexpr std::chrono::milliseconds s_rowLifetime{3000};
 /// Processes of callers and upstreams write their reports within this time.
 constexpr std::chrono::milliseconds s_reportLimit{5000};
+constexpr std::chrono::milliseconds s_watchInterval{20};
 constexpr std::string_view s_steadyPrefix = "steady-";
 /// Share of the requests of the calm end that are served.
 constexpr double s_calmServed = 0.95;
@@ -140,7 +141,8 @@
             s_services[i % s_services.size()],
             region,
             endpoint(place.ip, s_upstreamPort));
-        place.upstream->onKeySeen = [this, ip = place.ip](const std::string &requestId) { m_promises.note(requestId + ": its key reached " + ip); };
+        place.upstream->onKeySeen = [this, ip = place.ip](
+                                        const std::string &requestId) { m_promises.note(fmt::format("{}: its key reached {}", requestId, ip)); };
         if (m_settings.hasUpstreamProcesses) {
             place.process = UpstreamProcess{fmt::format("u-{}-0", place.ip),
                 place.upstream->service(),
@@ -239,12 +241,16 @@
 void SoakRun::startHost(std::size_t index, const boost::asio::yield_context &yield)
 {
     Host &host = m_hosts[index];
+    BootTime from = BootClock::now();
     writeSettings(host);
+    recordStep("settings of " + host.name, from);
     host.hasStarted = true;
     const std::string settings = "TREFOILMOUNT_SETTINGS=" + m_settings.folder + "/" + host.name + ".json";
+    from = BootClock::now();
     // env replaces itself by the program, so that the process id stays.
     const auto started =
         m_processes.start({host.name, "/usr/bin/env", {settings, m_settings.program, "--gateway"}, m_settings.folder + "/" + host.name + ".log"});
+    recordStep("start of " + host.name, from);
     if (started.has_error()) {
         throw std::runtime_error(started.error().message);
     }
@@ -774,6 +780,23 @@
     }
 }
 
+void SoakRun::recordStep(const std::string &step, BootTime from)
+{
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - from);
+    if (took > s_tolerance) {
+        m_standstills += fmt::format(", {} took {} ms", step, took.count());
+    }
+}
+
+void SoakRun::watchStandstills(const boost::asio::yield_context &yield)
+{
+    while (!m_ends) {
+        const BootTime from = BootClock::now();
+        sleepFor(m_context, s_watchInterval, yield);
+        recordStep(fmt::format("a pause of {} ms", s_watchInterval.count()), from);
+    }
+}
+
 void SoakRun::expectRecovery(const boost::asio::yield_context &yield)
 {
     sleepFor(m_context, s_recovery, yield);
@@ -808,6 +831,7 @@
     m_start = BootClock::now();
     startSteadyCallers();
     spawn([this](const boost::asio::yield_context &own) { callers(own); });
+    spawn([this](const boost::asio::yield_context &own) { watchStandstills(own); });
     for (const Fault &fault : planFaults(m_settings.plan)) {
         const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(m_start + fault.at - BootClock::now());
         sleepFor(m_context, std::max(wait, 0ms), yield);
@@ -840,7 +864,7 @@
     spawn([this](const boost::asio::yield_context &yield) { play(yield); });
     m_context.run();
     m_processes.endAll();
-    std::string summary = m_promises.summary();
+    std::string summary = m_promises.summary() + m_standstills;
     if (!m_steady.empty()) {
         summary += fmt::format(", steady requests {}, served {}", m_steadyRequests, m_steadyServed);
     }
--- a/Tests/Platform/Soak/soakrun.h
+++ b/Tests/Platform/Soak/soakrun.h
@@ -121,6 +121,10 @@
     void identify(CallerRequest &request, HttpRequest &message);
     /// No log of a host holds a key.
     void checkLogs();
+    /// Records when this program itself stands still, so that what it then measured can be told from what hosts did.
+    void watchStandstills(const boost::asio::yield_context &yield);
+    /// Records a step that kept this program's only thread for long.
+    void recordStep(const std::string &step, BootTime from);
     void expectRecovery(const boost::asio::yield_context &yield);
 
     void link(const std::string &from, const std::string &to, const std::string &mode, const nlohmann::json &more = {});
@@ -142,6 +146,7 @@
     std::uint64_t m_steadyRequests = 0;
     std::uint64_t m_steadyServed = 0;
     ConnectionPool m_pool;
+    std::string m_standstills;
     BootTime m_start;
     int m_version = 0;
     int m_open = 0;
