--- a/Tests/Platform/Soak/soakrun.h
+++ b/Tests/Platform/Soak/soakrun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <Platform/Soak/customerbook.h>
 #include <Platform/Soak/promises.h>
 #include <Platform/Soak/soakplan.h>
 #include <Platform/Soak/soakupstream.h>
@@ -69,6 +70,7 @@
         bool isBusy = false;
         /// It got SIGTERM and runs; further signals reach it.
         bool isStopping = false;
+        bool hasStarted = false;
     };
     struct UpstreamPlace
     {
@@ -85,7 +87,9 @@
     void createPlaces();
     void createProxy();
     void startHost(std::size_t index, const boost::asio::yield_context &yield);
-    void writeSettings(const Host &host) const;
+    /// Files of hosts that start for the first time differ, with customers only.
+    std::string settingsPath(const Host &host, bool isFirstStart) const;
+    void writeSettings(const Host &host, bool isFirstStart) const;
     bool isReady(const Host &host, const boost::asio::yield_context &yield);
     void awaitReady(std::size_t index, const boost::asio::yield_context &yield);
     void registerUpstream(UpstreamPlace &place, const std::string &state);
@@ -103,6 +107,8 @@
     /// process repeats its rejections.
     void crashUpstream(UpstreamPlace &place, std::chrono::milliseconds pause, const boost::asio::yield_context &yield);
     void removeUpstream(UpstreamPlace &place, std::chrono::milliseconds pause, const boost::asio::yield_context &yield);
+    /// Changes a key or a limit and writes the configuration.
+    void changeCustomer(const Fault &fault);
     void evacuate(const Fault &fault, const boost::asio::yield_context &yield);
 
     void startUpstream(UpstreamPlace &place);
@@ -113,6 +119,14 @@
 
     void callers(const boost::asio::yield_context &yield);
     void call(const boost::asio::yield_context &yield);
+    /// Adds the headers of a customer's caller, with customers only.
+    void identify(CallerRequest &request, HttpRequest &message);
+    /// No log of a host holds a key.
+    void checkLogs();
+    /// Records when this program itself stands still, so that what it then measured can be told from what hosts did.
+    void watchStandstills(const boost::asio::yield_context &yield);
+    /// Records a step that kept this program's only thread for long.
+    void recordStep(const std::string &step, BootTime from);
     void expectRecovery(const boost::asio::yield_context &yield);
 
     void link(const std::string &from, const std::string &to, const std::string &mode, const nlohmann::json &more = {});
@@ -123,6 +137,8 @@
     boost::asio::io_context m_context{1};
     Promises m_promises;
     pcg32 m_random;
+    /// Set with customers only.
+    std::optional<CustomerBook> m_customers;
     Platform::StoreStandIn m_store;
     std::unique_ptr<LinkProxy::Proxy> m_proxy;
     std::vector<Host> m_hosts;
@@ -132,6 +148,7 @@
     std::uint64_t m_steadyRequests = 0;
     std::uint64_t m_steadyServed = 0;
     ConnectionPool m_pool;
+    std::string m_standstills;
     BootTime m_start;
     int m_version = 0;
     int m_open = 0;
