--- a/Tests/LibSteering/testregionload.cpp
+++ b/Tests/LibSteering/testregionload.cpp
@@ -11,13 +11,13 @@
 
 struct EstimateCase
 {
-    char name[40];
-    int reports;
     double reportedLoad;
     double ownRequestsPerSlot;
     double hosts;
     double expected;
+    int reports;
     bool hasEnoughReports;
+    char name[40];
 };
 
 } // namespace
@@ -27,14 +27,14 @@
 ParameterizedTestParameters(RegionLoad, estimates)
 {
     static EstimateCase cases[] = {
-        {"nothing sent", 0, 0, 0, 4, 0, false},
-        {"one host", 0, 0, 0.5, 1, 0.5, false},
-        {"four hosts that send as much", 0, 0, 0.25, 4, 1, false},
-        {"no other host is known", 0, 0, 0.25, 0, 0, false},
-        {"few reports of idle upstreams", 10, 0, 0.25, 4, 1, false},
-        {"few reports of a higher load", 30, 1.5, 0.1, 4, 1.06, false},
-        {"enough reports", 50, 1, 0.25, 4, 1, true},
-        {"reports of long queues", 300, 9, 0, 4, 1.5, true},
+        {0, 0, 4, 0, 0, false, "nothing sent"},
+        {0, 0.5, 1, 0.5, 0, false, "one host"},
+        {0, 0.25, 4, 1, 0, false, "four hosts that send as much"},
+        {0, 0.25, 0, 0, 0, false, "no other host is known"},
+        {0, 0.25, 4, 1, 10, false, "few reports of idle upstreams"},
+        {1.5, 0.1, 4, 1.06, 30, false, "few reports of a higher load"},
+        {1, 0.25, 4, 1, 50, true, "enough reports"},
+        {9, 0, 4, 1.5, 300, true, "reports of long queues"},
     };
     return cr_make_param_array(EstimateCase, cases, std::size(cases));
 }
