--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -252,8 +252,9 @@
     return jsonResponse(200, {{"ver", m_version}, {"now", now()}});
 }
 
-Host::Host(std::string folder, std::string storeAddress)
+Host::Host(std::string folder, std::string name, std::string storeAddress)
     : m_folder(std::move(folder))
+    , m_name(std::move(name))
     , m_storeAddress(std::move(storeAddress))
     , m_ports(freePorts())
 {
@@ -284,7 +285,7 @@
         {"linkMegabits", 1000.0},
         {"descriptors", 4100},
         {"memory", 260}};
-    const Json settings = {{"host", "edge-gulf-a-1"},
+    const Json settings = {{"host", m_name},
         {"zone", "gulf-a"},
         {"region", "gulf"},
         {"sourceAddress", s_address},
@@ -298,7 +299,7 @@
         {"terms", {"base", "drain", "config", "cost", "retry", "recover", "places", "platform"}},
         {"store", {{"address", m_storeAddress}}},
         {"limits", limits}};
-    const std::string path = m_folder + "/settings.json";
+    const std::string path = m_folder + "/" + m_name + ".json";
     std::ofstream(path) << settings.dump(2);
     std::string program = "target/Services/trefoilmountd/trefoilmountd";
     std::string argument = "--gateway";
@@ -307,7 +308,7 @@
     char *environment[] = {variable.data(), nullptr};
     posix_spawn_file_actions_t actions;
     ::posix_spawn_file_actions_init(&actions);
-    const std::string log = m_folder + "/host.log";
+    const std::string log = m_folder + "/" + m_name + ".log";
     ::posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     if (::posix_spawn(&m_process, program.c_str(), &actions, nullptr, arguments, environment) != 0) {
         m_process = -1;
@@ -338,6 +339,11 @@
     return std::string(s_address) + ":" + std::to_string(m_ports[1]);
 }
 
+std::string Host::lookupAddress() const
+{
+    return std::string(s_address) + ":" + std::to_string(m_ports[2]);
+}
+
 Caller::Caller(asio::io_context &context)
     : m_stream(context)
 {
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -109,8 +109,8 @@
 class Host
 {
 public:
-    /// Precondition: the folder exists.
-    Host(std::string folder, std::string storeAddress);
+    /// Precondition: the folder exists; the names of hosts of one deployment differ.
+    Host(std::string folder, std::string name, std::string storeAddress);
     ~Host();
     Host(const Host &) = delete;
     Host &operator=(const Host &) = delete;
@@ -126,9 +126,12 @@
     std::string callerAddress() const;
     /// Precondition: none.
     std::string readinessAddress() const;
+    /// Precondition: none.
+    std::string lookupAddress() const;
 
 private:
     std::string m_folder;
+    std::string m_name;
     std::string m_storeAddress;
     std::vector<unsigned short> m_ports;
     pid_t m_process = -1;
--- a/review/standins-2/raisedlimit.cpp
+++ b/review/standins-2/raisedlimit.cpp
@@ -115,7 +115,7 @@
             std::make_unique<Server>(context, [&record](const Request &request, const asio::yield_context &) { return runOrder(record, request); }));
         store.set("servers", "i-" + std::to_string(i), upstreamEntry(s_service, upstreams.back()->address(), 1));
     }
-    Host host(folder, store.address());
+    Host host(folder, "edge-gulf-a-1", store.address());
     host.start();
     if (!awaitReady(context, host, yield)) {
         record.write("the host did not get ready");
